--- /dev/null
+++ b/cmake/MarjoramTargets.cmake
@@ -0,0 +1,55 @@
+# Target helpers: one call per library, program or test.
+
+function(_marjoram_defaults target)
+    target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Wno-missing-field-initializers)
+    target_compile_definitions(${target} PRIVATE ASIO_STANDALONE)
+endfunction()
+
+# marjoram_library(NAME SOURCES a.cpp ... DEPENDS other ...)
+function(marjoram_library name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_library(${name} STATIC ${ARG_SOURCES})
+    target_include_directories(${name} PUBLIC ${PROJECT_SOURCE_DIR}/src/libs)
+    target_link_libraries(${name} PUBLIC ${ARG_DEPENDS})
+    _marjoram_defaults(${name})
+endfunction()
+
+# marjoram_generated(NAME SOURCES ...): committed generator output, built without our warnings.
+function(marjoram_generated name)
+    cmake_parse_arguments(ARG "" "" "SOURCES" ${ARGN})
+    add_library(${name} STATIC ${ARG_SOURCES})
+    target_include_directories(${name} SYSTEM PUBLIC ${PROJECT_SOURCE_DIR}/src/generated)
+    target_compile_options(${name} PRIVATE -w)
+    target_link_libraries(${name} PUBLIC thrift)
+endfunction()
+
+# marjoram_program(NAME SOURCES ... DEPENDS ...)
+function(marjoram_program name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
+    _marjoram_defaults(${name})
+endfunction()
+
+# marjoram_test(NAME SOURCES ... DEPENDS ...): a Criterion program run by CTest.
+function(marjoram_test name)
+    cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
+    target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} criterion)
+    _marjoram_defaults(${name})
+    if(NOT ARG_TIMEOUT)
+        set(ARG_TIMEOUT 120)
+    endif()
+    add_test(NAME ${name} COMMAND ${name} -j2)
+    set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
+endfunction()
+
+# Adds each named directory that already has a CMakeLists.txt.
+function(marjoram_add_directories)
+    foreach(directory IN LISTS ARGN)
+        if(EXISTS ${CMAKE_CURRENT_SOURCE_DIR}/${directory}/CMakeLists.txt)
+            add_subdirectory(${directory})
+        endif()
+    endforeach()
+endfunction()
