--- a/src/libs/journal/record.h
+++ b/src/libs/journal/record.h
@@ -102,6 +102,9 @@
 using ProgramRecord = std::
     variant<ProgramCreated, CallIntent, CallResult, ProgramEnded, ChildReserved, ChildSettled>;
 
+/// Names one append, so that its commit can be matched; chosen by whoever appends.
+using Ticket = Base::StrongNumber<struct TicketTag, std::uint64_t>;
+
 /// One record and the partition it belongs to.
 struct Record
 {
