Callers' interface as a library of its own

Cause: the composition needs the callers' requests and answers without the HTTP server. Change: callerapi holds typed requests, typed replies and their JSON and event forms. Conclusion: the HTTP server stays a transport.

--- a/src/libs/gateway/callerrequest.cpp
+++ b/src/libs/callerapi/callerrequest.cpp
@@ -3,7 +3,7 @@
 #include <base/random.h>
 #include <base/settingsreader.h>
 
-namespace Gateway {
+namespace CallerApi {
 
 namespace {
 
@@ -214,4 +214,4 @@
     return std::string(authorization.substr(scheme.size()));
 }
 
-} // namespace Gateway
+} // namespace CallerApi
--- a/src/libs/gateway/callerrequest.h
+++ b/src/libs/callerapi/callerrequest.h
@@ -8,7 +8,7 @@
 #include <variant>
 
 /// The callers' HTTP interface: typed requests in, JSON answers and event streams out.
-namespace Gateway {
+namespace CallerApi {
 
 struct CreateProgramRequest
 {
@@ -84,4 +84,4 @@
 /// The key of an "Authorization: Bearer KEY" header; empty if there is none.
 std::string bearerKey(std::string_view authorization);
 
-} // namespace Gateway
+} // namespace CallerApi
