--- /dev/null
+++ b/src/libs/journal/compactor.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "journalwriter.h"
+#include "replay.h"
+#include "storecalls.h"
+
+namespace Journal {
+
+struct CompactorSettings
+{
+    /// Live segments that start a compaction, by bytes and by number.
+    Base::Bytes compactAfterBytes{8 << 20};
+    std::uint64_t compactAfterSegments = 200;
+    Base::Bytes maxObjectBytes{Journal::maxObjectBytes};
+    std::size_t maxWritesUnderWay = 2;
+    Base::Duration storeRetryInterval = std::chrono::milliseconds(500);
+    Base::Duration storeTimeout = std::chrono::milliseconds(2000);
+};
+
+/// Segments before this one are contained in the checkpoint.
+struct CheckpointWritten
+{
+    Base::SegmentNumber firstLive;
+};
+
+using CompactorAction = std::variant<SendStore, CheckpointWritten>;
+
+/// Moves program histories from segments to snapshot objects and deletes old segments. It folds
+/// what the store has, so a checkpoint never contains a record that is not committed.
+class Compactor
+{
+public:
+    explicit Compactor(Base::IncarnationId incarnation, CompactorSettings settings = {});
+
+    /// Takes the writer's SegmentStored, in order.
+    void segmentStored(SegmentStored stored, Base::Instant now);
+    /// The partition's next owner has adopted it: checkpoints need not carry it any longer.
+    void partitionForgotten(Base::PartitionId partition);
+    /// Compacts now, whatever the thresholds say.
+    void requestCompaction(Base::Instant now);
+
+    void handle(const Platform::StoreReply &reply, Base::Instant now);
+    void tick(Base::Instant now);
+    std::optional<Base::Instant> nextWakeUp() const;
+    std::vector<CompactorAction> takeActions();
+
+    bool isIdle() const { return phase_ == Phase::Idle; }
+    Base::Bytes liveBytes() const { return liveBytes_; }
+
+private:
+    enum class Phase {
+        Idle,
+        WritingChunks,
+        WritingParts,
+        WritingCheckpoint,
+        Deleting
+    };
+
+    /// Turns of one program on their way into a snapshot object.
+    struct ChunkJob
+    {
+        Base::PartitionId partition;
+        Base::ProgramId program;
+        std::vector<CallResult> turns;
+        std::uint64_t ordinal = 0;
+    };
+
+    void begin(Base::Instant now);
+    void planChunks();
+    void planProgram(Base::PartitionId partition, ProgramSnapshot &program);
+    void sendChunk(ChunkJob job, Base::Instant now);
+    void chunkFinished(ChunkJob job, const StoreResult &result, Base::Instant now);
+    void proceed(Base::Instant now);
+    void writeParts(Base::Instant now);
+    void writeCheckpoint(Base::Instant now);
+    void checkpointFinished(const StoreResult &result, Base::Instant now);
+    void planDeletions();
+    void finish(Base::Instant now);
+    void fold(SegmentStored stored);
+    bool isDue() const;
+    Base::WriteId nextWriteId();
+
+    Base::IncarnationId incarnation_;
+    CompactorSettings settings_;
+    StoreCalls calls_;
+    Replay replay_;
+    Phase phase_ = Phase::Idle;
+    /// Segments stored while a compaction runs; folded afterwards.
+    std::vector<SegmentStored> waiting_;
+    std::vector<Base::PartitionId> forgotten_;
+    std::vector<ChunkJob> chunkQueue_;
+    std::map<StoreCallId, ChunkJob> chunksUnderWay_;
+    std::vector<Platform::PutObject> partQueue_;
+    std::vector<Platform::ObjectKey> deleteQueue_;
+    Checkpoint checkpoint_;
+    std::vector<std::string> oldParts_;
+    Platform::ObjectVersion checkpointVersion_;
+    Base::SegmentNumber foldedThrough_;
+    Base::SegmentNumber firstLive_{1};
+    Base::Bytes liveBytes_;
+    std::uint64_t writes_ = 0;
+    bool isStopped_ = false;
+    std::vector<CompactorAction> actions_;
+};
+
+} // namespace Journal
--- /dev/null
+++ b/src/libs/journal/journalhandover.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "journalreader.h"
+#include "journalwriter.h"
+
+#include <set>
+
+namespace Journal {
+
+struct HandoverSettings
+{
+    /// The live daemon that released the partitions.
+    Base::IncarnationId owner;
+    std::set<Base::PartitionId> partitions;
+    /// Segment that holds the last of the PartitionReleased records.
+    Base::SegmentNumber position;
+    std::size_t maxReadsUnderWay = 16;
+    Base::Duration storeRetryInterval = std::chrono::milliseconds(100);
+    Base::Duration storeTimeout = std::chrono::milliseconds(1000);
+    /// The owner's segments have to be in the store within this time.
+    Base::Duration patience = std::chrono::seconds(5);
+};
+
+/// The partitions as they were released.
+struct HandoverDone
+{
+    Base::IncarnationId owner;
+    std::map<Base::PartitionId, ReplayedPartition> partitions;
+};
+
+/// Not to be read, not released, or not in time; take over by JournalRecovery instead, once the
+/// owner's lease has lapsed.
+struct HandoverFailed
+{
+    Base::Error error;
+};
+
+using HandoverAction = std::variant<SendStore, HandoverDone, HandoverFailed>;
+
+/// Reads released partitions from the journal of a daemon that goes on; seals nothing.
+class JournalHandover
+{
+public:
+    explicit JournalHandover(HandoverSettings settings);
+
+    void start(Base::Instant now);
+    void handle(const Platform::StoreReply &reply, Base::Instant now);
+    void tick(Base::Instant now);
+    std::optional<Base::Instant> nextWakeUp() const;
+    std::vector<HandoverAction> takeActions();
+
+private:
+    void proceed(Base::Instant now);
+    void finish();
+    void fail(Base::Error error);
+
+    HandoverSettings settings_;
+    StoreCalls calls_;
+    JournalReader reader_;
+    Base::Instant giveUpAt_;
+    std::optional<Base::Instant> resumeAt_;
+    bool isDone_ = false;
+    std::vector<HandoverAction> actions_;
+};
+
+} // namespace Journal
--- /dev/null
+++ b/src/libs/journal/journalrecovery.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "journalreader.h"
+#include "journalwriter.h"
+
+#include <set>
+
+namespace Journal {
+
+struct RecoverySettings
+{
+    /// The incarnation whose journal is recovered.
+    Base::IncarnationId owner;
+    /// The daemon that takes over.
+    Base::IncarnationId self;
+    std::set<Base::PartitionId> partitions;
+    /// Distinguishes this recovery's writes from those of all others.
+    Base::WriteId writeId;
+    std::size_t maxReadsUnderWay = 16;
+    Base::Duration storeRetryInterval = std::chrono::milliseconds(200);
+    Base::Duration storeTimeout = std::chrono::milliseconds(1000);
+    Base::Duration witnessRetryInterval = std::chrono::milliseconds(200);
+};
+
+/// Read the owner's lease object afresh from the store (not from a cache) and call leaseRead().
+struct LeaseNeeded
+{
+    Base::IncarnationId owner;
+};
+
+/// No witness could be sealed yet: nothing of the owner's programs may be served.
+struct RecoveryBlocked
+{
+    Base::Error error;
+};
+
+/// An open call of the dead owner: it was dispatched or may have been.
+struct UncertainCall
+{
+    Base::PartitionId partition;
+    Base::ProgramId program;
+    Base::CallNumber number;
+    bool isIdempotent = false;
+    /// The intent was only seen at a witness; the store did not have it.
+    bool isFromWitness = false;
+
+    bool operator==(const UncertainCall &) const = default;
+};
+
+/// What the journal and a witness had. A partition asked for that is not `adopted` in here
+/// has to be recovered from its earlier owner.
+struct RecoveryDone
+{
+    Base::IncarnationId owner;
+    std::map<Base::PartitionId, ReplayedPartition> partitions;
+    std::vector<UncertainCall> uncertain;
+    /// Owner and witnesses are all gone: a turn told as done may be missing, and every call
+    /// that is not recorded may have run.
+    bool isDegraded = false;
+    /// The seal's position.
+    Base::SegmentNumber sealedAt;
+};
+
+/// The journal or an object in it could not be understood.
+struct RecoveryFailed
+{
+    Base::Error error;
+};
+
+using RecoveryAction = std::
+    variant<SendStore, SendMessage, LeaseNeeded, RecoveryBlocked, RecoveryDone, RecoveryFailed>;
+
+/// Takes over the journal of one dead incarnation: reads it, seals it at the store, then reads
+/// the lease, then seals a witness, and merges what both had. Two may run at once.
+class JournalRecovery
+{
+public:
+    explicit JournalRecovery(RecoverySettings settings);
+
+    void start(Base::Instant now);
+    void handle(const Platform::StoreReply &reply, Base::Instant now);
+    /// Answers LeaseNeeded. Empty if the lease names no witnesses.
+    void leaseRead(const std::set<Base::IncarnationId> &witnesses, Base::Instant now);
+    void handle(const WitnessSealReply &reply, Base::Instant now);
+    /// The platform lists this incarnation (owner or witness) as gone.
+    void incarnationGone(const Base::IncarnationId &incarnation, Base::Instant now);
+    void tick(Base::Instant now);
+    std::optional<Base::Instant> nextWakeUp() const;
+    std::vector<RecoveryAction> takeActions();
+
+    bool isDone() const { return isDone_; }
+
+private:
+    RecoverySettings settings_;
+    bool isDone_ = false;
+    std::vector<RecoveryAction> actions_;
+};
+
+} // namespace Journal
--- a/src/libs/journal/record.h
+++ b/src/libs/journal/record.h
@@ -99,8 +99,104 @@
     bool operator==(const ChildSettled &) const = default;
 };
 
-using ProgramRecord = std::
-    variant<ProgramCreated, CallIntent, CallResult, ProgramEnded, ChildReserved, ChildSettled>;
+/// An ended program whose retention is over: its state and its history are removed.
+struct ProgramForgotten
+{
+    Base::ProgramId program;
+
+    bool operator==(const ProgramForgotten &) const = default;
+};
+
+/// Part of a program's history, in an object of its own (ObjectKind::ProgramSnapshot).
+struct SnapshotChunk
+{
+    /// Name of the object: "<program>.<k>".
+    std::string name;
+    Base::CallNumber first;
+    Base::CallNumber last;
+    Base::Bytes size;
+
+    bool operator==(const SnapshotChunk &) const = default;
+};
+
+/// A program's state without the bulk of its history.
+struct ProgramState
+{
+    ProgramCreated created;
+    /// Number of the last call that ended; 0 if none did.
+    Base::CallNumber lastEnded;
+    /// Tokens charged by ended calls and by settled children.
+    Base::Tokens spent;
+    /// A call with an intent and without a result.
+    std::optional<CallIntent> openCall;
+    /// Children whose reservation is not settled yet.
+    std::vector<ChildReserved> openChildren;
+    std::optional<ProgramEnded> ended;
+    /// Ended calls that were moved to snapshot objects, oldest first.
+    std::vector<SnapshotChunk> chunks;
+
+    bool operator==(const ProgramState &) const = default;
+};
+
+/// A program as a replay finds it: its state, and the ended calls that are not in chunks yet.
+struct ProgramSnapshot
+{
+    ProgramState state;
+    std::vector<CallResult> tail;
+
+    bool operator==(const ProgramSnapshot &) const = default;
+};
+
+/// Finding of a takeover: a program's state, already including the turns that follow it as
+/// TurnRecovered. Counts only once PartitionAdopted follows in the same journal.
+struct ProgramRecovered
+{
+    ProgramState state;
+
+    bool operator==(const ProgramRecovered &) const = default;
+};
+
+/// Finding of a takeover: one ended call that is not in a chunk.
+struct TurnRecovered
+{
+    CallResult turn;
+
+    bool operator==(const TurnRecovered &) const = default;
+};
+
+/// The writer of this journal owns the partition; all findings about it stand before this record.
+/// Written once when a partition is taken over or first used; callers are answered afterwards.
+struct PartitionAdopted
+{
+    Base::Epoch epoch;
+    /// Earlier owner; empty for a partition that nobody owned before.
+    std::optional<Base::IncarnationId> predecessor;
+    /// Set if the earlier owner and its witnesses were all gone: calls may be missing.
+    bool isDegraded = false;
+
+    bool operator==(const PartitionAdopted &) const = default;
+};
+
+/// Planned handover: the writer of this journal does nothing more for the partition.
+struct PartitionReleased
+{
+    Base::Epoch epoch;
+    Base::IncarnationId successor;
+
+    bool operator==(const PartitionReleased &) const = default;
+};
+
+using ProgramRecord = std::variant<ProgramCreated,
+                                   CallIntent,
+                                   CallResult,
+                                   ProgramEnded,
+                                   ChildReserved,
+                                   ChildSettled,
+                                   ProgramForgotten,
+                                   ProgramRecovered,
+                                   TurnRecovered,
+                                   PartitionAdopted,
+                                   PartitionReleased>;
 
 /// Names one append, so that its commit can be matched; chosen by whoever appends.
 using Ticket = Base::StrongNumber<struct TicketTag, std::uint64_t>;
