Public types of programs and contracts

The composition needs the events, actions and class declarations of both libraries before the sources exist. Headers only; nothing is built from them yet.

--- /dev/null
+++ b/src/libs/contracts/configedit.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "configuration.h"
+
+#include <base/settingsreader.h>
+
+#include <variant>
+#include <vector>
+
+/// Changes that operators make, one at a time.
+namespace Contracts {
+
+struct AddTeam
+{
+    Team team;
+};
+
+struct RemoveTeam
+{
+    Base::TeamId team;
+};
+
+struct SetRate
+{
+    Base::TeamId team;
+    double ratePerSecond = 0;
+    double burst = 0;
+};
+
+struct SetBudget
+{
+    Base::TeamId team;
+    Base::Tokens budget;
+};
+
+struct SetWeight
+{
+    Base::TeamId team;
+    double weight = 1;
+};
+
+struct AddKey
+{
+    Base::TeamId team;
+    Key key;
+};
+
+struct WithdrawKey
+{
+    Base::KeyId key;
+};
+
+/// Adds the service or replaces the one of the same id.
+struct PutService
+{
+    Service service;
+};
+
+struct RemoveService
+{
+    Base::ServiceId service;
+};
+
+/// Adds the server or replaces the one of the same id.
+struct PutServer
+{
+    BackendServer server;
+};
+
+struct RemoveServer
+{
+    Base::ServerId server;
+};
+
+struct SetServerLeaving
+{
+    Base::ServerId server;
+    bool isLeaving = true;
+};
+
+/// Replaces everything; the version of the given document is ignored.
+struct ReplaceConfiguration
+{
+    ConfigurationDocument document;
+};
+
+using ConfigEdit = std::variant<AddTeam,
+                                RemoveTeam,
+                                SetRate,
+                                SetBudget,
+                                SetWeight,
+                                AddKey,
+                                WithdrawKey,
+                                PutService,
+                                RemoveService,
+                                PutServer,
+                                RemoveServer,
+                                SetServerLeaving,
+                                ReplaceConfiguration>;
+
+/// An edit applied to a document, or the reasons why it cannot be.
+struct EditedConfiguration
+{
+    ConfigurationDocument document;
+    std::vector<Base::SettingsProblem> problems;
+
+    bool isValid() const { return problems.empty(); }
+};
+
+/// The result has the next version.
+EditedConfiguration applyEdit(const ConfigurationDocument &document, const ConfigEdit &edit);
+
+} // namespace Contracts
--- /dev/null
+++ b/src/libs/programs/turn.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <base/error.h>
+#include <base/types.h>
+
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace Programs {
+
+/// What a turn holds; the argument of Turn's constructor.
+struct TurnContent
+{
+    Base::CallNumber number;
+    Base::BodyHash bodyHash;
+    Base::ServiceId service;
+    Base::ServerId server;
+    std::string_view input;
+    std::string_view output;
+    /// Set if the call ended in an error; output is then empty.
+    std::optional<Base::Error> error;
+    Base::Tokens promptTokens;
+    Base::Tokens outputTokens;
+    Base::Instant at;
+};
+
+/// One ended call of a program. Immutable; input and output share one allocation.
+class Turn
+{
+public:
+    explicit Turn(const TurnContent &content);
+
+    Base::CallNumber number() const { return number_; }
+    Base::BodyHash bodyHash() const { return bodyHash_; }
+    const Base::ServiceId &service() const { return service_; }
+    const Base::ServerId &server() const { return server_; }
+    std::string_view input() const { return std::string_view(text_).substr(0, inputLength_); }
+    std::string_view output() const { return std::string_view(text_).substr(inputLength_); }
+    /// Null if the call ended with an output.
+    const Base::Error *error() const { return error_.get(); }
+    Base::Tokens promptTokens() const { return promptTokens_; }
+    Base::Tokens outputTokens() const { return outputTokens_; }
+    Base::Instant at() const { return at_; }
+
+    /// Memory that the turn holds, its own size included.
+    Base::Bytes memory() const;
+
+private:
+    Base::CallNumber number_;
+    Base::BodyHash bodyHash_;
+    Base::ServiceId service_;
+    Base::ServerId server_;
+    std::string text_;
+    size_t inputLength_ = 0;
+    std::unique_ptr<const Base::Error> error_;
+    Base::Tokens promptTokens_;
+    Base::Tokens outputTokens_;
+    Base::Instant at_;
+};
+
+/// Turns in the order of their call numbers; number n is at index n - 1. Turns that ended in an
+/// error are included, so a prompt is made from those without one.
+using History = std::vector<std::shared_ptr<const Turn>>;
+
+} // namespace Programs
