--- /dev/null
+++ b/src/libs/dispatch/backendserver.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "settings.h"
+#include "types.h"
+
+#include <deque>
+#include <optional>
+
+namespace Dispatch {
+
+/// One backend server as a dispatcher sees it: health, slots, and load corrected for the lag of
+/// its reports by the calls sent since.
+class BackendServer
+{
+public:
+    BackendServer(ServerConfig config, const DispatchSettings &settings);
+
+    const ServerConfig &config() const { return config_; }
+    const Base::ServerId &id() const { return config_.server; }
+    void configured(ServerConfig config) { config_ = std::move(config); }
+
+    ServerHealth health() const;
+    bool takesCalls() const { return health() == ServerHealth::Healthy; }
+
+    /// Slots in use by this dispatcher.
+    std::uint32_t running() const { return running_; }
+    bool hasFreeSlot() const { return running_ < config_.slots; }
+    /// Calls at the server: the last report plus own calls sent since.
+    std::uint32_t load() const;
+    /// Expected time until a call that joins behind `ahead` others gets a slot.
+    Base::Duration expectedWait(std::size_t ahead) const;
+
+    void dispatched(Base::Instant now);
+    /// A call ended well after the given service time.
+    void succeeded(Base::Duration serviceTime);
+    /// A call failed by the server's fault; returns whether the server should be ejected.
+    bool failed();
+    /// A call ended without telling about the server (cancelled by the caller).
+    void released();
+    void loadReported(std::uint32_t running, std::uint32_t queued, Base::Instant at);
+
+    void eject(Base::Instant now);
+    /// When the next probe is due or the running one is given up.
+    std::optional<Base::Instant> nextProbe() const { return nextProbe_; }
+    void probing(Base::Instant now);
+    void probed(bool isUp, Base::Instant now);
+
+private:
+    ServerConfig config_;
+    const DispatchSettings *settings_;
+    ServerHealth health_ = ServerHealth::Healthy;
+    std::uint32_t running_ = 0;
+    std::uint32_t reportedLoad_ = 0;
+    std::optional<Base::Instant> reportedAt_;
+    std::deque<Base::Instant> sentSinceReport_;
+    double serviceSeconds_;
+    std::uint32_t consecutiveFailures_ = 0;
+    std::uint32_t ejections_ = 0;
+    std::optional<Base::Instant> nextProbe_;
+};
+
+} // namespace Dispatch
--- /dev/null
+++ b/src/libs/dispatch/slotlender.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "messages.h"
+#include "teamcounters.h"
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace Dispatch {
+
+struct SlotLenderSettings
+{
+    /// A new owner waits this long for borrowers to state the slots that they hold.
+    Base::Duration settleTime = std::chrono::milliseconds(500);
+    /// A slot that its borrower's statement does not name is free again after this time; covers
+    /// grants and statements that crossed.
+    Base::Duration statementGrace = std::chrono::seconds(1);
+    /// A slot is free again when its borrower has not stated anything for this time.
+    Base::Duration silenceLimit = std::chrono::seconds(10);
+};
+
+/// Send to the borrower.
+struct SendSlotGrant
+{
+    Base::IncarnationId borrower;
+    SlotGrant grant;
+};
+
+/// Lends the slots of one engine to dispatchers, at the owner of the server's partition. Each free
+/// slot goes to the team with the least weighted service, and within it to the borrower whose first
+/// call has the least order key.
+class SlotLender
+{
+public:
+    SlotLender(Base::ServerId server, std::uint32_t slots, SlotLenderSettings settings);
+
+    void acquired(Base::Epoch epoch, Base::Instant now);
+    void configured(std::uint32_t slots, bool isLeaving, Base::Instant now);
+    void requested(const SlotRequest &request, Base::Instant now);
+    void returned(const Base::IncarnationId &borrower, const SlotReturn &slot, Base::Instant now);
+    /// The borrower's VM is gone: its slots are free and its demand is dropped.
+    void borrowerGone(const Base::IncarnationId &borrower, Base::Instant now);
+
+    void tick(Base::Instant now);
+    std::optional<Base::Instant> nextWakeUp() const;
+    std::vector<SendSlotGrant> takeActions();
+
+    std::uint32_t lent() const { return static_cast<std::uint32_t>(loans_.size()); }
+    std::uint32_t backlog() const;
+
+private:
+    using LoanKey = std::pair<Base::Epoch, SlotId>;
+    struct Loan
+    {
+        Base::IncarnationId borrower;
+        Base::TeamId team;
+        Base::Tokens charged;
+        Base::Instant grantedAt;
+    };
+    struct Borrower
+    {
+        SlotRequestNumber number;
+        std::vector<TeamDemand> demands;
+        Base::Instant statedAt;
+    };
+    struct Candidate
+    {
+        Base::IncarnationId borrower;
+        TeamDemand *demand = nullptr;
+    };
+
+    void reconcile(const SlotRequest &request, Base::Instant now);
+    void lendFree(Base::Instant now);
+    std::optional<Candidate> nextCandidate();
+    void lend(const Candidate &candidate, Base::Instant now);
+    TeamCounter &counterOf(const Base::TeamId &team, double weight);
+    void liftNewcomers(const std::vector<TeamDemand> &demands);
+    void dropSilent(Base::Instant now);
+
+    Base::ServerId server_;
+    std::uint32_t slots_;
+    bool isLeaving_ = false;
+    SlotLenderSettings settings_;
+    Base::Epoch epoch_;
+    Base::Instant lendFrom_;
+    SlotId lastSlot_;
+    std::map<LoanKey, Loan> loans_;
+    std::map<Base::IncarnationId, Borrower> borrowers_;
+    std::unordered_map<Base::TeamId, TeamCounter> counters_;
+    std::vector<SendSlotGrant> actions_;
+};
+
+} // namespace Dispatch
--- /dev/null
+++ b/src/libs/dispatch/teamcounters.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <base/types.h>
+
+#include <memory>
+#include <unordered_map>
+
+namespace Dispatch {
+
+/// Service that one team has received, divided by its weight, in tokens.
+struct TeamCounter
+{
+    Base::TeamId team;
+    double weight = 1;
+    double service = 0;
+    /// Calls that wait or run; the counter counts as active while there are any.
+    std::uint32_t active = 0;
+};
+
+/// Weighted virtual token counters: the team with the least service goes first, and a team that
+/// comes back is lifted to the least active counter, so that idle time earns no credit.
+/// See Sheng et al., "Fairness in Serving Large Language Models", OSDI 2024.
+class TeamCounters
+{
+public:
+    /// The team has one more active call; the address stays valid while the team is active.
+    TeamCounter *enter(const Base::TeamId &team, double weight);
+    void leave(TeamCounter *counter);
+    /// Adds (or takes back, if negative) service in tokens.
+    static void charge(TeamCounter *counter, double tokens);
+
+    const TeamCounter *find(const Base::TeamId &team) const;
+
+private:
+    double leastActive() const;
+
+    std::unordered_map<Base::TeamId, std::unique_ptr<TeamCounter>> counters_;
+};
+
+} // namespace Dispatch
