--- /dev/null
+++ b/src/libs/backends/httpclient.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <base/error.h>
+#include <base/types.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Backends {
+
+using Timeout = std::chrono::milliseconds;
+
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+
+    bool operator==(const HttpHeader &) const = default;
+};
+
+struct HttpRequest
+{
+    std::string method = "GET";
+    std::string url;
+    std::vector<HttpHeader> headers;
+    std::string body;
+    /// Whether the client may send the request a second time when a kept connection turns out to
+    /// be closed. False keeps "at most once" for calls that are not idempotent.
+    bool mayRepeat = false;
+    Timeout connectTimeout{1000};
+    /// Limit for the whole exchange; 0 means none.
+    Timeout totalTimeout{30'000};
+    /// Limit between two pieces of the answer; 0 means none. Time spent paused does not count.
+    Timeout idleTimeout{0};
+};
+
+struct HttpReplyHead
+{
+    int status = 0;
+    std::vector<HttpHeader> headers;
+};
+
+/// How an exchange ended.
+enum class HttpEnd {
+    Complete,
+    /// No connection, so no byte of the request was sent.
+    NotSent,
+    TimedOut,
+    /// The connection broke or the answer was cut short or malformed.
+    Broken,
+    Cancelled
+};
+
+struct HttpOutcome
+{
+    HttpEnd end = HttpEnd::Broken;
+    /// 0 if no status line arrived.
+    int status = 0;
+    /// NotRun only if no byte of the request left this process.
+    Base::Ran ran = Base::Ran::MayHaveRun;
+    std::string message;
+};
+
+enum class FlowControl {
+    Continue,
+    /// The piece was taken, but nothing more is wanted before resume().
+    Pause
+};
+
+/// Callbacks of one exchange. They run in the client's own thread and must not block; each may
+/// be empty. onDone comes last, exactly once.
+struct HttpHandlers
+{
+    std::function<void(const HttpReplyHead &)> onHeaders;
+    std::function<FlowControl(std::string_view)> onData;
+    std::function<void(const HttpOutcome &)> onDone;
+};
+
+using HttpRequestId = Base::StrongNumber<struct HttpRequestIdTag, std::uint64_t>;
+
+struct HttpClientOptions
+{
+    /// 0 means unlimited. Requests above it wait for a connection.
+    long maxConnectionsPerHost = 0;
+    /// Idle connections kept for reuse.
+    long maxIdleConnections = 256;
+};
+
+/// Asynchronous HTTP/1.1 client: a libcurl multi handle in one thread of its own.
+/// All methods are thread-safe and return at once.
+class HttpClient
+{
+public:
+    explicit HttpClient(HttpClientOptions options = {});
+    /// Cancels what is under way (each onDone is called) and joins the thread.
+    ~HttpClient();
+
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    HttpRequestId start(HttpRequest request, HttpHandlers handlers);
+    /// Closes the exchange's connection; onDone reports Cancelled unless it ended before.
+    void cancel(HttpRequestId id);
+    void pause(HttpRequestId id);
+    void resume(HttpRequestId id);
+    /// Runs the function in the client's thread after the delay, unless the client ends before.
+    void callLater(Timeout delay, std::function<void()> function);
+
+private:
+    class Loop;
+    std::unique_ptr<Loop> loop_;
+};
+
+} // namespace Backends
--- /dev/null
+++ b/src/libs/telemetry/metrics.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Telemetry {
+
+struct MetricLabel
+{
+    std::string name;
+    std::string value;
+
+    auto operator<=>(const MetricLabel &) const = default;
+};
+
+using MetricLabels = std::vector<MetricLabel>;
+
+/// A number that only grows.
+class Counter
+{
+public:
+    void add(std::uint64_t amount = 1) { value_.fetch_add(amount, std::memory_order_relaxed); }
+    std::uint64_t value() const { return value_.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::uint64_t> value_{0};
+};
+
+/// A number that goes up and down.
+class Gauge
+{
+public:
+    void set(double value) { value_.store(value, std::memory_order_relaxed); }
+    void add(double amount) { value_.fetch_add(amount, std::memory_order_relaxed); }
+    double value() const { return value_.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<double> value_{0};
+};
+
+struct DistributionSummary
+{
+    std::uint64_t count = 0;
+    double sum = 0;
+    double mean = 0;
+    double p50 = 0;
+    double p95 = 0;
+    double p99 = 0;
+};
+
+/// Mean and estimated quantiles of a series, by Boost.Accumulators (P-square).
+class Distribution
+{
+public:
+    Distribution();
+    ~Distribution();
+
+    void add(double value);
+    DistributionSummary summary() const;
+
+private:
+    struct Series;
+    /// Locked after the mutex of the registry.
+    mutable std::mutex mutex_;
+    std::unique_ptr<Series> series_;
+};
+
+/// Registry of the daemon's metrics. Thread-safe; metrics live as long as the registry, so that
+/// references to them may be kept. Lock order: registry, then distribution.
+class Metrics
+{
+public:
+    Counter &counter(const std::string &name, const std::string &help, MetricLabels labels = {});
+    Gauge &gauge(const std::string &name, const std::string &help, MetricLabels labels = {});
+    Distribution &distribution(const std::string &name,
+                               const std::string &help,
+                               MetricLabels labels = {});
+
+    /// Prometheus text format, sorted by name.
+    std::string prometheusText() const;
+
+private:
+    template<typename Metric>
+    struct Family
+    {
+        std::string help;
+        std::map<MetricLabels, std::unique_ptr<Metric>> members;
+    };
+    template<typename Metric>
+    using Families = std::map<std::string, Family<Metric>>;
+
+    template<typename Metric>
+    Metric &find(Families<Metric> &families,
+                 const std::string &name,
+                 const std::string &help,
+                 MetricLabels labels);
+
+    mutable std::mutex mutex_;
+    Families<Counter> counters_;
+    Families<Gauge> gauges_;
+    Families<Distribution> distributions_;
+};
+
+} // namespace Telemetry
