--- /dev/null
+++ b/src/libs/fleet/heartbeattargets.cpp
@@ -0,0 +1,68 @@
+#include "heartbeattargets.h"
+
+#include <algorithm>
+
+namespace Fleet {
+
+HeartbeatTargets::HeartbeatTargets(HeartbeatTargetSettings settings, std::uint64_t seed)
+    : settings_(settings)
+    , random_(seed)
+{}
+
+std::vector<Base::IncarnationId> HeartbeatTargets::choose(const Members &members)
+{
+    std::vector<Base::IncarnationId> targets;
+    if (!isPartialView(members)) {
+        for (const auto &[incarnation, member] : members) {
+            if (isReachable(member)) {
+                targets.push_back(incarnation);
+            }
+        }
+        return targets;
+    }
+    while (targets.size() < settings_.peersPerInterval) {
+        const std::optional<Base::IncarnationId> target = next(members);
+        if (!target || std::ranges::find(targets, *target) != targets.end()) {
+            break;
+        }
+        targets.push_back(*target);
+    }
+    return targets;
+}
+
+bool HeartbeatTargets::isPartialView(const Members &members) const
+{
+    const auto reachable
+        = std::ranges::count_if(members, [](const auto &item) { return isReachable(item.second); });
+    return static_cast<std::size_t>(reachable) > settings_.fullExchangeLimit;
+}
+
+std::optional<Base::IncarnationId> HeartbeatTargets::next(const Members &members)
+{
+    if (round_.empty()) {
+        refill(members);
+    }
+    while (!round_.empty()) {
+        Base::IncarnationId candidate = std::move(round_.back());
+        round_.pop_back();
+        const auto found = members.find(candidate);
+        if (found != members.end() && isReachable(found->second)) {
+            return candidate;
+        }
+    }
+    return std::nullopt;
+}
+
+void HeartbeatTargets::refill(const Members &members)
+{
+    for (const auto &[incarnation, member] : members) {
+        if (isReachable(member)) {
+            round_.push_back(incarnation);
+        }
+    }
+    for (std::size_t i = round_.size(); i > 1; --i) {
+        std::swap(round_[i - 1], round_[random_.below(i)]);
+    }
+}
+
+} // namespace Fleet
--- a/src/libs/fleet/membershipview.h
+++ b/src/libs/fleet/membershipview.h
@@ -1,12 +1,11 @@
 #pragma once
 
+#include "digestselection.h"
+#include "heartbeattargets.h"
 #include "membershipevents.h"
 
-#include <base/random.h>
-
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <vector>
 
@@ -19,12 +18,9 @@
     Base::Duration ackTimeout = std::chrono::milliseconds(600);
     /// Unanswered heartbeats in a row that make a daemon a suspect.
     int missedLimit = 2;
-    /// Up to this many peers, every interval reaches all of them.
-    std::size_t fullExchangeLimit = 11;
-    /// Peers reached in one interval in a larger fleet.
-    std::size_t peersPerInterval = 3;
     /// Digests in one message.
     std::size_t digestLimit = 4;
+    HeartbeatTargetSettings targets;
     /// How long a daemon that is gone is remembered, so that old digests don't revive it.
     Base::Duration goneMemory = std::chrono::minutes(10);
 };
@@ -71,63 +67,44 @@
     Base::ConfigVersion highestConfigVersion() const { return highestConfigVersion_; }
     /// Last time that a message came from the daemon itself.
     std::optional<Base::Instant> lastHeard(const Base::IncarnationId &incarnation) const;
-    /// Last time that any peer reported exactly this or a higher configuration version.
-    std::optional<Base::Instant> lastHeardVersion(Base::ConfigVersion version) const;
+    /// Last time that a peer reported highestConfigVersion().
+    std::optional<Base::Instant> lastHeardConfigVersion() const { return highestConfigHeard_; }
 
 private:
-    struct Member
-    {
-        Daemon daemon;
-        HeartbeatSequence sequence;
-        KnownVersions versions;
-        std::optional<Base::Instant> lastHeard;
-        /// When the oldest unanswered heartbeat was sent.
-        std::optional<Base::Instant> awaitedSince;
-        int missed = 0;
-        bool isVmListed = false;
-        bool isVmLeaving = false;
-        std::optional<Base::Instant> goneSince;
-        /// How often this member's latest change is still to be sent.
-        int transmissionsLeft = 0;
-    };
-
-    using Members = std::map<Base::IncarnationId, Member>;
-
-    void handleContact(const Daemon &from,
-                       HeartbeatSequence sequence,
-                       const KnownVersions &versions,
-                       const std::vector<DaemonDigest> &digests,
-                       Base::Instant now);
+    template<typename Message>
+    Member *handleContact(const Message &message, Base::Instant now);
+    Member &memberFor(const Daemon &daemon, Base::Instant now);
+    void revive(Member &member);
     void handleDigest(const DaemonDigest &digest, Base::Instant now);
+    void verify(Member &member, Base::Instant now);
     void handleDigestOfSelf(const DaemonDigest &digest);
-    Member &join(const Daemon &daemon, Base::Instant now);
+    void applyState(Member &member, DaemonState state);
+    void applyVm(Member &member, Base::Instant now);
     void changeState(Member &member, DaemonState state);
     void removeReplaced(const Daemon &newer, Base::Instant now);
     void markGone(Member &member, GoneReason reason, Base::Instant now);
-    void noteVersions(Member &member, const KnownVersions &versions);
-    void applyVm(Member &member, const Vm *vm, Base::Instant now);
+    void suspect(Member &member, Base::Instant now);
+    void noteVersions(Member &member, const KnownVersions &versions, Base::Instant now);
+    void emit(MembershipEvent event);
+
     void checkMissed(Base::Instant now);
     void startInterval(Base::Instant now);
     void forgetGone(Base::Instant now);
     void sendHeartbeat(Member &member, Base::Instant now);
-    std::vector<Base::IncarnationId> chooseTargets();
-    std::optional<Base::IncarnationId> nextInRound();
-    std::vector<DaemonDigest> chooseDigests(const Base::IncarnationId &receiver);
-    std::size_t activeCount() const;
+    void sendAck(const Member &member, HeartbeatSequence answers);
+    std::vector<DaemonDigest> chooseDigests(const Member &receiver);
     int transmissionLimit() const;
-    bool isPartialView() const;
 
     Daemon self_;
     MembershipSettings settings_;
-    Base::Random random_;
     HeartbeatSequence sequence_;
     KnownVersions versions_;
     Base::ConfigVersion highestConfigVersion_;
+    std::optional<Base::Instant> highestConfigHeard_;
     Members members_;
     std::map<Base::VmId, Vm> listedVms_;
-    /// Order in which the peers of a large fleet are reached; refilled when it is empty.
-    std::vector<Base::IncarnationId> round_;
-    std::optional<Base::IncarnationId> digestCursor_;
+    HeartbeatTargets targets_;
+    DigestSelection digests_;
     std::optional<Base::Instant> nextInterval_;
     std::vector<FleetAction> actions_;
 };
