--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -18,18 +18,21 @@
 struct WireTurn {
   1: i32 number
   2: string serviceId
-  3: string input
-  4: string output
-  5: optional WireError error
-  6: i64 charged
+  3: string server
+  4: string input
+  5: string output
+  6: optional WireError error
+  7: i64 promptTokens
+  8: i64 outputTokens
 }
 
 /** Creation of a program at its owner. */
 struct ForwardCreate {
-  1: i64 budget
-  2: i32 maxCalls
-  3: optional i64 deadlineUs
-  4: optional string parent
+  1: string program
+  2: i64 budget
+  3: i32 maxCalls
+  4: optional i64 deadlineUs
+  5: optional string parent
 }
 
 struct ForwardCall {
@@ -70,26 +73,33 @@
 }
 
 struct ReplyOutput {
-  1: i64 offset
-  2: string text
+  1: string text
 }
 
 struct ReplyDone {
-  1: string output
-  2: i64 promptTokens
-  3: i64 outputTokens
-  4: i64 budgetLeft
-  5: bool isRepeat
+  1: WireTurn turn
+  2: bool isRepeat
 }
 
 struct ReplyDescription {
-  1: string state
-  2: i64 budgetLeft
-  3: i32 nextNumber
-  4: list<WireTurn> turns
+  1: string program
+  2: string state
+  3: i64 budget
+  4: i64 spent
+  5: i64 budgetLeft
+  6: i32 nextNumber
+  7: list<string> children
+  8: list<WireTurn> turns
 }
 
 struct ReplyEnded {
+  1: string program
+}
+
+struct ReplyService {
+  1: i32 status
+  2: string contentType
+  3: string body
 }
 
 union ForwardedReplyBody {
@@ -98,7 +108,8 @@
   3: ReplyDone done
   4: ReplyDescription description
   5: ReplyEnded ended
-  6: WireError error
+  6: ReplyService serviceReply
+  7: WireError error
 }
 
 /** An answer, from the owner to the daemon where the request arrived. */
@@ -112,10 +123,175 @@
   1: i64 requestId
 }
 
+struct WireDaemon {
+  1: string incarnation
+  2: string vm
+  3: string zone
+  4: string ip
+  5: i32 port
+  6: i32 state
+}
+
+struct WireDigest {
+  1: WireDaemon daemon
+  2: i64 sequence
+}
+
+struct WireVersions {
+  1: i64 config
+  2: i64 assignment
+  3: i64 lease
+}
+
+struct Heartbeat {
+  1: WireDaemon sender
+  2: i64 sequence
+  3: WireVersions versions
+  4: list<WireDigest> digests
+}
+
+struct HeartbeatAck {
+  1: WireDaemon sender
+  2: i64 sequence
+  3: i64 answers
+  4: WireVersions versions
+  5: list<WireDigest> digests
+}
+
+struct AssignmentChanged {
+  1: i64 version
+}
+
+/** Entries travel as an encoded journal segment. */
+struct WitnessAppend {
+  1: string owner
+  2: string witness
+  3: i64 storedThrough
+  4: binary entries
+}
+
+struct WitnessAppendReply {
+  1: string owner
+  2: string witness
+  3: i32 verdict
+  4: i64 heldThrough
+}
+
+struct WitnessSeal {
+  1: string owner
+  2: string witness
+  3: string successor
+  4: i64 first
+}
+
+struct WitnessSealReply {
+  1: string owner
+  2: string witness
+  3: string successor
+  4: i64 storedThrough
+  5: i64 heldThrough
+  6: binary entries
+}
+
+struct ConfigPush {
+  1: i64 version
+  2: string body
+}
+
+struct ConfigRequest {
+  1: i64 known
+}
+
+struct ConfigAnswer {
+  1: i64 version
+  2: string body
+}
+
+struct GrantReturn {
+  1: string team
+  2: i64 epoch
+  3: i64 grant
+  4: i64 used
+  5: i64 returned
+}
+
+struct GrantRequest {
+  1: string team
+  2: string borrower
+  3: i64 number
+  4: i64 needed
+  5: i64 expected
+  6: list<GrantReturn> returns
+}
+
+struct Grant {
+  1: string team
+  2: i64 epoch
+  3: i64 grant
+  4: i64 answers
+  5: i64 permits
+  6: i64 validForUs
+  7: i64 backlog
+}
+
+struct TeamDemand {
+  1: string team
+  2: double weight
+  3: i32 waiting
+  4: double firstKey
+  5: i64 firstCost
+}
+
+struct HeldSlot {
+  1: i64 epoch
+  2: i64 slot
+  3: string team
+}
+
+struct SlotRequest {
+  1: string server
+  2: string borrower
+  3: i64 number
+  4: list<TeamDemand> demands
+  5: list<HeldSlot> held
+}
+
+struct SlotGrant {
+  1: string server
+  2: i64 epoch
+  3: i64 slot
+  4: string team
+  5: i32 backlog
+}
+
+struct SlotReturn {
+  1: string server
+  2: i64 epoch
+  3: i64 slot
+  4: string team
+  5: i64 cost
+}
+
 union PeerMessage {
   1: ForwardedRequest request
   2: ForwardedReply reply
   3: ForwardedCancel cancel
+  4: Heartbeat heartbeat
+  5: HeartbeatAck heartbeatAck
+  6: AssignmentChanged assignmentChanged
+  7: WitnessAppend witnessAppend
+  8: WitnessAppendReply witnessAppendReply
+  9: WitnessSeal witnessSeal
+  10: WitnessSealReply witnessSealReply
+  11: ConfigPush configPush
+  12: ConfigRequest configRequest
+  13: ConfigAnswer configAnswer
+  14: GrantRequest grantRequest
+  15: Grant grant
+  16: GrantReturn grantReturn
+  17: SlotRequest slotRequest
+  18: SlotGrant slotGrant
+  19: SlotReturn slotReturn
 }
 
 struct Batch {
--- /dev/null
+++ b/src/libs/scheduler/daemoncore_config.cpp
@@ -0,0 +1,154 @@
+// The configuration in force.
+
+#include "daemoncore_p.h"
+
+#include <base/visitor.h>
+
+#include <cmath>
+
+namespace Scheduler {
+
+namespace {
+
+using Base::Instant;
+using Base::Visitor;
+
+Dispatch::ServiceKind toDispatch(Contracts::ServiceKind kind)
+{
+    return kind == Contracts::ServiceKind::Model ? Dispatch::ServiceKind::Model
+                                                 : Dispatch::ServiceKind::Plain;
+}
+
+} // namespace
+
+Admission::RateLimit rateLimitOf(const Contracts::Team &team)
+{
+    return {team.ratePerSecond, Admission::Permits(static_cast<std::int64_t>(std::floor(team.burst)))};
+}
+
+void DaemonCore::Private::configActions(Instant now)
+{
+    for (Contracts::ConfigReplicaAction &action : config_.takeActions()) {
+        ++movedActions_;
+        std::visit(Visitor{[&](Contracts::SendStoreRequest &send) {
+                               callStore(StoreClient::Config, 0, std::move(send.request));
+                           },
+                           [&](Contracts::SendToPeer &message) {
+                               std::visit([&](auto &body) { send(message.peer, std::move(body), now); },
+                                          message.message);
+                           },
+                           [&](const Contracts::ConfigurationAdopted &adopted) {
+                               configurationAdopted(adopted, now);
+                           },
+                           [&](const Contracts::ConfigurationRejected &rejected) {
+                               std::string message = "a configuration was rejected";
+                               for (const Base::SettingsProblem &problem : rejected.problems) {
+                                   message += "; " + problem.path + ": found " + problem.found
+                                              + ", expected " + problem.expected;
+                               }
+                               report({Severity::Error,
+                                       std::move(message),
+                                       {},
+                                       {},
+                                       "configure",
+                                       rejected.peer});
+                           }},
+                   action);
+    }
+}
+
+void DaemonCore::Private::editorActions(Instant now)
+{
+    for (Contracts::ConfigEditorAction &action : editor_.takeActions()) {
+        ++movedActions_;
+        std::visit(Visitor{[&](Contracts::SendStoreRequest &send) {
+                               callStore(StoreClient::ConfigEditor, 0, std::move(send.request));
+                           },
+                           [&](const Contracts::PushToPeers &push) {
+                               for (const Base::IncarnationId &peer : peerIncarnations()) {
+                                   send(peer, push.push, now);
+                               }
+                           },
+                           [&](const Contracts::EditAccepted &accepted) {
+                               config_.accepted(*accepted.document, now);
+                               actions_.emplace_back(AnswerEdit{accepted});
+                           },
+                           [&](const auto &answer) { actions_.emplace_back(AnswerEdit{answer}); }},
+                   action);
+    }
+}
+
+void DaemonCore::Private::configurationAdopted(const Contracts::ConfigurationAdopted &adopted,
+                                               Instant now)
+{
+    keys_ = Contracts::KeyRing(*adopted.document);
+    for (const Contracts::ConfigChange &change : adopted.changes) {
+        std::visit(Visitor{[&](const Contracts::KeyWithdrawn &key) {
+                               programs_.keyWithdrawn(key.key, now);
+                           },
+                           [&](const Contracts::TeamRemoved &team) {
+                               borrowers_.removed(team.team, now);
+                               lenders_.lost(team.team);
+                           },
+                           [&](const Contracts::ServerRemoved &server) {
+                               slotLenders_.lost(server.server);
+                           },
+                           [](const auto &) {}},
+                   change);
+    }
+    configureTeams(now);
+    configureServers(now);
+    ownership_.setConfigVersion(adopted.document->version);
+    report({Severity::Info,
+            "configuration version " + std::to_string(adopted.document->version.value())
+                + " is in force",
+            {},
+            {},
+            "configure",
+            {}});
+}
+
+void DaemonCore::Private::configureTeams(Instant now)
+{
+    for (const Contracts::Team &team : config_.document()->teams) {
+        const Admission::RateLimit limit = rateLimitOf(team);
+        borrowers_.configured(team.id, limit);
+        const auto epoch = serving_.find(partitionOfTeam(team.id));
+        if (lenders_.owns(team.id)) {
+            lenders_.configured(team.id, limit, now);
+        } else if (epoch != serving_.end()) {
+            // A daemon with an older version may hold grants of a team of the same name.
+            lenders_.acquired(team.id,
+                              limit,
+                              epoch->second,
+                              now,
+                              now + settings_.lender.grantLength,
+                              leaseClock_.until());
+        }
+    }
+}
+
+void DaemonCore::Private::configureServers(Instant now)
+{
+    std::vector<Dispatch::ServerConfig> servers;
+    for (const Contracts::BackendServer &server : config_.document()->servers) {
+        const Contracts::Service *service = config_.document()->findService(server.service);
+        Dispatch::ServerConfig config;
+        config.server = server.id;
+        config.zone = server.zone;
+        config.service = server.service;
+        config.kind = service ? toDispatch(service->kind) : Dispatch::ServiceKind::Plain;
+        config.slots = server.slots;
+        config.isLeaving = server.isLeaving;
+        servers.push_back(std::move(config));
+        const auto epoch = serving_.find(partitionOfServer(server.id));
+        if (slotLenders_.owns(server.id)) {
+            slotLenders_.configured(server.id, server.slots, server.isLeaving, now);
+        } else if (epoch != serving_.end()) {
+            slotLenders_.acquired(server.id, server.slots, epoch->second, now);
+        }
+    }
+    dispatcher_.serversChanged(servers, now);
+}
+
+} // namespace Scheduler
--- /dev/null
+++ b/src/libs/scheduler/peermessage.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <admission/messages.h>
+#include <callerapi/callerreply.h>
+#include <callerapi/callerrequest.h>
+#include <contracts/messages.h>
+#include <dispatch/messages.h>
+#include <fleet/messages.h>
+#include <journal/messages.h>
+#include <ownership/messages.h>
+
+namespace Scheduler {
+
+/// Creation of a program under an id that the accepting daemon chose.
+struct CreateUnderId
+{
+    Base::ProgramId program;
+    CallerApi::CreateProgramRequest request;
+};
+
+using ForwardedBody = std::variant<CreateUnderId,
+                                   CallerApi::SubmitCallRequest,
+                                   CallerApi::DescribeProgramRequest,
+                                   CallerApi::EndProgramRequest>;
+
+/// A caller's request, from the daemon where it arrived to the owner of its partition. A repeat
+/// with the same id while the request is under way changes nothing.
+struct ForwardedRequest
+{
+    Base::RequestId request;
+    Base::TeamId team;
+    Base::KeyId key;
+    ForwardedBody body;
+};
+
+/// An answer, from the owner to the daemon where the request arrived.
+struct ForwardedReply
+{
+    Base::RequestId request;
+    CallerApi::CallerReply reply;
+};
+
+/// The caller of a forwarded request closed its connection.
+struct ForwardedCancel
+{
+    Base::RequestId request;
+};
+
+/// Everything that daemons say to each other.
+using PeerMessage = std::variant<ForwardedRequest,
+                                 ForwardedReply,
+                                 ForwardedCancel,
+                                 Fleet::Heartbeat,
+                                 Fleet::HeartbeatAck,
+                                 Ownership::AssignmentChanged,
+                                 Journal::WitnessAppend,
+                                 Journal::WitnessAppendReply,
+                                 Journal::WitnessSeal,
+                                 Journal::WitnessSealReply,
+                                 Contracts::ConfigPush,
+                                 Contracts::ConfigRequest,
+                                 Contracts::ConfigAnswer,
+                                 Admission::GrantRequest,
+                                 Admission::Grant,
+                                 Admission::GrantReturn,
+                                 Dispatch::SlotRequest,
+                                 Dispatch::SlotGrant,
+                                 Dispatch::SlotReturn>;
+
+} // namespace Scheduler
