--- a/tests/fakes/storefake.h
+++ b/tests/fakes/storefake.h
@@ -51,8 +51,8 @@
 
     void setBehaviour(const StoreBehaviour &behaviour);
     StoreCounters counters() const;
-    /// Body of an object, for tests; no value if it is absent.
-    std::optional<std::string> body(const std::string &plural, const std::string &name) const;
+    /// Base64 body of an object; no value if it is absent.
+    std::optional<std::string> data(const std::string &plural, const std::string &name) const;
 
 private:
     class Private;
