--- /dev/null
+++ b/src/libs/runtime/daemonruntime.cpp
@@ -0,0 +1,386 @@
+#include "daemonruntime.h"
+
+#include "backendruns.h"
+#include "callerfront.h"
+
+#include <backends/platformclient.h>
+#include <base/visitor.h>
+#include <peercodec/peercodec.h>
+#include <rpc/peertransport.h>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <condition_variable>
+#include <thread>
+
+namespace Runtime {
+
+namespace {
+
+using Base::Instant;
+using Base::Visitor;
+using Scheduler::DaemonCore;
+
+constexpr std::chrono::milliseconds drainPoll(50);
+constexpr std::chrono::seconds certificatePoll(5);
+constexpr Base::Duration shortestTick = std::chrono::milliseconds(1);
+
+Base::IncarnationId makeIncarnation(const Base::VmId &vm, std::uint64_t seed)
+{
+    constexpr std::uint64_t suffixRange = 1'000'000'000'000ULL;
+    return Base::IncarnationId(vm.text() + "-" + std::to_string(seed % suffixRange));
+}
+
+Rpc::PeerTransportSettings transportSettings(const DaemonSettings &settings,
+                                             const Base::IncarnationId &self)
+{
+    Rpc::PeerTransportSettings result;
+    result.self = self;
+    result.listen = {settings.peers.address, settings.peers.port};
+    result.tls = settings.peerTls;
+    return result;
+}
+
+Backends::PlatformOptions platformOptions(const DaemonSettings &settings, std::uint64_t seed)
+{
+    Backends::PlatformOptions options;
+    options.baseUrl = settings.platformUrl;
+    options.jitterSeed = seed;
+    return options;
+}
+
+Telemetry::LogLevel toLevel(Scheduler::Severity severity)
+{
+    switch (severity) {
+    case Scheduler::Severity::Info:
+        return Telemetry::LogLevel::Info;
+    case Scheduler::Severity::Warning:
+        return Telemetry::LogLevel::Warning;
+    case Scheduler::Severity::Error:
+        break;
+    }
+    return Telemetry::LogLevel::Error;
+}
+
+} // namespace
+
+class DaemonRuntime::Private
+{
+public:
+    Private(const DaemonSettings &settings, std::uint64_t seed);
+
+    void start();
+    void execute(Scheduler::CoreAction &action);
+    void armTimer();
+    void statusRequest(const Gateway::IncomingRequest &request);
+    void peerMessages(const Base::IncarnationId &sender,
+                      const std::vector<PeerProtocol::PeerMessage> &messages);
+    void peerFailed(const Base::IncarnationId &peer,
+                    const std::vector<PeerProtocol::PeerMessage> &messages);
+    void sendToPeer(const Scheduler::SendToPeer &send);
+    void finish(RunEnd end);
+    bool drain();
+    void stopAll();
+    std::string metricsText();
+
+    DaemonSettings settings_;
+    Base::IncarnationId incarnation_;
+    Telemetry::Log log_;
+    Telemetry::Metrics metrics_;
+    asio::io_context context_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    std::vector<std::thread> threads_;
+    Backends::HttpClient http_;
+    CoreGuard core_;
+    BackendRuns runs_;
+    CallerFront callers_;
+    Gateway::HttpServer status_;
+    Rpc::PeerTransport peers_;
+    std::unique_ptr<Backends::PlatformClient> platform_;
+    asio::steady_timer timer_;
+    std::atomic<bool> isDraining_ = false;
+
+    std::mutex endMutex_;
+    std::condition_variable endChanged_;
+    std::optional<RunEnd> end_;
+    bool isStopRequested_ = false;
+    bool isHandedOver_ = false;
+};
+
+DaemonRuntime::Private::Private(const DaemonSettings &settings, std::uint64_t seed)
+    : settings_(settings)
+    , incarnation_(makeIncarnation(settings.vm, seed))
+    , log_(settings.log)
+    , work_(asio::make_work_guard(context_))
+    , core_(coreSettings(settings, incarnation_, seed),
+            [this](Scheduler::CoreAction &action) { execute(action); })
+    , runs_(http_, core_)
+    , callers_(context_, settings, core_, metrics_)
+    , status_(context_,
+              Gateway::HttpServerSettings{.address = settings.status.address,
+                                          .port = settings.status.port},
+              {[this](const Gateway::IncomingRequest &request) { statusRequest(request); },
+               [](Base::RequestId) {}})
+    , peers_(transportSettings(settings, incarnation_),
+             {[this](const Base::IncarnationId &sender,
+                     const std::vector<PeerProtocol::PeerMessage> &messages) {
+                  peerMessages(sender, messages);
+              },
+              [this](const Base::IncarnationId &peer,
+                     const std::vector<PeerProtocol::PeerMessage> &messages) {
+                  peerFailed(peer, messages);
+              }})
+    , platform_(
+          std::make_unique<Backends::PlatformClient>(http_, platformOptions(settings, seed)))
+    , timer_(context_)
+{}
+
+void DaemonRuntime::Private::start()
+{
+    log_.write(Telemetry::LogLevel::Info,
+               "starting as " + incarnation_.text(),
+               {.step = "start"});
+    peers_.start();
+    status_.start();
+    for (unsigned i = 0; i < settings_.workers; ++i) {
+        threads_.emplace_back([this] { context_.run(); });
+    }
+    core_.with([](DaemonCore &core, Instant now) { core.start(now); });
+    platform_->watch(Platform::ObjectKind::Configuration,
+                     std::string(),
+                     [this](const Backends::WatchEvent &event) {
+                         if (const auto *seen = std::get_if<Backends::ObjectSeen>(&event)) {
+                             core_.with([&](DaemonCore &core, Instant now) {
+                                 core.configurationWatched(seen->object, now);
+                             });
+                         }
+                     });
+    callers_.start();
+    asio::post(context_, [this] { armTimer(); });
+}
+
+void DaemonRuntime::Private::armTimer()
+{
+    const Instant now = core_.now();
+    const Base::Duration pause = std::max(core_.nextWakeUp() - now, shortestTick);
+    // Events that come first may move the next wake-up forward, so the pause is kept short.
+    constexpr Base::Duration longestPause = std::chrono::milliseconds(10);
+    timer_.expires_after(std::min(pause, longestPause));
+    timer_.async_wait([this](const std::error_code &error) {
+        if (error) {
+            return;
+        }
+        if (core_.nextWakeUp() <= core_.now()) {
+            core_.with([](DaemonCore &core, Instant tickAt) { core.tick(tickAt); });
+        }
+        armTimer();
+    });
+}
+
+void DaemonRuntime::Private::execute(Scheduler::CoreAction &action)
+{
+    std::visit(
+        Visitor{[&](Scheduler::CallStore &call) {
+                    platform_->execute(std::move(call.request), [this](Platform::StoreReply reply) {
+                        core_.with([&](DaemonCore &core, Instant now) {
+                            core.storeReplied(std::move(reply), now);
+                        });
+                    });
+                },
+                [&](const Scheduler::SendToPeer &send) { sendToPeer(send); },
+                [&](const Scheduler::AnswerCaller &answer) { callers_.answer(answer); },
+                [&](const Scheduler::RunModelCall &call) { runs_.run(call); },
+                [&](const Scheduler::RunPlainCall &call) { runs_.run(call); },
+                [&](const Scheduler::CancelRun &cancel) { runs_.cancel(cancel.id); },
+                [&](const Scheduler::ReleaseEngine &order) { runs_.release(order); },
+                [&](const Scheduler::ProbeServer &probe) { runs_.probe(probe); },
+                [&](const Scheduler::Report &report) {
+                    log_.write(toLevel(report.severity),
+                               report.message,
+                               {.program = report.program.text(),
+                                .team = report.team.text(),
+                                .step = report.step,
+                                .peer = report.peer});
+                },
+                [&](const Scheduler::AnswerEdit &) {},
+                [&](const Scheduler::IncarnationEnded &) { finish(RunEnd::Fenced); },
+                [&](const Scheduler::HandoverComplete &) {
+                    const std::lock_guard lock(endMutex_);
+                    isHandedOver_ = true;
+                    endChanged_.notify_all();
+                }},
+        action);
+}
+
+void DaemonRuntime::Private::sendToPeer(const Scheduler::SendToPeer &send)
+{
+    const bool isQueued = peers_.send(send.to,
+                                      {send.address.ip, send.address.port},
+                                      PeerCodec::encode(send.message));
+    if (!isQueued) {
+        asio::post(context_, [this, to = send.to, message = send.message] {
+            core_.with([&](DaemonCore &core, Instant now) { core.peerFailed(to, {message}, now); });
+        });
+    }
+}
+
+void DaemonRuntime::Private::peerMessages(const Base::IncarnationId &sender,
+                                          const std::vector<PeerProtocol::PeerMessage> &messages)
+{
+    core_.with([&](DaemonCore &core, Instant now) {
+        for (const PeerProtocol::PeerMessage &wire : messages) {
+            Base::Result<Scheduler::PeerMessage> message = PeerCodec::decode(wire);
+            if (message) {
+                core.peerMessage(sender, std::move(message.value()), now);
+            }
+        }
+    });
+}
+
+void DaemonRuntime::Private::peerFailed(const Base::IncarnationId &peer,
+                                        const std::vector<PeerProtocol::PeerMessage> &messages)
+{
+    std::vector<Scheduler::PeerMessage> failed;
+    for (const PeerProtocol::PeerMessage &wire : messages) {
+        Base::Result<Scheduler::PeerMessage> message = PeerCodec::decode(wire);
+        if (message) {
+            failed.push_back(std::move(message.value()));
+        }
+    }
+    core_.with([&](DaemonCore &core, Instant now) { core.peerFailed(peer, failed, now); });
+}
+
+std::string DaemonRuntime::Private::metricsText()
+{
+    const auto [programs, bytes, partitions, version] = core_.ask([](const DaemonCore &core) {
+        return std::tuple(core.programCount(),
+                          core.programMemory().value(),
+                          core.servedPartitions(),
+                          core.configuration()->version.value());
+    });
+    metrics_.gauge("marjoram_programs", "Programs owned here").set(static_cast<double>(programs));
+    metrics_.gauge("marjoram_program_bytes", "Memory of programs owned here")
+        .set(static_cast<double>(bytes));
+    metrics_.gauge("marjoram_partitions", "Partitions served here")
+        .set(static_cast<double>(partitions));
+    metrics_.gauge("marjoram_config_version", "Configuration version in force")
+        .set(static_cast<double>(version));
+    metrics_.gauge("marjoram_peer_messages", "Messages acknowledged by peers")
+        .set(static_cast<double>(peers_.messagesSent()));
+    return metrics_.prometheusText();
+}
+
+void DaemonRuntime::Private::statusRequest(const Gateway::IncomingRequest &request)
+{
+    if (request.target == "/healthz") {
+        const bool isReady = !isDraining_
+                             && core_.ask([](const DaemonCore &core) { return core.isReady(); });
+        status_.answer(request.id,
+                       {isReady ? 200 : 503,
+                        "application/json",
+                        isReady ? R"({"status":"ready"})" : R"({"status":"not ready"})",
+                        {}});
+        return;
+    }
+    if (request.target == "/metrics") {
+        status_.answer(request.id, {200, "text/plain; version=0.0.4", metricsText(), {}});
+        return;
+    }
+    status_.answer(request.id, {404, "application/json", R"({"error":"no such path"})", {}});
+}
+
+void DaemonRuntime::Private::finish(RunEnd end)
+{
+    const std::lock_guard lock(endMutex_);
+    if (!end_) {
+        end_ = end;
+    }
+    endChanged_.notify_all();
+}
+
+bool DaemonRuntime::Private::drain()
+{
+    log_.write(Telemetry::LogLevel::Info, "shutting down", {.step = "shutdown"});
+    isDraining_ = true;
+    const auto giveUpAt = std::chrono::steady_clock::now() + settings_.drainTimeout;
+    core_.with([](DaemonCore &core, Instant now) { core.beginShutdown(now); });
+    // Requests are taken, and sent to the new owners, until the balancer has noticed.
+    std::this_thread::sleep_for(settings_.leaveNotice);
+    callers_.stopAccepting();
+    std::unique_lock lock(endMutex_);
+    while (std::chrono::steady_clock::now() < giveUpAt) {
+        lock.unlock();
+        const bool isBusy = callers_.pendingRequests() > 0
+                            || core_.ask([](const DaemonCore &core) { return core.isBusy(); });
+        lock.lock();
+        if (isHandedOver_ && !isBusy) {
+            return true;
+        }
+        endChanged_.wait_for(lock, drainPoll);
+    }
+    return false;
+}
+
+void DaemonRuntime::Private::stopAll()
+{
+    callers_.answerAll(Base::Error{.code = Base::ErrorCode::Unavailable,
+                                   .step = Base::Step::Reply,
+                                   .peer = incarnation_.text(),
+                                   .ran = Base::Ran::MayHaveRun,
+                                   .message = "this daemon stops; repeat the call",
+                                   .retryAfter = std::chrono::seconds(1)});
+    // Answers leave through the workers before these stop.
+    std::this_thread::sleep_for(drainPoll);
+    peers_.stop();
+    platform_.reset();
+    work_.reset();
+    context_.stop();
+    for (std::thread &thread : threads_) {
+        thread.join();
+    }
+    threads_.clear();
+}
+
+DaemonRuntime::DaemonRuntime(const DaemonSettings &settings, std::uint64_t seed)
+    : d_(std::make_unique<Private>(settings, seed))
+{}
+
+DaemonRuntime::~DaemonRuntime() = default;
+
+void DaemonRuntime::start()
+{
+    d_->start();
+}
+
+void DaemonRuntime::requestStop()
+{
+    const std::lock_guard lock(d_->endMutex_);
+    d_->isStopRequested_ = true;
+    d_->endChanged_.notify_all();
+}
+
+RunEnd DaemonRuntime::wait()
+{
+    bool isStopRequested = false;
+    {
+        std::unique_lock lock(d_->endMutex_);
+        while (!d_->end_ && !d_->isStopRequested_) {
+            d_->endChanged_.wait_for(lock, certificatePoll);
+            lock.unlock();
+            d_->peers_.reloadCertificates();
+            lock.lock();
+        }
+        isStopRequested = !d_->end_;
+    }
+    RunEnd end = RunEnd::Fenced;
+    if (isStopRequested) {
+        end = d_->drain() ? RunEnd::Stopped : RunEnd::StoppedLate;
+    }
+    d_->stopAll();
+    return end;
+}
+
+} // namespace Runtime
--- /dev/null
+++ b/src/libs/runtime/daemonsettings.cpp
@@ -0,0 +1,170 @@
+#include "daemonsettings.h"
+
+#include <asio/ip/address.hpp>
+
+namespace Runtime {
+
+namespace {
+
+using Base::SettingsProblem;
+using Base::SettingsReader;
+
+constexpr std::int64_t maxPort = 65535;
+constexpr std::int64_t maxPartitions = 4096;
+constexpr std::int64_t maxWorkers = 64;
+constexpr std::int64_t maxBodyBytes = 64'000'000;
+constexpr std::int64_t maxWitnessBytes = 1'000'000'000;
+constexpr const char *certificateName = "marjoramfield-peer";
+constexpr const char *operatorName = "marjoramfield-operator";
+
+ListenAddress readAddress(SettingsReader &reader)
+{
+    ListenAddress address;
+    address.address = reader.text("address");
+    std::error_code error;
+    asio::ip::make_address(address.address, error);
+    if (!address.address.empty() && error) {
+        reader.addProblem("address", "string \"" + address.address + "\"", "an IP number");
+    }
+    address.port = static_cast<std::uint16_t>(reader.integer("port", 1, maxPort));
+    return address;
+}
+
+Rpc::TlsSettings readTls(SettingsReader &reader, const char *peerName)
+{
+    Rpc::TlsSettings tls;
+    tls.certificateFile = reader.text("certificate");
+    tls.privateKeyFile = reader.text("private_key");
+    tls.trustFile = reader.text("trust");
+    tls.peerName = reader.text("peer_name", peerName);
+    return tls;
+}
+
+void readOperators(SettingsReader reader, DaemonSettings &settings)
+{
+    constexpr size_t hashCharacters = 64;
+    settings.operators = readAddress(reader);
+    settings.operatorTls = readTls(reader, operatorName);
+    for (SettingsReader &account : reader.objects("accounts")) {
+        OperatorAccount entry{account.text("name"), account.text("token_sha256")};
+        const bool isHash = entry.tokenHash.size() == hashCharacters
+                            && entry.tokenHash.find_first_not_of("0123456789abcdef")
+                                   == std::string::npos;
+        if (!entry.tokenHash.empty() && !isHash) {
+            account.addProblem("token_sha256", "another string", "64 lower-case hexadecimal digits");
+        }
+        account.rejectUnknown();
+        settings.operatorAccounts.push_back(std::move(entry));
+    }
+    reader.rejectUnknown();
+}
+
+void readLog(SettingsReader &parent, DaemonSettings &settings)
+{
+    if (!parent.has("log")) {
+        parent.boolean("log", false);
+        return;
+    }
+    SettingsReader reader = parent.object("log");
+    settings.log.file = reader.text("file", std::string());
+    const std::string level = reader.text("level", "info");
+    if (level == "debug") {
+        settings.log.level = Telemetry::LogLevel::Debug;
+    } else if (level == "warning") {
+        settings.log.level = Telemetry::LogLevel::Warning;
+    } else if (level == "error") {
+        settings.log.level = Telemetry::LogLevel::Error;
+    } else if (level != "info") {
+        reader.addProblem("level", "string \"" + level + "\"", "debug, info, warning or error");
+    }
+    reader.rejectUnknown();
+}
+
+void checkConsistency(SettingsReader &reader, const DaemonSettings &settings)
+{
+    const std::pair<const char *, const ListenAddress *> addresses[]
+        = {{"callers", &settings.callers},
+           {"status", &settings.status},
+           {"operators", &settings.operators},
+           {"peers", &settings.peers}};
+    for (size_t i = 0; i < std::size(addresses); ++i) {
+        for (size_t k = 0; k < i; ++k) {
+            const ListenAddress &a = *addresses[i].second;
+            const ListenAddress &b = *addresses[k].second;
+            if (!a.address.empty() && a.address == b.address && a.port == b.port) {
+                reader.addProblem(std::string(addresses[i].first) + "/port",
+                                  "the address of \"" + std::string(addresses[k].first) + "\"",
+                                  "an address of its own");
+            }
+        }
+    }
+}
+
+} // namespace
+
+ParsedSettings parseSettings(const std::string &text)
+{
+    ParsedSettings result;
+    const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    if (document.is_discarded()) {
+        result.problems.push_back({"/", "text that is not JSON", "a JSON object"});
+        return result;
+    }
+    DaemonSettings &settings = result.settings;
+    SettingsReader reader(document, "", result.problems);
+    settings.vm = Base::VmId(reader.text("vm"));
+    settings.zone = Base::ZoneId(reader.text("zone"));
+    SettingsReader callers = reader.object("callers");
+    settings.callers = readAddress(callers);
+    settings.maxBody = Base::Bytes(
+        callers.integer("max_body_bytes", 1, maxBodyBytes, settings.maxBody.value()));
+    callers.rejectUnknown();
+    SettingsReader status = reader.object("status");
+    settings.status = readAddress(status);
+    status.rejectUnknown();
+    readOperators(reader.object("operators"), settings);
+    SettingsReader peers = reader.object("peers");
+    settings.peers = readAddress(peers);
+    settings.peerTls = readTls(peers, certificateName);
+    peers.rejectUnknown();
+    SettingsReader platform = reader.object("platform");
+    settings.platformUrl = platform.text("url");
+    if (!settings.platformUrl.empty() && !settings.platformUrl.starts_with("http")) {
+        platform.addProblem("url", "string \"" + settings.platformUrl + "\"", "an http or https URL");
+    }
+    platform.rejectUnknown();
+    settings.partitions = static_cast<std::uint16_t>(
+        reader.integer("partitions", 1, maxPartitions, settings.partitions));
+    settings.workers = static_cast<unsigned>(
+        reader.integer("workers", 1, maxWorkers, settings.workers));
+    settings.leaveNotice = std::chrono::milliseconds(
+        reader.integer("leave_notice_ms", 0, 60'000, 3000));
+    settings.drainTimeout = std::chrono::seconds(reader.integer("drain_timeout_s", 1, 3600, 600));
+    settings.witnessCapacity = Base::Bytes(
+        reader.integer("witness_bytes", 1'000'000, maxWitnessBytes, settings.witnessCapacity.value()));
+    readLog(reader, settings);
+    settings.log.daemon = settings.vm.text();
+    settings.log.keyPrefixes = {"mf_"};
+    checkConsistency(reader, settings);
+    reader.rejectUnknown();
+    return result;
+}
+
+Scheduler::CoreSettings coreSettings(const DaemonSettings &settings,
+                                     const Base::IncarnationId &incarnation,
+                                     std::uint64_t seed)
+{
+    Scheduler::CoreSettings core;
+    core.self.incarnation = incarnation;
+    core.self.vm = settings.vm;
+    core.self.zone = settings.zone;
+    core.self.address = {settings.peers.address, settings.peers.port};
+    core.partitionCount = settings.partitions;
+    core.seed = seed;
+    core.witnessCapacity = settings.witnessCapacity;
+    core.programs.maxInput = settings.maxBody;
+    core.dispatch.isBorrowingSlots = true;
+    return core;
+}
+
+} // namespace Runtime
