--- /dev/null
+++ b/src/libs/journal/compactor.cpp
@@ -0,0 +1,339 @@
+#include "compactor.h"
+
+#include "codec.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace Journal {
+
+namespace {
+
+std::string chunkName(const Base::ProgramId &program,
+                      Base::CallNumber first,
+                      const Base::IncarnationId &writer,
+                      std::uint32_t attempt)
+{
+    // The writer in the name keeps chunks apart that an earlier owner left unfinished.
+    std::string name = program.text() + "." + std::to_string(first.value()) + "." + writer.text();
+    if (attempt > 0) {
+        name += "-" + std::to_string(attempt);
+    }
+    return name;
+}
+
+/// Cuts a partition into pieces that fit into one object each.
+void appendPieces(Base::PartitionId id,
+                  const ReplayedPartition &partition,
+                  Base::Bytes limit,
+                  std::vector<PartitionState> &pieces,
+                  std::vector<Base::Bytes> &sizes)
+{
+    pieces.push_back({id, partition.adopted, partition.released, {}});
+    sizes.emplace_back();
+    for (const auto &[program, snapshot] : partition.programs) {
+        const Base::Bytes size = sizeBound(snapshot.state);
+        if (sizes.back().value() > 0 && sizes.back() + size > limit) {
+            pieces.push_back({id, partition.adopted, partition.released, {}});
+            sizes.emplace_back();
+        }
+        pieces.back().programs.push_back(snapshot.state);
+        sizes.back() += size;
+    }
+}
+
+// Adoption, release and numbers of one partition.
+constexpr Base::Bytes partitionOverhead{500};
+
+} // namespace
+
+Compactor::Compactor(Base::IncarnationId incarnation, CompactorSettings settings)
+    : incarnation_(std::move(incarnation))
+    , settings_(settings)
+    , calls_(settings.storeTimeout, settings.storeRetryInterval)
+    , allowance_(settings.writesPerSecond, settings.writeBurst)
+{}
+
+void Compactor::segmentStored(SegmentStored stored, Base::Instant now)
+{
+    if (phase_ != Phase::Idle) {
+        waiting_.push_back(std::move(stored));
+        return;
+    }
+    fold(std::move(stored));
+    if (isDue()) {
+        begin(now);
+    }
+}
+
+void Compactor::fold(SegmentStored stored)
+{
+    for (Record &record : stored.records) {
+        replay_.apply(std::move(record));
+    }
+    foldedThrough_ = stored.number;
+    foldedSequence_ = stored.last;
+    liveBytes_ += stored.size;
+}
+
+bool Compactor::isDue() const
+{
+    const std::uint64_t live = foldedThrough_.next().value() - firstLive_.value();
+    return liveBytes_ >= settings_.compactAfterBytes || live >= settings_.compactAfterSegments;
+}
+
+void Compactor::partitionForgotten(Base::PartitionId partition)
+{
+    if (phase_ != Phase::Idle) {
+        forgotten_.push_back(partition);
+        return;
+    }
+    replay_.erase(partition);
+}
+
+void Compactor::requestCompaction(Base::Instant now)
+{
+    const bool hasLive = foldedThrough_ >= firstLive_;
+    if (phase_ == Phase::Idle && hasLive) {
+        begin(now);
+    }
+}
+
+void Compactor::begin(Base::Instant now)
+{
+    if (isStopped_) {
+        return;
+    }
+    phase_ = Phase::WritingChunks;
+    planChunks();
+    proceed(now);
+}
+
+void Compactor::planChunks()
+{
+    for (auto &[id, partition] : replay_.partitions()) {
+        for (auto &[program, snapshot] : partition.programs) {
+            planProgram(id, snapshot);
+        }
+    }
+}
+
+void Compactor::planProgram(Base::PartitionId partition, ProgramSnapshot &program)
+{
+    Base::Bytes size;
+    std::vector<SnapshotChunk> &chunks = program.state.chunks;
+    for (CallResult &turn : program.tail) {
+        const Base::Bytes turnSize = sizeBound(turn);
+        const bool isFirst = size.value() == 0;
+        if (isFirst || size + turnSize > settings_.maxObjectBytes) {
+            chunks.push_back({{}, turn.number, turn.number, {}});
+            chunks_.push_back({partition, turn.program, chunks.size() - 1, 0, {}});
+            size = Base::Bytes();
+        }
+        size += turnSize;
+        chunks.back().last = turn.number;
+        chunks_.back().turns.push_back(std::move(turn));
+    }
+    program.tail.clear();
+}
+
+void Compactor::proceed(Base::Instant now)
+{
+    enterNextPhase();
+    while (calls_.underWay() < settings_.maxWritesUnderWay && sendNext(now)) {
+        allowance_.spend();
+        enterNextPhase();
+    }
+    for (Platform::StoreRequest &request : calls_.takeRequests()) {
+        actions_.emplace_back(SendStore{std::move(request)});
+    }
+}
+
+void Compactor::enterNextPhase()
+{
+    if (phase_ == Phase::WritingChunks && chunks_.empty() && chunksUnderWay_.empty()) {
+        planParts();
+        phase_ = Phase::WritingParts;
+    }
+    if (phase_ == Phase::WritingParts && parts_.empty() && partsUnderWay_.empty()) {
+        phase_ = Phase::WritingCheckpoint;
+    }
+}
+
+bool Compactor::sendNext(Base::Instant now)
+{
+    const bool mustWriteCheckpoint = phase_ == Phase::WritingCheckpoint && !checkpointCall_;
+    const bool hasWork
+        = !chunks_.empty() || !parts_.empty() || mustWriteCheckpoint || !deletions_.empty();
+    if (isStopped_ || !hasWork || !allowance_.isAvailable(now)) {
+        return false;
+    }
+    if (!chunks_.empty()) {
+        ChunkJob job = std::move(chunks_.front());
+        chunks_.pop_front();
+        sendChunk(std::move(job), now);
+    } else if (!parts_.empty()) {
+        partsUnderWay_.insert(calls_.put(std::move(parts_.front()), now));
+        parts_.pop_front();
+    } else if (mustWriteCheckpoint) {
+        sendCheckpoint(now);
+    } else {
+        calls_.remove(deletions_.front(), now);
+        deletions_.pop_front();
+    }
+    return true;
+}
+
+Platform::PutObject Compactor::newObject(Platform::ObjectKey key, std::string body)
+{
+    ++writes_;
+    const Base::WriteId writeId(incarnation_.text() + ".compact." + std::to_string(writes_));
+    return {std::move(key), Platform::ObjectVersion(), std::move(body), writeId};
+}
+
+void Compactor::sendChunk(ChunkJob job, Base::Instant now)
+{
+    ProgramState &state = replay_.find(job.partition)->programs.at(job.program).state;
+    SnapshotChunk &chunk = state.chunks[job.index];
+    chunk.name = chunkName(job.program, chunk.first, incarnation_, job.attempt);
+    std::string body = encode(HistoryChunk{job.program, job.turns});
+    chunk.size = Base::Bytes(static_cast<std::int64_t>(body.size()));
+    const StoreCallId call = calls_.put(newObject(snapshotKey(chunk.name), std::move(body)), now);
+    chunksUnderWay_.emplace(call, std::move(job));
+}
+
+void Compactor::planParts()
+{
+    checkpoint_ = Checkpoint{incarnation_, foldedThrough_.next(), foldedSequence_, {}, {}};
+    std::vector<PartitionState> pieces;
+    std::vector<Base::Bytes> sizes;
+    for (const auto &[id, partition] : replay_.partitions()) {
+        appendPieces(id, partition, settings_.maxObjectBytes, pieces, sizes);
+    }
+    Base::Bytes total;
+    for (const Base::Bytes size : sizes) {
+        total += size + partitionOverhead;
+    }
+    if (total <= settings_.maxObjectBytes) {
+        checkpoint_.partitions = std::move(pieces);
+        return;
+    }
+    Checkpoint part;
+    Base::Bytes partSize;
+    const auto closePart = [&] {
+        const std::string name = incarnation_.text() + ".part."
+                                 + std::to_string(checkpoint_.firstLive.value()) + "."
+                                 + std::to_string(checkpoint_.parts.size());
+        checkpoint_.parts.push_back(name);
+        parts_.push_back(newObject(checkpointPartKey(name), encode(part)));
+        part = Checkpoint();
+        partSize = Base::Bytes();
+    };
+    for (std::size_t i = 0; i < pieces.size(); ++i) {
+        const Base::Bytes size = sizes[i] + partitionOverhead;
+        if (!part.partitions.empty() && partSize + size > settings_.maxObjectBytes) {
+            closePart();
+        }
+        part.partitions.push_back(std::move(pieces[i]));
+        partSize += size;
+    }
+    closePart();
+}
+
+void Compactor::sendCheckpoint(Base::Instant now)
+{
+    Platform::PutObject put = newObject(checkpointKey(incarnation_), encode(checkpoint_));
+    put.expected = checkpointVersion_;
+    checkpointCall_ = calls_.put(std::move(put), now);
+}
+
+void Compactor::handle(const Platform::StoreReply &reply, Base::Instant now)
+{
+    if (const std::optional<FinishedCall> finished = calls_.handle(reply, now)) {
+        takeFinished(*finished, now);
+    }
+    proceed(now);
+}
+
+void Compactor::takeFinished(const FinishedCall &finished, Base::Instant now)
+{
+    if (const auto chunk = chunksUnderWay_.extract(finished.call)) {
+        chunkFinished(std::move(chunk.mapped()), finished.result);
+    } else if (partsUnderWay_.erase(finished.call) == 0 && checkpointCall_ == finished.call) {
+        checkpointCall_.reset();
+        checkpointFinished(finished.result, now);
+    }
+}
+
+void Compactor::chunkFinished(ChunkJob job, const StoreResult &result)
+{
+    if (std::holds_alternative<Platform::WriteConfirmed>(result)) {
+        return;
+    }
+    ++job.attempt;
+    chunks_.push_back(std::move(job));
+}
+
+void Compactor::checkpointFinished(const StoreResult &result, Base::Instant now)
+{
+    const auto *confirmed = std::get_if<Platform::WriteConfirmed>(&result);
+    if (!confirmed) {
+        // Only this incarnation writes this object; without it nothing may be deleted.
+        isStopped_ = true;
+        return;
+    }
+    checkpointVersion_ = confirmed->version;
+    planDeletions();
+    firstLive_ = checkpoint_.firstLive;
+    liveBytes_ = Base::Bytes();
+    checkpoint_ = Checkpoint();
+    phase_ = Phase::Idle;
+    actions_.emplace_back(CheckpointWritten{firstLive_});
+    for (SegmentStored &stored : std::exchange(waiting_, {})) {
+        fold(std::move(stored));
+    }
+    for (const Base::PartitionId partition : std::exchange(forgotten_, {})) {
+        replay_.erase(partition);
+    }
+    if (isDue()) {
+        begin(now);
+    }
+}
+
+void Compactor::planDeletions()
+{
+    for (auto number = firstLive_; number < checkpoint_.firstLive; number = number.next()) {
+        deletions_.push_back(segmentKey(incarnation_, number));
+    }
+    for (const std::string &part : std::exchange(oldParts_, checkpoint_.parts)) {
+        deletions_.push_back(checkpointPartKey(part));
+    }
+    for (const std::string &chunk : replay_.takeObsoleteChunks()) {
+        deletions_.push_back(snapshotKey(chunk));
+    }
+}
+
+void Compactor::tick(Base::Instant now)
+{
+    calls_.tick(now);
+    proceed(now);
+}
+
+std::optional<Base::Instant> Compactor::nextWakeUp() const
+{
+    std::optional<Base::Instant> earliest = calls_.nextWakeUp();
+    const bool hasWork = !chunks_.empty() || !parts_.empty() || !deletions_.empty()
+                         || (phase_ == Phase::WritingCheckpoint && !checkpointCall_);
+    if (!isStopped_ && hasWork && calls_.underWay() < settings_.maxWritesUnderWay) {
+        const Base::Instant allowed = allowance_.availableAt();
+        earliest = earliest ? std::min(*earliest, allowed) : allowed;
+    }
+    return earliest;
+}
+
+std::vector<CompactorAction> Compactor::takeActions()
+{
+    return std::exchange(actions_, {});
+}
+
+} // namespace Journal
--- a/src/libs/journal/compactor.h
+++ b/src/libs/journal/compactor.h
@@ -10,9 +10,12 @@
 {
     /// Live segments that start a compaction, by bytes and by number.
     Base::Bytes compactAfterBytes{8 << 20};
-    std::uint64_t compactAfterSegments = 200;
+    std::uint64_t compactAfterSegments = 1000;
     Base::Bytes maxObjectBytes{Journal::maxObjectBytes};
-    std::size_t maxWritesUnderWay = 2;
+    /// Pace of writes and deletions, so that the store is spared.
+    double writesPerSecond = 20;
+    double writeBurst = 10;
+    std::size_t maxWritesUnderWay = 4;
     Base::Duration storeRetryInterval = std::chrono::milliseconds(500);
     Base::Duration storeTimeout = std::chrono::milliseconds(2000);
 };
@@ -44,7 +47,8 @@
     std::optional<Base::Instant> nextWakeUp() const;
     std::vector<CompactorAction> takeActions();
 
-    bool isIdle() const { return phase_ == Phase::Idle; }
+    bool isIdle() const { return phase_ == Phase::Idle && deletions_.empty(); }
+    /// Segments that are not contained in a checkpoint.
     Base::Bytes liveBytes() const { return liveBytes_; }
 
 private:
@@ -52,8 +56,7 @@
         Idle,
         WritingChunks,
         WritingParts,
-        WritingCheckpoint,
-        Deleting
+        WritingCheckpoint
     };
 
     /// Turns of one program on their way into a snapshot object.
@@ -61,42 +64,50 @@
     {
         Base::PartitionId partition;
         Base::ProgramId program;
+        /// Place of the chunk in the program's list.
+        std::size_t index = 0;
+        std::uint32_t attempt = 0;
         std::vector<CallResult> turns;
-        std::uint64_t ordinal = 0;
     };
 
     void begin(Base::Instant now);
     void planChunks();
     void planProgram(Base::PartitionId partition, ProgramSnapshot &program);
-    void sendChunk(ChunkJob job, Base::Instant now);
-    void chunkFinished(ChunkJob job, const StoreResult &result, Base::Instant now);
+    void planParts();
+    void planDeletions();
     void proceed(Base::Instant now);
-    void writeParts(Base::Instant now);
-    void writeCheckpoint(Base::Instant now);
+    bool sendNext(Base::Instant now);
+    void sendChunk(ChunkJob job, Base::Instant now);
+    void sendCheckpoint(Base::Instant now);
+    void takeFinished(const FinishedCall &finished, Base::Instant now);
+    void chunkFinished(ChunkJob job, const StoreResult &result);
     void checkpointFinished(const StoreResult &result, Base::Instant now);
-    void planDeletions();
-    void finish(Base::Instant now);
+    void enterNextPhase();
     void fold(SegmentStored stored);
     bool isDue() const;
-    Base::WriteId nextWriteId();
+    Platform::PutObject newObject(Platform::ObjectKey key, std::string body);
 
     Base::IncarnationId incarnation_;
     CompactorSettings settings_;
     StoreCalls calls_;
+    WriteAllowance allowance_;
     Replay replay_;
     Phase phase_ = Phase::Idle;
-    /// Segments stored while a compaction runs; folded afterwards.
+    /// Segments stored while a checkpoint is made; folded afterwards.
     std::vector<SegmentStored> waiting_;
     std::vector<Base::PartitionId> forgotten_;
-    std::vector<ChunkJob> chunkQueue_;
+    std::deque<ChunkJob> chunks_;
     std::map<StoreCallId, ChunkJob> chunksUnderWay_;
-    std::vector<Platform::PutObject> partQueue_;
-    std::vector<Platform::ObjectKey> deleteQueue_;
+    std::deque<Platform::PutObject> parts_;
+    std::set<StoreCallId> partsUnderWay_;
+    std::optional<StoreCallId> checkpointCall_;
+    std::deque<Platform::ObjectKey> deletions_;
     Checkpoint checkpoint_;
     std::vector<std::string> oldParts_;
     Platform::ObjectVersion checkpointVersion_;
-    Base::SegmentNumber foldedThrough_;
     Base::SegmentNumber firstLive_{1};
+    Base::SegmentNumber foldedThrough_;
+    EntrySequence foldedSequence_;
     Base::Bytes liveBytes_;
     std::uint64_t writes_ = 0;
     bool isStopped_ = false;
--- /dev/null
+++ b/src/libs/journal/journalhandover.cpp
@@ -0,0 +1,113 @@
+#include "journalhandover.h"
+
+#include <algorithm>
+
+namespace Journal {
+
+JournalHandover::JournalHandover(HandoverSettings settings)
+    : settings_(std::move(settings))
+    , calls_(settings_.storeTimeout, settings_.storeRetryInterval)
+    , reader_(settings_.owner, settings_.maxReadsUnderWay)
+{}
+
+void JournalHandover::start(Base::Instant now)
+{
+    giveUpAt_ = now + settings_.patience;
+    reader_.start(calls_, now);
+    proceed(now);
+}
+
+void JournalHandover::handle(const Platform::StoreReply &reply, Base::Instant now)
+{
+    const std::optional<FinishedCall> finished = calls_.handle(reply, now);
+    if (finished && !isDone_) {
+        reader_.handle(*finished, calls_, now);
+    }
+    proceed(now);
+}
+
+void JournalHandover::tick(Base::Instant now)
+{
+    calls_.tick(now);
+    if (resumeAt_ && *resumeAt_ <= now) {
+        resumeAt_.reset();
+        // Compaction may have removed what looked absent, so the checkpoint is read again too.
+        reader_.start(calls_, now);
+    }
+    proceed(now);
+}
+
+void JournalHandover::proceed(Base::Instant now)
+{
+    if (!isDone_) {
+        if (reader_.error()) {
+            fail(*reader_.error());
+        } else if (reader_.isAtEnd() && !resumeAt_) {
+            const bool areAllReleased
+                = std::all_of(settings_.partitions.begin(),
+                              settings_.partitions.end(),
+                              [this](Base::PartitionId id) { return isReleased(id); });
+            if (areAllReleased) {
+                finish();
+            } else {
+                resumeAt_ = now + settings_.storeRetryInterval;
+            }
+        }
+    }
+    if (!isDone_ && now >= giveUpAt_) {
+        Base::Error error;
+        error.code = Base::ErrorCode::Timeout;
+        error.step = Base::Step::Recover;
+        error.peer = settings_.owner.text();
+        error.message = "the partitions were not released in time";
+        fail(std::move(error));
+    }
+    for (Platform::StoreRequest &request : calls_.takeRequests()) {
+        actions_.emplace_back(SendStore{std::move(request)});
+    }
+}
+
+bool JournalHandover::isReleased(Base::PartitionId partition)
+{
+    const ReplayedPartition *found = reader_.replay().find(partition);
+    return found && found->released && found->released->successor == settings_.self;
+}
+
+void JournalHandover::finish()
+{
+    isDone_ = true;
+    HandoverDone done;
+    done.owner = settings_.owner;
+    for (const Base::PartitionId partition : settings_.partitions) {
+        done.partitions[partition] = std::move(*reader_.replay().find(partition));
+    }
+    actions_.emplace_back(std::move(done));
+}
+
+void JournalHandover::fail(Base::Error error)
+{
+    isDone_ = true;
+    actions_.emplace_back(HandoverFailed{std::move(error)});
+}
+
+std::optional<Base::Instant> JournalHandover::nextWakeUp() const
+{
+    if (isDone_) {
+        return std::nullopt;
+    }
+    Base::Instant earliest = giveUpAt_;
+    if (resumeAt_) {
+        earliest = std::min(earliest, *resumeAt_);
+    }
+    if (const auto wakeUp = calls_.nextWakeUp()) {
+        earliest = std::min(earliest, *wakeUp);
+    }
+    return earliest;
+}
+
+std::vector<HandoverAction> JournalHandover::takeActions()
+{
+    return std::exchange(actions_, {});
+}
+
+} // namespace Journal
--- a/src/libs/journal/journalhandover.h
+++ b/src/libs/journal/journalhandover.h
@@ -11,13 +11,13 @@
 {
     /// The live daemon that released the partitions.
     Base::IncarnationId owner;
+    /// The daemon that the partitions are released to.
+    Base::IncarnationId self;
     std::set<Base::PartitionId> partitions;
-    /// Segment that holds the last of the PartitionReleased records.
-    Base::SegmentNumber position;
     std::size_t maxReadsUnderWay = 16;
     Base::Duration storeRetryInterval = std::chrono::milliseconds(100);
     Base::Duration storeTimeout = std::chrono::milliseconds(1000);
-    /// The owner's segments have to be in the store within this time.
+    /// The releases have to be in the store within this time.
     Base::Duration patience = std::chrono::seconds(5);
 };
 
@@ -51,6 +51,7 @@
 
 private:
     void proceed(Base::Instant now);
+    bool isReleased(Base::PartitionId partition);
     void finish();
     void fail(Base::Error error);
 
--- /dev/null
+++ b/src/libs/journal/journalreader.cpp
@@ -0,0 +1,154 @@
+#include "journalreader.h"
+
+#include "codec.h"
+
+namespace Journal {
+
+JournalReader::JournalReader(Base::IncarnationId owner, std::size_t maxReadsUnderWay)
+    : owner_(std::move(owner))
+    , maxReadsUnderWay_(maxReadsUnderWay)
+{}
+
+void JournalReader::start(StoreCalls &calls, Base::Instant now)
+{
+    *this = JournalReader(owner_, maxReadsUnderWay_);
+    checkpointCall_ = calls.get(checkpointKey(owner_), now);
+}
+
+bool JournalReader::handle(const FinishedCall &finished, StoreCalls &calls, Base::Instant now)
+{
+    const auto *answer = std::get_if<ReadAnswered>(&finished.result);
+    if (!answer) {
+        return false;
+    }
+    if (checkpointCall_ == finished.call) {
+        checkpointCall_.reset();
+        takeCheckpoint(*answer, calls, now);
+        return true;
+    }
+    if (partCalls_.erase(finished.call) > 0) {
+        takePart(*answer, calls, now);
+        return true;
+    }
+    const auto segment = segmentCalls_.find(finished.call);
+    if (segment == segmentCalls_.end()) {
+        return false;
+    }
+    arrived_[segment->second] = answer->object ? std::optional(answer->object->body) : std::nullopt;
+    segmentCalls_.erase(segment);
+    replayInOrder();
+    readAhead(calls, now);
+    return true;
+}
+
+void JournalReader::takeCheckpoint(const ReadAnswered &answer, StoreCalls &calls, Base::Instant now)
+{
+    if (!answer.object) {
+        readAhead(calls, now);
+        return;
+    }
+    Base::Result<Checkpoint> checkpoint = decodeCheckpoint(answer.object->body);
+    if (!checkpoint) {
+        fail(checkpoint.error());
+        return;
+    }
+    checkpointVersion_ = answer.object->version;
+    next_ = checkpoint.value().firstLive;
+    nextToRead_ = next_;
+    throughSequence_ = checkpoint.value().throughSequence;
+    replay_.load(checkpoint.value().partitions);
+    for (const std::string &part : checkpoint.value().parts) {
+        partCalls_.insert(calls.get(checkpointPartKey(part), now));
+    }
+    readAhead(calls, now);
+}
+
+void JournalReader::takePart(const ReadAnswered &answer, StoreCalls &calls, Base::Instant now)
+{
+    if (!answer.object) {
+        // The checkpoint was replaced meanwhile.
+        start(calls, now);
+        return;
+    }
+    const Base::Result<Checkpoint> part = decodeCheckpoint(answer.object->body);
+    if (!part) {
+        fail(part.error());
+        return;
+    }
+    replay_.load(part.value().partitions);
+    readAhead(calls, now);
+}
+
+void JournalReader::readAhead(StoreCalls &calls, Base::Instant now)
+{
+    if (isAtEnd_ || error_ || checkpointCall_ || !partCalls_.empty()) {
+        return;
+    }
+    while (segmentCalls_.size() + arrived_.size() < maxReadsUnderWay_) {
+        segmentCalls_.emplace(calls.get(segmentKey(owner_, nextToRead_), now), nextToRead_);
+        nextToRead_ = nextToRead_.next();
+    }
+}
+
+void JournalReader::replayInOrder()
+{
+    while (!isAtEnd_ && !error_) {
+        const auto first = arrived_.find(next_);
+        if (first == arrived_.end()) {
+            return;
+        }
+        if (!first->second) {
+            isAtEnd_ = true;
+            return;
+        }
+        const std::string body = std::move(*first->second);
+        arrived_.erase(first);
+        replaySegment(body);
+    }
+}
+
+void JournalReader::replaySegment(const std::string &body)
+{
+    Base::Result<Segment> segment = decodeSegment(body);
+    if (!segment) {
+        fail(segment.error());
+        return;
+    }
+    for (Entry &entry : segment.value().entries) {
+        if (entry.incarnation != owner_) {
+            continue;
+        }
+        if (entry.seal) {
+            isSealed_ = true;
+            isAtEnd_ = true;
+            return;
+        }
+        replayEntry(std::move(entry));
+    }
+    next_ = next_.next();
+}
+
+void JournalReader::replayEntry(Entry &&entry)
+{
+    throughSequence_ = entry.sequence;
+    for (Record &record : entry.records) {
+        replay_.apply(std::move(record));
+    }
+}
+
+void JournalReader::resume(StoreCalls &calls, Base::Instant now)
+{
+    // Answers behind the absent segment may be stale as well.
+    isAtEnd_ = false;
+    arrived_.clear();
+    segmentCalls_.clear();
+    nextToRead_ = next_;
+    readAhead(calls, now);
+}
+
+void JournalReader::fail(Base::Error error)
+{
+    error_ = std::move(error);
+}
+
+} // namespace Journal
--- a/src/libs/journal/journalreader.h
+++ b/src/libs/journal/journalreader.h
@@ -5,15 +5,15 @@
 
 #include <base/error.h>
 
+#include <set>
+
 namespace Journal {
 
 /// Reads an incarnation's checkpoint and its segments in order, with read-ahead.
 class JournalReader
 {
 public:
-    JournalReader(Base::IncarnationId owner,
-                  std::size_t maxReadsUnderWay,
-                  std::optional<Base::SegmentNumber> upTo = std::nullopt);
+    JournalReader(Base::IncarnationId owner, std::size_t maxReadsUnderWay);
 
     /// Begins, or begins again, with the checkpoint.
     void start(StoreCalls &calls, Base::Instant now);
@@ -22,11 +22,13 @@
     /// After an absent segment: reads it again (it may have been written meanwhile).
     void resume(StoreCalls &calls, Base::Instant now);
 
-    /// The next segment is absent, is a seal, or lies behind the asked end.
+    /// The next segment is absent or a seal.
     bool isAtEnd() const { return isAtEnd_; }
     bool isSealed() const { return isSealed_; }
     /// First segment that was not replayed: absent, or the seal.
     Base::SegmentNumber end() const { return next_; }
+    /// Last entry that was replayed.
+    EntrySequence throughSequence() const { return throughSequence_; }
     /// Version of the checkpoint that the replay started from; 0 if there was none.
     Platform::ObjectVersion checkpointVersion() const { return checkpointVersion_; }
     const std::optional<Base::Error> &error() const { return error_; }
@@ -35,22 +37,23 @@
 private:
     void takeCheckpoint(const ReadAnswered &answer, StoreCalls &calls, Base::Instant now);
     void takePart(const ReadAnswered &answer, StoreCalls &calls, Base::Instant now);
-    void takeSegment(Base::SegmentNumber number, const ReadAnswered &answer);
     void replayInOrder();
     void replaySegment(const std::string &body);
+    void replayEntry(Entry &&entry);
+    void fail(Base::Error error);
     void readAhead(StoreCalls &calls, Base::Instant now);
 
     Base::IncarnationId owner_;
     std::size_t maxReadsUnderWay_;
-    std::optional<Base::SegmentNumber> upTo_;
     std::optional<StoreCallId> checkpointCall_;
-    std::map<StoreCallId, std::string> partCalls_;
+    std::set<StoreCallId> partCalls_;
     std::map<StoreCallId, Base::SegmentNumber> segmentCalls_;
     /// Answers that wait for earlier ones.
     std::map<Base::SegmentNumber, std::optional<std::string>> arrived_;
     Base::SegmentNumber next_{1};
     Base::SegmentNumber nextToRead_{1};
     Platform::ObjectVersion checkpointVersion_;
+    EntrySequence throughSequence_;
     bool isAtEnd_ = false;
     bool isSealed_ = false;
     std::optional<Base::Error> error_;
--- a/src/libs/journal/journalrecovery.h
+++ b/src/libs/journal/journalrecovery.h
@@ -88,11 +88,53 @@
     std::optional<Base::Instant> nextWakeUp() const;
     std::vector<RecoveryAction> takeActions();
 
-    bool isDone() const { return isDone_; }
+    bool isDone() const { return phase_ == Phase::Done; }
 
 private:
+    enum class Phase {
+        Reading,
+        Sealing,
+        CheckingCheckpoint,
+        AwaitingLease,
+        SealingWitnesses,
+        Done
+    };
+
+    /// What one sealed witness has handed out so far.
+    struct WitnessCopy
+    {
+        std::vector<Entry> entries;
+        EntrySequence next;
+        bool isComplete = false;
+    };
+
+    void takeFinished(const FinishedCall &finished, Base::Instant now);
+    void afterReading(Base::Instant now);
+    void seal(Base::Instant now);
+    void checkCheckpoint(Base::Instant now);
+    void checkpointChecked(const ReadAnswered &answer, Base::Instant now);
+    void askWitnesses(Base::Instant now);
+    void ask(const Base::IncarnationId &witness);
+    void finishIfAllGone();
+    void applyWitness(WitnessCopy copy);
+    void finish(bool isDegraded);
+    void noteUncertain(RecoveryDone &done) const;
+    void fail(const Base::Error &error);
+    void sendRequests();
+
     RecoverySettings settings_;
-    bool isDone_ = false;
+    StoreCalls calls_;
+    JournalReader reader_;
+    Phase phase_ = Phase::Reading;
+    std::optional<StoreCallId> sealCall_;
+    std::optional<StoreCallId> checkCall_;
+    std::set<Base::IncarnationId> witnesses_;
+    std::set<Base::IncarnationId> gone_;
+    std::map<Base::IncarnationId, WitnessCopy> copies_;
+    std::optional<Base::Instant> askAgainAt_;
+    bool isBlockTold_ = false;
+    /// Intents that only a witness had.
+    std::set<std::pair<Base::ProgramId, Base::CallNumber>> witnessIntents_;
     std::vector<RecoveryAction> actions_;
 };
 
--- a/src/libs/journal/journalwriter.h
+++ b/src/libs/journal/journalwriter.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "messages.h"
+#include "storecalls.h"
+#include "witnesssets.h"
+#include "writeallowance.h"
 
 #include <base/error.h>
-#include <platform/conditionalwriter.h>
 
 #include <deque>
-#include <map>
-#include <set>
 
 namespace Journal {
 
@@ -24,25 +24,18 @@
     /// Records held in memory until the store has them.
     Base::Bytes maxQueuedBytes{32 << 20};
     Base::Duration storeRetryInterval = std::chrono::milliseconds(200);
+    /// A write without an answer for this time starts the commits at the witnesses.
+    Base::Duration outageAfter = std::chrono::milliseconds(300);
     /// A store request without an answer counts as unanswered after this time.
     Base::Duration storeTimeout = std::chrono::milliseconds(1000);
     Base::Duration witnessRetryInterval = std::chrono::milliseconds(100);
 };
 
-/// The daemons that hold uncommitted entries while the store is away.
-using WitnessSet = std::set<Base::IncarnationId>;
-
 struct SendStore
 {
     Platform::StoreRequest request;
 };
 
-struct SendMessage
-{
-    Base::IncarnationId to;
-    Message message;
-};
-
 /// All records of the append are committed.
 struct RecordsCommitted
 {
@@ -53,11 +46,14 @@
 struct SegmentStored
 {
     Base::SegmentNumber number;
+    /// Last entry in the segment.
+    EntrySequence last;
     std::vector<Record> records;
     Base::Bytes size;
 };
 
-/// A successor sealed the journal: what is uncommitted stays so for ever.
+/// A successor sealed the journal: none of these appends is committed here any more. The successor
+/// may have found some of them; their intents were not dispatched, so "not run" stays true.
 struct Fenced
 {
     /// Empty if not known.
@@ -121,30 +117,68 @@
     std::optional<Base::Instant> nextWakeUp() const;
     std::vector<WriterAction> takeActions();
 
-    CommitPath path() const;
+    CommitPath path(Base::Instant now) const;
     bool isFenced() const { return isFenced_; }
     /// All segments up to this one are in the store.
-    Base::SegmentNumber storedThrough() const { return storedThrough_; }
-    /// Segment that holds the last record of a committed or pending append; empty once it is in
-    /// the store and forgotten. A release's position for a planned handover.
-    Base::SegmentNumber lastAssigned() const { return nextNumber_; }
+    Base::SegmentNumber storedThrough() const { return storedSegment_; }
+    /// Records that the store does not have yet.
     Base::Bytes queuedBytes() const { return queuedBytes_; }
 
 private:
-    struct Pending
+    /// An append, or a part of a large one, that is not in an entry yet.
+    struct Piece
     {
         Ticket ticket;
         std::vector<Record> records;
         Base::Bytes size;
         Base::Instant at;
+        bool isFirst = true;
         bool isLast = true;
     };
 
+    struct SegmentUnderWay
+    {
+        Base::SegmentNumber number;
+        EntrySequence last;
+        StoreCallId call;
+        Base::Instant sentAt;
+        bool isWritten = false;
+    };
+
+    void pump(Base::Instant now);
+    void detectOutage(Base::Instant now);
+    bool startSegment(Base::Instant now);
+    bool isEntryDue(Base::Instant now) const;
+    void formEntry();
+    void assignSegment(Base::Instant now);
+    void formForWitnesses(Base::Instant now);
+    void sendToWitnesses(Base::Instant now);
+    void segmentWritten(StoreCallId call);
+    void advanceStored();
+    void tellCommitted(EntrySequence through);
+    void endOutageIfDrained();
+    void fence(const Base::IncarnationId &by);
+    std::size_t createLimit() const;
+    bool hasUnassigned() const { return assignedThrough_ < lastSequence_; }
+    std::optional<Base::Instant> nextSegmentAt() const;
+
     Base::IncarnationId incarnation_;
     WriterSettings settings_;
+    StoreCalls calls_;
+    WriteAllowance allowance_;
+    WitnessSets witnesses_;
     bool isFenced_ = false;
-    Base::SegmentNumber storedThrough_;
-    Base::SegmentNumber nextNumber_;
+    bool isOutage_ = false;
+    std::deque<Piece> open_;
+    Base::Bytes openBytes_;
+    std::deque<UnstoredEntry> entries_;
+    std::deque<SegmentUnderWay> underWay_;
+    EntrySequence lastSequence_;
+    EntrySequence assignedThrough_;
+    EntrySequence storedThrough_;
+    EntrySequence toldThrough_;
+    Base::SegmentNumber lastSegment_;
+    Base::SegmentNumber storedSegment_;
     Base::Bytes queuedBytes_;
     std::vector<WriterAction> actions_;
 };
--- a/src/libs/journal/messages.h
+++ b/src/libs/journal/messages.h
@@ -11,7 +11,7 @@
     Base::IncarnationId owner;
     Base::IncarnationId witness;
     /// Entries up to this one are in the store; the witness drops them.
-    Base::SegmentNumber storedThrough;
+    EntrySequence storedThrough;
     /// Contiguous; empty if the message only drops.
     std::vector<Entry> entries;
 
@@ -36,7 +36,7 @@
     Base::IncarnationId owner;
     Base::IncarnationId witness;
     WitnessVerdict verdict = WitnessVerdict::Accepted;
-    Base::SegmentNumber heldThrough;
+    EntrySequence heldThrough;
 
     bool operator==(const WitnessAppendReply &) const = default;
 };
@@ -48,7 +48,7 @@
     Base::IncarnationId witness;
     Base::IncarnationId successor;
     /// First entry wanted; a large buffer is read in several messages.
-    Base::SegmentNumber from;
+    EntrySequence from;
 
     bool operator==(const WitnessSeal &) const = default;
 };
@@ -60,9 +60,9 @@
     Base::IncarnationId witness;
     Base::IncarnationId successor;
     /// The entries up to this one are in the store.
-    Base::SegmentNumber storedThrough;
+    EntrySequence storedThrough;
     /// Last entry held; not below `storedThrough`.
-    Base::SegmentNumber heldThrough;
+    EntrySequence heldThrough;
     std::vector<Entry> entries;
 
     bool operator==(const WitnessSealReply &) const = default;
--- a/src/libs/journal/record.h
+++ b/src/libs/journal/record.h
@@ -110,7 +110,7 @@
 /// Part of a program's history, in an object of its own (ObjectKind::ProgramSnapshot).
 struct SnapshotChunk
 {
-    /// Name of the object: "<program>.<k>".
+    /// Name of the object; starts with the program's id.
     std::string name;
     Base::CallNumber first;
     Base::CallNumber last;
@@ -164,6 +164,14 @@
     bool operator==(const TurnRecovered &) const = default;
 };
 
+/// The findings about a partition begin; what this journal said about it before no longer counts.
+struct AdoptionBegun
+{
+    Base::Epoch epoch;
+
+    bool operator==(const AdoptionBegun &) const = default;
+};
+
 /// The writer of this journal owns the partition; all findings about it stand before this record.
 /// Written once when a partition is taken over or first used; callers are answered afterwards.
 struct PartitionAdopted
@@ -196,7 +204,8 @@
                                    ProgramRecovered,
                                    TurnRecovered,
                                    PartitionAdopted,
-                                   PartitionReleased>;
+                                   PartitionReleased,
+                                   AdoptionBegun>;
 
 /// Names one append, so that its commit can be matched; chosen by whoever appends.
 using Ticket = Base::StrongNumber<struct TicketTag, std::uint64_t>;
--- a/src/libs/journal/replay.h
+++ b/src/libs/journal/replay.h
@@ -25,25 +25,23 @@
 public:
     /// Starts from a checkpoint's partitions.
     void load(const std::vector<PartitionState> &partitions);
-    void apply(const Record &record);
-    void apply(Record &&record);
+    void apply(Record record);
 
-    const std::map<Base::PartitionId, ReplayedPartition> &partitions() const { return partitions_; }
-    std::map<Base::PartitionId, ReplayedPartition> takePartitions();
+    std::map<Base::PartitionId, ReplayedPartition> &partitions() { return partitions_; }
     ReplayedPartition *find(Base::PartitionId partition);
-    void erase(Base::PartitionId partition);
+    void erase(Base::PartitionId partition) { partitions_.erase(partition); }
     /// Chunks of programs that were forgotten since the last call.
     std::vector<std::string> takeObsoleteChunks();
 
 private:
-    void applyTo(ReplayedPartition &partition, ProgramRecord &&body);
+    void forget(ReplayedPartition &partition, const Base::ProgramId &program);
 
     std::map<Base::PartitionId, ReplayedPartition> partitions_;
     std::vector<std::string> obsoleteChunks_;
 };
 
 /// Records that a successor commits to its own journal before it answers from a partition:
-/// states, turns and, last, the PartitionAdopted.
+/// AdoptionBegun, states, turns and, last, the PartitionAdopted.
 std::vector<Record> findings(Base::PartitionId partition,
                              const ReplayedPartition &found,
                              const PartitionAdopted &adopted);
--- a/src/libs/journal/segment.h
+++ b/src/libs/journal/segment.h
@@ -15,19 +15,22 @@
     bool operator==(const SealMark &) const = default;
 };
 
-/// One commit of one incarnation. Its sequence numbers are contiguous from 1.
+/// Position of a commit in its incarnation's journal; contiguous from 1.
+using EntrySequence = Base::StrongNumber<struct EntrySequenceTag, std::uint64_t>;
+
+/// One commit of one incarnation.
 struct Entry
 {
     Base::IncarnationId incarnation;
-    Base::SegmentNumber sequence;
+    EntrySequence sequence;
     std::vector<Record> records;
     std::optional<SealMark> seal;
 
     bool operator==(const Entry &) const = default;
 };
 
-/// One object of the journal. A combiner's segment carries entries of several incarnations,
-/// each sealed on its own; a daemon's own segment carries one, with the segment's number.
+/// One object of the journal. A daemon's own segment carries one of its entries, or several after
+/// an outage; a combiner's carries entries of several incarnations, each sealed on its own.
 struct Segment
 {
     Base::IncarnationId writer;
@@ -42,7 +45,8 @@
 struct PartitionState
 {
     Base::PartitionId partition;
-    PartitionAdopted adopted;
+    /// Empty while the findings of a takeover are still being written.
+    std::optional<PartitionAdopted> adopted;
     std::optional<PartitionReleased> released;
     std::vector<ProgramState> programs;
 
@@ -55,6 +59,8 @@
     Base::IncarnationId incarnation;
     /// First segment that is not contained in this checkpoint.
     Base::SegmentNumber firstLive{1};
+    /// Last entry that is contained in this checkpoint.
+    EntrySequence throughSequence;
     std::vector<PartitionState> partitions;
     /// Objects with further partitions, if all of them do not fit into one.
     std::vector<std::string> parts;
@@ -62,8 +68,8 @@
     bool operator==(const Checkpoint &) const = default;
 };
 
-/// Largest encoded object that the store takes, with room for its own envelope.
-inline constexpr std::int64_t maxObjectBytes = 1'000'000;
+/// Largest encoded object; the store takes a megabyte, and its own envelope needs room.
+inline constexpr std::int64_t maxObjectBytes = 950'000;
 
 /// Key of a segment: "<incarnation>.<number>".
 Platform::ObjectKey segmentKey(const Base::IncarnationId &incarnation, Base::SegmentNumber number);
@@ -71,7 +77,10 @@
 /// Key of an incarnation's checkpoint.
 Platform::ObjectKey checkpointKey(const Base::IncarnationId &incarnation);
 
-/// Key of a chunk of a program's history or of a further part of a checkpoint.
+/// Key of a further part of a checkpoint.
+Platform::ObjectKey checkpointPartKey(const std::string &name);
+
+/// Key of a chunk of a program's history.
 Platform::ObjectKey snapshotKey(const std::string &name);
 
 } // namespace Journal
--- a/src/libs/journal/storecalls.h
+++ b/src/libs/journal/storecalls.h
@@ -59,6 +59,7 @@
     {
         /// Set for conditional writes.
         std::optional<Platform::ConditionalWriter> writer;
+        /// What the next attempt sends.
         Platform::StoreOperation operation;
         Platform::StoreRequestId request;
         bool isSent = false;
--- a/src/libs/journal/witnessbuffer.h
+++ b/src/libs/journal/witnessbuffer.h
@@ -19,7 +19,8 @@
     WitnessAppendReply append(const WitnessAppend &message);
 
     /// Seals the owner's journal here, for ever, and hands out entries (about a megabyte at once).
-    WitnessSealReply seal(const WitnessSeal &message);
+    /// Nothing if the message names another incarnation of this VM: then it must not be answered.
+    std::optional<WitnessSealReply> seal(const WitnessSeal &message);
 
     /// Drops an owner that the platform lists as gone and whose partitions all have new owners.
     void forget(const Base::IncarnationId &owner);
@@ -31,13 +32,13 @@
     struct Held
     {
         bool isSealed = false;
-        Base::SegmentNumber storedThrough;
-        Base::SegmentNumber heldThrough;
+        EntrySequence storedThrough;
+        EntrySequence heldThrough;
         std::deque<Entry> entries;
         std::deque<Base::Bytes> sizes;
     };
 
-    void dropStored(Held &held, Base::SegmentNumber storedThrough);
+    void dropStored(Held &held, EntrySequence storedThrough);
     WitnessVerdict take(Held &held, const std::vector<Entry> &entries);
 
     Base::IncarnationId self_;
