--- a/src/libs/ownership/assignment.h
+++ b/src/libs/ownership/assignment.h
@@ -10,6 +10,15 @@
 
 namespace Ownership {
 
+/// Who holds a partition, and its fencing number.
+struct Owner
+{
+    Base::IncarnationId incarnation;
+    Base::Epoch epoch;
+
+    bool operator==(const Owner &) const = default;
+};
+
 /// A former owner whose journal the present owner has not yet absorbed.
 struct Predecessor
 {
--- /dev/null
+++ b/src/libs/ownership/loadtable.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "assignment.h"
+
+#include <map>
+#include <vector>
+
+namespace Ownership {
+
+/// A daemon that may get partitions.
+struct Candidate
+{
+    Base::IncarnationId incarnation;
+    Base::ZoneId zone;
+
+    bool operator==(const Candidate &) const = default;
+};
+
+/// Counts the partitions of each candidate and of each zone.
+class LoadTable
+{
+public:
+    LoadTable(const Assignment &assignment, const std::vector<Candidate> &candidates);
+
+    bool isEmpty() const { return loads_.empty(); }
+    bool contains(const Base::IncarnationId &incarnation) const;
+
+    /// The candidate with the fewest partitions; of several, one in the zone with the fewest, then
+    /// by rendezvous hash. The table must not be empty.
+    Base::IncarnationId leastLoaded(Base::PartitionId partition) const;
+
+    void add(const Base::IncarnationId &incarnation);
+    void remove(const Base::IncarnationId &incarnation);
+
+    /// Candidates by load, fewest partitions first.
+    std::vector<Base::IncarnationId> byLoad() const;
+    std::size_t loadOf(const Base::IncarnationId &incarnation) const;
+
+private:
+    struct Load
+    {
+        Base::ZoneId zone;
+        std::size_t partitions = 0;
+    };
+
+    std::map<Base::IncarnationId, Load> loads_;
+    std::map<Base::ZoneId, std::size_t> zoneLoads_;
+};
+
+} // namespace Ownership
--- a/src/libs/ownership/ownershipmanager.h
+++ b/src/libs/ownership/ownershipmanager.h
@@ -1,12 +1,20 @@
 #pragma once
 
+#include "assignmentclient.h"
+#include "leaseholder.h"
+#include "leaselisting.h"
+#include "leasewatch.h"
+#include "localpartitions.h"
 #include "ownershipactions.h"
+#include "peertable.h"
+#include "requestsender.h"
 
 #include <base/instant.h>
+#include <base/random.h>
 #include <fleet/membershipevents.h>
 
-#include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace Ownership {
@@ -27,6 +35,8 @@
     /// After the own start: before an absent assignment is written or an owner that was never heard
     /// of counts as lost.
     Base::Duration startupGrace = std::chrono::seconds(3);
+    /// A witness may be silent for this long before another one takes its place.
+    Base::Duration witnessGrace = std::chrono::seconds(5);
     /// Membership is quiet for this long before partitions move to a daemon that joined.
     Base::Duration rebalanceDelay = std::chrono::seconds(3);
     /// Partitions that one daemon hands over at the same time when it rebalances.
@@ -37,25 +47,6 @@
     Base::Duration lonelyListing = std::chrono::seconds(5);
 };
 
-struct Owner
-{
-    Base::IncarnationId incarnation;
-    Base::Epoch epoch;
-
-    bool operator==(const Owner &) const = default;
-};
-
-/// What this daemon may do with a partition.
-enum class PartitionState {
-    /// Another daemon's, or nobody's.
-    NotOwned,
-    /// Owned; the leases of former owners are being read.
-    Acquiring,
-    /// Owned; former owners' journals are to be recovered.
-    Acquired,
-    Serving
-};
-
 /// Decides who owns which partition: keeps the own lease, watches those of others, takes over
 /// partitions whose owner's lease lapsed, and hands partitions over.
 class OwnershipManager
@@ -63,9 +54,8 @@
 public:
     /// The seed spreads the pauses of different daemons.
     OwnershipManager(Fleet::Daemon self, OwnershipSettings settings, std::uint64_t seed);
-    ~OwnershipManager();
-    OwnershipManager(OwnershipManager &&) noexcept;
-    OwnershipManager &operator=(OwnershipManager &&) noexcept;
+    OwnershipManager(const OwnershipManager &) = delete;
+    OwnershipManager &operator=(const OwnershipManager &) = delete;
 
     /// Registers the own lease and reads what is there.
     void start(Base::Instant now);
@@ -79,6 +69,10 @@
     /// Configuration version that the own lease shows.
     void setConfigVersion(Base::ConfigVersion version);
 
+    /// While the witnesses hold records that the store's journal lacks, the lease must go on naming
+    /// just these witnesses: hold changes until the records are drained.
+    void setWitnessChangesHeld(bool isHeld) { areWitnessChangesHeld_ = isHeld; }
+
     /// The partition's predecessors were recovered and the findings are committed.
     void partitionServing(Base::PartitionId partition, Base::Instant now);
     /// Nothing of the predecessors' journals is needed any more.
@@ -115,8 +109,49 @@
     bool isLeaseLost() const;
 
 private:
-    class Private;
-    std::unique_ptr<Private> d_;
+    void adoptAssignment(Base::Instant now);
+    void notifyPeers();
+    void noteOutcome(const Platform::StoreOutcome &outcome, Base::Instant now);
+
+    void checkBootstrap(Base::Instant now);
+    void checkOwners(Base::Instant now);
+    void checkOwner(const Base::IncarnationId &owner, std::size_t rank, Base::Instant now);
+    void checkWitnesses(Base::Instant now);
+    void checkRebalance(Base::Instant now);
+    void checkShutdown();
+    void writeHandovers(Base::Instant now);
+    void evacuate();
+    Base::Instant contendFrom(const Base::IncarnationId &owner) const;
+    bool areOwnersAnswering() const;
+    bool isBusy() const;
+    template<typename Part>
+    void collectFrom(Part &part);
+
+    Fleet::Daemon self_;
+    OwnershipSettings settings_;
+    Base::Random random_;
+    RequestSender sender_;
+    PeerTable peers_;
+    LeaseHolder lease_;
+    LeaseWatch watch_;
+    AssignmentClient assignment_;
+    LocalPartitions partitions_;
+    LeaseListing listing_;
+
+    std::optional<Base::Instant> startedAt_;
+    /// Since when the store answers; empty while it does not.
+    std::optional<Base::Instant> storeHealthySince_;
+    Platform::ObjectVersion adoptedVersion_;
+    std::set<Base::IncarnationId> owners_;
+    /// Owners, and former owners whose journals are not absorbed.
+    std::set<Base::IncarnationId> referenced_;
+    Base::Instant rebalanceAt_;
+    Base::Instant witnessCheckAt_;
+    bool areWitnessChangesHeld_ = false;
+    bool isShuttingDown_ = false;
+    bool isShutdownComplete_ = false;
+    Base::Instant lastTick_;
+    std::vector<OwnershipAction> actions_;
 };
 
 } // namespace Ownership
