HTTP client and clients of engines, plain services and the platform

One libcurl multi thread per HttpClient. libcurl repeats a request, POST too, on a kept connection that closed without an answer; the hook before sending refuses the repeat unless the request allows it, and tells truthfully whether anything was sent.

--- a/src/libs/backends/engineclient.h
+++ b/src/libs/backends/engineclient.h
@@ -2,6 +2,7 @@
 
 #include "httpclient.h"
 
+#include <optional>
 #include <variant>
 
 namespace Backends {
--- a/src/libs/backends/headerfilter.h
+++ b/src/libs/backends/headerfilter.h
@@ -16,6 +16,12 @@
     /// Path and query without the parameters that carry keys.
     std::string filterTarget(std::string_view target) const;
 
+    /// Headers of a server's answer without the hop-by-hop ones.
+    static std::vector<HttpHeader> filterReplyHeaders(const std::vector<HttpHeader> &headers);
+
+    /// Whether the caller's key stands in the text, plain or percent-encoded.
+    bool containsKey(std::string_view text) const;
+
 private:
     bool isSecret(std::string_view name, std::string_view value) const;
 
--- a/src/libs/backends/httpclient.h
+++ b/src/libs/backends/httpclient.h
@@ -68,7 +68,9 @@
 enum class FlowControl {
     Continue,
     /// The piece was taken, but nothing more is wanted before resume().
-    Pause
+    Pause,
+    /// Nothing more is wanted at all; the exchange ends as Cancelled.
+    Stop
 };
 
 /// Callbacks of one exchange. They run in the client's own thread and must not block; each may
@@ -102,6 +104,7 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
+    /// Requests started by handlers while the client ends are dropped without a call of onDone.
     HttpRequestId start(HttpRequest request, HttpHandlers handlers);
     /// Closes the exchange's connection; onDone reports Cancelled unless it ended before.
     void cancel(HttpRequestId id);
--- /dev/null
+++ b/src/libs/backends/httptransfer.cpp
@@ -0,0 +1,243 @@
+#include "httptransfer.h"
+
+#include <charconv>
+
+namespace Backends {
+
+namespace {
+
+constexpr long receiveBufferBytes = 64 * 1024;
+
+std::string_view trimmed(std::string_view text)
+{
+    const char *blanks = " \t\r\n";
+    const std::size_t first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+int statusOf(std::string_view statusLine)
+{
+    const std::size_t blank = statusLine.find(' ');
+    int status = 0;
+    if (blank != std::string_view::npos) {
+        const char *first = statusLine.data() + blank + 1;
+        std::from_chars(first, statusLine.data() + statusLine.size(), status);
+    }
+    return status;
+}
+
+/// A line break in a header would let a caller add headers of its own.
+bool isSafe(const HttpHeader &header)
+{
+    const char *breaks = "\r\n";
+    return !header.name.empty() && header.name.find_first_of("\r\n:") == std::string::npos
+           && header.value.find_first_of(breaks) == std::string::npos;
+}
+
+bool isFinalStatus(int status)
+{
+    return status >= 200;
+}
+
+} // namespace
+
+HttpTransfer::HttpTransfer(HttpRequestId id, HttpRequest request, HttpHandlers handlers)
+    : id_(id)
+    , request_(std::move(request))
+    , handlers_(std::move(handlers))
+    , easy_(curl_easy_init())
+{
+    setUp();
+}
+
+HttpTransfer::~HttpTransfer()
+{
+    curl_easy_cleanup(easy_);
+    curl_slist_free_all(headerList_);
+}
+
+void HttpTransfer::setUp()
+{
+    curl_easy_setopt(easy_, CURLOPT_URL, request_.url.c_str());
+    curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy_, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(easy_, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy_, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy_, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy_, CURLOPT_BUFFERSIZE, receiveBufferBytes);
+    curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(easy_, CURLOPT_ERRORBUFFER, errorText_);
+    curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS, request_.connectTimeout.count());
+    curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, request_.totalTimeout.count());
+    curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &HttpTransfer::onHeaderLine);
+    curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &HttpTransfer::onData);
+    curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &HttpTransfer::onBeforeSending);
+    curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
+    setUpMethod();
+    setUpHeaders();
+}
+
+void HttpTransfer::setUpMethod()
+{
+    if (request_.method == "HEAD") {
+        curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    if (request_.method == "GET" && request_.body.empty()) {
+        return;
+    }
+    if (!request_.body.empty() || request_.method == "POST" || request_.method == "PUT"
+        || request_.method == "PATCH") {
+        curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, request_.body.data());
+        curl_easy_setopt(
+            easy_, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request_.body.size()));
+    }
+    curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+}
+
+void HttpTransfer::setUpHeaders()
+{
+    for (const HttpHeader &header : request_.headers) {
+        if (!isSafe(header)) {
+            continue;
+        }
+        // libcurl sends a header without a value only in the form "Name;".
+        const std::string line
+            = header.value.empty() ? header.name + ";" : header.name + ": " + header.value;
+        headerList_ = curl_slist_append(headerList_, line.c_str());
+    }
+    // Waiting for "100 Continue" would add a round trip, or a second, to large bodies.
+    headerList_ = curl_slist_append(headerList_, "Expect:");
+    curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, headerList_);
+}
+
+void HttpTransfer::pause()
+{
+    isPaused_ = true;
+}
+
+void HttpTransfer::resume()
+{
+    isPaused_ = false;
+    lastActivity_ = Clock::now();
+    if (isInPausedWrite_) {
+        isInPausedWrite_ = false;
+        curl_easy_pause(easy_, CURLPAUSE_CONT);
+    }
+}
+
+bool HttpTransfer::isIdle(Clock::time_point now) const
+{
+    return request_.idleTimeout.count() > 0 && !isPaused_
+           && now - lastActivity_ > request_.idleTimeout;
+}
+
+void HttpTransfer::finish(CURLcode code, HttpEnd brokenAs)
+{
+    if (code == CURLE_OK && !isHeadDelivered_ && handlers_.onHeaders) {
+        handlers_.onHeaders(head_);
+    }
+    if (handlers_.onDone) {
+        handlers_.onDone(outcome(code, brokenAs));
+    }
+}
+
+HttpOutcome HttpTransfer::outcome(CURLcode code, HttpEnd brokenAs) const
+{
+    HttpOutcome outcome;
+    outcome.status = head_.status;
+    outcome.ran = timesSent_ == 0 ? Base::Ran::NotRun : Base::Ran::MayHaveRun;
+    if (code == CURLE_OK) {
+        outcome.end = HttpEnd::Complete;
+        outcome.ran = Base::Ran::Ran;
+        return outcome;
+    }
+    outcome.message = errorText_[0] != 0 ? errorText_ : curl_easy_strerror(code);
+    outcome.end = brokenAs;
+    if (brokenAs == HttpEnd::Cancelled || isStopped_) {
+        outcome.end = HttpEnd::Cancelled;
+        outcome.message = "cancelled";
+    } else if (brokenAs == HttpEnd::TimedOut) {
+        outcome.message = "no data within the idle timeout";
+    } else if (timesSent_ == 0) {
+        outcome.end = HttpEnd::NotSent;
+    } else if (code == CURLE_ABORTED_BY_CALLBACK) {
+        outcome.message = "the kept connection closed without an answer";
+    } else if (code == CURLE_OPERATION_TIMEDOUT) {
+        outcome.end = HttpEnd::TimedOut;
+    }
+    return outcome;
+}
+
+std::size_t HttpTransfer::takeHeaderLine(std::string_view line)
+{
+    lastActivity_ = Clock::now();
+    if (line.starts_with("HTTP/")) {
+        head_ = {statusOf(line), {}};
+        return line.size();
+    }
+    const std::string_view text = trimmed(line);
+    if (text.empty()) {
+        // Headers end here; those of interim answers (1xx) are of no interest.
+        if (isFinalStatus(head_.status) && !isHeadDelivered_) {
+            isHeadDelivered_ = true;
+            if (handlers_.onHeaders) {
+                handlers_.onHeaders(head_);
+            }
+        }
+        return line.size();
+    }
+    const std::size_t colon = text.find(':');
+    if (colon != std::string_view::npos) {
+        head_.headers.push_back({std::string(trimmed(text.substr(0, colon))),
+                                 std::string(trimmed(text.substr(colon + 1)))});
+    }
+    return line.size();
+}
+
+std::size_t HttpTransfer::takeData(std::string_view data)
+{
+    lastActivity_ = Clock::now();
+    if (isPaused_) {
+        isInPausedWrite_ = true;
+        return CURL_WRITEFUNC_PAUSE;
+    }
+    const FlowControl flow = handlers_.onData ? handlers_.onData(data) : FlowControl::Continue;
+    isPaused_ = flow == FlowControl::Pause;
+    isStopped_ = flow == FlowControl::Stop;
+    return isStopped_ ? CURL_WRITEFUNC_ERROR : data.size();
+}
+
+int HttpTransfer::beforeSending()
+{
+    // libcurl sends a request again, POST too, when a kept connection closes without an answer;
+    // the server may have carried it out the first time.
+    if (timesSent_ > 0 && !request_.mayRepeat) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    ++timesSent_;
+    return CURL_PREREQFUNC_OK;
+}
+
+std::size_t HttpTransfer::onHeaderLine(char *data, std::size_t size, std::size_t count, void *self)
+{
+    return static_cast<HttpTransfer *>(self)->takeHeaderLine({data, size * count});
+}
+
+std::size_t HttpTransfer::onData(char *data, std::size_t size, std::size_t count, void *self)
+{
+    return static_cast<HttpTransfer *>(self)->takeData({data, size * count});
+}
+
+int HttpTransfer::onBeforeSending(void *self, char *, char *, int, int)
+{
+    return static_cast<HttpTransfer *>(self)->beforeSending();
+}
+
+} // namespace Backends
--- /dev/null
+++ b/src/libs/backends/httptransfer.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "httpclient.h"
+
+#include <curl/curl.h>
+
+#include <optional>
+
+namespace Backends {
+
+/// One exchange on a libcurl easy handle. Lives in the loop's thread.
+class HttpTransfer
+{
+public:
+    using Clock = std::chrono::steady_clock;
+
+    HttpTransfer(HttpRequestId id, HttpRequest request, HttpHandlers handlers);
+    ~HttpTransfer();
+
+    HttpTransfer(const HttpTransfer &) = delete;
+    HttpTransfer &operator=(const HttpTransfer &) = delete;
+
+    CURL *easy() const { return easy_; }
+    HttpRequestId id() const { return id_; }
+
+    void pause();
+    /// Whether libcurl has to go on with the transfer.
+    void resume();
+    bool isIdle(Clock::time_point now) const;
+
+    /// Calls onDone.
+    void finish(CURLcode code, HttpEnd brokenAs);
+
+private:
+    void setUp();
+    void setUpMethod();
+    void setUpHeaders();
+    HttpOutcome outcome(CURLcode code, HttpEnd brokenAs) const;
+
+    std::size_t takeHeaderLine(std::string_view line);
+    std::size_t takeData(std::string_view data);
+    int beforeSending();
+
+    static std::size_t onHeaderLine(char *data, std::size_t size, std::size_t count, void *self);
+    static std::size_t onData(char *data, std::size_t size, std::size_t count, void *self);
+    static int onBeforeSending(void *self, char *, char *, int, int);
+
+    HttpRequestId id_;
+    HttpRequest request_;
+    HttpHandlers handlers_;
+    CURL *easy_;
+    curl_slist *headerList_ = nullptr;
+    HttpReplyHead head_;
+    bool isHeadDelivered_ = false;
+    bool isPaused_ = false;
+    bool isStopped_ = false;
+    bool isInPausedWrite_ = false;
+    int timesSent_ = 0;
+    Clock::time_point lastActivity_ = Clock::now();
+    char errorText_[CURL_ERROR_SIZE] = {};
+};
+
+} // namespace Backends
--- /dev/null
+++ b/src/libs/backends/outcomeerror.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "httpclient.h"
+
+namespace Backends {
+
+/// The error of an exchange that did not complete, with whether the work may have run.
+Base::Error toError(const HttpOutcome &outcome, const Base::ServerId &server);
+
+} // namespace Backends
--- a/tests/fakes/storefake.cpp
+++ b/tests/fakes/storefake.cpp
@@ -22,6 +22,7 @@
     std::string plural;
     std::string name;
     std::string namePrefix;
+    std::string selectedName;
     bool isWatch = false;
     std::uint64_t resourceVersion = 0;
 };
@@ -53,6 +54,11 @@
     if (slash != std::string::npos) {
         target.name = restinio::utils::unescape_percent_encoding(rest.substr(slash + 1));
     }
+    const std::string nameSelector = "metadata.name=";
+    const std::string selector = queryValue(query, "fieldSelector");
+    if (selector.starts_with(nameSelector)) {
+        target.selectedName = selector.substr(nameSelector.size());
+    }
     target.namePrefix = queryValue(query, "namePrefix");
     target.isWatch = queryValue(query, "watch") == "1";
     const std::string version = queryValue(query, "resourceVersion");
@@ -227,7 +233,9 @@
     {
         nlohmann::json items = nlohmann::json::array();
         for (const TableObject &object : table_.list(target.plural, target.namePrefix)) {
-            items.push_back(toJson(object));
+            if (target.selectedName.empty() || target.selectedName == object.name) {
+                items.push_back(toJson(object));
+            }
         }
         return {{"kind", "List"},
                 {"metadata", {{"resourceVersion", std::to_string(table_.version())}}},
@@ -289,7 +297,7 @@
             return refuse(request, 410, "Expired");
         }
         watches_.push_back({target.plural,
-                            target.name,
+                            target.selectedName,
                             startStream(request, "application/json"),
                             PeerSocket(request, server.port())});
         for (const TableEvent &event : *events) {
