--- a/src/libs/peercodec/peercodec.cpp
+++ b/src/libs/peercodec/peercodec.cpp
@@ -239,7 +239,7 @@
     BOOST_OUTCOME_TRY(segment, Journal::decodeSegment(wire.entries));
     return PeerMessage(Journal::WitnessAppend{Base::IncarnationId(wire.owner),
                                               Base::IncarnationId(wire.witness),
-                                              strong<Base::SegmentNumber>(wire.storedThrough),
+                                              strong<Journal::EntrySequence>(wire.storedThrough),
                                               std::move(segment.entries)});
 }
 
@@ -252,7 +252,7 @@
             Base::IncarnationId(wire.witness),
             isKnown ? static_cast<Journal::WitnessVerdict>(wire.verdict)
                     : Journal::WitnessVerdict::WrongWitness,
-            strong<Base::SegmentNumber>(wire.heldThrough)};
+            strong<Journal::EntrySequence>(wire.heldThrough)};
 }
 
 Base::Result<PeerMessage> decodeSealReply(const Wire::WitnessSealReply &wire)
@@ -261,8 +261,8 @@
     return PeerMessage(Journal::WitnessSealReply{Base::IncarnationId(wire.owner),
                                                  Base::IncarnationId(wire.witness),
                                                  Base::IncarnationId(wire.successor),
-                                                 strong<Base::SegmentNumber>(wire.storedThrough),
-                                                 strong<Base::SegmentNumber>(wire.heldThrough),
+                                                 strong<Journal::EntrySequence>(wire.storedThrough),
+                                                 strong<Journal::EntrySequence>(wire.heldThrough),
                                                  std::move(segment.entries)});
 }
 
@@ -461,7 +461,7 @@
         return PeerMessage(Journal::WitnessSeal{Base::IncarnationId(wire.witnessSeal.owner),
                                                 Base::IncarnationId(wire.witnessSeal.witness),
                                                 Base::IncarnationId(wire.witnessSeal.successor),
-                                                strong<Base::SegmentNumber>(wire.witnessSeal.first)});
+                                                strong<Journal::EntrySequence>(wire.witnessSeal.first)});
     }
     if (has.witnessSealReply) {
         return decodeSealReply(wire.witnessSealReply);
--- a/src/libs/scheduler/daemoncore.cpp
+++ b/src/libs/scheduler/daemoncore.cpp
@@ -229,7 +229,11 @@
                 send(from, witness_.append(append), now);
             },
             [&](const Journal::WitnessAppendReply &reply) { journal_.handle(reply, now); },
-            [&](const Journal::WitnessSeal &seal) { send(from, witness_.seal(seal), now); },
+            [&](const Journal::WitnessSeal &seal) {
+                if (auto reply = witness_.seal(seal)) {
+                    send(from, std::move(*reply), now);
+                }
+            },
             [&](const Journal::WitnessSealReply &reply) { takeover_.witnessReplied(reply, now); },
             [&](const Contracts::ConfigPush &push) { config_.messageReceived(from, push, now); },
             [&](const Contracts::ConfigRequest &ask) { config_.messageReceived(from, ask, now); },
--- a/src/libs/scheduler/takeover.cpp
+++ b/src/libs/scheduler/takeover.cpp
@@ -12,11 +12,12 @@
 using Base::Visitor;
 using Journal::ReplayedPartition;
 
-/// One journal to read for several partitions; released partitions are read up to a position.
+/// One journal to read for several partitions; released partitions are read
+/// without sealing it.
 struct JournalKey
 {
     IncarnationId owner;
-    std::optional<Base::SegmentNumber> position;
+    bool isReleased = false;
 
     auto operator<=>(const JournalKey &) const = default;
 };
@@ -64,15 +65,15 @@
         }
         const Ownership::PredecessorJournal &journal = acquisition.journals.back();
         const IncarnationId &owner = journal.predecessor.incarnation;
-        byJournal[JournalKey{owner, journal.predecessor.releasedAt}].insert(partition);
+        byJournal[JournalKey{owner, journal.predecessor.releasedAt.has_value()}].insert(partition);
         journals.emplace(owner, journal);
     }
     for (const PartitionId partition : fresh) {
         complete(partition, {}, std::nullopt);
     }
     for (auto &[key, partitions] : byJournal) {
-        if (key.position) {
-            startHandover(key.owner, std::move(partitions), *key.position, now);
+        if (key.isReleased) {
+            startHandover(key.owner, std::move(partitions), now);
         } else {
             startRecovery(journals.at(key.owner), std::move(partitions), now);
         }
@@ -105,13 +106,12 @@
 
 void Takeover::startHandover(const IncarnationId &owner,
                              std::set<PartitionId> partitions,
-                             Base::SegmentNumber position,
                              Instant now)
 {
     Journal::HandoverSettings settings;
     settings.owner = owner;
     settings.partitions = partitions;
-    settings.position = position;
+    settings.self = self_;
     auto machine = std::make_unique<Journal::JournalHandover>(settings);
     machine->start(now);
     readers_.emplace(++lastMachine_, Reader{owner, std::move(partitions), {}, std::move(machine)});
--- a/src/libs/scheduler/takeover.h
+++ b/src/libs/scheduler/takeover.h
@@ -93,7 +93,6 @@
                        Base::Instant now);
     void startHandover(const Base::IncarnationId &owner,
                        std::set<Base::PartitionId> partitions,
-                       Base::SegmentNumber position,
                        Base::Instant now);
     void drain(Base::Instant now);
     bool drainReader(std::uint64_t number, Reader &reader, Base::Instant now);
