--- a/src/libs/programs/programlimits.h
+++ b/src/libs/programs/programlimits.h
@@ -24,8 +24,6 @@
     Base::Bytes maxInput{4 << 20};
     /// Output limit of a model call that asks for none.
     Base::Tokens defaultOutputTokens{1'024};
-    /// Tokens that an engine's chat template may add to each turn of a prompt.
-    std::int64_t templateTokensPerTurn = 8;
     /// How long a call waits for an earlier number.
     Base::Duration parkTimeout = std::chrono::seconds(2);
     /// A call that has no answer after this time ends with a timeout.
@@ -34,6 +32,8 @@
     Base::Duration cancelTimeout = std::chrono::seconds(5);
     /// A program without a call for this time is ended.
     Base::Duration idleTimeout = std::chrono::minutes(30);
+    /// Advice to callers that are refused because of a passing condition.
+    Base::Duration retryAdvice = std::chrono::milliseconds(500);
     /// Pause before a refused append is repeated.
     Base::Duration appendRetryDelay = std::chrono::milliseconds(100);
     /// How long callers wait for the commit of a result before they hear that it is in doubt.
@@ -53,7 +53,6 @@
     ProgramLimitsBuilder &maxCallersPerCall(std::uint32_t count);
     ProgramLimitsBuilder &maxInput(Base::Bytes bytes);
     ProgramLimitsBuilder &defaultOutputTokens(Base::Tokens tokens);
-    ProgramLimitsBuilder &templateTokensPerTurn(std::int64_t tokens);
     ProgramLimitsBuilder &parkTimeout(Base::Duration duration);
     ProgramLimitsBuilder &callTimeout(Base::Duration duration);
     ProgramLimitsBuilder &cancelTimeout(Base::Duration duration);
--- a/src/libs/programs/programtable.h
+++ b/src/libs/programs/programtable.h
@@ -44,7 +44,7 @@
 
     void dispatchStarted(DispatchId dispatch, const Base::ServerId &server, Base::Instant now);
     void outputReceived(DispatchId dispatch,
-                        std::string text,
+                        const std::string &text,
                         Base::Tokens tokens,
                         Base::Instant now);
     void dispatchFinished(DispatchId dispatch, const DispatchOutcome &outcome, Base::Instant now);
--- /dev/null
+++ b/src/libs/programs/programtableorder.cpp
@@ -0,0 +1,227 @@
+#include "programtable_p.h"
+#include "refusals.h"
+
+#include <algorithm>
+
+namespace Programs {
+
+using Base::Ran;
+using Base::Step;
+
+// The order of a program's calls: repeats, conflicts, and calls that arrive early.
+
+void ProgramTable::Private::submit(SubmitCall request, Base::Instant now)
+{
+    if (std::optional<Base::Error> problem = partitionProblem(request.program)) {
+        refuse(request.request, std::move(*problem));
+        return;
+    }
+    ProgramEntry *entry = findOf(request.program, request.team);
+    if (!entry) {
+        const EndedProgram *ended = findEnded(request.program, request.team);
+        if (!ended) {
+            refuse(request.request, unknownProgram(Ran::MayHaveRun));
+            return;
+        }
+        const bool isNew = request.number >= ended->nextNumber;
+        refuse(request.request, programEnded(isNew ? Ran::NotRun : Ran::MayHaveRun));
+        return;
+    }
+    if (std::optional<Base::Error> problem = callProblem(*entry, request)) {
+        refuse(request.request, std::move(*problem));
+        return;
+    }
+    entry->lastActivity = now;
+    if (!answerKnownCall(*entry, request, now)) {
+        takeNewCall(*entry, std::move(request), now);
+    }
+    reschedule(*entry);
+}
+
+std::optional<Base::Error> ProgramTable::Private::callProblem(const ProgramEntry &entry,
+                                                              const SubmitCall &request) const
+{
+    if (request.number.value() == 0) {
+        return malformed("call numbers start at 1");
+    }
+    if (static_cast<std::int64_t>(request.input.size()) > limits_.maxInput.value()) {
+        return inputTooLarge();
+    }
+    if (withdrawnKeys_.contains(request.key)) {
+        // The request may repeat a call that was taken while the key was in force.
+        const bool isKnown = request.number < entry.program.nextNumber()
+                             || (entry.active && entry.active->number() == request.number);
+        return keyIsWithdrawn(isKnown ? Ran::MayHaveRun : Ran::NotRun);
+    }
+    return std::nullopt;
+}
+
+/// Handles a call whose number is under way, parked or recorded.
+bool ProgramTable::Private::answerKnownCall(ProgramEntry &entry,
+                                            const SubmitCall &request,
+                                            Base::Instant now)
+{
+    const bool isActive = entry.active && entry.active->number() == request.number;
+    const auto parked = entry.parked.find(request.number);
+    const std::shared_ptr<const Turn> turn = entry.program.turn(request.number);
+    if (!isActive && parked == entry.parked.end() && !turn) {
+        return false;
+    }
+    const Base::BodyHash known = isActive ? entry.active->call.request.bodyHash
+                                 : parked != entry.parked.end() ? parked->second.request.bodyHash
+                                                                : turn->bodyHash();
+    if (known != request.bodyHash) {
+        refuse(request.request, numberConflict("the number belongs to a call with another body"));
+        return true;
+    }
+    if (isActive) {
+        attachActive(*entry.active, request);
+    } else if (parked != entry.parked.end()) {
+        attach(parked->second, request);
+    } else {
+        answerRecorded(entry, request, now);
+    }
+    return true;
+}
+
+void ProgramTable::Private::answerRecorded(ProgramEntry &entry,
+                                           const SubmitCall &request,
+                                           Base::Instant now)
+{
+    const std::shared_ptr<const Turn> turn = entry.program.turn(request.number);
+    if (!turn->error()) {
+        emit(ReplyAccepted{request.request});
+        if (request.isStream) {
+            emit(ReplyOutput{request.request, std::string(turn->output())});
+        }
+        emit(ReplyDone{request.request, turn, true});
+        return;
+    }
+    const bool isLast = request.number.next() == entry.program.nextNumber() && !entry.active;
+    const bool mayRunAgain = turn->isIdempotent() && request.isIdempotent && isLast
+                             && !entry.endReason && !isLeaving(request.program);
+    if (!mayRunAgain) {
+        refuse(request.request, *turn->error());
+        return;
+    }
+    PendingCall call{request, {}, now};
+    attach(call, request);
+    start(entry, std::move(call), now);
+}
+
+void ProgramTable::Private::attach(PendingCall &call, const SubmitCall &request)
+{
+    if (call.callers.size() >= limits_.maxCallersPerCall) {
+        refuse(request.request,
+               tryLater(Step::Order, Ran::MayHaveRun, "too many requests wait for this call"));
+        return;
+    }
+    call.callers.push_back({request.request, request.key, request.isStream});
+    waiting_.emplace(request.request, request.program);
+    emit(ReplyAccepted{request.request});
+}
+
+void ProgramTable::Private::attachActive(ActiveCall &active, const SubmitCall &request)
+{
+    const size_t callers = active.call.callers.size();
+    attach(active.call, request);
+    const bool isAttached = active.call.callers.size() > callers;
+    const std::string &text
+        = active.result && !active.result->error ? active.result->output : active.streamed;
+    const bool willRunAgain = active.phase == CallPhase::Cancelling;
+    if (isAttached && request.isStream && !text.empty() && !willRunAgain) {
+        emit(ReplyOutput{request.request, text});
+    }
+}
+
+void ProgramTable::Private::takeNewCall(ProgramEntry &entry, SubmitCall request, Base::Instant now)
+{
+    if (std::optional<Base::Error> problem = newCallProblem(entry, request)) {
+        refuse(request.request, std::move(*problem));
+        return;
+    }
+    PendingCall call{std::move(request), {}, now};
+    attach(call, call.request);
+    if (call.request.number == entry.program.nextNumber() && !entry.active) {
+        start(entry, std::move(call), now);
+        return;
+    }
+    park(entry, std::move(call));
+}
+
+std::optional<Base::Error> ProgramTable::Private::newCallProblem(const ProgramEntry &entry,
+                                                                 const SubmitCall &request) const
+{
+    if (entry.endReason) {
+        return programEnded(Ran::NotRun);
+    }
+    if (isLeaving(request.program)) {
+        return tryLater(Step::Route, Ran::NotRun, "the program moves to another daemon");
+    }
+    if (request.number.value() > entry.program.created().maxCalls) {
+        return overBudget("the program has made all its calls");
+    }
+    const Base::CallNumber next = entry.program.nextNumber();
+    if (request.number == next && !entry.active) {
+        return std::nullopt;
+    }
+    const bool isNear = request.number.value() <= next.value() + limits_.maxParkedCalls;
+    if (!isNear || entry.parked.size() >= limits_.maxParkedCalls) {
+        return numberConflict("the number is out of order, next is "
+                              + std::to_string(next.value()));
+    }
+    const auto size = static_cast<std::int64_t>(request.input.size());
+    if (parkedBytes_.value() + size > limits_.maxParkedBytes.value()) {
+        return tryLater(Step::Order, Ran::NotRun, "too many calls wait for earlier ones");
+    }
+    return std::nullopt;
+}
+
+void ProgramTable::Private::park(ProgramEntry &entry, PendingCall call)
+{
+    parkedBytes_ += Base::Bytes(static_cast<std::int64_t>(call.request.input.size()));
+    const Base::CallNumber number = call.request.number;
+    entry.parked.emplace(number, std::move(call));
+}
+
+PendingCall ProgramTable::Private::unpark(ProgramEntry &entry, Base::CallNumber number)
+{
+    PendingCall call = std::move(entry.parked.extract(number).mapped());
+    parkedBytes_ -= Base::Bytes(static_cast<std::int64_t>(call.request.input.size()));
+    return call;
+}
+
+void ProgramTable::Private::startNext(ProgramEntry &entry, Base::Instant now)
+{
+    const Base::CallNumber next = entry.program.nextNumber();
+    if (!entry.active && !entry.endReason && entry.parked.contains(next)) {
+        start(entry, unpark(entry, next), now);
+    }
+}
+
+void ProgramTable::Private::expireParked(ProgramEntry &entry, Base::Instant now)
+{
+    std::vector<Base::CallNumber> expired;
+    for (const auto &[number, call] : entry.parked) {
+        // The next call waits only for the one under way, which has its own timeout.
+        const bool waitsForActive = entry.active && number == entry.active->number().next();
+        if (!waitsForActive && call.arrivedAt + limits_.parkTimeout <= now) {
+            expired.push_back(number);
+        }
+    }
+    for (const Base::CallNumber number : expired) {
+        PendingCall call = unpark(entry, number);
+        refuseCallers(call,
+                      numberConflict("the call before it did not come, next is "
+                                     + std::to_string(entry.program.nextNumber().value())));
+    }
+}
+
+void ProgramTable::Private::refuseCallers(PendingCall &call, const Base::Error &error)
+{
+    for (const Caller &caller : std::exchange(call.callers, {})) {
+        refuse(caller.request, error);
+    }
+}
+
+} // namespace Programs
--- /dev/null
+++ b/src/libs/programs/programtablerecovery.cpp
@@ -0,0 +1,307 @@
+#include "programtable_p.h"
+#include "refusals.h"
+
+#include <base/visitor.h>
+
+#include <algorithm>
+
+namespace Programs {
+
+using Base::Ran;
+using Base::Step;
+
+// Answers of the journal, and partitions that come and go.
+
+void ProgramTable::Private::committed(Journal::Ticket ticket, Base::Instant now)
+{
+    const auto found = appends_.find(ticket);
+    if (found == appends_.end()) {
+        return;
+    }
+    const Append append = std::move(found->second);
+    appends_.erase(found);
+    std::visit(Base::Visitor{
+                   [&](const CreateAppend &creation) { creationCommitted(creation, now); },
+                   [&](const IntentAppend &intent) {
+                       intentCommitted(*find(intent.program), intent.intent, now);
+                   },
+                   [&](const ResultAppend &result) { resultCommitted(*find(result.program), now); },
+                   [&](const EndAppend &end) { endCommitted(end.program, now); }},
+               append);
+    rescheduleOf(append);
+}
+
+void ProgramTable::Private::appendRefused(Journal::Ticket ticket,
+                                          const Base::Error &error,
+                                          Base::Instant now)
+{
+    const auto found = appends_.find(ticket);
+    if (found == appends_.end()) {
+        return;
+    }
+    const Append append = std::move(found->second);
+    appends_.erase(found);
+    const Base::Instant retryAt = now + limits_.appendRetryDelay;
+    std::visit(
+        Base::Visitor{
+            [&](const CreateAppend &creation) { creationRefused(creation, error, now); },
+            [&](const IntentAppend &intent) { intentRefused(*find(intent.program), error, now); },
+            [&](const ResultAppend &result) { find(result.program)->active->appendAt = retryAt; },
+            [&](const EndAppend &end) { find(end.program)->endAppendAt = retryAt; }},
+        append);
+    rescheduleOf(append);
+}
+
+const Base::ProgramId &ProgramTable::Private::programOf(const Append &append)
+{
+    return std::visit(
+        Base::Visitor{[](const CreateAppend &creation) -> const Base::ProgramId & {
+                          return creation.created.program;
+                      },
+                      [](const auto &other) -> const Base::ProgramId & { return other.program; }},
+        append);
+}
+
+void ProgramTable::Private::rescheduleOf(const Append &append)
+{
+    const Base::ProgramId &program = programOf(append);
+    if (ProgramEntry *entry = find(program)) {
+        reschedule(*entry);
+    }
+    // A refused creation can have been the last thing that a parent's end waited for.
+    const auto *creation = std::get_if<CreateAppend>(&append);
+    ProgramEntry *parent
+        = creation && creation->created.parent ? find(*creation->created.parent) : nullptr;
+    if (parent) {
+        reschedule(*parent);
+    }
+}
+
+// Recovery
+
+void ProgramTable::Private::acquire(Base::PartitionId partition)
+{
+    const auto [state, isNew] = partitions_.emplace(partition, PartitionState::Recovering);
+    if (!isNew && state->second == PartitionState::Leaving) {
+        state->second = PartitionState::Serving;
+    }
+}
+
+void ProgramTable::Private::restore(const ProgramSnapshot &snapshot, Base::Instant now)
+{
+    const Base::ProgramId &id = snapshot.created.program;
+    const auto partition = partitions_.find(partitionOf(id));
+    if (partition == partitions_.end() || partition->second != PartitionState::Recovering) {
+        return;
+    }
+    ProgramEntry &entry
+        = entries_.insert_or_assign(id, ProgramEntry(Program(snapshot))).first->second;
+    entry.lastActivity = now;
+}
+
+void ProgramTable::Private::recover(Base::PartitionId partition,
+                                    std::span<const Journal::Record> records,
+                                    std::span<const Journal::Record> uncertain,
+                                    Base::Instant now)
+{
+    const auto state = partitions_.find(partition);
+    if (state == partitions_.end() || state->second != PartitionState::Recovering) {
+        return;
+    }
+    for (const Journal::Record &record : records) {
+        if (record.partition == partition) {
+            replay(record.body);
+        }
+    }
+    state->second = PartitionState::Serving;
+    for (const Base::ProgramId &id : programs(partition)) {
+        dropIfEnded(id, now);
+    }
+    for (const Journal::Record &record : uncertain) {
+        if (record.partition == partition) {
+            replayUncertain(record.body, now);
+        }
+    }
+    for (const Base::ProgramId &id : programs(partition)) {
+        finishRecovery(id, now);
+    }
+}
+
+void ProgramTable::Private::replay(const Journal::ProgramRecord &record)
+{
+    const auto applyTo = [this](const Base::ProgramId &id, const auto &change) {
+        if (ProgramEntry *entry = find(id)) {
+            entry->program.apply(change);
+        }
+    };
+    std::visit(
+        Base::Visitor{[this](const Journal::ProgramCreated &created) {
+                          entries_.try_emplace(created.program, Program(created));
+                      },
+                      [&](const Journal::ChildReserved &child) { applyTo(child.parent, child); },
+                      [&](const Journal::ChildSettled &child) { applyTo(child.parent, child); },
+                      [&](const auto &change) { applyTo(change.program, change); }},
+        record);
+}
+
+/// Only an intent matters: what ran without a result is reported by the committed intent, and
+/// nobody was told of a creation or an end.
+void ProgramTable::Private::replayUncertain(const Journal::ProgramRecord &record, Base::Instant now)
+{
+    const auto *intent = std::get_if<Journal::CallIntent>(&record);
+    ProgramEntry *entry = intent ? find(intent->program) : nullptr;
+    const bool isOpen = entry && !intent->isIdempotent && !entry->program.openIntent()
+                        && intent->number == entry->program.nextNumber() && !entry->active;
+    if (isOpen) {
+        settleIntent(*entry, *intent, true, now);
+    }
+}
+
+/// The end may have been committed without its order to the engines.
+void ProgramTable::Private::dropIfEnded(const Base::ProgramId &program, Base::Instant now)
+{
+    ProgramEntry &entry = *find(program);
+    if (!entry.program.endReason()) {
+        return;
+    }
+    entry.endReason = entry.program.endReason();
+    remember(entry, now);
+    erase(program);
+    emit(ReleaseEngineMemory{program});
+}
+
+void ProgramTable::Private::finishRecovery(const Base::ProgramId &program, Base::Instant now)
+{
+    ProgramEntry &entry = *find(program);
+    entry.lastActivity = now;
+    if (entry.program.openIntent()) {
+        settleIntent(entry, *entry.program.openIntent(), false, now);
+    }
+    if (withdrawnKeys_.contains(entry.program.created().key)) {
+        requestEnd(entry, Journal::EndReason::KeyWithdrawn, now);
+    }
+    reschedule(entry);
+}
+
+/// Records that a call found without a result may have run, before anybody is answered from it.
+void ProgramTable::Private::settleIntent(ProgramEntry &entry,
+                                         const Journal::CallIntent &intent,
+                                         bool isUncertain,
+                                         Base::Instant now)
+{
+    ActiveCall active;
+    SubmitCall &request = active.call.request;
+    request.program = intent.program;
+    request.number = intent.number;
+    request.bodyHash = intent.bodyHash;
+    request.service = intent.service;
+    request.input = intent.input;
+    active.call.arrivedAt = now;
+    // All that was reserved may have been consumed.
+    active.promptBound = intent.reserved;
+    if (isUncertain) {
+        active.foundIntent = intent;
+    }
+    entry.active = std::move(active);
+    recordError(entry, ownerLost({}), now);
+}
+
+// Loss
+
+void ProgramTable::Private::leave(Base::PartitionId partition)
+{
+    const auto state = partitions_.find(partition);
+    if (state != partitions_.end() && state->second == PartitionState::Serving) {
+        state->second = PartitionState::Leaving;
+    }
+}
+
+void ProgramTable::Private::lose(Base::PartitionId partition)
+{
+    loseAppends(partition);
+    for (const Base::ProgramId &id : programs(partition)) {
+        loseProgram(*find(id));
+        erase(id);
+    }
+    std::erase_if(ended_, [&](const auto &ended) { return partitionOf(ended.first) == partition; });
+    partitions_.erase(partition);
+}
+
+void ProgramTable::Private::loseAll()
+{
+    std::vector<Base::PartitionId> owned;
+    for (const auto &[partition, state] : partitions_) {
+        owned.push_back(partition);
+    }
+    std::ranges::sort(owned);
+    for (const Base::PartitionId partition : owned) {
+        lose(partition);
+    }
+}
+
+void ProgramTable::Private::loseAppends(Base::PartitionId partition)
+{
+    const auto isLost
+        = [&](const auto &pending) { return partitionOf(programOf(pending.second)) == partition; };
+    std::vector<Base::RequestId> creators;
+    for (const auto &pending : appends_) {
+        const auto *creation = std::get_if<CreateAppend>(&pending.second);
+        if (creation && creation->request && isLost(pending)) {
+            creators.push_back(*creation->request);
+        }
+    }
+    std::ranges::sort(creators);
+    for (const Base::RequestId request : creators) {
+        refuse(request,
+               tryLater(Step::Journal, Ran::MayHaveRun, "the partition moved during the creation"));
+    }
+    std::erase_if(appends_, isLost);
+}
+
+void ProgramTable::Private::loseProgram(ProgramEntry &entry)
+{
+    const std::string message = "the program moved to another daemon";
+    for (auto &[number, call] : entry.parked) {
+        parkedBytes_ -= Base::Bytes(static_cast<std::int64_t>(call.request.input.size()));
+        refuseCallers(call, tryLater(Step::Route, Ran::NotRun, message));
+    }
+    for (const Base::RequestId request : std::exchange(entry.enders, {})) {
+        refuse(request, tryLater(Step::Route, Ran::MayHaveRun, message));
+    }
+    if (!entry.active) {
+        return;
+    }
+    ActiveCall &active = *entry.active;
+    // An intent that never led to a dispatch here is never dispatched by a successor either.
+    const bool isIntending = active.phase == CallPhase::Intending;
+    const Ran ran = isIntending ? Ran::NotRun : ranOf(active);
+    refuseCallers(active.call, tryLater(Step::Route, ran, message));
+    if (active.phase == CallPhase::Running && active.isIdempotent()) {
+        emit(CancelDispatch{active.dispatch});
+    }
+    dispatches_.erase(active.dispatch);
+}
+
+void ProgramTable::Private::erase(const Base::ProgramId &program)
+{
+    const auto found = entries_.find(program);
+    if (found->second.timer) {
+        timers_.erase({*found->second.timer, program});
+    }
+    entries_.erase(found);
+}
+
+bool ProgramTable::Private::isBusy(Base::PartitionId partition) const
+{
+    const auto isOfPartition
+        = [&](const auto &pending) { return partitionOf(programOf(pending.second)) == partition; };
+    if (std::ranges::any_of(appends_, isOfPartition)) {
+        return true;
+    }
+    return std::ranges::any_of(entries_, [&](const auto &item) {
+        return partitionOf(item.first) == partition
+               && (item.second.active || item.second.endReason || !item.second.parked.empty());
+    });
+}
+
+} // namespace Programs
--- /dev/null
+++ b/src/libs/programs/refusals.cpp
@@ -0,0 +1,102 @@
+#include "refusals.h"
+
+#include <utility>
+
+namespace Programs {
+
+using Base::Error;
+using Base::ErrorCode;
+using Base::Ran;
+using Base::Step;
+
+namespace {
+
+Error local(ErrorCode code, Step step, Ran ran, std::string message)
+{
+    return Error{code, step, {}, ran, std::move(message), std::nullopt};
+}
+
+Error atServer(
+    ErrorCode code, Step step, const Base::ServerId &server, Ran ran, std::string message)
+{
+    return Error{code, step, server.text(), ran, std::move(message), std::nullopt};
+}
+
+} // namespace
+
+Error unknownProgram(Ran ran)
+{
+    return local(ErrorCode::UnknownProgram, Step::Order, ran, "unknown program");
+}
+
+Error programEnded(Ran ran)
+{
+    return local(ErrorCode::ProgramEnded, Step::Order, ran, "the program has ended");
+}
+
+Error keyIsWithdrawn(Ran ran)
+{
+    return local(ErrorCode::Unauthorized, Step::Authenticate, ran, "the key is not in force");
+}
+
+Error numberConflict(std::string message)
+{
+    return local(ErrorCode::NumberConflict, Step::Order, Ran::NotRun, std::move(message));
+}
+
+Error malformed(std::string message)
+{
+    return local(ErrorCode::Malformed, Step::Order, Ran::NotRun, std::move(message));
+}
+
+Error inputTooLarge()
+{
+    return local(ErrorCode::TooLarge, Step::Order, Ran::NotRun, "the input is too large");
+}
+
+Error overBudget(std::string message)
+{
+    return local(ErrorCode::OverBudget, Step::Reserve, Ran::NotRun, std::move(message));
+}
+
+Error unavailable(Step step, Ran ran, std::string message, Base::Duration advice)
+{
+    Error error = local(ErrorCode::Unavailable, step, ran, std::move(message));
+    error.retryAfter = advice;
+    return error;
+}
+
+Error callTimedOut(const Base::ServerId &server)
+{
+    return atServer(
+        ErrorCode::Timeout, Step::Backend, server, Ran::MayHaveRun, "no answer within the timeout");
+}
+
+Error callCancelled(const Base::ServerId &server)
+{
+    return atServer(ErrorCode::Cancelled,
+                    Step::Dispatch,
+                    server,
+                    Ran::MayHaveRun,
+                    "cancelled because no caller waits for the answer");
+}
+
+Error ownerLost(const Base::ServerId &server)
+{
+    return atServer(ErrorCode::BackendFailed,
+                    Step::Recover,
+                    server,
+                    Ran::MayHaveRun,
+                    "the daemon that ran the call was lost before the result was committed");
+}
+
+Error answerNotItsStream(const Base::ServerId &server)
+{
+    return atServer(ErrorCode::BackendFailed,
+                    Step::Backend,
+                    server,
+                    Ran::Ran,
+                    "the answer does not continue its own stream");
+}
+
+} // namespace Programs
--- a/src/libs/programs/turn.h
+++ b/src/libs/programs/turn.h
@@ -20,6 +20,8 @@
     std::string_view output;
     /// Set if the call ended in an error; output is then empty.
     std::optional<Base::Error> error;
+    /// Whether the call may run again if it ended in an error.
+    bool isIdempotent = false;
     Base::Tokens promptTokens;
     Base::Tokens outputTokens;
     Base::Instant at;
@@ -39,6 +41,7 @@
     std::string_view output() const { return std::string_view(text_).substr(inputLength_); }
     /// Null if the call ended with an output.
     const Base::Error *error() const { return error_.get(); }
+    bool isIdempotent() const { return isIdempotent_; }
     Base::Tokens promptTokens() const { return promptTokens_; }
     Base::Tokens outputTokens() const { return outputTokens_; }
     Base::Instant at() const { return at_; }
@@ -54,6 +57,7 @@
     std::string text_;
     size_t inputLength_ = 0;
     std::unique_ptr<const Base::Error> error_;
+    bool isIdempotent_ = false;
     Base::Tokens promptTokens_;
     Base::Tokens outputTokens_;
     Base::Instant at_;
