--- a/src/libs/fleet/membershipview.cpp
+++ b/src/libs/fleet/membershipview.cpp
@@ -210,6 +210,7 @@
         return;
     }
     member.daemon.state = DaemonState::Gone;
+    member.awaitedSince.reset();
     member.goneSince = now;
     emit(DaemonGone{member.daemon, reason});
 }
--- a/src/libs/ownership/ownershipmanager.cpp
+++ b/src/libs/ownership/ownershipmanager.cpp
@@ -14,6 +14,7 @@
 
 constexpr Base::Duration busyCheck = std::chrono::milliseconds(50);
 constexpr Base::Duration idleCheck = std::chrono::milliseconds(500);
+constexpr Base::Duration shutdownSettling = std::chrono::seconds(1);
 constexpr Base::Duration rebalanceJitter = std::chrono::milliseconds(500);
 
 Base::Duration randomUpTo(Base::Random &random, Base::Duration bound)
@@ -176,10 +177,10 @@
 
 void OwnershipManager::beginShutdown(Base::Instant now)
 {
-    if (isShuttingDown_) {
+    if (shutdownStartedAt_) {
         return;
     }
-    isShuttingDown_ = true;
+    shutdownStartedAt_ = now;
     peers_.setSelfLeaving();
     lease_.setLeaving(now);
     tick(now);
@@ -214,10 +215,10 @@
             checkWitnesses(now);
         }
         checkRebalance(now);
-        checkShutdown();
         writeHandovers(now);
         assignment_.tick(peers_.candidates(), now);
     }
+    checkShutdown(now);
     watch_.tick(storeHealthySince_, now);
 }
 
@@ -282,7 +283,7 @@
 {
     const Assignment *assignment = assignment_.assignment();
     const bool isHindered
-        = isShuttingDown_ || partitions_.handoversUnderWay() > 0 || !areOwnersAnswering();
+        = shutdownStartedAt_ || partitions_.handoversUnderWay() > 0 || !areOwnersAnswering();
     if (assignment == nullptr || isHindered || now < rebalanceAt_) {
         return;
     }
@@ -308,17 +309,21 @@
         owners_, [&](const Base::IncarnationId &owner) { return peers_.isAnswering(owner); });
 }
 
-void OwnershipManager::checkShutdown()
+void OwnershipManager::checkShutdown(Base::Instant now)
 {
-    if (!isShuttingDown_ || isShutdownComplete_) {
+    if (!shutdownStartedAt_) {
         return;
     }
-    if (partitions_.all().empty() || peers_.candidates().empty()) {
+    if (!partitions_.all().empty() && !peers_.candidates().empty()) {
+        evacuate();
+    }
+    // Another daemon may assign a partition to this one before it hears that it leaves.
+    const bool isSettled = now >= *shutdownStartedAt_ + shutdownSettling;
+    const bool isDone = partitions_.all().empty() || peers_.candidates().empty();
+    if (!isShutdownComplete_ && isSettled && isDone) {
         isShutdownComplete_ = true;
         actions_.emplace_back(ShutdownComplete{});
-        return;
     }
-    evacuate();
 }
 
 void OwnershipManager::evacuate()
@@ -373,7 +378,8 @@
 
 bool OwnershipManager::isBusy() const
 {
-    return watch_.isBusy() || !areOwnersAnswering() || isShuttingDown_ || partitions_.isAcquiring();
+    return watch_.isBusy() || !areOwnersAnswering() || shutdownStartedAt_
+           || partitions_.isAcquiring();
 }
 
 template<typename Part>
--- a/src/libs/ownership/ownershipmanager.h
+++ b/src/libs/ownership/ownershipmanager.h
@@ -118,7 +118,7 @@
     void checkOwner(const Base::IncarnationId &owner, std::size_t rank, Base::Instant now);
     void checkWitnesses(Base::Instant now);
     void checkRebalance(Base::Instant now);
-    void checkShutdown();
+    void checkShutdown(Base::Instant now);
     void writeHandovers(Base::Instant now);
     void evacuate();
     Base::Instant contendFrom(const Base::IncarnationId &owner) const;
@@ -148,7 +148,7 @@
     Base::Instant rebalanceAt_;
     Base::Instant witnessCheckAt_;
     bool areWitnessChangesHeld_ = false;
-    bool isShuttingDown_ = false;
+    std::optional<Base::Instant> shutdownStartedAt_;
     bool isShutdownComplete_ = false;
     Base::Instant lastTick_;
     std::vector<OwnershipAction> actions_;
