--- /dev/null
+++ b/src/libs/operators/editcodec.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <base/error.h>
+#include <base/settingsreader.h>
+#include <contracts/configedit.h>
+#include <operator/operator_types.h>
+
+#include <variant>
+
+namespace Operators {
+
+/// A change in the configuration's own types, or what is wrong with it.
+using DecodedChange = std::variant<Contracts::ConfigEdit, std::vector<Base::SettingsProblem>>;
+
+DecodedChange decodeChange(const OperatorProtocol::Change &change);
+
+std::vector<OperatorProtocol::Problem> encodeProblems(
+    const std::vector<Base::SettingsProblem> &problems);
+
+} // namespace Operators
--- a/src/libs/runtime/daemonruntime.cpp
+++ b/src/libs/runtime/daemonruntime.cpp
@@ -5,8 +5,10 @@
 
 #include <backends/platformclient.h>
 #include <base/visitor.h>
+#include <operators/operatorservice.h>
 #include <peercodec/peercodec.h>
 #include <rpc/peertransport.h>
+#include <rpc/thriftserver.h>
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
@@ -67,7 +69,7 @@
 
 } // namespace
 
-class DaemonRuntime::Private
+class DaemonRuntime::Private : public Operators::DaemonAccess
 {
 public:
     Private(const DaemonSettings &settings, std::uint64_t seed);
@@ -86,6 +88,10 @@
     void stopAll();
     std::string metricsText();
 
+    void submitEdit(Contracts::SubmitEdit edit) override;
+    std::shared_ptr<const Contracts::ConfigurationDocument> configuration() const override;
+    OperatorProtocol::DaemonStatus status() const override;
+
     DaemonSettings settings_;
     Base::IncarnationId incarnation_;
     Telemetry::Log log_;
@@ -100,6 +106,8 @@
     Gateway::HttpServer status_;
     Rpc::PeerTransport peers_;
     std::unique_ptr<Backends::PlatformClient> platform_;
+    std::shared_ptr<Operators::OperatorService> operators_;
+    Rpc::ThriftServer operatorServer_;
     asio::steady_timer timer_;
     std::atomic<bool> isDraining_ = false;
 
@@ -135,6 +143,10 @@
               }})
     , platform_(
           std::make_unique<Backends::PlatformClient>(http_, platformOptions(settings, seed)))
+    , operators_(
+          std::make_shared<Operators::OperatorService>(settings.operatorAccounts, *this, log_))
+    , operatorServer_({settings.operators.address, settings.operators.port, settings.operatorTls},
+                      std::make_shared<OperatorProtocol::OperatorProcessor>(operators_))
     , timer_(context_)
 {}
 
@@ -144,6 +156,7 @@
                "starting as " + incarnation_.text(),
                {.step = "start"});
     peers_.start();
+    operatorServer_.start();
     status_.start();
     for (unsigned i = 0; i < settings_.workers; ++i) {
         threads_.emplace_back([this] { context_.run(); });
@@ -205,7 +218,7 @@
                                 .step = report.step,
                                 .peer = report.peer});
                 },
-                [&](const Scheduler::AnswerEdit &) {},
+                [&](const Scheduler::AnswerEdit &answer) { operators_->editAnswered(answer); },
                 [&](const Scheduler::IncarnationEnded &) { finish(RunEnd::Fenced); },
                 [&](const Scheduler::HandoverComplete &) {
                     const std::lock_guard lock(endMutex_);
@@ -292,6 +305,30 @@
     status_.answer(request.id, {404, "application/json", R"({"error":"no such path"})", {}});
 }
 
+void DaemonRuntime::Private::submitEdit(Contracts::SubmitEdit edit)
+{
+    core_.with([&](DaemonCore &core, Instant now) { core.edit(std::move(edit), now); });
+}
+
+std::shared_ptr<const Contracts::ConfigurationDocument> DaemonRuntime::Private::configuration() const
+{
+    return core_.ask([](const DaemonCore &core) { return core.configuration(); });
+}
+
+OperatorProtocol::DaemonStatus DaemonRuntime::Private::status() const
+{
+    OperatorProtocol::DaemonStatus result;
+    result.incarnation = incarnation_.text();
+    core_.ask([&](const DaemonCore &core) {
+        result.configVersion = static_cast<std::int64_t>(core.configuration()->version.value());
+        result.partitions = static_cast<std::int32_t>(core.servedPartitions());
+        result.programs = static_cast<std::int32_t>(core.programCount());
+        result.programBytes = core.programMemory().value();
+        result.isReady = core.isReady();
+    });
+    return result;
+}
+
 void DaemonRuntime::Private::finish(RunEnd end)
 {
     const std::lock_guard lock(endMutex_);
@@ -334,6 +371,7 @@
                                    .retryAfter = std::chrono::seconds(1)});
     // Answers leave through the workers before these stop.
     std::this_thread::sleep_for(drainPoll);
+    operatorServer_.stop();
     peers_.stop();
     platform_.reset();
     work_.reset();
@@ -371,6 +409,7 @@
             d_->endChanged_.wait_for(lock, certificatePoll);
             lock.unlock();
             d_->peers_.reloadCertificates();
+            d_->operatorServer_.reloadCertificates();
             lock.lock();
         }
         isStopRequested = !d_->end_;
--- a/src/libs/runtime/daemonsettings.cpp
+++ b/src/libs/runtime/daemonsettings.cpp
@@ -46,7 +46,7 @@
     settings.operators = readAddress(reader);
     settings.operatorTls = readTls(reader, operatorName);
     for (SettingsReader &account : reader.objects("accounts")) {
-        OperatorAccount entry{account.text("name"), account.text("token_sha256")};
+        Operators::OperatorAccount entry{account.text("name"), account.text("token_sha256")};
         const bool isHash = entry.tokenHash.size() == hashCharacters
                             && entry.tokenHash.find_first_not_of("0123456789abcdef")
                                    == std::string::npos;
--- a/src/libs/runtime/daemonsettings.h
+++ b/src/libs/runtime/daemonsettings.h
@@ -2,6 +2,7 @@
 
 #include <base/settingsreader.h>
 #include <base/types.h>
+#include <operators/operatorservice.h>
 #include <rpc/tlssettings.h>
 #include <scheduler/daemoncore.h>
 #include <telemetry/log.h>
@@ -15,14 +16,6 @@
     std::uint16_t port = 0;
 };
 
-/// An operator who may use the operators' interface.
-struct OperatorAccount
-{
-    std::string name;
-    /// SHA-256 of the operator's token, in hexadecimal.
-    std::string tokenHash;
-};
-
 /// Settings of one daemon, as read from its JSON file.
 struct DaemonSettings
 {
@@ -35,7 +28,7 @@
     /// Serves the operators' Thrift interface.
     ListenAddress operators;
     Rpc::TlsSettings operatorTls;
-    std::vector<OperatorAccount> operatorAccounts;
+    std::vector<Operators::OperatorAccount> operatorAccounts;
     ListenAddress peers;
     Rpc::TlsSettings peerTls;
     std::string platformUrl;
