--- a/src/libs/scheduler/callrouter.cpp
+++ b/src/libs/scheduler/callrouter.cpp
@@ -15,14 +15,6 @@
 using CallerApi::AnswerStyle;
 using CallerApi::CallerReply;
 
-/// Whether the owner said that it can't take the request now and has done nothing.
-bool isWorthRouting(const Error &error)
-{
-    const bool isRouting = error.step == Base::Step::Route || error.step == Base::Step::Recover
-                           || error.step == Base::Step::Forward;
-    return error.code == ErrorCode::Unavailable && error.ran == Base::Ran::NotRun && isRouting;
-}
-
 /// Creating a child twice would reserve its budget twice, so only other requests are repeated.
 bool isRepeatable(const ForwardedBody &body)
 {
@@ -30,6 +22,15 @@
     return !create || !create->request.parent;
 }
 
+/// Whether another attempt, at this or another owner, can get further than this answer.
+bool isWorthRouting(const Error &error, const ForwardedBody &body)
+{
+    const bool isRouting = error.step == Base::Step::Route || error.step == Base::Step::Recover
+                           || error.step == Base::Step::Forward;
+    const bool isSafe = error.ran == Base::Ran::NotRun || isRepeatable(body);
+    return error.code == ErrorCode::Unavailable && isRouting && isSafe;
+}
+
 Error notRouted(const Base::ProgramId &program)
 {
     return Error{.code = ErrorCode::Unavailable,
@@ -132,7 +133,11 @@
         pending.giveUpAt = now + settings_.patience;
     }
     if (now >= *pending.giveUpAt) {
-        finish(pending.call.request, error);
+        Error last = error;
+        if (pending.isInDoubt) {
+            last.ran = Base::Ran::MayHaveRun;
+        }
+        finish(pending.call.request, std::move(last));
         return;
     }
     schedule(pending, std::min(*pending.giveUpAt, now + settings_.retryInterval));
@@ -145,8 +150,9 @@
         return;
     }
     Pending &pending = entry->second;
-    if (const auto *error = std::get_if<Error>(&reply); error && isWorthRouting(*error)) {
+    if (const auto *error = std::get_if<Error>(&reply); error && isWorthRouting(*error, pending.call.body)) {
         pending.routedTo.reset();
+        pending.isInDoubt = pending.isInDoubt || error->ran != Base::Ran::NotRun;
         actions_.emplace_back(RefreshAssignment{});
         retryLater(pending, *error, now);
         return;
@@ -243,6 +249,7 @@
         return;
     }
     pending.routedTo.reset();
+    pending.isInDoubt = true;
     retryLater(pending, notRouted(programOf(pending.call.body)), now);
 }
 
@@ -260,6 +267,7 @@
     for (const RequestId request : moved) {
         Pending &pending = pending_.at(request);
         if (isRepeatable(pending.call.body)) {
+            pending.isInDoubt = true;
             route(pending, now);
         } else {
             finish(request, inDoubt(*pending.routedTo));
--- a/src/libs/scheduler/callrouter.h
+++ b/src/libs/scheduler/callrouter.h
@@ -104,6 +104,8 @@
         Base::Instant due;
         /// Set while no owner takes it.
         std::optional<Base::Instant> giveUpAt;
+        /// An earlier attempt ended without telling whether the call ran.
+        bool isInDoubt = false;
         /// Output that the caller of a stream has got.
         std::string delivered;
         /// Output of the present attempt seen so far.
