--- a/src/libs/telemetry/log.h
+++ b/src/libs/telemetry/log.h
@@ -31,13 +31,10 @@
     LogLevel level = LogLevel::Info;
     /// Identifies the daemon in every line.
     std::string daemon;
-    /// Words that start with one of these are keys and are never written.
+    /// Words that contain one of these are keys and are never written.
     std::vector<std::string> keyPrefixes;
 };
 
-/// Replaces bearer tokens, values of key-like parameters and words with a key prefix by "***".
-std::string redact(std::string_view text, const std::vector<std::string> &keyPrefixes);
-
 /// Structured log: one JSON object per line, written through log4cplus. Thread-safe.
 class Log
 {
--- /dev/null
+++ b/src/libs/telemetry/redact.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Telemetry {
+
+/// Replaces bearer tokens, values of key-like names and words with a key prefix by "***".
+std::string redact(std::string_view text, const std::vector<std::string> &keyPrefixes);
+
+} // namespace Telemetry
