--- a/src/libs/programs/programtable.cpp
+++ b/src/libs/programs/programtable.cpp
@@ -250,7 +250,14 @@
         const Base::ProgramId program = std::visit(
             Base::Visitor{[](const Journal::ChildReserved &child) { return child.parent; },
                           [](const Journal::ChildSettled &child) { return child.parent; },
-                          [](const auto &other) { return other.program; }},
+                          [](const auto &other) {
+                              if constexpr (requires { other.program; }) {
+                                  return other.program;
+                              } else {
+                                  // Records about whole partitions are not the table's to write.
+                                  return Base::ProgramId();
+                              }
+                          }},
             record);
         action.records.push_back({partitionOf(program), std::move(record)});
     }
--- a/src/libs/programs/programtablerecovery.cpp
+++ b/src/libs/programs/programtablerecovery.cpp
@@ -140,7 +140,11 @@
                       },
                       [&](const Journal::ChildReserved &child) { applyTo(child.parent, child); },
                       [&](const Journal::ChildSettled &child) { applyTo(child.parent, child); },
-                      [&](const auto &change) { applyTo(change.program, change); }},
+                      [&](const Journal::CallIntent &change) { applyTo(change.program, change); },
+                      [&](const Journal::CallResult &change) { applyTo(change.program, change); },
+                      [&](const Journal::ProgramEnded &change) { applyTo(change.program, change); },
+                      // Findings and records about partitions were folded by the journal's replay.
+                      [](const auto &) {}},
         record);
 }
 
--- a/src/libs/scheduler/daemoncore.cpp
+++ b/src/libs/scheduler/daemoncore.cpp
@@ -308,7 +308,7 @@
 
 void DaemonCore::configurationWatched(const Platform::StoredObject &object, Instant now)
 {
-    d_->config_.watched(object, now);
+    d_->config_.watched(object);
     d_->settle(now);
 }
 
