--- a/src/libs/runtime/daemonruntime.cpp
+++ b/src/libs/runtime/daemonruntime.cpp
@@ -347,13 +347,19 @@
     // Requests are taken, and sent to the new owners, until the balancer has noticed.
     std::this_thread::sleep_for(settings_.leaveNotice);
     callers_.stopAccepting();
+    auto quietSince = std::chrono::steady_clock::now();
     std::unique_lock lock(endMutex_);
     while (std::chrono::steady_clock::now() < giveUpAt) {
         lock.unlock();
         const bool isBusy = callers_.pendingRequests() > 0
                             || core_.ask([](const DaemonCore &core) { return core.isBusy(); });
         lock.lock();
-        if (isHandedOver_ && !isBusy) {
+        if (isBusy) {
+            quietSince = std::chrono::steady_clock::now();
+        }
+        const bool isHandoverLate = std::chrono::steady_clock::now() - quietSince
+                                    >= settings_.handoverTimeout;
+        if (!isBusy && (isHandedOver_ || isHandoverLate)) {
             return true;
         }
         endChanged_.wait_for(lock, drainPoll);
--- a/src/libs/runtime/daemonsettings.cpp
+++ b/src/libs/runtime/daemonsettings.cpp
@@ -140,6 +140,8 @@
     settings.leaveNotice = std::chrono::milliseconds(
         reader.integer("leave_notice_ms", 0, 60'000, 3000));
     settings.drainTimeout = std::chrono::seconds(reader.integer("drain_timeout_s", 1, 3600, 600));
+    settings.handoverTimeout = std::chrono::milliseconds(
+        reader.integer("handover_timeout_ms", 0, 600'000, 10'000));
     settings.witnessCapacity = Base::Bytes(
         reader.integer("witness_bytes", 1'000'000, maxWitnessBytes, settings.witnessCapacity.value()));
     readLog(reader, settings);
--- a/src/libs/runtime/daemonsettings.h
+++ b/src/libs/runtime/daemonsettings.h
@@ -38,6 +38,9 @@
     Base::Duration leaveNotice = std::chrono::seconds(3);
     /// Longest wait for requests under way at a shutdown.
     Base::Duration drainTimeout = std::chrono::minutes(10);
+    /// Longest wait for other daemons to take the partitions over, once no request is under way.
+    /// Without it a fleet that stops as a whole would wait for itself.
+    Base::Duration handoverTimeout = std::chrono::seconds(10);
     Base::Bytes witnessCapacity{64 << 20};
     Telemetry::LogSettings log;
 };
