Rates across the fleet by short grants

One bucket per team at the owner of its partition lends permits to the daemons where calls arrive. Level plus permits lent and not accounted for stay within the burst, so no window w admits more than burst + rate * w by the borrowers' times of use.

--- a/src/libs/admission/rateborrower.h
+++ b/src/libs/admission/rateborrower.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <optional>
+#include <set>
 
 namespace Admission {
 
@@ -17,6 +18,8 @@
     std::size_t maximumWaiting = 512;
     /// Demand is repeated after this time without permits.
     Base::Duration askInterval = std::chrono::milliseconds(50);
+    /// Demand that grew while it is queued at the lender is stated no more often than this.
+    Base::Duration shortestAskInterval = std::chrono::milliseconds(10);
     /// Permits are borrowed ahead for the calls that are expected in this time.
     Base::Duration horizon = std::chrono::milliseconds(30);
     /// Permits that no call used for this time are returned.
@@ -75,6 +78,8 @@
     void granted(const Grant &grant, Base::Instant now);
     /// The team's partition has another owner; demand is stated again.
     void ownerChanged(Base::Instant now);
+    /// Refuses all that wait.
+    void refuseAll(Base::Instant now);
 
     void tick(Base::Instant now);
     std::optional<Base::Instant> nextWakeUp() const;
@@ -93,6 +98,8 @@
         Permits returned;
         Base::Instant expiry;
         Base::Instant lastUse;
+        /// How often the present amounts may still be stated to the lender.
+        int statementsLeft = 0;
 
         Permits open() const { return size - used - returned; }
     };
@@ -106,19 +113,23 @@
     {
         AskNumber number;
         Base::Instant at;
+        Permits needed;
     };
 
     void noteArrival(Base::Instant now);
-    double expectedRate(Base::Instant now) const;
     Permits expectedDemand(Base::Instant now) const;
     bool usePermit(Base::Instant now);
     void admitWaiting(Base::Instant now);
     void refuseLate(Base::Instant now);
-    void refuse(const Waiting &call, Base::Instant now);
-    Base::Duration expectedWait() const;
+    void refuse(const Waiting &call, Base::Duration wait);
+    void dropWaiting(Base::RequestId request);
+    std::optional<Base::Duration> knownWait(Base::Instant now) const;
+    bool isRateUsedUp(Base::Instant since) const;
     void dropExpired(Base::Instant now);
     void returnIdle(Base::Instant now);
+    void askIfNeeded(Base::Instant now);
     void ask(Base::Instant now);
+    void stateUsedUp();
     GrantReturn statementOf(const Held &held) const;
 
     Base::TeamId team_;
@@ -127,9 +138,13 @@
     BorrowerSettings settings_;
     std::deque<Held> held_;
     std::deque<Waiting> waiting_;
+    std::set<std::pair<Base::Instant, Base::RequestId>> deadlines_;
     std::deque<Ask> asks_;
     AskNumber lastAsk_;
-    std::optional<Base::Instant> askedAt_;
+    /// The last request is neither answered nor old enough to be repeated.
+    bool isAsking_ = false;
+    /// Calls of the last request that the lender has not granted yet.
+    Permits queuedAtLender_;
     std::optional<Base::Instant> answeredAt_;
     Permits backlog_;
     Permits arrivedSinceAnswer_;
--- a/src/libs/admission/ratelender.h
+++ b/src/libs/admission/ratelender.h
@@ -82,7 +82,6 @@
 
     bool mayLend(Base::Instant now) const;
     void refill(Base::Instant now);
-    void expire(Base::Instant now);
     void account(const GrantReturn &statement);
     Permits lendable() const;
     void lend(const Base::IncarnationId &borrower, Permits amount, Base::Instant now);
