Order before engines and plain services

Calls are ordered between teams by weighted virtual token counters and within a team by attained service with ageing. A call is bound to the server that holds its prefix while waiting there costs less than waiting elsewhere and recomputing; else any server may take it, the less loaded of two first. Engine slots come by grants from the owner of the server's partition when several daemons share them.

A newcomer starts level with the least active team; on equal counters the team with fewer calls goes first, else a flood wins ties by its name.

--- a/src/libs/dispatch/backendserver.h
+++ b/src/libs/dispatch/backendserver.h
@@ -31,12 +31,12 @@
     Base::Duration expectedWait(std::size_t ahead) const;
 
     void dispatched(Base::Instant now);
-    /// A call ended well after the given service time.
+    /// A call that was sent at `sentAt` left the server, for whatever reason.
+    void ended(Base::Instant sentAt);
+    /// A call took the given service time.
     void succeeded(Base::Duration serviceTime);
     /// A call failed by the server's fault; returns whether the server should be ejected.
     bool failed();
-    /// A call ended without telling about the server (cancelled by the caller).
-    void released();
     void loadReported(std::uint32_t running, std::uint32_t queued, Base::Instant at);
 
     void eject(Base::Instant now);
@@ -46,6 +46,8 @@
     void probed(bool isUp, Base::Instant now);
 
 private:
+    Base::Duration ejectionTime() const;
+
     ServerConfig config_;
     const DispatchSettings *settings_;
     ServerHealth health_ = ServerHealth::Healthy;
@@ -53,6 +55,8 @@
     std::uint32_t reportedLoad_ = 0;
     std::optional<Base::Instant> reportedAt_;
     std::deque<Base::Instant> sentSinceReport_;
+    /// Calls that the last report counts and that have ended since.
+    std::uint32_t endedSinceReport_ = 0;
     double serviceSeconds_;
     std::uint32_t consecutiveFailures_ = 0;
     std::uint32_t ejections_ = 0;
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -100,53 +100,61 @@
         ChoiceReason reason = ChoiceReason::FirstFree;
     };
 
-    Service &serviceOf(const Base::ServiceId &id, ServiceKind kind);
+    Service &serviceOf(const Base::ServiceId &id);
     Server *find(const Base::ServerId &id);
     Call *find(DispatchId id);
     void addServer(const ServerConfig &config);
     void updateServer(Server &server, const ServerConfig &config, Base::Instant now);
     void removeServer(Server &server, Base::Instant now);
-    void unbindAll(Server &server, Base::Instant now);
+    void refreshFree(Server &server);
+    void reapGone();
+    void evacuate(Server &server, Base::Instant now);
     bool borrows(const Server &server) const;
+    void ejectIfAllowed(Server &server, Base::Instant now);
+    void probeDue(Base::Instant now);
 
-    std::optional<Base::Error> admissionError(const DispatchRequest &request,
-                                              const Service &service,
-                                              Base::Instant now) const;
+    std::optional<Base::Error> queueError(const DispatchRequest &request,
+                                          const Service &service) const;
+    void admit(Call &call, Service &service, Base::Instant now);
     void place(Call &call, Base::Instant now);
-    void bind(Call &call, Server &server, Base::Instant now);
-    void unbind(Call &call);
+    void bind(Call &call, Server &server, bool mayReconsider, Base::Instant now);
+    void queueForAny(Call &call);
     void askTwo(Call &call);
     void dequeue(Call &call);
     void reconsider(Call &call, Base::Instant now);
-    Server *holderOf(const Call &call) const;
-    bool isWorthWaiting(const Call &call, const Server &holder) const;
-    Base::Duration recomputeTime(Base::Tokens tokens) const;
+    void refuseLate(Base::Instant now);
+    Server *holderOf(const Call &call, Base::Tokens &cached);
+    Base::Tokens cachedAt(const Call &call, const Server &server) const;
+    bool isWorthWaiting(const Call &call, Server &holder, Base::Tokens cached);
     Base::Duration expectedWait(const Server &server) const;
-    Server *lessLoaded(const std::vector<Server *> &servers, const Call &call);
+    Server *lessLoaded(const std::vector<Server *> &servers, const Server *excluded);
     Server *nextInTurn(Service &service);
 
     void pump(Service &service, Base::Instant now);
     bool offer(Server &server, Base::Instant now);
-    std::optional<QueueKey> bestFor(const Server &server, const Base::TeamId *team) const;
-    std::optional<QueueKey> bestStolen(const Server &server, Base::Instant now) const;
+    std::optional<QueueKey> bestFor(const Server &server) const;
+    std::optional<QueueKey> bestFor(const Server &server, const Base::TeamId &team) const;
+    std::optional<QueueKey> bestStolen(const Server &server);
     void send(Call &call, Server &server, std::optional<HeldSlot> slot, Base::Instant now);
     ChoiceReason reasonFor(const Call &call, const Server &server) const;
-    double cost(const DispatchRequest &request, Base::Tokens cached) const;
+    double cost(Base::Tokens prompt, Base::Tokens cached, Base::Tokens output) const;
     void release(Call &call, double actualCost, Base::Instant now);
-    bool mayRetry(const Call &call, Service &service) const;
-    void ejectIfAllowed(Server &server, Base::Instant now);
+    bool mayRetry(const Call &call, Service &service, Base::Instant now);
+    void retry(Call &call, Base::Instant now);
     void refuse(const Call &call, Base::Error error);
     void forget(DispatchId id);
-    void refreshFree(Server &server);
     void flushDemand(Base::Instant now);
-    std::vector<TeamDemand> demandAt(const Server &server) const;
+    std::vector<TeamDemand> demandAt(const Server &server);
     void flushReleases();
 
     Base::IncarnationId self_;
     DispatchSettings settings_;
     Base::Random random_;
+    double prefillPerSecond_;
     std::unordered_map<Base::ServiceId, std::unique_ptr<Service>> services_;
     std::unordered_map<Base::ServerId, std::unique_ptr<Server>> servers_;
+    /// Servers that are gone while calls that were sent to them have not ended.
+    std::vector<std::unique_ptr<Server>> goneServers_;
     std::unordered_map<DispatchId, std::unique_ptr<Call>> calls_;
     std::set<std::pair<Base::Instant, DispatchId>> deadlines_;
     std::set<std::pair<Base::Instant, DispatchId>> reconsiderations_;
--- /dev/null
+++ b/src/libs/dispatch/dispatcherplacement.cpp
@@ -0,0 +1,422 @@
+#include "dispatcherstate.h"
+
+#include <algorithm>
+
+namespace Dispatch {
+
+namespace {
+
+/// Calls bound to other servers that an idle server looks at.
+constexpr std::size_t stealScan = 16;
+
+Base::Error queueRefusal(Base::ErrorCode code, std::string message)
+{
+    Base::Error error;
+    error.code = code;
+    error.step = Base::Step::Dispatch;
+    error.message = std::move(message);
+    return error;
+}
+
+std::optional<QueueKey> earlier(const std::optional<QueueKey> &a, const std::optional<QueueKey> &b)
+{
+    if (!a || !b) {
+        return a ? a : b;
+    }
+    return goesBefore(*a, *b) ? a : b;
+}
+
+} // namespace
+
+std::optional<Base::Error> Dispatcher::queueError(const DispatchRequest &request,
+                                                  const Service &service) const
+{
+    if (service.servers.empty()) {
+        return queueRefusal(Base::ErrorCode::Unavailable, "no backend server offers the service");
+    }
+    const TeamCounter *team = service.counters.find(request.team);
+    const bool isTeamFull = team && team->active >= settings_.maximumWaitingPerTeam;
+    if (service.waiting() >= settings_.maximumWaitingPerService || isTeamFull) {
+        Base::Error error = queueRefusal(Base::ErrorCode::Unavailable, "the queue is full");
+        error.retryAfter = settings_.initialServiceTime;
+        return error;
+    }
+    return std::nullopt;
+}
+
+void Dispatcher::admit(Call &call, Service &service, Base::Instant now)
+{
+    const DispatchRequest &request = call.request;
+    const double seconds = Base::toSeconds(now.time_since_epoch());
+    call.service = &service;
+    call.isWaiting = true;
+    call.key.id = request.id;
+    if (settings_.order == OrderPolicy::FirstComeFirstServed) {
+        call.key.team = service.counters.enter(Base::TeamId(), 1);
+        call.key.order = seconds;
+    } else {
+        call.key.team = service.counters.enter(request.team, request.weight);
+        call.key.order = static_cast<double>(request.attained.value())
+                         + settings_.ageingTokensPerSecond * seconds;
+    }
+    deadlines_.emplace(request.deadline, request.id);
+}
+
+void Dispatcher::place(Call &call, Base::Instant now)
+{
+    if (settings_.placement == PlacementPolicy::RoundRobin) {
+        if (Server *server = nextInTurn(*call.service)) {
+            bind(call, *server, false, now);
+            return;
+        }
+    }
+    Base::Tokens cached;
+    Server *holder = holderOf(call, cached);
+    if (holder && isWorthWaiting(call, *holder, cached)) {
+        bind(call, *holder, true, now);
+        return;
+    }
+    queueForAny(call);
+}
+
+void Dispatcher::bind(Call &call, Server &server, bool mayReconsider, Base::Instant now)
+{
+    call.boundTo = &server;
+    server.bound.add(call.key);
+    call.service->bound.add(call.key);
+    if (borrows(server)) {
+        demandChanged_.insert(server.state.id());
+    }
+    if (mayReconsider) {
+        call.reconsiderAt = now + settings_.reconsiderInterval;
+        reconsiderations_.emplace(*call.reconsiderAt, call.request.id);
+    }
+    offer(server, now);
+}
+
+void Dispatcher::queueForAny(Call &call)
+{
+    call.service->any.add(call.key);
+    if (settings_.isBorrowingSlots && call.request.kind == ServiceKind::Model) {
+        askTwo(call);
+    }
+}
+
+// Late binding: whichever of two servers lends a slot first gets the call.
+// See Ousterhout et al., "Sparrow: Distributed, Low Latency Scheduling", SOSP 2013.
+void Dispatcher::askTwo(Call &call)
+{
+    Server *first = lessLoaded(call.service->servers, call.failedAt);
+    if (!first) {
+        return;
+    }
+    Server *second = lessLoaded(call.service->servers, first);
+    for (Server *server : {first, second}) {
+        if (server && server->asked.add(call.key)) {
+            call.asked.push_back(server);
+            demandChanged_.insert(server->state.id());
+        }
+    }
+}
+
+void Dispatcher::dequeue(Call &call)
+{
+    if (call.boundTo) {
+        call.boundTo->bound.remove(call.key);
+        call.service->bound.remove(call.key);
+        if (borrows(*call.boundTo)) {
+            demandChanged_.insert(call.boundTo->state.id());
+        }
+        call.boundTo = nullptr;
+    } else {
+        call.service->any.remove(call.key);
+    }
+    for (Server *server : call.asked) {
+        server->asked.remove(call.key);
+        demandChanged_.insert(server->state.id());
+    }
+    call.asked.clear();
+    if (call.reconsiderAt) {
+        reconsiderations_.erase({*call.reconsiderAt, call.request.id});
+        call.reconsiderAt.reset();
+    }
+    deadlines_.erase({call.request.deadline, call.request.id});
+    call.isWaiting = false;
+}
+
+void Dispatcher::reconsider(Call &call, Base::Instant now)
+{
+    reconsiderations_.erase({*call.reconsiderAt, call.request.id});
+    call.reconsiderAt.reset();
+    Base::Tokens cached;
+    Server *holder = holderOf(call, cached);
+    if (holder == call.boundTo && isWorthWaiting(call, *holder, cached)) {
+        call.reconsiderAt = now + settings_.reconsiderInterval;
+        reconsiderations_.emplace(*call.reconsiderAt, call.request.id);
+        return;
+    }
+    dequeue(call);
+    call.isWaiting = true;
+    deadlines_.emplace(call.request.deadline, call.request.id);
+    Service &service = *call.service;
+    place(call, now);
+    pump(service, now);
+}
+
+void Dispatcher::refuseLate(Base::Instant now)
+{
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+        Call &call = *find(deadlines_.begin()->second);
+        dequeue(call);
+        Base::Error error = queueRefusal(Base::ErrorCode::Timeout,
+                                         "no backend server was free before the deadline");
+        if (call.failure) {
+            error.ran = call.failure->ran;
+        }
+        refuse(call, std::move(error));
+        forget(call.request.id);
+    }
+}
+
+Dispatcher::Server *Dispatcher::holderOf(const Call &call, Base::Tokens &cached)
+{
+    if (settings_.placement != PlacementPolicy::Affinity
+        || call.request.kind != ServiceKind::Model) {
+        return nullptr;
+    }
+    Server *best = nullptr;
+    for (const CachedPrefix &place : memory_.holders(call.request.program)) {
+        Server *server = find(place.server);
+        if (!server || !server->state.takesCalls() || server->service != call.service
+            || server == call.failedAt) {
+            continue;
+        }
+        const Base::Tokens useful = std::min(place.tokens, call.request.prefixTokens);
+        if (!best || useful > cached) {
+            best = server;
+            cached = useful;
+        }
+    }
+    return best;
+}
+
+Base::Tokens Dispatcher::cachedAt(const Call &call, const Server &server) const
+{
+    for (const CachedPrefix &place : memory_.holders(call.request.program)) {
+        if (place.server == server.state.id()) {
+            return std::min(place.tokens, call.request.prefixTokens);
+        }
+    }
+    return Base::Tokens();
+}
+
+// Waiting for the server with the cache pays while it costs less time than waiting for another
+// server and processing the prefix there again.
+bool Dispatcher::isWorthWaiting(const Call &call, Server &holder, Base::Tokens cached)
+{
+    const Base::Duration wait = expectedWait(holder);
+    if (wait == Base::Duration(0)) {
+        return true;
+    }
+    const double seconds = static_cast<double>(cached.value()) / prefillPerSecond_;
+    const Base::Duration recompute(static_cast<std::int64_t>(seconds * 1e6));
+    const Server *other = lessLoaded(call.service->servers, &holder);
+    return !other || wait <= recompute + expectedWait(*other);
+}
+
+Base::Duration Dispatcher::expectedWait(const Server &server) const
+{
+    std::size_t ahead = server.bound.size();
+    if (borrows(server)) {
+        ahead = std::max<std::size_t>(ahead, slots_.backlog(server.state.id()));
+    }
+    return server.state.expectedWait(ahead);
+}
+
+/// The less loaded of two servers drawn at random; nothing if none takes calls.
+Dispatcher::Server *Dispatcher::lessLoaded(const std::vector<Server *> &servers,
+                                           const Server *excluded)
+{
+    constexpr int draws = 4;
+    const auto relativeLoad = [](const Server &server) {
+        const double load = server.state.load() + static_cast<double>(server.bound.size())
+                            + 0.5 * static_cast<double>(server.asked.size());
+        return load / server.state.config().slots;
+    };
+    Server *best = nullptr;
+    int found = 0;
+    for (int i = 0; i < draws && found < 2 && !servers.empty(); i++) {
+        Server *candidate = servers[random_.below(servers.size())];
+        if (candidate == excluded || candidate == best || !candidate->state.takesCalls()) {
+            continue;
+        }
+        found++;
+        if (!best || relativeLoad(*candidate) < relativeLoad(*best)) {
+            best = candidate;
+        }
+    }
+    if (best) {
+        return best;
+    }
+    const auto any = std::find_if(servers.begin(), servers.end(), [excluded](const Server *server) {
+        return server != excluded && server->state.takesCalls();
+    });
+    return any == servers.end() ? nullptr : *any;
+}
+
+Dispatcher::Server *Dispatcher::nextInTurn(Service &service)
+{
+    for (std::size_t i = 0; i < service.servers.size(); i++) {
+        Server *server = service.servers[service.turn++ % service.servers.size()];
+        if (server->state.takesCalls()) {
+            return server;
+        }
+    }
+    return nullptr;
+}
+
+void Dispatcher::pump(Service &service, Base::Instant now)
+{
+    while (!service.any.isEmpty() && !service.freeServers.empty()) {
+        const Call &call = *find(service.any.best()->id);
+        Base::Tokens cached;
+        Server *server = holderOf(call, cached);
+        if (!server || !server->freeIndex) {
+            server = lessLoaded(service.freeServers, nullptr);
+        }
+        offer(*server, now);
+    }
+}
+
+/// Sends the best call for a server with a free slot; false if there is none.
+bool Dispatcher::offer(Server &server, Base::Instant now)
+{
+    if (!server.freeIndex) {
+        return false;
+    }
+    std::optional<QueueKey> key = bestFor(server);
+    if (!key) {
+        key = bestStolen(server);
+    }
+    if (!key) {
+        return false;
+    }
+    send(*find(key->id), server, std::nullopt, now);
+    return true;
+}
+
+std::optional<QueueKey> Dispatcher::bestFor(const Server &server) const
+{
+    return earlier(server.bound.best(), server.service->any.best());
+}
+
+// The lender chose the team; another team's call must not take its turn.
+std::optional<QueueKey> Dispatcher::bestFor(const Server &server, const Base::TeamId &team) const
+{
+    const std::optional<QueueKey> own
+        = earlier(server.bound.bestOf(team), server.asked.bestOf(team));
+    return earlier(own, server.service->any.bestOf(team));
+}
+
+std::optional<QueueKey> Dispatcher::bestStolen(const Server &server)
+{
+    if (settings_.placement == PlacementPolicy::RoundRobin) {
+        return std::nullopt;
+    }
+    for (const QueueKey &key : server.service->bound.front(stealScan)) {
+        const Call &call = *find(key.id);
+        const Base::Tokens cached = cachedAt(call, *call.boundTo);
+        const double seconds = static_cast<double>(cached.value()) / prefillPerSecond_;
+        if (call.attempt == 1 && Base::toSeconds(expectedWait(*call.boundTo)) > seconds) {
+            return key;
+        }
+    }
+    return std::nullopt;
+}
+
+void Dispatcher::send(Call &call, Server &server, std::optional<HeldSlot> slot, Base::Instant now)
+{
+    SendToServer order;
+    order.id = call.request.id;
+    order.server = server.state.id();
+    order.epoch = slot ? slot->epoch : server.state.config().epoch;
+    order.attempt = call.attempt;
+    order.cachedTokens = cachedAt(call, server);
+    order.reason = reasonFor(call, server);
+    order.waited = now - call.enqueuedAt;
+    dequeue(call);
+    call.server = &server;
+    call.slot = slot;
+    call.sentAt = now;
+    call.cached = order.cachedTokens;
+    const DispatchRequest &request = call.request;
+    call.charged = cost(request.promptTokens, call.cached, request.expectedOutput);
+    TeamCounters::charge(call.key.team, call.charged);
+    server.state.dispatched(now);
+    refreshFree(server);
+    actions_.emplace_back(std::move(order));
+}
+
+ChoiceReason Dispatcher::reasonFor(const Call &call, const Server &server) const
+{
+    if (call.attempt > 1) {
+        return ChoiceReason::Retry;
+    }
+    if (cachedAt(call, server) > Base::Tokens()) {
+        return ChoiceReason::CacheAffinity;
+    }
+    if (!memory_.holders(call.request.program).empty()) {
+        return ChoiceReason::AffinityTooBusy;
+    }
+    return server.service->freeServers.size() > 1 ? ChoiceReason::LessLoaded
+                                                  : ChoiceReason::FirstFree;
+}
+
+double Dispatcher::cost(Base::Tokens prompt, Base::Tokens cached, Base::Tokens output) const
+{
+    const auto computed = static_cast<double>((prompt - cached).value());
+    return computed + settings_.outputTokenCost * static_cast<double>(output.value());
+}
+
+void Dispatcher::flushDemand(Base::Instant now)
+{
+    if (!settings_.isBorrowingSlots) {
+        return;
+    }
+    for (const Base::ServerId &id : std::exchange(demandChanged_, {})) {
+        if (Server *server = find(id)) {
+            slots_.demand(id, demandAt(*server), now);
+        }
+    }
+    for (SlotRequest &request : slots_.takeRequests()) {
+        actions_.emplace_back(SendSlotRequest{std::move(request)});
+    }
+}
+
+std::vector<TeamDemand> Dispatcher::demandAt(const Server &server)
+{
+    std::map<Base::TeamId, TeamDemand> teams;
+    const auto add = [&](const TeamCounter &team, std::size_t waiting, const QueueKey &first) {
+        const Call &call = *find(first.id);
+        const DispatchRequest &request = call.request;
+        TeamDemand &demand = teams[request.team];
+        if (demand.waiting == 0 || first.order < demand.firstKey) {
+            const Base::Tokens cached = cachedAt(call, server);
+            const double tokens = cost(request.promptTokens, cached, request.expectedOutput);
+            demand.firstKey = first.order;
+            demand.firstCost = Base::Tokens(static_cast<std::int64_t>(tokens));
+        }
+        demand.team = request.team;
+        demand.weight = team.weight;
+        demand.waiting += static_cast<std::uint32_t>(waiting);
+    };
+    server.bound.forEachTeam(add);
+    server.asked.forEachTeam(add);
+    std::vector<TeamDemand> demands;
+    for (auto &[team, demand] : teams) {
+        demands.push_back(std::move(demand));
+    }
+    return demands;
+}
+
+} // namespace Dispatch
--- a/src/libs/dispatch/enginememory.h
+++ b/src/libs/dispatch/enginememory.h
@@ -32,7 +32,7 @@
 
     /// The server ran a turn of the program and now holds its history; also an engine's event.
     void filled(const Base::ServerId &server, const Base::ProgramId &program, Base::Tokens tokens);
-    /// The engine says that it dropped the program; also confirms a release.
+    /// The engine says that it dropped the program.
     void dropped(const Base::ServerId &server, const Base::ProgramId &program);
     /// Servers that hold the program; empty if none is known.
     const std::vector<CachedPrefix> &holders(const Base::ProgramId &program) const;
--- a/src/libs/dispatch/fairqueue.h
+++ b/src/libs/dispatch/fairqueue.h
@@ -23,7 +23,8 @@
 class FairQueue
 {
 public:
-    void add(const QueueKey &key);
+    /// Returns whether the call was not there yet.
+    bool add(const QueueKey &key);
     /// Returns whether the call was there.
     bool remove(const QueueKey &key);
 
@@ -43,20 +44,13 @@
     void forEachTeam(Visit visit) const
     {
         for (const Lane &lane : lanes_) {
-            visit(*lane.team,
-                  lane.calls.size(),
-                  QueueKey{lane.team, lane.calls.begin()->order, lane.calls.begin()->id});
+            const auto &[order, id] = *lane.calls.begin();
+            visit(*lane.team, lane.calls.size(), QueueKey{lane.team, order, id});
         }
     }
 
 private:
-    struct Item
-    {
-        double order = 0;
-        DispatchId id;
-
-        auto operator<=>(const Item &) const = default;
-    };
+    using Item = std::pair<double, DispatchId>;
     struct Lane
     {
         TeamCounter *team = nullptr;
--- a/src/libs/dispatch/slotborrower.h
+++ b/src/libs/dispatch/slotborrower.h
@@ -38,11 +38,15 @@
     std::vector<SlotRequest> takeRequests();
 
 private:
+    /// Grants remembered per server, to tell repeats.
+    static constexpr std::size_t knownLimit = 256;
+
     struct Line
     {
         SlotRequestNumber number;
         std::vector<TeamDemand> demands;
         std::vector<HeldSlot> held;
+        std::set<std::pair<Base::Epoch, SlotId>> known;
         Base::Epoch epoch;
         std::uint32_t backlog = 0;
         std::optional<Base::Instant> nextStatement;
--- a/src/libs/dispatch/slotlender.h
+++ b/src/libs/dispatch/slotlender.h
@@ -56,7 +56,7 @@
         Base::IncarnationId borrower;
         Base::TeamId team;
         Base::Tokens charged;
-        Base::Instant grantedAt;
+        Base::Instant since;
     };
     struct Borrower
     {
@@ -68,14 +68,14 @@
     {
         Base::IncarnationId borrower;
         TeamDemand *demand = nullptr;
+        TeamCounter *counter = nullptr;
     };
 
     void reconcile(const SlotRequest &request, Base::Instant now);
     void lendFree(Base::Instant now);
     std::optional<Candidate> nextCandidate();
     void lend(const Candidate &candidate, Base::Instant now);
-    TeamCounter &counterOf(const Base::TeamId &team, double weight);
-    void liftNewcomers(const std::vector<TeamDemand> &demands);
+    void drop(std::map<LoanKey, Loan>::iterator loan);
     void dropSilent(Base::Instant now);
 
     Base::ServerId server_;
@@ -84,10 +84,12 @@
     SlotLenderSettings settings_;
     Base::Epoch epoch_;
     Base::Instant lendFrom_;
+    bool isSettling_ = false;
     SlotId lastSlot_;
     std::map<LoanKey, Loan> loans_;
     std::map<Base::IncarnationId, Borrower> borrowers_;
-    std::unordered_map<Base::TeamId, TeamCounter> counters_;
+    /// A team is active once for each borrower that waits for it and once for each loan.
+    TeamCounters counters_;
     std::vector<SendSlotGrant> actions_;
 };
 
--- a/src/libs/dispatch/teamcounters.h
+++ b/src/libs/dispatch/teamcounters.h
@@ -26,15 +26,18 @@
     /// The team has one more active call; the address stays valid while the team is active.
     TeamCounter *enter(const Base::TeamId &team, double weight);
     void leave(TeamCounter *counter);
+    void leave(const Base::TeamId &team);
     /// Adds (or takes back, if negative) service in tokens.
     static void charge(TeamCounter *counter, double tokens);
+    void charge(const Base::TeamId &team, double tokens);
 
-    const TeamCounter *find(const Base::TeamId &team) const;
+    TeamCounter *find(const Base::TeamId &team) const;
 
 private:
     double leastActive() const;
 
     std::unordered_map<Base::TeamId, std::unique_ptr<TeamCounter>> counters_;
+    double lastService_ = 0;
 };
 
 } // namespace Dispatch
