Contracts: configuration, its replica and editor, keys

Operators' changes have to be in force everywhere within seconds and never revert, also when the store's answers are lost and operators race.

A replica that heard of a newer version is not confirmed by peers that lag as it does.

--- a/src/libs/contracts/configeditor.h
+++ b/src/libs/contracts/configeditor.h
@@ -89,14 +89,17 @@
 
     void startNext(Base::Instant now);
     void send(Platform::StoreOperation operation, Base::Instant now);
+    void handleOutcome(const Platform::StoreOutcome &outcome, Base::Instant now);
     void handleRead(const Platform::StoreOutcome &outcome, Base::Instant now);
     void handleProgress(const Platform::WriteProgress &progress, Base::Instant now);
     void write(const std::optional<Platform::StoredObject> &current, Base::Instant now);
-    void accept();
-    void conflict(Base::ConfigVersion found);
-    void fail(Base::Ran ran, std::string message);
-    void finish();
-    void expire(Base::Instant now);
+    void writeLost(const std::optional<Platform::StoredObject> &current, Base::Instant now);
+    void accept(Base::Instant now);
+    void conflict(Base::ConfigVersion expected, Base::ConfigVersion found, Base::Instant now);
+    void fail(Base::Ran ran, const std::string &message, Base::Instant now);
+    void finish(Base::Instant now);
+    void expireEdits(Base::Instant now);
+    const SubmitEdit &current() const { return queue_.front().edit; }
 
     ConfigEditorSettings settings_;
     std::deque<QueuedEdit> queue_;
@@ -107,6 +110,8 @@
     Platform::StoreRequestId lastRequest_;
     std::uint64_t writeCount_ = 0;
     bool isActive_ = false;
+    /// A write was sent whose answer never came.
+    bool isInDoubt_ = false;
     std::optional<Base::Instant> answerDue_;
     std::optional<Base::Instant> retryAt_;
 };
--- a/src/libs/contracts/configreplica.h
+++ b/src/libs/contracts/configreplica.h
@@ -24,6 +24,8 @@
     Base::Duration readTimeout = std::chrono::seconds(1);
     /// How long a start without the store collects the versions of peers.
     Base::Duration peerCollection = std::chrono::seconds(1);
+    /// Pause between requests to peers that told of a newer version.
+    Base::Duration askInterval = std::chrono::milliseconds(100);
 };
 
 struct SendStoreRequest
@@ -68,8 +70,9 @@
     void peersChanged(std::vector<Base::IncarnationId> peers, Base::Instant now);
 
     void storeReplied(const Platform::StoreReply &reply, Base::Instant now);
-    /// The store's watch told of the object, if the daemon keeps one.
-    void watched(const Platform::StoredObject &object, Base::Instant now);
+    /// The store's watch told of the object, if the daemon keeps one. Adopts but does not confirm:
+    /// the event may have been under way for long.
+    void watched(const Platform::StoredObject &object);
     /// A peer's heartbeat carried its version.
     void versionHeard(const Base::IncarnationId &peer,
                       Base::ConfigVersion version,
@@ -93,23 +96,26 @@
     std::shared_ptr<const ConfigurationDocument> document() const { return document_; }
 
 private:
+    struct PendingRead
+    {
+        Platform::StoreRequestId id;
+        Base::Instant askedAt;
+    };
+
     void readStore(Base::Instant now);
-    void askPeers();
-    void storeFound(const std::string &body, Base::Instant askedAt, Base::Instant now);
-    void storeAbsent(Base::Instant askedAt);
+    void readFailed(Base::Instant now);
+    void storeFound(const std::string &body, Base::Instant askedAt);
+    void storeConfirmed(Base::Instant askedAt);
+    void collectFromPeers(Base::Instant now);
+    void endCollection(Base::Instant now);
+    void ask(const Base::IncarnationId &peer);
+    void hear(const Base::IncarnationId &peer, Base::ConfigVersion version, Base::Instant now);
     bool adoptEncoded(const std::string &body, const std::string &peer);
     void adopt(ConfigurationDocument document);
-    void confirm(Base::Instant at);
     void receive(const Base::IncarnationId &peer, const ConfigPush &push, Base::Instant now);
     void receive(const Base::IncarnationId &peer, const ConfigRequest &request, Base::Instant now);
     void receive(const Base::IncarnationId &peer, const ConfigAnswer &answer, Base::Instant now);
 
-    struct PendingRead
-    {
-        Platform::StoreRequestId id;
-        Base::Instant askedAt;
-    };
-
     ConfigReplicaSettings settings_;
     std::shared_ptr<const ConfigurationDocument> document_;
     std::vector<Base::IncarnationId> peers_;
@@ -117,7 +123,10 @@
     std::optional<PendingRead> pendingRead_;
     Platform::StoreRequestId lastRequest_;
     std::optional<Base::Instant> nextRead_;
+    /// Highest version that a peer told of; ours is not current while it is lower.
+    Base::ConfigVersion highestHeard_;
     std::optional<Base::Instant> confirmedAt_;
+    std::optional<Base::Instant> askedPeerAt_;
     /// End of the collection of peers' versions; unset unless the start met an outage.
     std::optional<Base::Instant> collectionEnd_;
     bool isReady_ = false;
--- /dev/null
+++ b/src/libs/contracts/configuration.cpp
@@ -0,0 +1,34 @@
+#include "configuration.h"
+
+#include <algorithm>
+
+namespace Contracts {
+
+namespace {
+
+template<typename Item, typename Id>
+const Item *findById(const std::vector<Item> &items, const Id &id)
+{
+    const auto found = std::find_if(
+        items.begin(), items.end(), [&id](const Item &item) { return item.id == id; });
+    return found == items.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+const Team *ConfigurationDocument::findTeam(const Base::TeamId &id) const
+{
+    return findById(teams, id);
+}
+
+const Service *ConfigurationDocument::findService(const Base::ServiceId &id) const
+{
+    return findById(services, id);
+}
+
+const BackendServer *ConfigurationDocument::findServer(const Base::ServerId &id) const
+{
+    return findById(servers, id);
+}
+
+} // namespace Contracts
--- a/src/libs/contracts/configuration.h
+++ b/src/libs/contracts/configuration.h
@@ -91,10 +91,24 @@
     bool operator==(const BackendServer &) const = default;
 };
 
+/// One accepted change, by which its writer recognises it when others have followed.
+struct AcceptedChange
+{
+    Base::ConfigVersion version;
+    Base::WriteId writeId;
+
+    bool operator==(const AcceptedChange &) const = default;
+};
+
 /// Everything that operators configure. The version grows by one with every accepted change.
 struct ConfigurationDocument
 {
+    /// Accepted changes that a document lists.
+    static constexpr size_t maxRecentChanges = 16;
+
     Base::ConfigVersion version;
+    /// The latest changes, oldest first.
+    std::vector<AcceptedChange> recentChanges;
     std::vector<Team> teams;
     std::vector<Service> services;
     std::vector<BackendServer> servers;
--- /dev/null
+++ b/src/libs/contracts/keyring.cpp
@@ -0,0 +1,60 @@
+#include "keyring.h"
+
+#include "keyhasher.h"
+
+namespace Contracts {
+
+namespace {
+
+bool isUsable(const Key &key, Base::Instant now)
+{
+    const bool hasBegun = !key.validFrom || *key.validFrom <= now;
+    const bool hasEnded = key.validUntil && *key.validUntil <= now;
+    return !key.isWithdrawn && hasBegun && !hasEnded;
+}
+
+Base::Error unauthorized()
+{
+    Base::Error error;
+    error.code = Base::ErrorCode::Unauthorized;
+    error.step = Base::Step::Authenticate;
+    error.ran = Base::Ran::NotRun;
+    error.message = "the key is missing, unknown or withdrawn";
+    return error;
+}
+
+} // namespace
+
+KeyRing::KeyRing(const ConfigurationDocument &document)
+{
+    for (const Team &team : document.teams) {
+        for (const Key &key : team.keys) {
+            entries_.emplace(key.id, Entry{team.id, key});
+        }
+    }
+}
+
+Base::Result<KeyHolder> KeyRing::authenticate(std::string_view keyText, Base::Instant now) const
+{
+    const std::optional<KeyText> presented = parseKey(keyText);
+    if (!presented) {
+        return unauthorized();
+    }
+    const auto found = entries_.find(presented->id);
+    // An unknown id costs the same hash and comparison as a known one.
+    static constexpr KeyHash noHash{};
+    const KeyHash &expected = found == entries_.end() ? noHash : found->second.key.hash;
+    const bool isSecretRight = isEqualConstantTime(hashSecret(presented->secret), expected);
+    if (found == entries_.end() || !isSecretRight || !isUsable(found->second.key, now)) {
+        return unauthorized();
+    }
+    return KeyHolder{found->second.team, presented->id};
+}
+
+bool KeyRing::isInForce(const Base::KeyId &key, Base::Instant now) const
+{
+    const auto found = entries_.find(key);
+    return found != entries_.end() && isUsable(found->second.key, now);
+}
+
+} // namespace Contracts
--- /dev/null
+++ b/tests/libs/contracts/tst_configuration.cpp
@@ -0,0 +1,167 @@
+#include <contracts/configchanges.h>
+#include <contracts/configedit.h>
+#include <contracts/configurationcodec.h>
+#include <contracts/keyhasher.h>
+#include <contracts/keyring.h>
+
+#include <criterion/criterion.h>
+
+using namespace Contracts;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Base::Instant now(1000s);
+const KeySecret secret{1, 2, 3};
+const Base::KeyId keyId("k1");
+const std::string keyText = formatKey(keyId, secret);
+
+Key keyOf(const Base::KeyId &id, const std::string &text)
+{
+    Key key;
+    key.id = id;
+    key.hash = hashSecret(parseKey(text)->secret);
+    return key;
+}
+
+ConfigurationDocument sample()
+{
+    ConfigurationDocument document;
+    document.version = Base::ConfigVersion(7);
+    document.recentChanges.push_back({Base::ConfigVersion(7), Base::WriteId("vm1.1.config.3")});
+    Team team;
+    team.id = Base::TeamId("lunch");
+    team.ratePerSecond = 2.5;
+    team.burst = 10;
+    team.budget = Base::Tokens(1'000'000);
+    team.keys.push_back(keyOf(keyId, keyText));
+    team.keys.back().validUntil = now + 60s;
+    document.teams.push_back(team);
+    Service service;
+    service.id = Base::ServiceId("planner");
+    service.model = Base::ModelId("menu-8b");
+    service.isIdempotent = true;
+    service.teams.push_back(team.id);
+    service.objective = ServiceObjective{1500ms, 0.99};
+    document.services.push_back(service);
+    BackendServer server;
+    server.id = Base::ServerId("engine1");
+    server.service = service.id;
+    server.address = "10.0.0.7:8000";
+    server.zone = Base::ZoneId("north");
+    server.slots = 16;
+    document.servers.push_back(server);
+    return document;
+}
+
+bool names(const std::vector<Base::SettingsProblem> &problems, const std::string &path)
+{
+    return std::ranges::any_of(problems, [&path](const Base::SettingsProblem &problem) {
+        return problem.path == path && !problem.found.empty() && !problem.expected.empty();
+    });
+}
+
+} // namespace
+
+Test(configuration, codecKeepsEverything)
+{
+    const ParsedConfiguration parsed = decode(encode(sample()));
+    cr_assert(parsed.isValid());
+    cr_assert(parsed.document == sample());
+}
+
+Test(configuration, decodeReportsEveryProblemWithItsPath)
+{
+    nlohmann::json object = toJson(sample());
+    object["teams"][0]["weigth"] = 2;
+    object["teams"][0]["rate_per_s"] = -1;
+    object["services"][0]["kind"] = "engine";
+    object["servers"][0].erase("zone");
+    const ParsedConfiguration parsed = decode(object.dump());
+    cr_assert(names(parsed.problems, "/teams/0/weigth"));
+    cr_assert(names(parsed.problems, "/teams/0/rate_per_s"));
+    cr_assert(names(parsed.problems, "/services/0/kind"));
+    cr_assert(names(parsed.problems, "/servers/0/zone"));
+    cr_assert_not(decode("{").isValid());
+}
+
+Test(configuration, checkFindsReferencesAndDuplicates)
+{
+    ConfigurationDocument document = sample();
+    document.teams.push_back(document.teams[0]);
+    document.services[0].teams.emplace_back("nobody");
+    document.servers[0].service = Base::ServiceId("nothing");
+    document.servers[0].address = "engine1:8000";
+    const std::vector<Base::SettingsProblem> problems = check(document);
+    cr_assert(names(problems, "/teams/1/id"));
+    cr_assert(names(problems, "/teams/1/keys/0/id"));
+    cr_assert(names(problems, "/services/0/teams/1"));
+    cr_assert(names(problems, "/servers/0/service"));
+    cr_assert(names(problems, "/servers/0/address"));
+}
+
+Test(configuration, secretsAreHashedWithSha256)
+{
+    const KeyHash hash = hashSecret("abc");
+    cr_assert_eq(hash[0], 0xba);
+    cr_assert_eq(hash[31], 0xad);
+    cr_assert(encode(sample()).find(parseKey(keyText)->secret) == std::string::npos);
+}
+
+Test(configuration, keysAuthenticateTheirTeam)
+{
+    ConfigurationDocument document = sample();
+    const std::string second = formatKey(Base::KeyId("k2"), KeySecret{9});
+    document.teams[0].keys.push_back(keyOf(Base::KeyId("k2"), second));
+    const KeyRing ring(document);
+    cr_assert(ring.authenticate(keyText, now).value() == (KeyHolder{Base::TeamId("lunch"), keyId}));
+    cr_assert(ring.authenticate(second, now).has_value(), "two keys are valid at once");
+    cr_assert_not(ring.authenticate(keyText, now + 60s).has_value(), "the key has run out");
+    const std::string wrong = formatKey(keyId, KeySecret{7});
+    cr_assert_eq(ring.authenticate(wrong, now).error().code, Base::ErrorCode::Unauthorized);
+    for (const std::string text : {"", "mf_", "mf_k1", "mf_k1_", "Bearer x", "mf_k9_00"}) {
+        cr_assert_not(ring.authenticate(text, now).has_value());
+    }
+}
+
+Test(configuration, withdrawnKeyIsRefusedAndStaysWithdrawn)
+{
+    const EditedConfiguration edited = applyEdit(sample(), WithdrawKey{keyId});
+    cr_assert(edited.isValid());
+    cr_assert_eq(edited.document.version, Base::ConfigVersion(8));
+    const KeyRing ring(edited.document);
+    cr_assert_not(ring.authenticate(keyText, now).has_value());
+    cr_assert_not(ring.isInForce(keyId, now));
+    const EditedConfiguration revived = applyEdit(edited.document, ReplaceConfiguration{sample()});
+    cr_assert_not(revived.isValid());
+}
+
+Test(configuration, editsThatDoNotFitAreRefused)
+{
+    const Base::TeamId unknown("nobody");
+    cr_assert_not(applyEdit(sample(), SetRate{unknown, 1, 1}).isValid());
+    cr_assert_not(applyEdit(sample(), AddTeam{sample().teams[0]}).isValid());
+    cr_assert_not(applyEdit(sample(), RemoveTeam{Base::TeamId("lunch")}).isValid(),
+                  "a service is bound to the team");
+    cr_assert_not(applyEdit(sample(), RemoveService{Base::ServiceId("planner")}).isValid());
+    cr_assert_not(applyEdit(sample(), SetRate{Base::TeamId("lunch"), -1, 1}).isValid());
+    const EditedConfiguration rate = applyEdit(sample(), SetRate{Base::TeamId("lunch"), 5, 20});
+    cr_assert_eq(rate.document.findTeam(Base::TeamId("lunch"))->burst, 20);
+}
+
+Test(configuration, changesNameWhatToActOn)
+{
+    ConfigurationDocument after = sample();
+    after.teams[0].keys[0].isWithdrawn = true;
+    after.servers[0].isLeaving = true;
+    const std::vector<ConfigChange> changes = changesBetween(sample(), after);
+    const ConfigChange withdrawn = KeyWithdrawn{Base::TeamId("lunch"), keyId};
+    const ConfigChange leaving = ServerLeaving{Base::ServerId("engine1")};
+    cr_assert(changes.at(0) == withdrawn);
+    cr_assert(changes.at(1) == leaving);
+    cr_assert(changesBetween({}, after).at(0) == withdrawn, "a start learns of withdrawn keys");
+    cr_assert(changesBetween(after, after).empty());
+    ConfigurationDocument without = sample();
+    without.teams.clear();
+    cr_assert(changesBetween(sample(), without).at(0) == withdrawn);
+}
