--- a/src/libs/programs/programtable.cpp
+++ b/src/libs/programs/programtable.cpp
@@ -91,6 +91,11 @@
     d_->restore(snapshot, now);
 }
 
+void ProgramTable::replay(Base::PartitionId partition, std::span<const Journal::Record> records)
+{
+    d_->replay(partition, records);
+}
+
 void ProgramTable::recover(Base::PartitionId partition,
                            std::span<const Journal::Record> records,
                            std::span<const Journal::Record> uncertain,
--- a/src/libs/programs/programtable.h
+++ b/src/libs/programs/programtable.h
@@ -53,9 +53,13 @@
     void partitionAcquired(Base::PartitionId partition, Base::Epoch epoch, Base::Instant now);
     /// Takes a program as it was compacted; after partitionAcquired() and before recover().
     void restore(const ProgramSnapshot &snapshot, Base::Instant now);
-    /// Replays the partition's committed records, in order, and serves its programs from now on.
-    /// The uncertain records may or may not have been committed; each is taken as an intent seen.
-    /// Records that are already part of a restored snapshot change nothing.
+    /// Replays committed records of the partition, in order; may be called for one part of them
+    /// after the other, so that they need not be in memory together. Records that are part of a
+    /// restored snapshot already change nothing.
+    void replay(Base::PartitionId partition, std::span<const Journal::Record> records);
+    /// Replays the last of the committed records and serves the partition's programs from now on.
+    /// Uncertain records were seen in one place but can't have been acknowledged to the old owner;
+    /// each counts as an intent seen. A record that may have been acknowledged is a committed one.
     void recover(Base::PartitionId partition,
                  std::span<const Journal::Record> records,
                  std::span<const Journal::Record> uncertain,
--- a/src/libs/programs/programtable_p.h
+++ b/src/libs/programs/programtable_p.h
@@ -37,6 +37,7 @@
     // Partitions
     void acquire(Base::PartitionId partition);
     void restore(const ProgramSnapshot &snapshot, Base::Instant now);
+    void replay(Base::PartitionId partition, std::span<const Journal::Record> records);
     void recover(Base::PartitionId partition,
                  std::span<const Journal::Record> records,
                  std::span<const Journal::Record> uncertain,
--- a/src/libs/programs/programtablecalls.cpp
+++ b/src/libs/programs/programtablecalls.cpp
@@ -17,6 +17,10 @@
     ActiveCall active;
     active.call = std::move(call);
     if (std::optional<Base::Error> problem = reserve(entry, active)) {
+        // An earlier run of the same call was cancelled or failed half-way.
+        if (entry.program.turn(active.number())) {
+            problem->ran = Ran::MayHaveRun;
+        }
         refuseCallers(active.call, *problem);
         return;
     }
--- a/src/libs/programs/programtableorder.cpp
+++ b/src/libs/programs/programtableorder.cpp
@@ -126,10 +126,14 @@
     const size_t callers = active.call.callers.size();
     attach(active.call, request);
     const bool isAttached = active.call.callers.size() > callers;
-    const std::string &text
-        = active.result && !active.result->error ? active.result->output : active.streamed;
-    const bool willRunAgain = active.phase == CallPhase::Cancelling;
-    if (isAttached && request.isStream && !text.empty() && !willRunAgain) {
+    if (!isAttached || !request.isStream) {
+        return;
+    }
+    const bool hasAnswer = active.phase == CallPhase::Recording && !active.result->error;
+    const std::string &text = hasAnswer ? active.result->output : active.streamed;
+    // What a failed or cancelled run streamed is not part of the answer.
+    const bool isPartOfAnswer = hasAnswer || active.phase == CallPhase::Running;
+    if (isPartOfAnswer && !text.empty()) {
         emit(ReplyOutput{request.request, text});
     }
 }
--- a/src/libs/programs/programtablerecovery.cpp
+++ b/src/libs/programs/programtablerecovery.cpp
@@ -99,10 +99,8 @@
     entry.lastActivity = now;
 }
 
-void ProgramTable::Private::recover(Base::PartitionId partition,
-                                    std::span<const Journal::Record> records,
-                                    std::span<const Journal::Record> uncertain,
-                                    Base::Instant now)
+void ProgramTable::Private::replay(Base::PartitionId partition,
+                                   std::span<const Journal::Record> records)
 {
     const auto state = partitions_.find(partition);
     if (state == partitions_.end() || state->second != PartitionState::Recovering) {
@@ -113,6 +111,18 @@
             replay(record.body);
         }
     }
+}
+
+void ProgramTable::Private::recover(Base::PartitionId partition,
+                                    std::span<const Journal::Record> records,
+                                    std::span<const Journal::Record> uncertain,
+                                    Base::Instant now)
+{
+    const auto state = partitions_.find(partition);
+    if (state == partitions_.end() || state->second != PartitionState::Recovering) {
+        return;
+    }
+    replay(partition, records);
     state->second = PartitionState::Serving;
     for (const Base::ProgramId &id : programs(partition)) {
         dropIfEnded(id, now);
--- a/tests/libs/programs/tst_programtable.cpp
+++ b/tests/libs/programs/tst_programtable.cpp
@@ -256,6 +256,20 @@
     cr_assert(f.description().spent > Base::Tokens(15), "the cancelled run is charged too");
 }
 
+Test(programtable, cancelledCallThatCannotRunAgainMakesWayForTheNext)
+{
+    TableFixture f;
+    f.createProgram(100);
+    f.table->callerGone(f.submit(f.call(1, std::string(40, 'x'))), f.now);
+    const Base::RequestId repeat = f.submit(f.call(1, std::string(40, 'x')));
+    f.submit(f.toolCall(2));
+    f.fail(DispatchId(1), Ran::MayHaveRun);
+    f.commitAll();
+    cr_assert_eq(f.errorOf(repeat).code, ErrorCode::OverBudget);
+    cr_assert_eq(f.errorOf(repeat).ran, Ran::MayHaveRun, "its first run got somewhere");
+    cr_assert_eq(f.last<StartDispatch>().number, Base::CallNumber(2));
+}
+
 Test(programtable, callerGoneLeavesANonIdempotentCallRunning)
 {
     TableFixture f;
