Bounds on histories and answers, cheaper key checks, peers' quorum

Records of calls could outgrow the platform's megabyte, and histories had no bound: inputs, outputs, one history and all histories are limited now; an answer too large to record ends the call as run.

Two daemons cut off together confirm each other's version for ever under the one-peer rule. ConfigReplicaSettings::confirmingPeers lets the composition ask for more, such as a majority. KeyRing::expired names keys whose validity ended.

--- a/src/libs/contracts/configreplica.cpp
+++ b/src/libs/contracts/configreplica.cpp
@@ -5,6 +5,7 @@
 #include <base/visitor.h>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace Contracts {
@@ -34,6 +35,9 @@
 void ConfigReplica::peersChanged(std::vector<Base::IncarnationId> peers, Base::Instant)
 {
     const std::vector<Base::IncarnationId> before = std::exchange(peers_, std::move(peers));
+    std::erase_if(agreedAt_, [this](const auto &agreed) {
+        return std::ranges::find(peers_, agreed.first) == peers_.end();
+    });
     if (!collectionEnd_) {
         return;
     }
@@ -141,9 +145,11 @@
 {
     highestHeard_ = std::max(highestHeard_, heard);
     if (heard == version() && heard == highestHeard_) {
-        confirmedAt_ = now;
+        agreedAt_[peer] = now;
+        confirmByPeers();
         return;
     }
+    agreedAt_.erase(peer);
     const bool mayAsk = !askedPeerAt_ || *askedPeerAt_ + settings_.askInterval <= now;
     if (heard > version() && mayAsk) {
         askedPeerAt_ = now;
@@ -151,6 +157,23 @@
     }
 }
 
+/// Confirms at the earliest of the latest agreements that are needed.
+void ConfigReplica::confirmByPeers()
+{
+    std::vector<Base::Instant> latest;
+    latest.reserve(agreedAt_.size());
+    for (const auto &[peer, at] : agreedAt_) {
+        latest.push_back(at);
+    }
+    const size_t needed = std::max<size_t>(settings_.confirmingPeers, 1);
+    if (latest.size() < needed) {
+        return;
+    }
+    const auto decisive = latest.begin() + static_cast<std::ptrdiff_t>(needed - 1);
+    std::nth_element(latest.begin(), decisive, latest.end(), std::greater<>());
+    confirmedAt_ = std::max(confirmedAt_.value_or(*decisive), *decisive);
+}
+
 void ConfigReplica::messageReceived(const Base::IncarnationId &peer,
                                     const ConfigMessage &message,
                                     Base::Instant now)
@@ -217,6 +240,7 @@
 
 void ConfigReplica::adopt(ConfigurationDocument document)
 {
+    agreedAt_.clear();
     const auto before = std::exchange(
         document_, std::make_shared<const ConfigurationDocument>(std::move(document)));
     actions_.emplace_back(ConfigurationAdopted{document_, changesBetween(*before, *document_)});
--- a/src/libs/contracts/configreplica.h
+++ b/src/libs/contracts/configreplica.h
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <optional>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -22,6 +23,9 @@
     Base::Duration freshnessLimit = std::chrono::seconds(5);
     /// Answers of the store that take longer are given up.
     Base::Duration readTimeout = std::chrono::seconds(1);
+    /// Peers that must have the same version for a confirmation without the store. With 1, daemons
+    /// that are cut off together confirm each other; a majority rules that out.
+    std::uint32_t confirmingPeers = 1;
     /// How long a start without the store collects the versions of peers.
     Base::Duration peerCollection = std::chrono::seconds(1);
     /// Pause between requests to peers that told of a newer version.
@@ -110,6 +114,7 @@
     void endCollection(Base::Instant now);
     void ask(const Base::IncarnationId &peer);
     void hear(const Base::IncarnationId &peer, Base::ConfigVersion version, Base::Instant now);
+    void confirmByPeers();
     bool adoptEncoded(const std::string &body, const std::string &peer);
     void adopt(ConfigurationDocument document);
     void receive(const Base::IncarnationId &peer, const ConfigPush &push, Base::Instant now);
@@ -126,6 +131,8 @@
     /// Highest version that a peer told of; ours is not current while it is lower.
     Base::ConfigVersion highestHeard_;
     std::optional<Base::Instant> confirmedAt_;
+    /// When each peer last had the version in force here.
+    std::unordered_map<Base::IncarnationId, Base::Instant> agreedAt_;
     std::optional<Base::Instant> askedPeerAt_;
     /// End of the collection of peers' versions; unset unless the start met an outage.
     std::optional<Base::Instant> collectionEnd_;
--- a/src/libs/contracts/keyhasher.cpp
+++ b/src/libs/contracts/keyhasher.cpp
@@ -23,13 +23,22 @@
 
 } // namespace
 
-KeyHash hashSecret(std::string_view secret)
+KeyHasher::KeyHasher()
+    : algorithm_(EVP_MD_fetch(nullptr, "SHA256", nullptr), EVP_MD_free)
+{}
+
+KeyHash KeyHasher::hash(std::string_view secret) const
 {
     KeyHash hash{};
-    EVP_Digest(secret.data(), secret.size(), hash.data(), nullptr, EVP_sha256(), nullptr);
+    EVP_Digest(secret.data(), secret.size(), hash.data(), nullptr, algorithm_.get(), nullptr);
     return hash;
 }
 
+KeyHash hashSecret(std::string_view secret)
+{
+    return KeyHasher().hash(secret);
+}
+
 std::string formatKey(const Base::KeyId &id, const KeySecret &secret)
 {
     return std::string(keyPrefix) + id.text() + "_" + toHex(secret);
--- a/src/libs/contracts/keyhasher.h
+++ b/src/libs/contracts/keyhasher.h
@@ -2,8 +2,10 @@
 
 #include "configuration.h"
 
+#include <openssl/types.h>
+
+#include <memory>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 
@@ -19,7 +21,19 @@
     std::string secret;
 };
 
-/// SHA-256 of the secret's text.
+/// Hashes secrets with SHA-256. Holds the algorithm, as looking it up costs more than a hash.
+class KeyHasher
+{
+public:
+    KeyHasher();
+
+    KeyHash hash(std::string_view secret) const;
+
+private:
+    std::shared_ptr<EVP_MD> algorithm_;
+};
+
+/// Hash of one secret, for keys that are issued.
 KeyHash hashSecret(std::string_view secret);
 
 /// Text of a new key, shown once to the operator. The id holds letters, digits and '-' only.
--- a/src/libs/contracts/keyring.cpp
+++ b/src/libs/contracts/keyring.cpp
@@ -1,7 +1,5 @@
 #include "keyring.h"
 
-#include "keyhasher.h"
-
 namespace Contracts {
 
 namespace {
@@ -44,7 +42,7 @@
     // An unknown id costs the same hash and comparison as a known one.
     static constexpr KeyHash noHash{};
     const KeyHash &expected = found == entries_.end() ? noHash : found->second.key.hash;
-    const bool isSecretRight = isEqualConstantTime(hashSecret(presented->secret), expected);
+    const bool isSecretRight = isEqualConstantTime(hasher_.hash(presented->secret), expected);
     if (found == entries_.end() || !isSecretRight || !isUsable(found->second.key, now)) {
         return unauthorized();
     }
@@ -57,4 +55,16 @@
     return found != entries_.end() && isUsable(found->second.key, now);
 }
 
+std::vector<KeyWithdrawn> KeyRing::expired(Base::Instant after, Base::Instant until) const
+{
+    std::vector<KeyWithdrawn> keys;
+    for (const auto &[id, entry] : entries_) {
+        const std::optional<Base::Instant> &end = entry.key.validUntil;
+        if (end && *end > after && *end <= until) {
+            keys.push_back({entry.team, id});
+        }
+    }
+    return keys;
+}
+
 } // namespace Contracts
--- a/src/libs/contracts/keyring.h
+++ b/src/libs/contracts/keyring.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "configchanges.h"
 #include "configuration.h"
+#include "keyhasher.h"
 
 #include <base/error.h>
 
@@ -32,6 +34,9 @@
     /// Whether the key still works; for requests that were checked before and waited since.
     bool isInForce(const Base::KeyId &key, Base::Instant now) const;
 
+    /// Keys whose validity ended in (after, until]; to be treated as withdrawn.
+    std::vector<KeyWithdrawn> expired(Base::Instant after, Base::Instant until) const;
+
 private:
     struct Entry
     {
@@ -39,6 +44,7 @@
         Key key;
     };
 
+    KeyHasher hasher_;
     std::unordered_map<Base::KeyId, Entry> entries_;
 };
 
--- a/src/libs/programs/program.h
+++ b/src/libs/programs/program.h
@@ -44,6 +44,8 @@
     Base::ProgramId childId(std::uint32_t number) const;
     ProgramSnapshot snapshot() const;
     Base::Bytes memory() const;
+    /// Memory of the turns alone.
+    Base::Bytes historyBytes() const { return turnBytes_; }
 
 private:
     bool isAlreadyApplied(const Journal::CallResult &result) const;
--- a/src/libs/programs/programlimits.cpp
+++ b/src/libs/programs/programlimits.cpp
@@ -34,9 +34,18 @@
     return *this;
 }
 
-ProgramLimitsBuilder &ProgramLimitsBuilder::maxInput(Base::Bytes bytes)
+ProgramLimitsBuilder &ProgramLimitsBuilder::callSizes(Base::Bytes maxInput, Base::Bytes maxOutput)
 {
-    limits_.maxInput = bytes;
+    limits_.maxInput = maxInput;
+    limits_.maxOutput = maxOutput;
+    return *this;
+}
+
+ProgramLimitsBuilder &ProgramLimitsBuilder::histories(Base::Bytes oneProgram,
+                                                      Base::Bytes allPrograms)
+{
+    limits_.maxHistory = oneProgram;
+    limits_.maxHistories = allPrograms;
     return *this;
 }
 
--- a/src/libs/programs/programlimits.h
+++ b/src/libs/programs/programlimits.h
@@ -21,7 +21,12 @@
     Base::Bytes maxParkedBytes{64 << 20};
     /// Requests that wait for the answer of one call.
     std::uint32_t maxCallersPerCall = 8;
-    Base::Bytes maxInput{4 << 20};
+    /// With the output, the record of a call stays below a megabyte, the platform's limit.
+    Base::Bytes maxInput{256 << 10};
+    Base::Bytes maxOutput{512 << 10};
+    /// Bytes that the turns of one program may hold, and those of all programs.
+    Base::Bytes maxHistory{16 << 20};
+    Base::Bytes maxHistories{std::int64_t(1) << 30};
     /// Output limit of a model call that asks for none.
     Base::Tokens defaultOutputTokens{1'024};
     /// How long a call waits for an earlier number.
@@ -51,7 +56,8 @@
     ProgramLimitsBuilder &defaultMaxCalls(std::uint32_t count);
     ProgramLimitsBuilder &parking(std::uint32_t callsPerProgram, Base::Bytes allPrograms);
     ProgramLimitsBuilder &maxCallersPerCall(std::uint32_t count);
-    ProgramLimitsBuilder &maxInput(Base::Bytes bytes);
+    ProgramLimitsBuilder &callSizes(Base::Bytes maxInput, Base::Bytes maxOutput);
+    ProgramLimitsBuilder &histories(Base::Bytes oneProgram, Base::Bytes allPrograms);
     ProgramLimitsBuilder &defaultOutputTokens(Base::Tokens tokens);
     ProgramLimitsBuilder &parkTimeout(Base::Duration duration);
     ProgramLimitsBuilder &callTimeout(Base::Duration duration);
--- a/src/libs/programs/programtable_p.h
+++ b/src/libs/programs/programtable_p.h
@@ -196,6 +196,8 @@
     std::unordered_set<Base::KeyId> withdrawnKeys_;
     std::set<std::pair<Base::Instant, Base::ProgramId>> timers_;
     Base::Bytes parkedBytes_;
+    /// Turns of all programs.
+    Base::Bytes historyBytes_;
     Journal::Ticket lastTicket_;
     DispatchId lastDispatch_;
 };
--- a/src/libs/programs/programtablecalls.cpp
+++ b/src/libs/programs/programtablecalls.cpp
@@ -192,8 +192,11 @@
     result.outputTokens = outcome.outputTokens;
     result.charged
         = active.isModel() ? outcome.promptTokens + outcome.outputTokens : Base::Tokens(0);
-    if (!outcome.output.starts_with(active.streamed)) {
-        result.error = answerNotItsStream(active.server);
+    const bool isTooLarge
+        = static_cast<std::int64_t>(outcome.output.size()) > limits_.maxOutput.value();
+    if (isTooLarge || !outcome.output.starts_with(active.streamed)) {
+        result.error
+            = isTooLarge ? answerTooLarge(active.server) : answerNotItsStream(active.server);
         record(entry, std::move(result), now);
         return;
     }
@@ -315,7 +318,9 @@
     if (ended.foundIntent) {
         entry.program.apply(*ended.foundIntent);
     }
+    historyBytes_ -= entry.program.historyBytes();
     entry.program.apply(*ended.result);
+    historyBytes_ += entry.program.historyBytes();
     const bool wasCancelled
         = ended.result->error && ended.result->error->code == Base::ErrorCode::Cancelled;
     const bool isRerun
--- a/src/libs/programs/programtableorder.cpp
+++ b/src/libs/programs/programtableorder.cpp
@@ -45,7 +45,7 @@
         return malformed("call numbers start at 1");
     }
     if (static_cast<std::int64_t>(request.input.size()) > limits_.maxInput.value()) {
-        return inputTooLarge();
+        return tooLarge("the input is too large");
     }
     if (withdrawnKeys_.contains(request.key)) {
         // The request may repeat a call that was taken while the key was in force.
@@ -165,6 +165,9 @@
     if (request.number.value() > entry.program.created().maxCalls) {
         return overBudget("the program has made all its calls");
     }
+    if (entry.program.historyBytes() >= limits_.maxHistory) {
+        return tooLarge("the program's history is full");
+    }
     const Base::CallNumber next = entry.program.nextNumber();
     if (request.number == next && !entry.active) {
         return std::nullopt;
--- a/src/libs/programs/programtablerecovery.cpp
+++ b/src/libs/programs/programtablerecovery.cpp
@@ -125,6 +125,7 @@
     replay(partition, records);
     state->second = PartitionState::Serving;
     for (const Base::ProgramId &id : programs(partition)) {
+        historyBytes_ += find(id)->program.historyBytes();
         dropIfEnded(id, now);
     }
     for (const Journal::Record &record : uncertain) {
@@ -229,8 +230,15 @@
 void ProgramTable::Private::lose(Base::PartitionId partition)
 {
     loseAppends(partition);
+    const auto state = partitions_.find(partition);
+    const bool isCounted
+        = state != partitions_.end() && state->second != PartitionState::Recovering;
     for (const Base::ProgramId &id : programs(partition)) {
         loseProgram(*find(id));
+        // Histories are counted from the end of the recovery on.
+        if (!isCounted) {
+            historyBytes_ += find(id)->program.historyBytes();
+        }
         erase(id);
     }
     std::erase_if(ended_, [&](const auto &ended) { return partitionOf(ended.first) == partition; });
@@ -295,6 +303,7 @@
 void ProgramTable::Private::erase(const Base::ProgramId &program)
 {
     const auto found = entries_.find(program);
+    historyBytes_ -= found->second.program.historyBytes();
     if (found->second.timer) {
         timers_.erase({*found->second.timer, program});
     }
--- a/src/libs/programs/programtablerequests.cpp
+++ b/src/libs/programs/programtablerequests.cpp
@@ -36,7 +36,9 @@
     if (isLeaving(parent ? parent->program.id() : request.program)) {
         return tryLater(Step::Route, Ran::NotRun, "the program moves to another daemon");
     }
-    if (entries_.size() + appends_.size() >= limits_.maxPrograms) {
+    const bool isFull = entries_.size() + appends_.size() >= limits_.maxPrograms
+                        || historyBytes_ >= limits_.maxHistories;
+    if (isFull) {
         return tryLater(Step::Order, Ran::NotRun, "too many programs");
     }
     if (parent && parent->endReason) {
--- a/src/libs/programs/refusals.cpp
+++ b/src/libs/programs/refusals.cpp
@@ -49,9 +49,9 @@
     return local(ErrorCode::Malformed, Step::Order, Ran::NotRun, std::move(message));
 }
 
-Error inputTooLarge()
+Error tooLarge(std::string message)
 {
-    return local(ErrorCode::TooLarge, Step::Order, Ran::NotRun, "the input is too large");
+    return local(ErrorCode::TooLarge, Step::Order, Ran::NotRun, std::move(message));
 }
 
 Error overBudget(std::string message)
@@ -90,6 +90,12 @@
                     "the daemon that ran the call was lost before the result was committed");
 }
 
+Error answerTooLarge(const Base::ServerId &server)
+{
+    return atServer(
+        ErrorCode::TooLarge, Step::Backend, server, Ran::Ran, "the answer is too large to record");
+}
+
 Error answerNotItsStream(const Base::ServerId &server)
 {
     return atServer(ErrorCode::BackendFailed,
--- a/tests/libs/contracts/tst_configreplica.cpp
+++ b/tests/libs/contracts/tst_configreplica.cpp
@@ -156,6 +156,22 @@
     cr_assert(f.replica.isFresh(f.now + 8s), "a peer's heartbeat confirms");
 }
 
+Test(configreplica, daemonsThatAreCutOffTogetherDoNotConfirmEachOther)
+{
+    ConfigReplicaSettings settings;
+    settings.confirmingPeers = 2;
+    ConfigReplica replica(settings);
+    const Base::Instant now(1000s);
+    replica.start({peer, otherPeer}, now);
+    const auto read = pick<SendStoreRequest>(replica.takeActions()).at(0).request.id;
+    replica.storeReplied({read, foundOf(5)}, now);
+    replica.versionHeard(peer, Base::ConfigVersion(5), now + 4s);
+    cr_assert_not(replica.isFresh(now + 6s));
+    replica.versionHeard(otherPeer, Base::ConfigVersion(5), now + 6s);
+    cr_assert(replica.isFresh(now + 8s));
+    cr_assert_not(replica.isFresh(now + 9s), "the first peer's agreement is too old");
+}
+
 Test(configreplica, knownNewerVersionIsFetchedAndStopsConfirmation)
 {
     StartedReplica f;
--- a/tests/libs/contracts/tst_configuration.cpp
+++ b/tests/libs/contracts/tst_configuration.cpp
@@ -117,6 +117,8 @@
     cr_assert(ring.authenticate(keyText, now).value() == (KeyHolder{Base::TeamId("lunch"), keyId}));
     cr_assert(ring.authenticate(second, now).has_value(), "two keys are valid at once");
     cr_assert_not(ring.authenticate(keyText, now + 60s).has_value(), "the key has run out");
+    cr_assert_eq(ring.expired(now, now + 60s).at(0).key, keyId);
+    cr_assert(ring.expired(now + 60s, now + 120s).empty());
     const std::string wrong = formatKey(keyId, KeySecret{7});
     cr_assert_eq(ring.authenticate(wrong, now).error().code, Base::ErrorCode::Unauthorized);
     for (const std::string text : {"", "mf_", "mf_k1", "mf_k1_", "Bearer x", "mf_k9_00"}) {
--- a/tests/libs/programs/tst_programtable.cpp
+++ b/tests/libs/programs/tst_programtable.cpp
@@ -424,6 +424,40 @@
     cr_assert_not(f.table->isBusy(Base::PartitionId(0)));
 }
 
+Test(programtable, sizesAreBounded)
+{
+    TableFixture f(ProgramLimitsBuilder()
+                       .partitionCount(1)
+                       .callSizes(Base::Bytes(100), Base::Bytes(1'000))
+                       .histories(Base::Bytes(800), Base::Bytes(600))
+                       .build());
+    f.createProgram();
+    const Base::RequestId large = f.submit(f.toolCall(1, std::string(101, 'x')));
+    cr_assert_eq(f.errorOf(large).code, ErrorCode::TooLarge);
+    const Base::RequestId first = f.submit(f.toolCall(1));
+    f.commitAll();
+    f.complete(DispatchId(1), std::string(1'001, 'x'));
+    f.commitAll();
+    cr_assert_eq(f.errorOf(first).ran, Ran::Ran, "an answer too large to record has run");
+    f.submit(f.toolCall(2));
+    f.commitAll();
+    f.complete(DispatchId(2), std::string(600, 'x'));
+    f.commitAll();
+    cr_assert_eq(f.errorOf(f.submit(f.toolCall(3))).code, ErrorCode::TooLarge);
+    CreateProgram create = f.creation(10);
+    create.program = Base::ProgramId("q");
+    f.table->create(create, f.now);
+    f.collect();
+    cr_assert_eq(f.errorOf(create.request).code, ErrorCode::Unavailable);
+    f.endProgram("p");
+    f.commitAll();
+    create = f.creation(10);
+    create.program = Base::ProgramId("q");
+    f.table->create(create, f.now);
+    f.commitAll();
+    cr_assert(f.table->isLive(Base::ProgramId("q")), "ended programs make room");
+}
+
 Test(programtable, snapshotAndReplayGiveTheSameState)
 {
     TableFixture f;
