--- a/src/libs/contracts/configurationcodec.cpp
+++ b/src/libs/contracts/configurationcodec.cpp
@@ -6,7 +6,6 @@
 
 namespace Contracts {
 
-using Base::SettingsProblem;
 using Base::SettingsReader;
 using nlohmann::json;
 
--- a/src/libs/programs/programtable_p.h
+++ b/src/libs/programs/programtable_p.h
@@ -37,6 +37,7 @@
     // Partitions
     void acquire(Base::PartitionId partition);
     void restore(const ProgramSnapshot &snapshot, Base::Instant now);
+    void replay(Base::PartitionId partition, std::span<const Journal::Record> records);
     void recover(Base::PartitionId partition,
                  std::span<const Journal::Record> records,
                  std::span<const Journal::Record> uncertain,
@@ -195,6 +196,8 @@
     std::unordered_set<Base::KeyId> withdrawnKeys_;
     std::set<std::pair<Base::Instant, Base::ProgramId>> timers_;
     Base::Bytes parkedBytes_;
+    /// Turns of all programs.
+    Base::Bytes historyBytes_;
     Journal::Ticket lastTicket_;
     DispatchId lastDispatch_;
 };
--- a/src/libs/programs/programtableorder.cpp
+++ b/src/libs/programs/programtableorder.cpp
@@ -45,7 +45,7 @@
         return malformed("call numbers start at 1");
     }
     if (static_cast<std::int64_t>(request.input.size()) > limits_.maxInput.value()) {
-        return inputTooLarge();
+        return tooLarge("the input is too large");
     }
     if (withdrawnKeys_.contains(request.key)) {
         // The request may repeat a call that was taken while the key was in force.
@@ -126,10 +126,14 @@
     const size_t callers = active.call.callers.size();
     attach(active.call, request);
     const bool isAttached = active.call.callers.size() > callers;
-    const std::string &text
-        = active.result && !active.result->error ? active.result->output : active.streamed;
-    const bool willRunAgain = active.phase == CallPhase::Cancelling;
-    if (isAttached && request.isStream && !text.empty() && !willRunAgain) {
+    if (!isAttached || !request.isStream) {
+        return;
+    }
+    const bool hasAnswer = active.phase == CallPhase::Recording && !active.result->error;
+    const std::string &text = hasAnswer ? active.result->output : active.streamed;
+    // What a failed or cancelled run streamed is not part of the answer.
+    const bool isPartOfAnswer = hasAnswer || active.phase == CallPhase::Running;
+    if (isPartOfAnswer && !text.empty()) {
         emit(ReplyOutput{request.request, text});
     }
 }
@@ -161,6 +165,9 @@
     if (request.number.value() > entry.program.created().maxCalls) {
         return overBudget("the program has made all its calls");
     }
+    if (entry.program.historyBytes() >= limits_.maxHistory) {
+        return tooLarge("the program's history is full");
+    }
     const Base::CallNumber next = entry.program.nextNumber();
     if (request.number == next && !entry.active) {
         return std::nullopt;
