--- a/src/libs/fleet/digestselection.cpp
+++ b/src/libs/fleet/digestselection.cpp
@@ -1,5 +1,8 @@
 #include "digestselection.h"
 
+#include <algorithm>
+#include <functional>
+
 namespace Fleet {
 
 std::vector<DaemonDigest> DigestSelection::choose(Members &members,
@@ -7,7 +10,8 @@
                                                   bool isPartialView)
 {
     std::vector<DaemonDigest> digests;
-    addChanges(digests, members, receiver);
+    // One place is kept for the members in turn, however many changes there are.
+    addChanges(digests, members, receiver, isPartialView ? limit_ - 1 : limit_);
     if (isPartialView) {
         addBackground(digests, members, receiver);
     }
@@ -16,17 +20,25 @@
 
 void DigestSelection::addChanges(std::vector<DaemonDigest> &digests,
                                  Members &members,
-                                 const Base::IncarnationId &receiver) const
+                                 const Base::IncarnationId &receiver,
+                                 std::size_t limit)
 {
+    std::vector<Member *> changed;
     for (auto &[incarnation, member] : members) {
-        if (digests.size() >= limit_) {
-            return;
-        }
-        if (member.transmissionsLeft > 0 && incarnation != receiver && member.hasJoined) {
-            --member.transmissionsLeft;
-            digests.push_back({member.daemon, member.sequence});
+        // A suspect learns of the suspicion, so that it can refute it.
+        const bool isOfInterest
+            = incarnation != receiver || member.daemon.state == DaemonState::Suspect;
+        if (member.transmissionsLeft > 0 && member.hasJoined && isOfInterest) {
+            changed.push_back(&member);
         }
     }
+    // Newest first: what was sent least often has most transmissions left.
+    std::ranges::stable_sort(changed, std::greater(), &Member::transmissionsLeft);
+    changed.resize(std::min(changed.size(), limit));
+    for (Member *member : changed) {
+        --member->transmissionsLeft;
+        digests.push_back({member->daemon, member->sequence});
+    }
 }
 
 void DigestSelection::addBackground(std::vector<DaemonDigest> &digests,
--- a/src/libs/fleet/digestselection.h
+++ b/src/libs/fleet/digestselection.h
@@ -21,9 +21,10 @@
                                      bool isPartialView);
 
 private:
-    void addChanges(std::vector<DaemonDigest> &digests,
-                    Members &members,
-                    const Base::IncarnationId &receiver) const;
+    static void addChanges(std::vector<DaemonDigest> &digests,
+                           Members &members,
+                           const Base::IncarnationId &receiver,
+                           std::size_t limit);
     void addBackground(std::vector<DaemonDigest> &digests,
                        const Members &members,
                        const Base::IncarnationId &receiver);
--- a/src/libs/fleet/heartbeattargets.cpp
+++ b/src/libs/fleet/heartbeattargets.cpp
@@ -27,9 +27,25 @@
         }
         targets.push_back(*target);
     }
+    addFirstContacts(targets, members);
     return targets;
 }
 
+void HeartbeatTargets::addFirstContacts(std::vector<Base::IncarnationId> &targets,
+                                        const Members &members) const
+{
+    const std::size_t limit = targets.size() + settings_.firstContactsPerInterval;
+    for (const auto &[incarnation, member] : members) {
+        if (targets.size() >= limit) {
+            return;
+        }
+        const bool isChosen = std::ranges::find(targets, incarnation) != targets.end();
+        if (!member.hasJoined && !member.wasContacted && isReachable(member) && !isChosen) {
+            targets.push_back(incarnation);
+        }
+    }
+}
+
 bool HeartbeatTargets::isPartialView(const Members &members) const
 {
     const auto reachable
--- a/src/libs/fleet/heartbeattargets.h
+++ b/src/libs/fleet/heartbeattargets.h
@@ -15,6 +15,8 @@
     std::size_t fullExchangeLimit = 11;
     /// Peers reached in one interval in a larger fleet.
     std::size_t peersPerInterval = 3;
+    /// Besides, daemons that were never heard of nor sent to.
+    std::size_t firstContactsPerInterval = 12;
 };
 
 /// Chooses the peers that one interval reaches: all of a small fleet, else the next few of a
@@ -30,6 +32,7 @@
     bool isPartialView(const Members &members) const;
 
 private:
+    void addFirstContacts(std::vector<Base::IncarnationId> &targets, const Members &members) const;
     std::optional<Base::IncarnationId> next(const Members &members);
     void refill(const Members &members);
 
--- a/src/libs/fleet/member.h
+++ b/src/libs/fleet/member.h
@@ -22,7 +22,9 @@
     int missed = 0;
     /// How often this member's latest change is still to be sent.
     int transmissionsLeft = 0;
+    /// It was heard from, or a peer that heard from it said so.
     bool hasJoined = false;
+    bool wasContacted = false;
     bool isLeaving = false;
     bool wasVmListed = false;
 };
--- a/src/libs/fleet/membershipview.cpp
+++ b/src/libs/fleet/membershipview.cpp
@@ -9,9 +9,11 @@
 
 namespace {
 
-// A change is sent this many times the logarithm of the fleet's size, so that an epidemic with
-// random peers reaches everyone with high probability.
-constexpr int transmissionFactor = 3;
+// A change is sent as often as the logarithm of the fleet's size and this many times more, so that
+// an epidemic with random peers reaches nearly everyone; the rest learns in turn.
+constexpr int extraTransmissions = 3;
+// A daemon that joins contacts the others itself, so that this only helps.
+constexpr int joinTransmissions = 3;
 
 constexpr Base::Duration firstIntervalPause = std::chrono::milliseconds(1);
 
@@ -135,7 +137,8 @@
     }
     const bool isSuspected
         = digest.daemon.state == DaemonState::Suspect || digest.daemon.state == DaemonState::Gone;
-    if (isSuspected && member.lastHeard && now < *member.lastHeard + settings_.heartbeatInterval) {
+    if (isSuspected && member.lastHeard
+        && now < *member.lastHeard + 2 * settings_.heartbeatInterval) {
         // Only the link between those two may be broken: ask the daemon itself.
         verify(member, now);
         return;
@@ -154,7 +157,6 @@
 
 void MembershipView::handleDigestOfSelf(const DaemonDigest &digest)
 {
-    // A higher sequence refutes the suspicion with the next heartbeats.
     if (digest.daemon.state == DaemonState::Suspect) {
         sequence_ = std::max(sequence_, digest.sequence.next());
     }
@@ -175,7 +177,7 @@
         return;
     }
     member.daemon.state = state;
-    member.transmissionsLeft = transmissionLimit();
+    member.transmissionsLeft = joins ? joinTransmissions : transmissionLimit();
     if (joins) {
         member.hasJoined = true;
         emit(DaemonJoined{member.daemon});
@@ -294,7 +296,6 @@
 
 void MembershipView::startInterval(Base::Instant now)
 {
-    sequence_ = sequence_.next();
     forgetGone(now);
     for (const Base::IncarnationId &target : targets_.choose(members_)) {
         sendHeartbeat(members_.at(target), now);
@@ -314,6 +315,7 @@
     if (!member.awaitedSince) {
         member.awaitedSince = now;
     }
+    member.wasContacted = true;
     Heartbeat heartbeat{self_, sequence_, versions_, chooseDigests(member)};
     actions_.emplace_back(
         SendToDaemon{member.daemon.incarnation, member.daemon.address, std::move(heartbeat)});
@@ -380,7 +382,7 @@
 int MembershipView::transmissionLimit() const
 {
     const double size = static_cast<double>(members_.size()) + 2.0;
-    return transmissionFactor * static_cast<int>(std::ceil(std::log2(size)));
+    return extraTransmissions + static_cast<int>(std::ceil(std::log2(size)));
 }
 
 } // namespace Fleet
--- a/src/libs/fleet/membershipview.h
+++ b/src/libs/fleet/membershipview.h
@@ -19,7 +19,7 @@
     /// Unanswered heartbeats in a row that make a daemon a suspect.
     int missedLimit = 2;
     /// Digests in one message.
-    std::size_t digestLimit = 4;
+    std::size_t digestLimit = 3;
     HeartbeatTargetSettings targets;
     /// How long a daemon that is gone is remembered, so that old digests don't revive it.
     Base::Duration goneMemory = std::chrono::minutes(10);
@@ -97,7 +97,7 @@
 
     Daemon self_;
     MembershipSettings settings_;
-    HeartbeatSequence sequence_;
+    HeartbeatSequence sequence_{1};
     KnownVersions versions_;
     Base::ConfigVersion highestConfigVersion_;
     std::optional<Base::Instant> highestConfigHeard_;
--- a/src/libs/fleet/messages.h
+++ b/src/libs/fleet/messages.h
@@ -9,7 +9,9 @@
 
 namespace Fleet {
 
-/// Counts a daemon's heartbeat intervals; a higher number is newer knowledge about that daemon.
+/// Raised by a daemon itself when it refutes a suspicion or begins to leave; a higher number is
+/// newer knowledge about that daemon, and at the same number a suspicion is (SWIM calls it
+/// incarnation).
 using HeartbeatSequence = Base::StrongNumber<struct HeartbeatSequenceTag, std::uint64_t>;
 
 /// Versions that the sender knows; a receiver that is behind reads the store.
--- a/src/libs/ownership/assignmentclient.cpp
+++ b/src/libs/ownership/assignmentclient.cpp
@@ -19,6 +19,7 @@
 constexpr Base::Duration lazyEditPerDaemon = std::chrono::milliseconds(50);
 constexpr Base::Duration shortestLazyEdit = std::chrono::milliseconds(500);
 
+constexpr Base::Duration freshness = std::chrono::milliseconds(50);
 constexpr Base::Duration firstBackOff = std::chrono::milliseconds(20);
 constexpr int backOffDoublings = 6;
 
@@ -72,8 +73,12 @@
 
 void AssignmentClient::addLazyEdit(const AssignmentEdit &edit, Base::Instant now)
 {
-    const Base::Duration spread = scaled(lazyEditPerDaemon, fleetSize_);
-    addEditAt(edit, now + shortestLazyEdit + randomUpTo(spread));
+    // Lazy edits of one daemon share a write.
+    if (lazyEditsAt_ <= now) {
+        const Base::Duration spread = scaled(lazyEditPerDaemon, fleetSize_);
+        lazyEditsAt_ = now + shortestLazyEdit + randomUpTo(spread);
+    }
+    addEditAt(edit, lazyEditsAt_);
 }
 
 void AssignmentClient::addEditAt(const AssignmentEdit &edit, Base::Instant dueAt)
@@ -101,6 +106,9 @@
 
 void AssignmentClient::handleRead(const Platform::StoreOutcome &outcome, Base::Instant now)
 {
+    if (!std::holds_alternative<Platform::StoreUnavailable>(outcome)) {
+        freshAt_ = now;
+    }
     if (const auto *found = std::get_if<Platform::ObjectFound>(&outcome)) {
         adopt(found->object);
         return;
@@ -122,12 +130,14 @@
     std::visit(Base::Visitor{[&](const Platform::WriteConfirmed &confirmed) {
                                  writer_.reset();
                                  lostRaces_ = 0;
+                                 freshAt_ = now;
                                  adoptWritten(confirmed.version);
                              },
                              [&](const Platform::WriteLost &lost) {
                                  writer_.reset();
                                  lostRaces_ = std::min(lostRaces_ + 1, backOffDoublings);
                                  backOffUntil_ = now + randomUpTo(firstBackOff * (1 << lostRaces_));
+                                 freshAt_ = now;
                                  adopt(lost.current);
                              },
                              [&](const Platform::WriteContinues &continues) {
@@ -192,8 +202,14 @@
         retryWriteAt_.reset();
         writing_ = sender_->send(writer_->retry());
     }
-    if (isBatchDue(now)) {
+    if (!isBatchDue(now)) {
+        return;
+    }
+    // A read is cheaper than a write that meets a conflict.
+    if (freshAt_ && now < *freshAt_ + freshness) {
         writeBatch(candidates, now);
+    } else if (!reading_) {
+        sendRead();
     }
 }
 
--- a/src/libs/ownership/assignmentclient.h
+++ b/src/libs/ownership/assignmentclient.h
@@ -89,8 +89,11 @@
     std::optional<Platform::StoreRequestId> reading_;
     std::optional<Base::Instant> readAt_;
     std::optional<Base::Instant> lastRead_;
+    /// When the store last told the object's state.
+    std::optional<Base::Instant> freshAt_;
 
     std::vector<QueuedEdit> edits_;
+    Base::Instant lazyEditsAt_;
     std::optional<Platform::ConditionalWriter> writer_;
     std::optional<Platform::StoreRequestId> writing_;
     std::optional<Base::Instant> retryWriteAt_;
--- a/tests/libs/ownership/simulatedfleet.cpp
+++ b/tests/libs/ownership/simulatedfleet.cpp
@@ -332,11 +332,23 @@
     const auto isLastOwner = [&](const Ownership::Predecessor &predecessor) {
         return predecessor.incarnation == before.owner && predecessor.epoch == before.epoch;
     };
-    if (!isOwnerKept && std::ranges::none_of(after.predecessors, isLastOwner)) {
+    if (isOwnerKept) {
+        return;
+    }
+    const auto last = std::ranges::find_if(after.predecessors, isLastOwner);
+    if (last == after.predecessors.end()) {
         violations_.push_back(name + "the last owner is not a predecessor");
+    } else if (!last->releasedAt && !isFenced(before.owner)) {
+        violations_.push_back(name + "taken over although the owner's lease was not fenced");
     }
 }
 
+bool SimulatedFleet::isFenced(const Base::IncarnationId &incarnation) const
+{
+    const Platform::StoredObject *object = store_.find(Ownership::leaseKey(incarnation));
+    return object == nullptr || Ownership::decodeLease(object->body).value().fencedBy;
+}
+
 std::string SimulatedFleet::settledProblem() const
 {
     std::map<Base::IncarnationId, std::size_t> loads;
--- a/tests/libs/ownership/simulatedfleet.h
+++ b/tests/libs/ownership/simulatedfleet.h
@@ -115,6 +115,7 @@
     void checkEntry(std::size_t partition,
                     const Ownership::PartitionEntry &before,
                     const Ownership::PartitionEntry &after);
+    bool isFenced(const Base::IncarnationId &incarnation) const;
     Base::Duration randomBetween(Base::Duration shortest, Base::Duration longest);
 
     Base::Random random_;
