--- a/src/libs/fleet/world.h
+++ b/src/libs/fleet/world.h
@@ -28,7 +28,7 @@
 {
     Base::ZoneId id;
 
-    auto operator<=>(const AvailabilityZone &) const = default;
+    bool operator==(const AvailabilityZone &) const = default;
 };
 
 /// Connection between two zones.
@@ -47,7 +47,7 @@
     std::string ip;
     std::uint16_t port = 0;
 
-    auto operator<=>(const PeerAddress &) const = default;
+    bool operator==(const PeerAddress &) const = default;
 };
 
 enum class DaemonState {
--- a/src/libs/ownership/peertable.cpp
+++ b/src/libs/ownership/peertable.cpp
@@ -18,7 +18,15 @@
 
 PeerTable::PeerTable(Fleet::Daemon self)
     : self_(std::move(self))
-{}
+{
+    recount();
+}
+
+void PeerTable::setSelfLeaving()
+{
+    isSelfLeaving_ = true;
+    recount();
+}
 
 void PeerTable::handle(const Fleet::MembershipEvent &event, Base::Instant now)
 {
@@ -26,6 +34,7 @@
     if (const auto *gone = std::get_if<Fleet::DaemonGone>(&event)) {
         registered_.erase(gone->daemon.incarnation);
     }
+    recount();
 }
 
 void PeerTable::update(const Fleet::Daemon &daemon, Base::Instant now)
@@ -41,7 +50,9 @@
 
 void PeerTable::noteRegistered(const Base::IncarnationId &incarnation)
 {
-    registered_.insert(incarnation);
+    if (registered_.insert(incarnation).second) {
+        recount();
+    }
 }
 
 void PeerTable::noteAddress(const Fleet::Daemon &daemon)
@@ -49,20 +60,6 @@
     addresses_.insert_or_assign(daemon.incarnation, daemon.address);
 }
 
-std::vector<Candidate> PeerTable::candidates() const
-{
-    std::vector<Candidate> candidates;
-    if (!isSelfLeaving_) {
-        candidates.push_back({self_.incarnation, self_.zone});
-    }
-    for (const auto &[incarnation, peer] : peers_) {
-        if (isCandidate(incarnation)) {
-            candidates.push_back({incarnation, peer.daemon.zone});
-        }
-    }
-    return candidates;
-}
-
 bool PeerTable::isCandidate(const Base::IncarnationId &incarnation) const
 {
     if (incarnation == self_.incarnation) {
@@ -73,28 +70,26 @@
            && registered_.contains(incarnation);
 }
 
-std::size_t PeerTable::otherCandidates() const
-{
-    return candidates().size() - (isSelfLeaving_ ? 0 : 1);
-}
-
-std::optional<std::size_t> PeerTable::rank() const
+void PeerTable::recount()
 {
-    if (isSelfLeaving_) {
-        return std::nullopt;
+    candidates_.clear();
+    fleetSize_ = answering().size() + 1;
+    for (const auto &[incarnation, peer] : peers_) {
+        if (isCandidate(incarnation)) {
+            candidates_.push_back({incarnation, peer.daemon.zone});
+        }
     }
     const auto key = [](const Base::IncarnationId &incarnation) {
         return std::tuple(Base::hash64(incarnation.text()), incarnation);
     };
-    const auto own = key(self_.incarnation);
-    const auto isBefore
-        = [&](const Candidate &candidate) { return key(candidate.incarnation) < own; };
-    return static_cast<std::size_t>(std::ranges::count_if(candidates(), isBefore));
-}
-
-std::size_t PeerTable::fleetSize() const
-{
-    return answering().size() + 1;
+    const auto isBefore = [&, own = key(self_.incarnation)](const Candidate &candidate) {
+        return key(candidate.incarnation) < own;
+    };
+    rank_.reset();
+    if (!isSelfLeaving_) {
+        rank_ = static_cast<std::size_t>(std::ranges::count_if(candidates_, isBefore));
+        candidates_.push_back({self_.incarnation, self_.zone});
+    }
 }
 
 bool PeerTable::isAnswering(const Base::IncarnationId &incarnation) const
--- a/src/libs/ownership/peertable.h
+++ b/src/libs/ownership/peertable.h
@@ -24,20 +24,18 @@
     void noteRegistered(const Base::IncarnationId &incarnation);
     /// A daemon known from its lease only; keeps its address.
     void noteAddress(const Fleet::Daemon &daemon);
-    void setSelfLeaving() { isSelfLeaving_ = true; }
+    void setSelfLeaving();
 
     /// Daemons that may get partitions, this one included unless it leaves.
-    std::vector<Candidate> candidates() const;
+    const std::vector<Candidate> &candidates() const { return candidates_; }
     bool isCandidate(const Base::IncarnationId &incarnation) const;
-    /// Daemons other than this one that may get partitions.
-    std::size_t otherCandidates() const;
 
     /// This daemon's place among those who may take over, 0 for the first; empty if it may not.
     /// All contenders are ranked by one hash, so that all takeovers come from one writer.
-    std::optional<std::size_t> rank() const;
+    std::optional<std::size_t> rank() const { return rank_; }
 
     /// Daemons that answer, this one included.
-    std::size_t fleetSize() const;
+    std::size_t fleetSize() const { return fleetSize_; }
     /// Whether the daemon answers; a daemon that was never heard of does not.
     bool isAnswering(const Base::IncarnationId &incarnation) const;
     /// When it stopped answering; empty if it answers or was never heard of.
@@ -57,12 +55,16 @@
     };
 
     void update(const Fleet::Daemon &daemon, Base::Instant now);
+    void recount();
 
     Fleet::Daemon self_;
     bool isSelfLeaving_ = false;
     std::map<Base::IncarnationId, Peer> peers_;
     std::set<Base::IncarnationId> registered_;
     std::map<Base::IncarnationId, Fleet::PeerAddress> addresses_;
+    std::vector<Candidate> candidates_;
+    std::optional<std::size_t> rank_;
+    std::size_t fleetSize_ = 1;
 };
 
 } // namespace Ownership
