--- a/src/libs/journal/codec.cpp
+++ b/src/libs/journal/codec.cpp
@@ -17,6 +17,7 @@
 
 // Per struct: field headers, numbers at their widest, and lengths of texts.
 constexpr std::int64_t structOverheadBytes = 160;
+constexpr std::int64_t chunkOverheadBytes = 40;
 
 template<typename Format>
 std::string toBytes(const Format &value)
@@ -120,7 +121,7 @@
         bound += boundOf(*state.ended);
     }
     for (const SnapshotChunk &chunk : state.chunks) {
-        bound += structOverheadBytes + length(chunk.name);
+        bound += chunkOverheadBytes + length(chunk.name);
     }
     return bound;
 }
--- a/src/libs/journal/journalwriter.cpp
+++ b/src/libs/journal/journalwriter.cpp
@@ -95,9 +95,9 @@
     return true;
 }
 
-void JournalWriter::setWitnesses(WitnessSet witnesses, Base::Instant now)
+void JournalWriter::setWitnesses(const WitnessSet &witnesses, Base::Instant now)
 {
-    witnesses_.add(witnesses);
+    witnesses_.add(witnesses, toldThrough_);
     pump(now);
 }
 
@@ -119,6 +119,9 @@
         formForWitnesses(now);
     }
     sendToWitnesses(now);
+    for (WitnessSet &ready : witnesses_.takeReady(storedThrough_)) {
+        actions_.emplace_back(WitnessesReady{std::move(ready)});
+    }
     for (Platform::StoreRequest &request : calls_.takeRequests()) {
         actions_.emplace_back(SendStore{std::move(request)});
     }
--- a/src/libs/journal/journalwriter.h
+++ b/src/libs/journal/journalwriter.h
@@ -61,6 +61,12 @@
     std::vector<Ticket> uncommitted;
 };
 
+/// These witnesses have what they need: the lease may be written to name them.
+struct WitnessesReady
+{
+    WitnessSet witnesses;
+};
+
 /// Entries commit at the witnesses from now on.
 struct OutageStarted
 {};
@@ -74,6 +80,7 @@
                                   RecordsCommitted,
                                   SegmentStored,
                                   Fenced,
+                                  WitnessesReady,
                                   OutageStarted,
                                   OutageEnded>;
 
@@ -103,9 +110,9 @@
     /// Takes back an append that was not sent anywhere yet; false if it was.
     bool withdraw(Ticket ticket);
 
-    /// Names the witnesses to use; call before the lease that names them is written. They are
-    /// used together with the earlier ones until the change is confirmed.
-    void setWitnesses(WitnessSet witnesses, Base::Instant now);
+    /// Names the witnesses to use, together with the earlier ones until the change is confirmed.
+    /// The lease that names them may be written only after WitnessesReady.
+    void setWitnesses(const WitnessSet &witnesses, Base::Instant now);
 
     /// The store confirmed a lease that names these witnesses. The earlier ones are used until one
     /// more segment is written: a successor seals the store before it reads the lease.
--- a/src/libs/journal/witnesssets.cpp
+++ b/src/libs/journal/witnesssets.cpp
@@ -18,12 +18,12 @@
     , retryInterval_(retryInterval)
 {}
 
-void WitnessSets::add(const WitnessSet &witnesses)
+void WitnessSets::add(const WitnessSet &witnesses, EntrySequence committedThrough)
 {
-    if (sets_.back() == witnesses) {
+    if (sets_.back().witnesses == witnesses) {
         return;
     }
-    sets_.push_back(witnesses);
+    sets_.push_back({witnesses, committedThrough, false});
     for (const Base::IncarnationId &witness : witnesses) {
         progress_.try_emplace(witness);
     }
@@ -31,8 +31,8 @@
 
 void WitnessSets::confirm(const WitnessSet &witnesses, Base::SegmentNumber barrier)
 {
-    const auto latest = std::find(sets_.rbegin(), sets_.rend(), witnesses);
-    const bool isChange = latest != sets_.rend() && std::next(latest) != sets_.rend();
+    const auto set = latest(witnesses);
+    const bool isChange = set != sets_.end() && set != sets_.begin() && set->isReady;
     if (isChange && confirmed_ != witnesses) {
         confirmed_ = witnesses;
         barrier_ = barrier;
@@ -49,33 +49,64 @@
     if (!confirmed_ || number < barrier_) {
         return;
     }
-    const auto latest = std::find(sets_.rbegin(), sets_.rend(), *confirmed_);
-    sets_.erase(sets_.begin(), std::prev(latest.base()));
+    sets_.erase(sets_.begin(), latest(*confirmed_));
     confirmed_.reset();
     dropUnused();
 }
 
+WitnessSets::Sets::iterator WitnessSets::latest(const WitnessSet &witnesses)
+{
+    const auto found = std::find_if(sets_.rbegin(), sets_.rend(), [&](const SetInForce &set) {
+        return set.witnesses == witnesses;
+    });
+    return found == sets_.rend() ? sets_.end() : std::prev(found.base());
+}
+
+EntrySequence WitnessSets::heldBy(const WitnessSet &witnesses) const
+{
+    std::optional<EntrySequence> least;
+    for (const Base::IncarnationId &witness : witnesses) {
+        const EntrySequence held = progress_.at(witness).heldThrough;
+        least = least ? std::min(*least, held) : held;
+    }
+    return least.value_or(EntrySequence());
+}
+
+std::vector<WitnessSet> WitnessSets::takeReady(EntrySequence storedThrough)
+{
+    // A successor may read the new lease and seal only a new witness, so what earlier witnesses
+    // committed has to be there too before the lease names it.
+    std::vector<WitnessSet> ready;
+    for (SetInForce &set : sets_) {
+        const EntrySequence present = std::max(storedThrough, heldBy(set.witnesses));
+        if (!set.isReady && present >= set.committedBefore) {
+            set.isReady = true;
+            ready.push_back(set.witnesses);
+        }
+    }
+    return ready;
+}
+
 void WitnessSets::dropUnused()
 {
     std::erase_if(progress_, [this](const auto &entry) {
-        return std::none_of(sets_.begin(), sets_.end(), [&](const WitnessSet &set) {
-            return set.contains(entry.first);
+        return std::none_of(sets_.begin(), sets_.end(), [&](const SetInForce &set) {
+            return set.witnesses.contains(entry.first);
         });
     });
 }
 
 std::optional<EntrySequence> WitnessSets::heldThrough() const
 {
-    const bool hasEmptySet = std::any_of(
-        sets_.begin(), sets_.end(), [](const WitnessSet &set) { return set.empty(); });
-    if (hasEmptySet) {
-        return std::nullopt;
+    std::optional<EntrySequence> least;
+    for (const SetInForce &set : sets_) {
+        if (set.witnesses.empty()) {
+            return std::nullopt;
+        }
+        const EntrySequence held = heldBy(set.witnesses);
+        least = least ? std::min(*least, held) : held;
     }
-    const auto least
-        = std::min_element(progress_.begin(), progress_.end(), [](const auto &a, const auto &b) {
-              return a.second.heldThrough < b.second.heldThrough;
-          });
-    return least->second.heldThrough;
+    return least;
 }
 
 bool WitnessSets::isAnswering(Base::Instant now) const
--- a/src/libs/journal/witnesssets.h
+++ b/src/libs/journal/witnesssets.h
@@ -32,8 +32,10 @@
 public:
     WitnessSets(Base::IncarnationId owner, Base::Duration retryInterval);
 
-    /// Adds a set that the lease is about to name.
-    void add(const WitnessSet &witnesses);
+    /// Adds a set; it is ready once it holds what was committed before, or the store does.
+    void add(const WitnessSet &witnesses, EntrySequence committedThrough);
+    /// Sets that became ready since the last call: the lease may name them now.
+    std::vector<WitnessSet> takeReady(EntrySequence storedThrough);
     /// The lease names this set; earlier sets end once the segment `barrier` is stored.
     void confirm(const WitnessSet &witnesses, Base::SegmentNumber barrier);
     /// Whether a confirmed change waits for a segment that is not assigned yet.
@@ -67,6 +69,17 @@
         int trims = 0;
     };
 
+    struct SetInForce
+    {
+        WitnessSet witnesses;
+        /// Entries up to this one were committed before the set was added.
+        EntrySequence committedBefore;
+        bool isReady = false;
+    };
+    using Sets = std::vector<SetInForce>;
+
+    Sets::iterator latest(const WitnessSet &witnesses);
+    EntrySequence heldBy(const WitnessSet &witnesses) const;
     /// Entries below the segment limit that follow what the witness holds.
     static std::vector<Entry> missing(const std::deque<UnstoredEntry> &entries,
                                       EntrySequence after);
@@ -80,7 +93,7 @@
     Base::IncarnationId owner_;
     Base::Duration retryInterval_;
     /// Oldest first; the first one may be the empty set of a daemon without witnesses.
-    std::vector<WitnessSet> sets_{WitnessSet()};
+    Sets sets_{SetInForce{{}, {}, true}};
     std::optional<WitnessSet> confirmed_;
     Base::SegmentNumber barrier_;
     std::map<Base::IncarnationId, Progress> progress_;
--- /dev/null
+++ b/tests/libs/journal/daemonprocess.cpp
@@ -0,0 +1,488 @@
+#include "daemonprocess.h"
+
+#include <base/visitor.h>
+
+#include <sstream>
+
+namespace JournalTest {
+
+using namespace Journal;
+
+namespace {
+
+constexpr std::int64_t smallSegmentBytes = 12'000;
+constexpr int programsOfFirstOwner = 3;
+constexpr std::uint64_t maxInputBytes = 2000;
+
+WriterSettings writerSettings()
+{
+    WriterSettings settings;
+    settings.writesPerSecond = 40;
+    settings.maxSegmentBytes = Base::Bytes(smallSegmentBytes);
+    return settings;
+}
+
+CompactorSettings compactorSettings()
+{
+    CompactorSettings settings;
+    settings.compactAfterSegments = 12;
+    settings.writesPerSecond = 200;
+    settings.maxObjectBytes = Base::Bytes(smallSegmentBytes / 2);
+    return settings;
+}
+
+Platform::ObjectKey leaseKey(const Base::IncarnationId &id)
+{
+    return {Platform::ObjectKind::DaemonLease, id.text()};
+}
+
+std::string join(const WitnessSet &witnesses)
+{
+    std::string text;
+    for (const Base::IncarnationId &witness : witnesses) {
+        text += witness.text() + ",";
+    }
+    return text;
+}
+
+WitnessSet split(const std::string &text)
+{
+    WitnessSet witnesses;
+    std::istringstream in(text);
+    for (std::string name; std::getline(in, name, ',');) {
+        witnesses.insert(Base::IncarnationId(name));
+    }
+    return witnesses;
+}
+
+} // namespace
+
+std::set<Base::PartitionId> schedulePartitions()
+{
+    return {Base::PartitionId(0), Base::PartitionId(1)};
+}
+
+WitnessProcess::WitnessProcess(const std::string &id)
+    : Process{id}
+    , buffer(Base::IncarnationId(id), Base::Bytes(1 << 20))
+{}
+
+void World::setGone(const Base::IncarnationId &incarnation)
+{
+    gone.insert(incarnation);
+    for (const auto &daemon : daemons) {
+        network.at(network.now(), *daemon, [&daemon, incarnation] {
+            daemon->incarnationGone(incarnation);
+        });
+    }
+}
+
+DaemonProcess::DaemonProcess(World &world,
+                             const std::string &id,
+                             std::vector<Base::IncarnationId> predecessors)
+    : Process{id}
+    , world_(world)
+    , id_(id)
+    , predecessors_(std::move(predecessors))
+    , writer_(id_, writerSettings())
+    , compactor_(id_, compactorSettings())
+    , leaseCalls_(std::chrono::milliseconds(500), std::chrono::milliseconds(200))
+{}
+
+void DaemonProcess::start()
+{
+    useWitnesses({Base::IncarnationId("a.1"), Base::IncarnationId("b.1")});
+    recoverNext();
+}
+
+void DaemonProcess::useWitnesses(const WitnessSet &witnesses)
+{
+    isLeaseUnderWay_ = true;
+    writer_.setWitnesses(witnesses, world_.network.now());
+    drainWriter();
+}
+
+void DaemonProcess::writeLease(const WitnessSet &witnesses)
+{
+    ++leaseWrites_;
+    Platform::PutObject put{leaseKey(id_),
+                            leaseVersion_,
+                            join(witnesses),
+                            Base::WriteId(name + ".lease." + std::to_string(leaseWrites_))};
+    const StoreCallId call = leaseCalls_.put(std::move(put), world_.network.now());
+    leaseAnswers_[call] = [this, witnesses](const StoreResult &result) {
+        leaseVersion_ = std::get<Platform::WriteConfirmed>(result).version;
+        witnesses_ = witnesses;
+        isLeaseUnderWay_ = false;
+        world_.network.trace(name, "lease names " + join(witnesses));
+        writer_.witnessesConfirmed(witnesses, world_.network.now());
+        drainWriter();
+        for (const Base::IncarnationId &gone : world_.gone) {
+            replaceWitness(gone);
+        }
+    };
+    drainLease();
+}
+
+void DaemonProcess::replaceWitness(const Base::IncarnationId &gone)
+{
+    if (isLeaseUnderWay_ || !witnesses_.contains(gone)) {
+        return;
+    }
+    WitnessSet next = witnesses_;
+    next.erase(gone);
+    for (const WitnessProcess &witness : world_.witnesses) {
+        const Base::IncarnationId id(witness.name);
+        if (next.size() < 2 && !world_.gone.contains(id)) {
+            next.insert(id);
+        }
+    }
+    if (next.size() == 2) {
+        useWitnesses(next);
+    }
+}
+
+void DaemonProcess::drainLease()
+{
+    for (Platform::StoreRequest &request : leaseCalls_.takeRequests()) {
+        world_.network.call(*this, request, [this](const Platform::StoreReply &reply) {
+            const auto finished = leaseCalls_.handle(reply, world_.network.now());
+            if (finished) {
+                const auto then = leaseAnswers_.extract(finished->call);
+                then.mapped()(finished->result);
+            }
+            drainLease();
+        });
+    }
+    armTimer(Timer::Lease, leaseCalls_.nextWakeUp(), [this] {
+        leaseCalls_.tick(world_.network.now());
+        drainLease();
+    });
+}
+
+void DaemonProcess::armTimer(Timer timer,
+                             std::optional<Base::Instant> at,
+                             std::function<void()> tick)
+{
+    if (!at) {
+        return;
+    }
+    const Base::Instant soonest = world_.network.now() + std::chrono::milliseconds(1);
+    const Base::Instant due = std::max(*at, soonest);
+    const auto armed = armed_.find(timer);
+    if (armed != armed_.end() && armed->second <= due) {
+        return;
+    }
+    armed_[timer] = due;
+    world_.network.at(due, *this, [this, timer, due, tick = std::move(tick)] {
+        const auto latest = armed_.find(timer);
+        if (latest != armed_.end() && latest->second == due) {
+            armed_.erase(latest);
+            tick();
+        }
+    });
+}
+
+void DaemonProcess::recoverNext()
+{
+    if (predecessors_.empty()) {
+        adopt({}, std::nullopt, false);
+        return;
+    }
+    RecoverySettings settings;
+    settings.owner = predecessors_.front();
+    settings.self = id_;
+    settings.partitions = schedulePartitions();
+    settings.writeId = Base::WriteId(name + ".recovers." + settings.owner.text());
+    settings.maxReadsUnderWay = 4;
+    recovery_ = std::make_unique<JournalRecovery>(settings);
+    recovery_->start(world_.network.now());
+    for (const Base::IncarnationId &gone : world_.gone) {
+        recovery_->incarnationGone(gone, world_.network.now());
+    }
+    drainRecovery();
+}
+
+void DaemonProcess::drainRecovery()
+{
+    if (!recovery_) {
+        return;
+    }
+    const Base::IncarnationId owner = predecessors_.front();
+    for (RecoveryAction &action : recovery_->takeActions()) {
+        std::visit(
+            Base::Visitor{
+                [&](SendStore &send) {
+                    world_.network.call(
+                        *this, send.request, [this, owner](const Platform::StoreReply &reply) {
+                            if (recovery_ && predecessors_.front() == owner) {
+                                recovery_->handle(reply, world_.network.now());
+                                drainRecovery();
+                            }
+                        });
+                },
+                [&](SendMessage &message) { send(message); },
+                [&](LeaseNeeded &needed) {
+                    const auto call = leaseCalls_.get(leaseKey(needed.owner), world_.network.now());
+                    leaseAnswers_[call] = [this](const StoreResult &result) {
+                        const auto &object = std::get<ReadAnswered>(result).object;
+                        const WitnessSet named = object ? split(object->body) : WitnessSet();
+                        recovery_->leaseRead(named, world_.network.now());
+                        drainRecovery();
+                    };
+                    drainLease();
+                },
+                [&](RecoveryBlocked &) { world_.network.trace(name, "recovery is blocked"); },
+                [&](RecoveryDone &done) { recovered(std::move(done)); },
+                [&](RecoveryFailed &failed) { violation_ = failed.error.message; }},
+            action);
+    }
+    if (recovery_ && !recovery_->isDone()) {
+        armTimer(Timer::Recovery, recovery_->nextWakeUp(), [this] {
+            if (recovery_) {
+                recovery_->tick(world_.network.now());
+                drainRecovery();
+            }
+        });
+    }
+}
+
+void DaemonProcess::recovered(RecoveryDone done)
+{
+    const NaiveState found = toNaive(done.partitions, world_.network.store());
+    world_.network.trace(name,
+                         "recovered " + done.owner.text() + " sealed at "
+                             + std::to_string(done.sealedAt.value()));
+    recoveries_.push_back({done.owner, found, done.isDegraded});
+    recovery_.reset();
+    bool isAdopted = true;
+    for (const auto &[id, partition] : done.partitions) {
+        isAdopted = isAdopted && partition.adopted;
+    }
+    if (isAdopted || done.isDegraded) {
+        adopt(done.partitions, done.owner, done.isDegraded);
+        return;
+    }
+    predecessors_.erase(predecessors_.begin());
+    recoverNext();
+}
+
+void DaemonProcess::adopt(const std::map<Base::PartitionId, ReplayedPartition> &partitions,
+                          std::optional<Base::IncarnationId> from,
+                          bool isDegraded)
+{
+    std::vector<Record> records;
+    for (const Base::PartitionId id : schedulePartitions()) {
+        const auto found = partitions.find(id);
+        const ReplayedPartition partition
+            = found == partitions.end() ? ReplayedPartition() : found->second;
+        const PartitionAdopted adopted{Base::Epoch(1), from, isDegraded};
+        for (Record &record : findings(id, partition, adopted)) {
+            records.push_back(std::move(record));
+        }
+        for (const auto &[programId, program] : partition.programs) {
+            programs_.push_back({programId, id, program.state.lastEnded});
+        }
+    }
+    append(std::move(records), [this, partitions, isDegraded] {
+        isServing_ = true;
+        world_.network.trace(name, "serves");
+        if (isDegraded) {
+            return;
+        }
+        std::size_t index = 0;
+        for (const auto &[id, partition] : partitions) {
+            for (const auto &[programId, program] : partition.programs) {
+                const std::size_t place = index++;
+                if (program.state.openCall) {
+                    finishCall(place, *program.state.openCall, true);
+                } else {
+                    nextCall(place);
+                }
+            }
+        }
+        const int wanted = partitions.empty() ? programsOfFirstOwner : 1;
+        for (int i = 0; i < wanted; ++i) {
+            createProgram(i);
+        }
+    });
+}
+
+void DaemonProcess::createProgram(int index)
+{
+    ProgramCreated created;
+    created.program = Base::ProgramId(name + "-" + std::to_string(index));
+    created.budget = Base::Tokens(1000);
+    const Base::PartitionId partition(static_cast<std::uint16_t>(index % 2));
+    programs_.push_back({created.program, partition, Base::CallNumber()});
+    const std::size_t place = programs_.size() - 1;
+    append({{partition, created}}, [this, place] { nextCall(place); });
+}
+
+void DaemonProcess::nextCall(std::size_t program)
+{
+    if (!takesCalls_ || isFenced()) {
+        return;
+    }
+    const Base::Duration pause(world_.network.random().below(150'000));
+    world_.network.at(world_.network.now() + pause, *this, [this, program] {
+        if (!takesCalls_ || isFenced()) {
+            return;
+        }
+        const RunningProgram &running = programs_[program];
+        CallIntent intent;
+        intent.program = running.id;
+        intent.number = running.ended.next();
+        intent.input = std::string(world_.network.random().below(maxInputBytes), 'i');
+        intent.reserved = Base::Tokens(10);
+        append({{running.partition, intent}},
+               [this, program, intent] { dispatch(program, intent); });
+    });
+}
+
+void DaemonProcess::dispatch(std::size_t program, CallIntent intent)
+{
+    ++world_.ledger[{intent.program, intent.number}];
+    world_.network.trace(name,
+                         "dispatches " + intent.program.text() + " call "
+                             + std::to_string(intent.number.value()));
+    const Base::Duration work(world_.network.random().below(60'000));
+    world_.network.at(world_.network.now() + work, *this, [this, program, intent] {
+        if (!isFenced()) {
+            finishCall(program, intent, false);
+        }
+    });
+}
+
+void DaemonProcess::finishCall(std::size_t program, const CallIntent &intent, bool mayHaveRun)
+{
+    CallResult result;
+    result.program = intent.program;
+    result.number = intent.number;
+    result.input = intent.input;
+    result.output = name + " answers " + std::to_string(intent.number.value());
+    result.charged = Base::Tokens(3);
+    if (mayHaveRun) {
+        result.error.emplace();
+        result.error->ran = Base::Ran::MayHaveRun;
+    }
+    programs_[program].ended = intent.number;
+    append({{programs_[program].partition, result}}, [this, program] { nextCall(program); });
+}
+
+void DaemonProcess::append(std::vector<Record> records, std::function<void()> then)
+{
+    lastTicket_ = lastTicket_.next();
+    log_.insert(log_.end(), records.begin(), records.end());
+    pending_[lastTicket_] = {log_.size(), std::move(then)};
+    const auto result = writer_.append(lastTicket_, std::move(records), world_.network.now());
+    if (!result && !writer_.isFenced()) {
+        violation_ = "append refused: " + result.error().message;
+    }
+    drainWriter();
+}
+
+void DaemonProcess::committed(Ticket ticket)
+{
+    const auto pending = pending_.begin();
+    if (pending->first != ticket) {
+        violation_ = "committed out of order";
+        return;
+    }
+    committed_ = pending->second.logEnd;
+    const bool isOutage = writer_.path(world_.network.now()) != CommitPath::Store;
+    outageCommits_ += isOutage ? 1 : 0;
+    const std::function<void()> then = std::move(pending->second.then);
+    pending_.erase(pending);
+    then();
+}
+
+void DaemonProcess::drainWriter()
+{
+    for (WriterAction &action : writer_.takeActions()) {
+        std::visit(
+            Base::Visitor{[&](SendStore &send) {
+                              world_.network.call(
+                                  *this, send.request, [this](const Platform::StoreReply &reply) {
+                                      writer_.handle(reply, world_.network.now());
+                                      drainWriter();
+                                  });
+                          },
+                          [&](SendMessage &message) { send(message); },
+                          [&](RecordsCommitted &done) { committed(done.ticket); },
+                          [&](SegmentStored &stored) {
+                              compactor_.segmentStored(std::move(stored), world_.network.now());
+                              drainCompactor();
+                          },
+                          [&](Fenced &fenced) {
+                              world_.network.trace(name, "fenced by " + fenced.by.text());
+                          },
+                          [&](WitnessesReady &ready) { writeLease(ready.witnesses); },
+                          [&](OutageStarted &) { world_.network.trace(name, "outage started"); },
+                          [&](OutageEnded &) { world_.network.trace(name, "outage ended"); }},
+            action);
+    }
+    armTimer(Timer::Writer, writer_.nextWakeUp(), [this] {
+        writer_.tick(world_.network.now());
+        drainWriter();
+    });
+}
+
+void DaemonProcess::drainCompactor()
+{
+    for (CompactorAction &action : compactor_.takeActions()) {
+        if (const auto *send = std::get_if<SendStore>(&action)) {
+            world_.network.call(*this, send->request, [this](const Platform::StoreReply &reply) {
+                compactor_.handle(reply, world_.network.now());
+                drainCompactor();
+            });
+        }
+    }
+    armTimer(Timer::Compactor, compactor_.nextWakeUp(), [this] {
+        compactor_.tick(world_.network.now());
+        drainCompactor();
+    });
+}
+
+void DaemonProcess::send(const SendMessage &message)
+{
+    for (WitnessProcess &witness : world_.witnesses) {
+        if (witness.name != message.to.text()) {
+            continue;
+        }
+        world_.network.message(witness, [this, &witness, sent = message.message] {
+            if (const auto *append = std::get_if<WitnessAppend>(&sent)) {
+                const WitnessAppendReply reply = witness.buffer.append(*append);
+                world_.network.message(*this, [this, reply] { receive(reply); });
+            } else if (const auto *seal = std::get_if<WitnessSeal>(&sent)) {
+                const auto reply = witness.buffer.seal(*seal);
+                world_.network.message(*this, [this, reply] { receive(*reply); });
+            }
+        });
+    }
+}
+
+void DaemonProcess::receive(const WitnessAppendReply &reply)
+{
+    writer_.handle(reply, world_.network.now());
+    drainWriter();
+}
+
+void DaemonProcess::receive(const WitnessSealReply &reply)
+{
+    if (recovery_) {
+        recovery_->handle(reply, world_.network.now());
+        drainRecovery();
+    }
+}
+
+void DaemonProcess::incarnationGone(const Base::IncarnationId &incarnation)
+{
+    replaceWitness(incarnation);
+    if (recovery_) {
+        recovery_->incarnationGone(incarnation, world_.network.now());
+        drainRecovery();
+    }
+}
+
+} // namespace JournalTest
