--- a/tests/libs/journal/schedule.cpp
+++ b/tests/libs/journal/schedule.cpp
@@ -3,6 +3,7 @@
 #include "daemonprocess.h"
 
 #include <algorithm>
+#include <array>
 
 namespace JournalTest {
 
@@ -15,6 +16,7 @@
 constexpr std::uint64_t faultSeed = 0x9e37;
 constexpr double lossProbability = 0.15;
 constexpr double delayProbability = 0.15;
+constexpr double witnessChangeProbability = 0.25;
 constexpr double secondSuccessorProbability = 0.7;
 constexpr double secondWitnessCrashProbability = 0.5;
 constexpr Base::Instant faultsEnd{milliseconds(6500)};
@@ -275,7 +277,13 @@
 
 std::set<Fault> faultsOf(std::uint64_t seed)
 {
+    // A change of witnesses while the store does not answer needs these two together.
+    static constexpr std::array storeFaults{
+        Fault::StoreRequestLoss, Fault::StoreAnswerLoss, Fault::StoreDelay, Fault::Outage};
     Base::Random random(seed ^ faultSeed);
+    if (random.chance(witnessChangeProbability)) {
+        return {Fault::WitnessCrash, storeFaults[random.below(storeFaults.size())]};
+    }
     return {static_cast<Fault>(random.below(faultCount)),
             static_cast<Fault>(random.below(faultCount))};
 }
--- /dev/null
+++ b/tests/libs/journal/tst_compactor.cpp
@@ -0,0 +1,186 @@
+#include "machines.h"
+#include "naivejournal.h"
+#include "records.h"
+
+#include <journal/historyreader.h>
+#include <journal/journalrecovery.h>
+
+#include <criterion/criterion.h>
+
+using namespace Journal;
+using namespace JournalTest;
+
+namespace {
+
+const Base::IncarnationId owner("x.1");
+const Base::PartitionId partition(3);
+const Base::Instant now{};
+
+/// Programs with histories, as records of one journal.
+std::vector<Record> programs(int count, std::uint32_t turns, std::size_t turnBytes)
+{
+    std::vector<Record> records{adopted(partition)};
+    for (int i = 0; i < count; ++i) {
+        const std::string name = "p" + std::to_string(i);
+        records.push_back(created(name, partition));
+        for (std::uint32_t turn = 1; turn <= turns; ++turn) {
+            records.push_back(intent(name, turn, partition));
+            records.push_back(result(name, turn, turnBytes, partition));
+        }
+    }
+    return records;
+}
+
+WriterSettings unpacedWriter()
+{
+    WriterSettings settings;
+    settings.writeBurst = 1e6;
+    return settings;
+}
+
+/// A journal and its compactor on one store.
+struct Daemon
+{
+    explicit Daemon(CompactorSettings settings = {})
+        : compactor(owner, settings)
+    {}
+
+    void write(std::vector<Record> records)
+    {
+        cr_assert(writer.append(Ticket(1), std::move(records), now));
+        for (WriterAction &action : settle<WriterAction>(writer, store, now)) {
+            if (auto *stored = std::get_if<SegmentStored>(&action)) {
+                compactor.segmentStored(std::move(*stored), now);
+            }
+        }
+    }
+
+    void compact()
+    {
+        compactor.requestCompaction(now);
+        settle<CompactorAction>(compactor, store, now);
+        cr_assert(compactor.isIdle());
+    }
+
+    RecoveryDone recover()
+    {
+        RecoverySettings settings;
+        settings.owner = owner;
+        settings.self = Base::IncarnationId("y.1");
+        settings.partitions = {partition};
+        settings.writeId = Base::WriteId("y.1.r");
+        JournalRecovery recovery(settings);
+        recovery.start(now);
+        settle<RecoveryAction>(recovery, store, now);
+        recovery.leaseRead({}, now);
+        const auto actions = recovery.takeActions();
+        return *firstOf<RecoveryDone>(actions);
+    }
+
+    FakeStore store;
+    JournalWriter writer{owner, unpacedWriter()};
+    Compactor compactor;
+};
+
+CompactorSettings unpaced()
+{
+    CompactorSettings settings;
+    settings.writeBurst = 1e6;
+    return settings;
+}
+
+} // namespace
+
+Test(compactor, recoveryAfterCompactionFindsTheSame)
+{
+    const std::vector<Record> before = programs(5, 4, 3000);
+    const std::vector<Record> after{result("p2", 5, 50, partition), intent("p3", 5, partition)};
+    Daemon daemon(unpaced());
+    daemon.write(before);
+    daemon.compact();
+    cr_assert_eq(daemon.store.count(Platform::ObjectKind::JournalSegment), 0U);
+    cr_assert_eq(daemon.store.count(Platform::ObjectKind::ProgramSnapshot), 5U);
+    daemon.write(after);
+    std::vector<Record> log = before;
+    log.insert(log.end(), after.begin(), after.end());
+    const NaiveState found = toNaive(daemon.recover().partitions, daemon.store);
+    const std::string difference = compareWithLog(found, log, log.size(), daemon.store);
+    cr_assert(difference.empty(), "%s", difference.c_str());
+}
+
+Test(compactor, objectsStayBelowTheLimit)
+{
+    CompactorSettings settings = unpaced();
+    settings.maxObjectBytes = Base::Bytes(20'000);
+    Daemon daemon(settings);
+    const std::vector<Record> log = programs(200, 6, 8000);
+    daemon.write(log);
+    daemon.compact();
+    const auto *checkpoint = daemon.store.find(checkpointKey(owner));
+    cr_assert_lt(checkpoint->body.size(), 20'000U);
+    cr_assert_gt(daemon.store.count(Platform::ObjectKind::Checkpoint), 2U, "parts");
+    cr_assert_gt(daemon.store.count(Platform::ObjectKind::ProgramSnapshot), 400U);
+    const NaiveState found = toNaive(daemon.recover().partitions, daemon.store);
+    cr_assert(compareWithLog(found, log, log.size(), daemon.store).empty());
+
+    daemon.compactor.partitionForgotten(partition);
+    daemon.write({created("q", Base::PartitionId(4))});
+    daemon.compact();
+    cr_assert_eq(daemon.store.count(Platform::ObjectKind::Checkpoint), 1U, "old parts deleted");
+}
+
+Test(compactor, historyOfForgottenProgramsIsDeleted)
+{
+    Daemon daemon(unpaced());
+    daemon.write(programs(3, 2, 100));
+    daemon.compact();
+    daemon.write({{partition, ProgramForgotten{Base::ProgramId("p1")}}});
+    daemon.compact();
+    cr_assert_eq(daemon.store.count(Platform::ObjectKind::ProgramSnapshot), 2U);
+    cr_assert_eq(daemon.recover().partitions.at(partition).programs.size(), 2U);
+}
+
+Test(compactor, startsByItselfAndKeepsItsPace)
+{
+    CompactorSettings settings;
+    settings.compactAfterSegments = 20;
+    Daemon daemon(settings);
+    for (std::uint32_t i = 1; i <= 4; ++i) {
+        daemon.write(programs(30, 1, 50));
+    }
+    cr_assert(daemon.compactor.isIdle());
+    daemon.compactor.requestCompaction(now);
+    settle<CompactorAction>(daemon.compactor, daemon.store, now);
+    cr_assert(!daemon.compactor.isIdle());
+    cr_assert_eq(daemon.store.count(Platform::ObjectKind::ProgramSnapshot), settings.writeBurst);
+    cr_assert_gt(*daemon.compactor.nextWakeUp(), now);
+}
+
+Test(historyreader, putsChunksInOrder)
+{
+    CompactorSettings settings = unpaced();
+    settings.maxObjectBytes = Base::Bytes(5000);
+    Daemon daemon(settings);
+    daemon.write(programs(2, 9, 2000));
+    daemon.compact();
+    const RecoveryDone done = daemon.recover();
+    const ProgramState &state = done.partitions.at(partition).programs.begin()->second.state;
+    cr_assert_gt(state.chunks.size(), 2U);
+    HistoryReader reader(state.created.program, state.chunks);
+    reader.start(now);
+    const auto actions = settle<HistoryAction>(reader, daemon.store, now);
+    const auto *read = firstOf<HistoryRead>(actions);
+    cr_assert_eq(read->turns.size(), 9U);
+    for (std::size_t i = 0; i < read->turns.size(); ++i) {
+        cr_assert_eq(read->turns[i].number.value(), i + 1);
+    }
+}
+
+Test(historyreader, absentChunkIsAnError)
+{
+    FakeStore store;
+    HistoryReader reader(Base::ProgramId("p"), {{"p.1.x", {}, {}, {}}});
+    reader.start(now);
+    const auto actions = settle<HistoryAction>(reader, store, now);
+    cr_assert(firstOf<HistoryFailed>(actions)->error.step == Base::Step::Recover);
+}
