--- a/tests/libs/journal/daemonprocess.cpp
+++ b/tests/libs/journal/daemonprocess.cpp
@@ -270,7 +270,7 @@
 }
 
 void DaemonProcess::adopt(const std::map<Base::PartitionId, ReplayedPartition> &partitions,
-                          std::optional<Base::IncarnationId> from,
+                          const std::optional<Base::IncarnationId> &from,
                           bool isDegraded)
 {
     std::vector<Record> records;
@@ -342,7 +342,7 @@
     });
 }
 
-void DaemonProcess::dispatch(std::size_t program, CallIntent intent)
+void DaemonProcess::dispatch(std::size_t program, const CallIntent &intent)
 {
     ++world_.ledger[{intent.program, intent.number}];
     world_.network.trace(name,
--- a/tests/libs/journal/daemonprocess.h
+++ b/tests/libs/journal/daemonprocess.h
@@ -108,11 +108,11 @@
     void recoverNext();
     void recovered(Journal::RecoveryDone done);
     void adopt(const std::map<Base::PartitionId, Journal::ReplayedPartition> &partitions,
-               std::optional<Base::IncarnationId> from,
+               const std::optional<Base::IncarnationId> &from,
                bool isDegraded);
     void createProgram(int index);
     void nextCall(std::size_t program);
-    void dispatch(std::size_t program, Journal::CallIntent intent);
+    void dispatch(std::size_t program, const Journal::CallIntent &intent);
     void finishCall(std::size_t program, const Journal::CallIntent &intent, bool mayHaveRun);
 
     World &world_;
--- a/tests/libs/journal/schedule.cpp
+++ b/tests/libs/journal/schedule.cpp
@@ -65,10 +65,11 @@
     }
     const Base::IncarnationId x("x.1");
     const Base::IncarnationId y("y.1");
-    const auto add = [this](const std::string &id, std::vector<Base::IncarnationId> predecessors) {
-        world_.daemons.push_back(std::make_unique<DaemonProcess>(world_, id, predecessors));
-        return world_.daemons.back().get();
-    };
+    const auto add
+        = [this](const std::string &id, const std::vector<Base::IncarnationId> &predecessors) {
+              world_.daemons.push_back(std::make_unique<DaemonProcess>(world_, id, predecessors));
+              return world_.daemons.back().get();
+          };
     const auto startAt = [this](DaemonProcess *daemon, Base::Instant at) {
         network_.at(at, *daemon, [daemon] { daemon->start(); });
     };
