--- a/src/libs/journal/journalreader.cpp
+++ b/src/libs/journal/journalreader.cpp
@@ -53,7 +53,9 @@
         return;
     }
     checkpointVersion_ = answer.object->version;
-    next_ = checkpoint.value().firstLive;
+    firstLive_ = checkpoint.value().firstLive;
+    checkpointParts_ = checkpoint.value().parts;
+    next_ = firstLive_;
     nextToRead_ = next_;
     throughSequence_ = checkpoint.value().throughSequence;
     replay_.load(checkpoint.value().partitions);
--- a/src/libs/journal/journalreader.h
+++ b/src/libs/journal/journalreader.h
@@ -25,6 +25,9 @@
     /// The next segment is absent or a seal.
     bool isAtEnd() const { return isAtEnd_; }
     bool isSealed() const { return isSealed_; }
+    /// First segment after the checkpoint.
+    Base::SegmentNumber firstLive() const { return firstLive_; }
+    const std::vector<std::string> &checkpointParts() const { return checkpointParts_; }
     /// First segment that was not replayed: absent, or the seal.
     Base::SegmentNumber end() const { return next_; }
     /// Last entry that was replayed.
@@ -50,6 +53,8 @@
     std::map<StoreCallId, Base::SegmentNumber> segmentCalls_;
     /// Answers that wait for earlier ones.
     std::map<Base::SegmentNumber, std::optional<std::string>> arrived_;
+    Base::SegmentNumber firstLive_{1};
+    std::vector<std::string> checkpointParts_;
     Base::SegmentNumber next_{1};
     Base::SegmentNumber nextToRead_{1};
     Platform::ObjectVersion checkpointVersion_;
--- a/tests/benches/journalbench.cpp
+++ b/tests/benches/journalbench.cpp
@@ -276,6 +276,53 @@
                 millisecondsSince(start) * 1e3 / static_cast<double>(appended.size()));
 }
 
+/// Store load of one daemon with 250 programs, compaction included.
+void benchStoreLoad(int callsPerSecond)
+{
+    constexpr int programs = 250;
+    constexpr int seconds = 240;
+    constexpr std::size_t callBytes = 3000;
+    Network network(1, false);
+    Process daemon{"x.1"};
+    JournalWriter writer(owner);
+    Compactor compactor(owner);
+    Driver<CompactorAction, Compactor> compaction(network, daemon, compactor);
+    Driver<WriterAction, JournalWriter> driver(network, daemon, writer);
+    std::uint64_t segments = 0;
+    driver.onOther = [&](const WriterAction &action) {
+        if (const auto *stored = std::get_if<SegmentStored>(&action)) {
+            ++segments;
+            compactor.segmentStored(*stored, network.now());
+            compaction.drain();
+        }
+    };
+    std::uint64_t ticket = 0;
+    const auto append = [&](std::vector<Record> records) {
+        if (!writer.append(Ticket(++ticket), std::move(records), network.now())) {
+            std::puts("append refused");
+        }
+        driver.drain();
+    };
+    for (int program = 0; program < programs; ++program) {
+        append({created(nameOf(program), partitionOf(program))});
+    }
+    Base::Random random(7);
+    for (int call = 0; call < callsPerSecond * seconds; ++call) {
+        network.run(network.now() + Base::Duration(random.below(2'000'000 / callsPerSecond)));
+        const int program = call % programs;
+        const auto number = static_cast<std::uint32_t>(call / programs + 1);
+        append({intent(nameOf(program), number, partitionOf(program))});
+        append({result(nameOf(program), number, callBytes, partitionOf(program))});
+    }
+    const double elapsed = Base::toSeconds(network.now().time_since_epoch());
+    const auto writes = static_cast<double>(network.store().writes());
+    std::printf("%8d %10.1f %14.1f %11.1f\n",
+                callsPerSecond,
+                static_cast<double>(segments) / elapsed,
+                (writes - static_cast<double>(segments)) / elapsed,
+                static_cast<double>(network.store().deletions()) / elapsed);
+}
+
 void benchQueueMemory()
 {
     const double before = allocatedMegabytes();
@@ -311,6 +358,10 @@
     for (const int perSecond : {1, 5, 20, 100, 1000, 5000}) {
         benchAppends(perSecond);
     }
+    std::puts("calls/s   segments/s  compaction wr/s  deletions/s   (250 programs, 3 KB a call)");
+    for (const int callsPerSecond : {5, 20, 80, 300}) {
+        benchStoreLoad(callsPerSecond);
+    }
     benchQueueMemory();
     return 0;
 }
--- a/tests/libs/journal/tst_compactor.cpp
+++ b/tests/libs/journal/tst_compactor.cpp
@@ -4,6 +4,7 @@
 
 #include <journal/historyreader.h>
 #include <journal/journalrecovery.h>
+#include <journal/journalremoval.h>
 
 #include <criterion/criterion.h>
 
@@ -156,6 +157,25 @@
     cr_assert_gt(*daemon.compactor.nextWakeUp(), now);
 }
 
+Test(journalremoval, leavesHistoriesOnly)
+{
+    Daemon daemon(unpaced());
+    daemon.write(programs(3, 2, 100));
+    daemon.compact();
+    daemon.write(programs(3, 2, 100));
+    daemon.recover();
+    RemovalSettings settings;
+    settings.owner = owner;
+    settings.deletionBurst = 100;
+    JournalRemoval removal(settings);
+    removal.start(now);
+    const auto actions = settle<RemovalAction>(removal, daemon.store, now);
+    cr_assert(firstOf<RemovalDone>(actions));
+    cr_assert_eq(daemon.store.count(Platform::ObjectKind::JournalSegment), 0U, "the seal too");
+    cr_assert_eq(daemon.store.count(Platform::ObjectKind::Checkpoint), 0U);
+    cr_assert_eq(daemon.store.count(Platform::ObjectKind::ProgramSnapshot), 3U);
+}
+
 Test(historyreader, putsChunksInOrder)
 {
     CompactorSettings settings = unpaced();
