--- a/schema/journal.thrift
+++ b/schema/journal.thrift
@@ -183,9 +183,9 @@
     6: i64 throughSequence
 }
 
-/// Turns of one program, in an object of their own.
+/// Turns of the programs of one partition, in an object of their own.
 struct HistoryChunk {
     1: i32 format,
-    2: string program,
+    2: i32 partition,
     3: list<CallResult> turns
 }
--- a/src/libs/journal/codec.cpp
+++ b/src/libs/journal/codec.cpp
@@ -219,7 +219,7 @@
 {
     Format::HistoryChunk result;
     result.format = formatVersion;
-    result.program = chunk.program.text();
+    result.partition = chunk.partition.value();
     for (const CallResult &turn : chunk.turns) {
         result.turns.push_back(toFormat(turn));
     }
@@ -261,7 +261,7 @@
 {
     BOOST_OUTCOME_TRY(chunk, fromBytes<Format::HistoryChunk>(bytes));
     HistoryChunk result;
-    result.program = Base::ProgramId(std::move(chunk.program));
+    result.partition = Base::PartitionId(static_cast<std::uint16_t>(chunk.partition));
     result.turns.reserve(chunk.turns.size());
     for (Format::CallResult &turn : chunk.turns) {
         result.turns.push_back(fromFormat(std::move(turn)));
--- a/src/libs/journal/codec.h
+++ b/src/libs/journal/codec.h
@@ -9,10 +9,11 @@
 /// Objects of the journal as bytes: Thrift's compact protocol, schema/journal.thrift.
 namespace Journal {
 
-/// Turns of one program, in an object of their own.
+/// Turns of the programs of one partition, in an object of their own; those of one program stand
+/// together and in order.
 struct HistoryChunk
 {
-    Base::ProgramId program;
+    Base::PartitionId partition;
     std::vector<CallResult> turns;
 
     bool operator==(const HistoryChunk &) const = default;
--- a/src/libs/journal/compactor.cpp
+++ b/src/libs/journal/compactor.cpp
@@ -9,19 +9,6 @@
 
 namespace {
 
-std::string chunkName(const Base::ProgramId &program,
-                      Base::CallNumber first,
-                      const Base::IncarnationId &writer,
-                      std::uint32_t attempt)
-{
-    // The writer in the name keeps chunks apart that an earlier owner left unfinished.
-    std::string name = program.text() + "." + std::to_string(first.value()) + "." + writer.text();
-    if (attempt > 0) {
-        name += "-" + std::to_string(attempt);
-    }
-    return name;
-}
-
 /// Cuts a partition into pieces that fit into one object each.
 void appendPieces(Base::PartitionId id,
                   const ReplayedPartition &partition,
@@ -120,23 +107,38 @@
 
 void Compactor::planProgram(Base::PartitionId partition, ProgramSnapshot &program)
 {
-    Base::Bytes size;
+    // One object for many programs keeps the number of writes apart from the number of calls.
     std::vector<SnapshotChunk> &chunks = program.state.chunks;
     for (CallResult &turn : program.tail) {
-        const Base::Bytes turnSize = sizeBound(turn);
-        const bool isFirst = size.value() == 0;
-        if (isFirst || size + turnSize > settings_.maxObjectBytes) {
+        const Base::Bytes size = sizeBound(turn);
+        const bool hasRoom = !chunks_.empty() && chunks_.back().partition == partition
+                             && chunks_.back().size + size <= settings_.maxObjectBytes;
+        if (!hasRoom) {
+            chunks_.push_back({partition, chunks_.size()});
+        }
+        ChunkJob &job = chunks_.back();
+        if (job.places.try_emplace(turn.program, chunks.size()).second) {
             chunks.push_back({{}, turn.number, turn.number, {}});
-            chunks_.push_back({partition, turn.program, chunks.size() - 1, 0, {}});
-            size = Base::Bytes();
         }
-        size += turnSize;
         chunks.back().last = turn.number;
-        chunks_.back().turns.push_back(std::move(turn));
+        chunks.back().size += size;
+        job.size += size;
+        job.turns.push_back(std::move(turn));
     }
     program.tail.clear();
 }
 
+std::string Compactor::chunkName(const ChunkJob &job) const
+{
+    // The incarnation in the name keeps apart what an earlier owner left unfinished.
+    std::string name = incarnation_.text() + ".history." + std::to_string(foldedThrough_.value())
+                       + "." + std::to_string(job.ordinal);
+    if (job.attempt > 0) {
+        name += "-" + std::to_string(job.attempt);
+    }
+    return name;
+}
+
 void Compactor::proceed(Base::Instant now)
 {
     enterNextPhase();
@@ -193,12 +195,13 @@
 
 void Compactor::sendChunk(ChunkJob job, Base::Instant now)
 {
-    ProgramState &state = replay_.find(job.partition)->programs.at(job.program).state;
-    SnapshotChunk &chunk = state.chunks[job.index];
-    chunk.name = chunkName(job.program, chunk.first, incarnation_, job.attempt);
-    std::string body = encode(HistoryChunk{job.program, job.turns});
-    chunk.size = Base::Bytes(static_cast<std::int64_t>(body.size()));
-    const StoreCallId call = calls_.put(newObject(snapshotKey(chunk.name), std::move(body)), now);
+    const std::string name = chunkName(job);
+    for (const auto &[program, place] : job.places) {
+        ProgramState &state = replay_.find(job.partition)->programs.at(program).state;
+        state.chunks[place].name = name;
+    }
+    std::string body = encode(HistoryChunk{job.partition, job.turns});
+    const StoreCallId call = calls_.put(newObject(snapshotKey(name), std::move(body)), now);
     chunksUnderWay_.emplace(call, std::move(job));
 }
 
--- a/src/libs/journal/compactor.h
+++ b/src/libs/journal/compactor.h
@@ -59,20 +59,22 @@
         WritingCheckpoint
     };
 
-    /// Turns of one program on their way into a snapshot object.
+    /// Turns of one partition on their way into a snapshot object.
     struct ChunkJob
     {
         Base::PartitionId partition;
-        Base::ProgramId program;
-        /// Place of the chunk in the program's list.
-        std::size_t index = 0;
+        std::uint64_t ordinal = 0;
         std::uint32_t attempt = 0;
+        Base::Bytes size;
         std::vector<CallResult> turns;
+        /// Programs with turns in the object, and the place of the chunk in each one's list.
+        std::map<Base::ProgramId, std::size_t> places;
     };
 
     void begin(Base::Instant now);
     void planChunks();
     void planProgram(Base::PartitionId partition, ProgramSnapshot &program);
+    std::string chunkName(const ChunkJob &job) const;
     void planParts();
     void planDeletions();
     void proceed(Base::Instant now);
--- a/src/libs/journal/historyreader.h
+++ b/src/libs/journal/historyreader.h
@@ -5,13 +5,21 @@
 
 namespace Journal {
 
-/// All turns of a program, oldest first.
+/// A program whose history is wanted.
+struct WantedHistory
+{
+    Base::ProgramId program;
+    std::vector<SnapshotChunk> chunks;
+};
+
+/// All turns of a program that are in chunks, oldest first.
 struct HistoryRead
 {
     Base::ProgramId program;
     std::vector<CallResult> turns;
 };
 
+/// An object is absent or malformed; none of the histories is handed out.
 struct HistoryFailed
 {
     Base::ProgramId program;
@@ -20,11 +28,13 @@
 
 using HistoryAction = std::variant<SendStore, HistoryRead, HistoryFailed>;
 
-/// Reads the history of one recovered program from its chunks, when somebody needs it.
+/// Reads histories of recovered programs when somebody needs them. Programs of one partition
+/// share objects, so reading several of them together costs little more than reading one.
 class HistoryReader
 {
 public:
     HistoryReader(Base::ProgramId program, std::vector<SnapshotChunk> chunks);
+    explicit HistoryReader(std::vector<WantedHistory> wanted);
 
     void start(Base::Instant now);
     void handle(const Platform::StoreReply &reply, Base::Instant now);
@@ -33,15 +43,16 @@
     std::vector<HistoryAction> takeActions();
 
 private:
-    void takeChunk(std::size_t index, const ReadAnswered &answer);
+    void takeObject(const std::string &name, const ReadAnswered &answer);
+    void fail(Base::Error error);
     void finish();
+    HistoryRead assemble(const WantedHistory &wanted) const;
 
-    Base::ProgramId program_;
-    std::vector<SnapshotChunk> chunks_;
+    std::vector<WantedHistory> wanted_;
     StoreCalls calls_;
-    std::map<StoreCallId, std::size_t> reads_;
-    std::vector<std::vector<CallResult>> turns_;
-    std::size_t missing_ = 0;
+    std::map<StoreCallId, std::string> reads_;
+    /// Turns by object; only those of wanted programs.
+    std::map<std::string, std::vector<CallResult>> objects_;
     bool isDone_ = false;
     std::vector<HistoryAction> actions_;
 };
--- a/src/libs/journal/record.h
+++ b/src/libs/journal/record.h
@@ -107,13 +107,15 @@
     bool operator==(const ProgramForgotten &) const = default;
 };
 
-/// Part of a program's history, in an object of its own (ObjectKind::ProgramSnapshot).
+/// Part of a program's history, in an object (ObjectKind::ProgramSnapshot) that it shares with
+/// other programs of its partition.
 struct SnapshotChunk
 {
-    /// Name of the object; starts with the program's id.
+    /// Name of the object.
     std::string name;
     Base::CallNumber first;
     Base::CallNumber last;
+    /// Of this program's turns in the object.
     Base::Bytes size;
 
     bool operator==(const SnapshotChunk &) const = default;
--- a/src/libs/journal/replay.cpp
+++ b/src/libs/journal/replay.cpp
@@ -35,6 +35,17 @@
     parent.spent += settled.spent;
 }
 
+bool isChunkUsed(const ReplayedPartition &partition, const std::string &name)
+{
+    return std::any_of(
+        partition.programs.begin(), partition.programs.end(), [&](const auto &entry) {
+            const std::vector<SnapshotChunk> &chunks = entry.second.state.chunks;
+            return std::any_of(chunks.begin(), chunks.end(), [&](const SnapshotChunk &chunk) {
+                return chunk.name == name;
+            });
+        });
+}
+
 /// Runs the function on the program's snapshot if the program is known.
 template<typename Function>
 void with(ReplayedPartition &partition, const Base::ProgramId &program, Function &&function)
@@ -117,12 +128,15 @@
 
 void Replay::forget(ReplayedPartition &partition, const Base::ProgramId &program)
 {
-    with(partition, program, [this](const ProgramSnapshot &snapshot) {
-        for (const SnapshotChunk &chunk : snapshot.state.chunks) {
+    const auto forgotten = partition.programs.extract(program);
+    if (!forgotten) {
+        return;
+    }
+    for (const SnapshotChunk &chunk : forgotten.mapped().state.chunks) {
+        if (!isChunkUsed(partition, chunk.name)) {
             obsoleteChunks_.push_back(chunk.name);
         }
-    });
-    partition.programs.erase(program);
+    }
 }
 
 ReplayedPartition *Replay::find(Base::PartitionId partition)
--- a/src/libs/journal/replay.h
+++ b/src/libs/journal/replay.h
@@ -30,7 +30,7 @@
     std::map<Base::PartitionId, ReplayedPartition> &partitions() { return partitions_; }
     ReplayedPartition *find(Base::PartitionId partition);
     void erase(Base::PartitionId partition) { partitions_.erase(partition); }
-    /// Chunks of programs that were forgotten since the last call.
+    /// History objects that no program needs any more since the last call.
     std::vector<std::string> takeObsoleteChunks();
 
 private:
--- a/src/libs/journal/segment.h
+++ b/src/libs/journal/segment.h
@@ -80,7 +80,7 @@
 /// Key of a further part of a checkpoint.
 Platform::ObjectKey checkpointPartKey(const std::string &name);
 
-/// Key of a chunk of a program's history.
+/// Key of an object with histories.
 Platform::ObjectKey snapshotKey(const std::string &name);
 
 } // namespace Journal
