--- a/src/libs/journal/codec.cpp
+++ b/src/libs/journal/codec.cpp
@@ -17,6 +17,7 @@
 
 // Per struct: field headers, numbers at their widest, and lengths of texts.
 constexpr std::int64_t structOverheadBytes = 160;
+constexpr std::int64_t chunkOverheadBytes = 40;
 
 template<typename Format>
 std::string toBytes(const Format &value)
@@ -120,7 +121,7 @@
         bound += boundOf(*state.ended);
     }
     for (const SnapshotChunk &chunk : state.chunks) {
-        bound += structOverheadBytes + length(chunk.name);
+        bound += chunkOverheadBytes + length(chunk.name);
     }
     return bound;
 }
@@ -218,7 +219,7 @@
 {
     Format::HistoryChunk result;
     result.format = formatVersion;
-    result.program = chunk.program.text();
+    result.partition = chunk.partition.value();
     for (const CallResult &turn : chunk.turns) {
         result.turns.push_back(toFormat(turn));
     }
@@ -260,7 +261,7 @@
 {
     BOOST_OUTCOME_TRY(chunk, fromBytes<Format::HistoryChunk>(bytes));
     HistoryChunk result;
-    result.program = Base::ProgramId(std::move(chunk.program));
+    result.partition = Base::PartitionId(static_cast<std::uint16_t>(chunk.partition));
     result.turns.reserve(chunk.turns.size());
     for (Format::CallResult &turn : chunk.turns) {
         result.turns.push_back(fromFormat(std::move(turn)));
