--- a/src/libs/telemetry/metrics.h
+++ b/src/libs/telemetry/metrics.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Telemetry {
@@ -15,7 +16,10 @@
     std::string name;
     std::string value;
 
-    auto operator<=>(const MetricLabel &) const = default;
+    bool operator<(const MetricLabel &other) const
+    {
+        return std::tie(name, value) < std::tie(other.name, other.value);
+    }
 };
 
 using MetricLabels = std::vector<MetricLabel>;
--- a/tests/libs/telemetry/tst_metrics.cpp
+++ b/tests/libs/telemetry/tst_metrics.cpp
@@ -52,9 +52,11 @@
 
 Test(metrics, threadsShareTheRegistry)
 {
+    constexpr int threadCount = 4;
     Metrics metrics;
     std::vector<std::thread> threads;
-    for (int i = 0; i < 4; ++i) {
+    threads.reserve(threadCount);
+    for (int i = 0; i < threadCount; ++i) {
         threads.emplace_back([&metrics] {
             for (int count = 0; count < 1000; ++count) {
                 metrics.counter("calls_total", "Calls.").add();
