Calls that must not be repeated stay off connections that were idle

A server may close an idle connection at the moment a call is sent on it; the call then counts as "may have run" and is lost to the caller. Such calls now reuse a connection only when it was idle for at most a second. The test fails without the limit (checked).

--- a/src/libs/backends/httptransfer.cpp
+++ b/src/libs/backends/httptransfer.cpp
@@ -8,6 +8,10 @@
 
 constexpr long receiveBufferBytes = 64 * 1024;
 
+/// Servers close idle connections after some seconds. A request that must not be repeated stays
+/// clear of that moment, at which nobody could tell whether it ran.
+constexpr long longestIdleSecondsBeforeUnrepeatable = 1;
+
 std::string_view trimmed(std::string_view text)
 {
     const char *blanks = " \t\r\n";
@@ -79,6 +83,9 @@
     curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &HttpTransfer::onBeforeSending);
     curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
+    if (!request_.mayRepeat) {
+        curl_easy_setopt(easy_, CURLOPT_MAXAGE_CONN, longestIdleSecondsBeforeUnrepeatable);
+    }
     setUpMethod();
     setUpHeaders();
 }
--- a/tests/fakes/httpserver.cpp
+++ b/tests/fakes/httpserver.cpp
@@ -148,6 +148,7 @@
     received.method = request->header().method().c_str();
     received.target = request->header().request_target();
     received.body = request->body();
+    received.connection = request->connection_id();
     request->header().for_each_field([&received](const auto &field) {
         received.headers += field.name() + ": " + field.value() + "\n";
     });
--- a/tests/fakes/receivedrequest.h
+++ b/tests/fakes/receivedrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 namespace Fakes {
@@ -13,6 +14,8 @@
     /// "Name: value" lines.
     std::string headers;
     std::string body;
+    /// Number of the connection, unique while the stand-in runs.
+    std::uint64_t connection = 0;
 };
 
 } // namespace Fakes
--- a/tests/libs/backends/tst_plainserviceclient.cpp
+++ b/tests/libs/backends/tst_plainserviceclient.cpp
@@ -26,11 +26,13 @@
         call.body = method == "GET" ? "" : "soup";
         call.isIdempotent = isIdempotent;
         call.totalTimeout = Timeout(300);
+        call.maxReplySize = maxReplySize;
         Arrivals<Base::Result<PlainReply>> replies;
         client.call(call, [&](Base::Result<PlainReply> reply) { replies.add(std::move(reply)); });
         return replies.first(1).at(0);
     }
 
+    Base::Bytes maxReplySize{1000};
     Fakes::ToolFake tool;
     HttpClient http;
     PlainServiceClient client{http};
@@ -62,6 +64,31 @@
     cr_assert_eq(bench.tool.ledger().size(), 1U);
 }
 
+Test(plainserviceclient, unrepeatableCallAvoidsConnectionsThatWereIdle)
+{
+    Bench bench;
+    const auto idle = std::chrono::milliseconds(2200);
+    cr_assert(bench.call("GET", true).has_value());
+    std::this_thread::sleep_for(idle);
+    cr_assert(bench.call("GET", true).has_value());
+    cr_assert(bench.call("POST").has_value());
+    std::this_thread::sleep_for(idle);
+    cr_assert(bench.call("POST").has_value());
+    const auto received = bench.tool.received();
+    cr_assert_eq(received.at(1).connection, received.at(0).connection);
+    cr_assert_eq(received.at(2).connection, received.at(0).connection);
+    cr_assert_neq(received.at(3).connection, received.at(0).connection);
+}
+
+Test(plainserviceclient, oversizedAnswerIsAnError)
+{
+    Bench bench;
+    bench.maxReplySize = Base::Bytes(10);
+    const auto reply = bench.call("POST");
+    cr_assert(reply.has_error());
+    cr_assert_eq(reply.error().ran, Base::Ran::Ran);
+}
+
 Test(plainserviceclient, lostAnswerToAnIdempotentCallIsRepeated)
 {
     Bench bench;
