--- a/src/libs/backends/platformclient.cpp
+++ b/src/libs/backends/platformclient.cpp
@@ -3,8 +3,8 @@
 #include "platformcodec.h"
 #include "platformwatch.h"
 
-#include <map>
 #include <mutex>
+#include <unordered_map>
 
 namespace Backends {
 
@@ -37,7 +37,7 @@
     const PlatformOptions options;
 
     std::mutex watchesMutex;
-    std::map<WatchId, std::shared_ptr<PlatformWatch>> watches;
+    std::unordered_map<WatchId, std::shared_ptr<PlatformWatch>> watches;
     WatchId lastWatch;
 
 private:
