--- a/src/libs/peercodec/peercodec.cpp
+++ b/src/libs/peercodec/peercodec.cpp
@@ -77,6 +77,7 @@
 std::vector<Wire::WireDigest> encodeDigests(const std::vector<Fleet::DaemonDigest> &digests)
 {
     std::vector<Wire::WireDigest> wire;
+    wire.reserve(digests.size());
     for (const Fleet::DaemonDigest &digest : digests) {
         Wire::WireDigest entry;
         entry.daemon = encodeDaemon(digest.daemon);
@@ -89,6 +90,7 @@
 std::vector<Fleet::DaemonDigest> decodeDigests(const std::vector<Wire::WireDigest> &wire)
 {
     std::vector<Fleet::DaemonDigest> digests;
+    digests.reserve(wire.size());
     for (const Wire::WireDigest &entry : wire) {
         digests.push_back(
             {decodeDaemon(entry.daemon), strong<Fleet::HeartbeatSequence>(entry.sequence)});
--- a/src/libs/runtime/callerfront.cpp
+++ b/src/libs/runtime/callerfront.cpp
@@ -41,11 +41,11 @@
     , metrics_(metrics)
     , server_(context,
               serverSettings(settings),
-              {[this](Gateway::IncomingRequest incoming) { request(std::move(incoming)); },
+              {[this](const Gateway::IncomingRequest &incoming) { request(incoming); },
                [this](RequestId id) { callerGone(id); }})
 {}
 
-void CallerFront::request(Gateway::IncomingRequest request)
+void CallerFront::request(const Gateway::IncomingRequest &request)
 {
     const Base::Result<CallerApi::CallerRequest> parsed = CallerApi::parseCallerRequest(
         {request.method, request.target, request.contentType, request.body}, maxBody_);
--- a/src/libs/runtime/callerfront.h
+++ b/src/libs/runtime/callerfront.h
@@ -37,7 +37,7 @@
         Base::Instant since;
     };
 
-    void request(Gateway::IncomingRequest request);
+    void request(const Gateway::IncomingRequest &request);
     void callerGone(Base::RequestId id);
     void send(Base::RequestId id, const Open &open, const CallerApi::CallerReply &reply);
 
--- a/src/libs/runtime/daemonruntime.cpp
+++ b/src/libs/runtime/daemonruntime.cpp
@@ -110,6 +110,7 @@
     Rpc::ThriftServer operatorServer_;
     asio::steady_timer timer_;
     std::atomic<bool> isDraining_ = false;
+    std::atomic<bool> isStopped_ = false;
 
     std::mutex endMutex_;
     std::condition_variable endChanged_;
@@ -366,6 +367,9 @@
 
 void DaemonRuntime::Private::stopAll()
 {
+    if (isStopped_.exchange(true)) {
+        return;
+    }
     callers_.answerAll(Base::Error{.code = Base::ErrorCode::Unavailable,
                                    .step = Base::Step::Reply,
                                    .peer = incarnation_.text(),
@@ -389,7 +393,11 @@
     : d_(std::make_unique<Private>(settings, seed))
 {}
 
-DaemonRuntime::~DaemonRuntime() = default;
+DaemonRuntime::~DaemonRuntime()
+{
+    // After a start that failed half-way.
+    d_->stopAll();
+}
 
 void DaemonRuntime::start()
 {
--- a/src/libs/runtime/daemonsettings.cpp
+++ b/src/libs/runtime/daemonsettings.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-using Base::SettingsProblem;
 using Base::SettingsReader;
 
 constexpr std::int64_t maxPort = 65535;
--- a/src/libs/scheduler/daemoncore.cpp
+++ b/src/libs/scheduler/daemoncore.cpp
@@ -83,6 +83,7 @@
     lenders_.tick(now);
     dispatcher_.tick(now);
     slotLenders_.tick(now);
+    askPromises(now);
     settle(now);
 }
 
@@ -163,7 +164,7 @@
         break;
     case StoreClient::Ownership:
         if (leaseClock_.replied(routed->reply)) {
-            lenders_.renewed(leaseClock_.until());
+            extendLending(now);
         }
         ownership_.handle(routed->reply, now);
         break;
@@ -183,7 +184,7 @@
     settle(now);
 }
 
-void DaemonCore::Private::send(const IncarnationId &to, PeerMessage message, Instant /*now*/)
+void DaemonCore::Private::send(const IncarnationId &to, PeerMessage message, Instant now)
 {
     if (to == settings_.self.incarnation) {
         selfMessages_.push_back(std::move(message));
@@ -197,6 +198,9 @@
         }
         address = daemon->address;
     }
+    if (std::holds_alternative<Journal::WitnessAppend>(message)) {
+        promises_.sent(to, now);
+    }
     actions_.emplace_back(SendToPeer{to, *address, std::move(message)});
 }
 
@@ -222,11 +226,21 @@
                     programs_.callerGone(*id, now);
                 }
             },
-            [&](const Fleet::Heartbeat &heartbeat) { membership_.handle(heartbeat, now); },
-            [&](const Fleet::HeartbeatAck &ack) { membership_.handle(ack, now); },
+            [&](const Fleet::Heartbeat &heartbeat) {
+                config_.versionHeard(from, heartbeat.versions.config, now);
+                membership_.handle(heartbeat, now);
+            },
+            [&](const Fleet::HeartbeatAck &ack) {
+                config_.versionHeard(from, ack.versions.config, now);
+                membership_.handle(ack, now);
+            },
             [&](const Ownership::AssignmentChanged &changed) { ownership_.handle(changed, now); },
             [&](const Journal::WitnessAppend &append) { send(from, witness_.append(append), now); },
-            [&](const Journal::WitnessAppendReply &reply) { journal_.handle(reply, now); },
+            [&](const Journal::WitnessAppendReply &reply) {
+                promises_.answered(from, reply.verdict == Journal::WitnessVerdict::Accepted);
+                extendLending(now);
+                journal_.handle(reply, now);
+            },
             [&](const Journal::WitnessSeal &seal) {
                 if (auto reply = witness_.seal(seal)) {
                     send(from, std::move(*reply), now);
@@ -294,6 +308,8 @@
     for (const PeerMessage &message : messages) {
         if (const auto *request = std::get_if<ForwardedRequest>(&message)) {
             d_->router_.notDelivered(request->request, to, now);
+        } else if (std::holds_alternative<Journal::WitnessAppend>(message)) {
+            d_->promises_.failed(to, now);
         }
     }
     d_->settle(now);
--- a/src/libs/scheduler/daemoncore_ownership.cpp
+++ b/src/libs/scheduler/daemoncore_ownership.cpp
@@ -16,6 +16,10 @@
 
 /// Tickets of the daemon's own appends start here; those of the program table stay below.
 constexpr std::uint64_t firstOwnTicket = 1ULL << 62;
+/// Pause between two rounds of questions to the witnesses while the lease is not renewed.
+constexpr Base::Duration promiseInterval = std::chrono::milliseconds(250);
+/// Remaining time of the lease at which the witnesses are asked.
+constexpr Base::Duration leaseMargin = std::chrono::milliseconds(1500);
 
 } // namespace
 
@@ -34,7 +38,6 @@
                            [&](const Fleet::MembershipEvent &event) { memberEvent(event, now); },
                            [&](const Fleet::VersionsSeen &seen) {
                                ownership_.handle(seen, now);
-                               config_.versionHeard(seen.from, seen.versions.config, now);
                            }},
                    action);
     }
@@ -271,7 +274,8 @@
                                          bool isFresh,
                                          Instant now)
 {
-    const Instant lendFrom = isFresh ? now : now + settings_.lender.grantLength;
+    const Base::Duration wait = WitnessPromiseSettings().length + settings_.lender.grantLength;
+    const Instant lendFrom = isFresh ? now : now + wait;
     for (const Contracts::Team &team : config_.document()->teams) {
         if (partitionOfTeam(team.id) == partition) {
             lenders_.acquired(
@@ -286,6 +290,26 @@
     }
 }
 
+void DaemonCore::Private::extendLending(Instant now)
+{
+    const Instant until
+        = std::max(leaseClock_.until(), promises_.until(ownership_.witnessesInUse()));
+    if (until > now) {
+        lenders_.renewed(until);
+    }
+}
+
+void DaemonCore::Private::askPromises(Instant now)
+{
+    if (leaseClock_.until() > now + leaseMargin || now < nextPromise_ || serving_.empty()) {
+        return;
+    }
+    nextPromise_ = now + promiseInterval;
+    for (const IncarnationId &witness : ownership_.witnessesInUse()) {
+        send(witness, Journal::WitnessAppend{settings_.self.incarnation, witness, {}, {}}, now);
+    }
+}
+
 void DaemonCore::Private::drainPartitions(Instant now)
 {
     for (auto entry = draining_.begin(); entry != draining_.end();) {
--- a/src/libs/scheduler/daemoncore_p.h
+++ b/src/libs/scheduler/daemoncore_p.h
@@ -5,6 +5,7 @@
 #include "partitionloader.h"
 #include "remotecallers.h"
 #include "storemultiplexer.h"
+#include "witnesspromises.h"
 
 #include <admission/rateborrowertable.h>
 #include <admission/ratelendertable.h>
@@ -112,6 +113,8 @@
     void report(Report report) { actions_.emplace_back(std::move(report)); }
 
     void stopContracts(Base::PartitionId partition);
+    void extendLending(Base::Instant now);
+    void askPromises(Base::Instant now);
     Base::PartitionId partitionOfTeam(const Base::TeamId &team) const;
     Base::PartitionId partitionOfServer(const Base::ServerId &server) const;
 
@@ -184,6 +187,9 @@
     Fleet::MembershipView membership_;
     Ownership::OwnershipManager ownership_;
     LeaseClock leaseClock_;
+    WitnessPromises promises_;
+    /// When the witnesses are asked next to let this daemon lend.
+    Base::Instant nextPromise_;
     Takeover takeover_;
     PartitionLoader loader_;
     /// Partitions whose findings are being committed.
--- a/src/libs/scheduler/partitionloader.cpp
+++ b/src/libs/scheduler/partitionloader.cpp
@@ -87,7 +87,9 @@
 void PartitionLoader::drain(Instant now)
 {
     std::vector<std::uint64_t> finished;
-    for (auto &[number, reader] : readers_) {
+    for (auto &entry : readers_) {
+        const std::uint64_t number = entry.first;
+        Reader &reader = entry.second;
         for (Journal::HistoryAction &action : reader.machine->takeActions()) {
             std::visit(
                 Visitor{[&](Journal::SendStore &send) {
