--- a/src/libs/journal/codec.cpp
+++ b/src/libs/journal/codec.cpp
@@ -1,6 +1,7 @@
 #include "codec.h"
 
 #include "formatconversion.h"
+#include "programconversion.h"
 
 #include <base/visitor.h>
 #include <thrift/protocol/TCompactProtocol.h>
--- a/src/libs/journal/formatconversion.h
+++ b/src/libs/journal/formatconversion.h
@@ -8,12 +8,10 @@
 namespace Journal {
 
 Format::Record toFormat(const Record &record);
-Format::CallResult toFormat(const CallResult &turn);
 Format::PartitionState toFormat(const PartitionState &partition);
 
 /// Empty if the record is of a kind that this version does not know.
 std::optional<Record> fromFormat(Format::Record &&record);
-CallResult fromFormat(Format::CallResult &&turn);
 PartitionState fromFormat(Format::PartitionState &&partition);
 
 } // namespace Journal
--- a/src/libs/journal/journalwriter.cpp
+++ b/src/libs/journal/journalwriter.cpp
@@ -16,15 +16,6 @@
 // Entries sent to witnesses beyond the last one that all of them hold.
 constexpr std::uint64_t maxEntriesAhead = 4;
 
-Base::Error journalError(Base::ErrorCode code, std::string message)
-{
-    Base::Error error;
-    error.code = code;
-    error.step = Base::Step::Journal;
-    error.message = std::move(message);
-    return error;
-}
-
 Base::IncarnationId sealerOf(const std::optional<Platform::StoredObject> &object)
 {
     if (!object) {
@@ -44,6 +35,7 @@
     , calls_(settings.storeTimeout, settings.storeRetryInterval)
     , allowance_(settings.writesPerSecond, settings.writeBurst)
     , witnesses_(incarnation_, settings.witnessRetryInterval)
+    , open_(settings.maxSegmentBytes - envelopeBytes)
 {}
 
 Base::Result<void> JournalWriter::append(Ticket ticket,
@@ -51,50 +43,18 @@
                                          Base::Instant now)
 {
     if (isFenced_) {
-        return journalError(Base::ErrorCode::Unavailable, "a successor sealed the journal");
-    }
-    const Base::Bytes limit = settings_.maxSegmentBytes - envelopeBytes;
-    Base::Bytes total;
-    std::deque<Piece> pieces{Piece{ticket, {}, Base::Bytes(), now}};
-    for (Record &record : records) {
-        const Base::Bytes size = sizeBound(record);
-        if (size > limit) {
-            return journalError(Base::ErrorCode::TooLarge, "record exceeds a journal segment");
-        }
-        if (pieces.back().size + size > limit) {
-            pieces.back().isLast = false;
-            pieces.push_back({ticket, {}, Base::Bytes(), now, false});
-        }
-        pieces.back().records.push_back(std::move(record));
-        pieces.back().size += size;
-        total += size;
-    }
-    if (queuedBytes_ + total > settings_.maxQueuedBytes) {
-        return journalError(Base::ErrorCode::Unavailable, "the journal's queue is full");
-    }
-    queuedBytes_ += total;
-    openBytes_ += total;
-    std::move(pieces.begin(), pieces.end(), std::back_inserter(open_));
+        Base::Error error;
+        error.code = Base::ErrorCode::Unavailable;
+        error.step = Base::Step::Journal;
+        error.message = "a successor sealed the journal";
+        return error;
+    }
+    const Base::Bytes room = settings_.maxQueuedBytes - queuedBytes();
+    BOOST_OUTCOME_TRYV(open_.add(ticket, std::move(records), room, now));
     pump(now);
     return boost::outcome_v2::success();
 }
 
-bool JournalWriter::withdraw(Ticket ticket)
-{
-    const auto first = std::find_if(
-        open_.begin(), open_.end(), [&](const Piece &piece) { return piece.ticket == ticket; });
-    if (first == open_.end() || !first->isFirst) {
-        return false;
-    }
-    const auto last = std::find_if(first, open_.end(), [](const Piece &p) { return p.isLast; });
-    for (auto piece = first; piece != std::next(last); ++piece) {
-        openBytes_ -= piece->size;
-        queuedBytes_ -= piece->size;
-    }
-    open_.erase(first, std::next(last));
-    return true;
-}
-
 void JournalWriter::setWitnesses(const WitnessSet &witnesses, Base::Instant now)
 {
     witnesses_.add(witnesses, toldThrough_);
@@ -145,11 +105,10 @@
 
 bool JournalWriter::isEntryDue(Base::Instant now) const
 {
-    if (open_.empty()) {
+    if (open_.isEmpty()) {
         return witnesses_.needsSegment(lastSegment_);
     }
-    return underWay_.empty() || openBytes_ >= settings_.maxSegmentBytes - envelopeBytes
-           || open_.front().at + settings_.groupInterval <= now;
+    return underWay_.empty() || open_.isFull() || open_.oldest() + settings_.groupInterval <= now;
 }
 
 bool JournalWriter::startSegment(Base::Instant now)
@@ -173,20 +132,11 @@
 void JournalWriter::formEntry()
 {
     lastSequence_ = lastSequence_.next();
-    UnstoredEntry formed{{incarnation_, lastSequence_, {}, std::nullopt}, {}, {}};
-    const Base::Bytes limit = settings_.maxSegmentBytes - envelopeBytes;
-    while (!open_.empty() && formed.size + open_.front().size <= limit) {
-        Piece &piece = open_.front();
-        formed.size += piece.size;
-        std::move(
-            piece.records.begin(), piece.records.end(), std::back_inserter(formed.entry.records));
-        if (piece.isLast) {
-            formed.tickets.push_back(piece.ticket);
-        }
-        open_.pop_front();
-    }
-    openBytes_ -= formed.size;
-    entries_.push_back(std::move(formed));
+    RecordQueue::Batch batch = open_.take();
+    unstoredBytes_ += batch.size;
+    entries_.push_back({{incarnation_, lastSequence_, std::move(batch.records), std::nullopt},
+                        batch.size,
+                        std::move(batch.tickets)});
 }
 
 void JournalWriter::assignSegment(Base::Instant now)
@@ -224,11 +174,11 @@
     if (!held) {
         return;
     }
-    while (!open_.empty()) {
+    while (!open_.isEmpty()) {
         const EntrySequence confirmed = std::max(*held, storedThrough_);
         const std::uint64_t ahead = lastSequence_.value() - confirmed.value();
-        const bool isDue = ahead == 0 || openBytes_ >= settings_.maxSegmentBytes - envelopeBytes
-                           || open_.front().at + settings_.groupInterval <= now;
+        const bool isDue
+            = ahead == 0 || open_.isFull() || open_.oldest() + settings_.groupInterval <= now;
         if (!isDue || ahead >= maxEntriesAhead) {
             return;
         }
@@ -288,7 +238,7 @@
                       std::back_inserter(stored.records));
             entries_.pop_front();
         }
-        queuedBytes_ -= stored.size;
+        unstoredBytes_ -= stored.size;
         witnesses_.segmentStored(segment.number);
         actions_.emplace_back(std::move(stored));
     }
@@ -352,14 +302,12 @@
                 fenced.uncommitted.end(), unstored.tickets.begin(), unstored.tickets.end());
         }
     }
-    for (const Piece &piece : open_) {
-        if (piece.isLast) {
-            fenced.uncommitted.push_back(piece.ticket);
-        }
-    }
+    const std::vector<Ticket> waiting = open_.tickets();
+    fenced.uncommitted.insert(fenced.uncommitted.end(), waiting.begin(), waiting.end());
     calls_.cancelAll();
     entries_.clear();
-    open_.clear();
+    open_ = RecordQueue(Base::Bytes());
+    unstoredBytes_ = Base::Bytes();
     underWay_.clear();
     actions_.emplace_back(std::move(fenced));
 }
@@ -375,15 +323,16 @@
 
 std::optional<Base::Instant> JournalWriter::nextSegmentAt() const
 {
-    const bool hasWork = hasUnassigned() || !open_.empty() || witnesses_.needsSegment(lastSegment_);
+    const bool hasWork
+        = hasUnassigned() || !open_.isEmpty() || witnesses_.needsSegment(lastSegment_);
     if (!hasWork || underWay_.size() >= createLimit()) {
         return std::nullopt;
     }
     const Base::Instant allowed = allowance_.availableAt();
-    if (hasUnassigned() || open_.empty() || underWay_.empty()) {
+    if (hasUnassigned() || open_.isEmpty() || underWay_.empty()) {
         return allowed;
     }
-    return std::max(allowed, open_.front().at + settings_.groupInterval);
+    return std::max(allowed, open_.oldest() + settings_.groupInterval);
 }
 
 std::optional<Base::Instant> JournalWriter::nextWakeUp() const
@@ -405,10 +354,10 @@
     }
     const std::optional<EntrySequence> held = witnesses_.heldThrough();
     const bool waitsForGroup
-        = isOutage_ && held && !open_.empty()
+        = isOutage_ && held && !open_.isEmpty()
           && lastSequence_.value() < std::max(*held, storedThrough_).value() + maxEntriesAhead;
     if (waitsForGroup) {
-        consider(open_.front().at + settings_.groupInterval);
+        consider(open_.oldest() + settings_.groupInterval);
     }
     return earliest;
 }
--- a/src/libs/journal/journalwriter.h
+++ b/src/libs/journal/journalwriter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "messages.h"
+#include "recordqueue.h"
 #include "storecalls.h"
 #include "witnesssets.h"
 #include "writeallowance.h"
@@ -108,7 +109,7 @@
     Base::Result<void> append(Ticket ticket, std::vector<Record> records, Base::Instant now);
 
     /// Takes back an append that was not sent anywhere yet; false if it was.
-    bool withdraw(Ticket ticket);
+    bool withdraw(Ticket ticket) { return open_.withdraw(ticket); }
 
     /// Names the witnesses to use, together with the earlier ones until the change is confirmed.
     /// The lease that names them may be written only after WitnessesReady.
@@ -129,20 +130,9 @@
     /// All segments up to this one are in the store.
     Base::SegmentNumber storedThrough() const { return storedSegment_; }
     /// Records that the store does not have yet.
-    Base::Bytes queuedBytes() const { return queuedBytes_; }
+    Base::Bytes queuedBytes() const { return open_.size() + unstoredBytes_; }
 
 private:
-    /// An append, or a part of a large one, that is not in an entry yet.
-    struct Piece
-    {
-        Ticket ticket;
-        std::vector<Record> records;
-        Base::Bytes size;
-        Base::Instant at;
-        bool isFirst = true;
-        bool isLast = true;
-    };
-
     struct SegmentUnderWay
     {
         Base::SegmentNumber number;
@@ -176,8 +166,7 @@
     WitnessSets witnesses_;
     bool isFenced_ = false;
     bool isOutage_ = false;
-    std::deque<Piece> open_;
-    Base::Bytes openBytes_;
+    RecordQueue open_;
     std::deque<UnstoredEntry> entries_;
     std::deque<SegmentUnderWay> underWay_;
     EntrySequence lastSequence_;
@@ -186,7 +175,7 @@
     EntrySequence toldThrough_;
     Base::SegmentNumber lastSegment_;
     Base::SegmentNumber storedSegment_;
-    Base::Bytes queuedBytes_;
+    Base::Bytes unstoredBytes_;
     std::vector<WriterAction> actions_;
 };
 
