--- a/tests/libs/journal/daemonprocess.cpp
+++ b/tests/libs/journal/daemonprocess.cpp
@@ -2,8 +2,6 @@
 
 #include <base/visitor.h>
 
-#include <sstream>
-
 namespace JournalTest {
 
 using namespace Journal;
@@ -11,7 +9,6 @@
 namespace {
 
 constexpr std::int64_t smallSegmentBytes = 12'000;
-constexpr int programsOfFirstOwner = 3;
 constexpr std::uint64_t maxInputBytes = 2000;
 constexpr std::uint64_t maxPauseMicroseconds = 400'000;
 constexpr std::uint64_t maxWorkMicroseconds = 100'000;
@@ -33,11 +30,6 @@
     return settings;
 }
 
-Platform::ObjectKey leaseKey(const Base::IncarnationId &id)
-{
-    return {Platform::ObjectKind::DaemonLease, id.text()};
-}
-
 std::string join(const WitnessSet &witnesses)
 {
     std::string text;
@@ -47,16 +39,6 @@
     return text;
 }
 
-WitnessSet split(const std::string &text)
-{
-    WitnessSet witnesses;
-    std::istringstream in(text);
-    for (std::string name; std::getline(in, name, ',');) {
-        witnesses.insert(Base::IncarnationId(name));
-    }
-    return witnesses;
-}
-
 } // namespace
 
 std::set<Base::PartitionId> schedulePartitions()
@@ -185,131 +167,6 @@
     });
 }
 
-void DaemonProcess::recoverNext()
-{
-    if (predecessors_.empty()) {
-        adopt({}, std::nullopt, false);
-        return;
-    }
-    RecoverySettings settings;
-    settings.owner = predecessors_.front();
-    settings.self = id_;
-    settings.partitions = schedulePartitions();
-    settings.writeId = Base::WriteId(name + ".recovers." + settings.owner.text());
-    settings.maxReadsUnderWay = 4;
-    recovery_ = std::make_unique<JournalRecovery>(settings);
-    recovery_->start(world_.network.now());
-    for (const Base::IncarnationId &gone : world_.gone) {
-        recovery_->incarnationGone(gone, world_.network.now());
-    }
-    drainRecovery();
-}
-
-void DaemonProcess::drainRecovery()
-{
-    if (!recovery_) {
-        return;
-    }
-    const Base::IncarnationId owner = predecessors_.front();
-    for (RecoveryAction &action : recovery_->takeActions()) {
-        std::visit(
-            Base::Visitor{
-                [&](SendStore &send) {
-                    world_.network.call(
-                        *this, send.request, [this, owner](const Platform::StoreReply &reply) {
-                            if (recovery_ && predecessors_.front() == owner) {
-                                recovery_->handle(reply, world_.network.now());
-                                drainRecovery();
-                            }
-                        });
-                },
-                [&](SendMessage &message) { send(message); },
-                [&](LeaseNeeded &needed) {
-                    const auto call = leaseCalls_.get(leaseKey(needed.owner), world_.network.now());
-                    leaseAnswers_[call] = [this](const StoreResult &result) {
-                        const auto &object = std::get<ReadAnswered>(result).object;
-                        const WitnessSet named = object ? split(object->body) : WitnessSet();
-                        recovery_->leaseRead(named, world_.network.now());
-                        drainRecovery();
-                    };
-                    drainLease();
-                },
-                [&](RecoveryBlocked &) { world_.network.trace(name, "recovery is blocked"); },
-                [&](RecoveryDone &done) { recovered(std::move(done)); },
-                [&](RecoveryFailed &failed) { violation_ = failed.error.message; }},
-            action);
-    }
-    if (recovery_ && !recovery_->isDone()) {
-        armTimer(Timer::Recovery, recovery_->nextWakeUp(), [this] {
-            if (recovery_) {
-                recovery_->tick(world_.network.now());
-                drainRecovery();
-            }
-        });
-    }
-}
-
-void DaemonProcess::recovered(RecoveryDone done)
-{
-    const NaiveState found = toNaive(done.partitions, world_.network.store());
-    world_.network.trace(name,
-                         "recovered " + done.owner.text() + " sealed at "
-                             + std::to_string(done.sealedAt.value()));
-    recoveries_.push_back({done.owner, found, done.isDegraded});
-    recovery_.reset();
-    bool isAdopted = true;
-    for (const auto &[id, partition] : done.partitions) {
-        isAdopted = isAdopted && partition.adopted;
-    }
-    if (isAdopted || done.isDegraded) {
-        adopt(done.partitions, done.owner, done.isDegraded);
-        return;
-    }
-    predecessors_.erase(predecessors_.begin());
-    recoverNext();
-}
-
-void DaemonProcess::adopt(const std::map<Base::PartitionId, ReplayedPartition> &partitions,
-                          const std::optional<Base::IncarnationId> &from,
-                          bool isDegraded)
-{
-    std::vector<Record> records;
-    for (const Base::PartitionId id : schedulePartitions()) {
-        const auto found = partitions.find(id);
-        const ReplayedPartition partition
-            = found == partitions.end() ? ReplayedPartition() : found->second;
-        const PartitionAdopted adopted{Base::Epoch(1), from, isDegraded};
-        for (Record &record : findings(id, partition, adopted)) {
-            records.push_back(std::move(record));
-        }
-        for (const auto &[programId, program] : partition.programs) {
-            programs_.push_back({programId, id, program.state.lastEnded});
-        }
-    }
-    append(std::move(records), [this, partitions, isDegraded] {
-        isServing_ = true;
-        world_.network.trace(name, "serves");
-        if (isDegraded) {
-            return;
-        }
-        std::size_t index = 0;
-        for (const auto &[id, partition] : partitions) {
-            for (const auto &[programId, program] : partition.programs) {
-                const std::size_t place = index++;
-                if (program.state.openCall) {
-                    finishCall(place, *program.state.openCall, true);
-                } else {
-                    nextCall(place);
-                }
-            }
-        }
-        const int wanted = partitions.empty() ? programsOfFirstOwner : 1;
-        for (int i = 0; i < wanted; ++i) {
-            createProgram(i);
-        }
-    });
-}
-
 void DaemonProcess::createProgram(int index)
 {
     ProgramCreated created;
--- a/tests/libs/journal/daemonprocess.h
+++ b/tests/libs/journal/daemonprocess.h
@@ -140,6 +140,9 @@
     std::string violation_;
 };
 
+/// The object that names a daemon's witnesses, separated by commas.
+Platform::ObjectKey leaseKey(const Base::IncarnationId &id);
+
 /// Partitions of every schedule.
 std::set<Base::PartitionId> schedulePartitions();
 
