--- a/src/libs/journal/journalwriter.cpp
+++ b/src/libs/journal/journalwriter.cpp
@@ -149,10 +149,8 @@
     segment.writeId
         = Base::WriteId(incarnation_.text() + "." + std::to_string(lastSegment_.value()));
     Base::Bytes size;
-    for (const UnstoredEntry &unstored : entries_) {
-        if (unstored.entry.sequence <= assignedThrough_) {
-            continue;
-        }
+    for (std::size_t i = indexAfter(entries_, assignedThrough_); i < entries_.size(); ++i) {
+        const UnstoredEntry &unstored = entries_[i];
         size += unstored.size + envelopeBytes;
         if (!segment.entries.empty() && size > settings_.maxSegmentBytes) {
             break;
@@ -246,14 +244,9 @@
 
 void JournalWriter::tellCommitted(EntrySequence through)
 {
-    for (const UnstoredEntry &unstored : entries_) {
-        if (unstored.entry.sequence > through) {
-            break;
-        }
-        if (unstored.entry.sequence <= toldThrough_) {
-            continue;
-        }
-        for (const Ticket ticket : unstored.tickets) {
+    const std::size_t end = indexAfter(entries_, through);
+    for (std::size_t i = indexAfter(entries_, toldThrough_); i < end; ++i) {
+        for (const Ticket ticket : entries_[i].tickets) {
             actions_.emplace_back(RecordsCommitted{ticket});
         }
     }
@@ -266,10 +259,8 @@
         return;
     }
     Base::Bytes backlog;
-    for (const UnstoredEntry &unstored : entries_) {
-        if (unstored.entry.sequence > assignedThrough_) {
-            backlog += unstored.size + envelopeBytes;
-        }
+    for (std::size_t i = indexAfter(entries_, assignedThrough_); i < entries_.size(); ++i) {
+        backlog += entries_[i].size + envelopeBytes;
     }
     if (backlog <= settings_.maxSegmentBytes) {
         isOutage_ = false;
--- a/src/libs/journal/witnesssets.cpp
+++ b/src/libs/journal/witnesssets.cpp
@@ -13,6 +13,15 @@
 
 } // namespace
 
+std::size_t indexAfter(const std::deque<UnstoredEntry> &entries, EntrySequence sequence)
+{
+    if (entries.empty() || sequence < entries.front().entry.sequence) {
+        return 0;
+    }
+    const std::uint64_t offset = sequence.next().value() - entries.front().entry.sequence.value();
+    return std::min<std::uint64_t>(offset, entries.size());
+}
+
 WitnessSets::WitnessSets(Base::IncarnationId owner, Base::Duration retryInterval)
     : owner_(std::move(owner))
     , retryInterval_(retryInterval)
@@ -160,10 +169,8 @@
 {
     std::vector<Entry> result;
     Base::Bytes size;
-    for (const UnstoredEntry &unstored : entries) {
-        if (unstored.entry.sequence <= after) {
-            continue;
-        }
+    for (std::size_t i = indexAfter(entries, after); i < entries.size(); ++i) {
+        const UnstoredEntry &unstored = entries[i];
         if (!result.empty() && size + unstored.size > maxMessageBytes) {
             break;
         }
@@ -202,7 +209,9 @@
     progress.heldThrough
         = isGap ? reply.heldThrough : std::max(progress.heldThrough, reply.heldThrough);
     progress.toldStored = std::max(progress.toldStored, progress.sentStored);
-    progress.unansweredSince.reset();
+    if (reply.verdict != WitnessVerdict::Full) {
+        progress.unansweredSince.reset();
+    }
     progress.trims = 0;
     // A full witness is asked again after the interval, not at once.
     progress.isWaiting = reply.verdict == WitnessVerdict::Full;
--- a/src/libs/journal/witnesssets.h
+++ b/src/libs/journal/witnesssets.h
@@ -26,6 +26,9 @@
     std::vector<Ticket> tickets;
 };
 
+/// Index of the first entry behind the sequence number; the entries are contiguous.
+std::size_t indexAfter(const std::deque<UnstoredEntry> &entries, EntrySequence sequence);
+
 /// The owner's side of its witnesses: the sets in force, and what each witness holds.
 class WitnessSets
 {
--- a/tests/benches/journalbench.cpp
+++ b/tests/benches/journalbench.cpp
@@ -4,6 +4,7 @@
 
 #include <journal/historyreader.h>
 #include <journal/journalrecovery.h>
+#include <journal/witnessbuffer.h>
 
 #include <malloc.h>
 
@@ -326,6 +327,69 @@
                 static_cast<double>(network.store().deletions()) / elapsed);
 }
 
+/// Commits at two witnesses while the store is away, and the drain afterwards.
+void benchOutage(int perSecond)
+{
+    constexpr std::chrono::seconds outage(120);
+    Network network(1, false);
+    Process daemon{"x.1"};
+    std::map<Base::IncarnationId, WitnessBuffer> buffers;
+    WitnessSet witnesses;
+    for (const char *id : {"a.1", "b.1"}) {
+        witnesses.insert(Base::IncarnationId(id));
+        buffers.emplace(id, WitnessBuffer(Base::IncarnationId(id), Base::Bytes(64 << 20)));
+    }
+    JournalWriter writer(owner);
+    Driver<WriterAction, JournalWriter> driver(network, daemon, writer);
+    std::vector<Base::Instant> appended;
+    std::vector<double> waits;
+    driver.onOther = [&](const WriterAction &action) {
+        if (const auto *send = std::get_if<SendMessage>(&action)) {
+            const auto sent = std::get<WitnessAppend>(send->message);
+            network.message(daemon, [&, sent] {
+                const WitnessAppendReply reply = buffers.at(sent.witness).append(sent);
+                network.message(daemon, [&, reply] {
+                    writer.handle(reply, network.now());
+                    driver.drain();
+                });
+            });
+        } else if (const auto *done = std::get_if<RecordsCommitted>(&action)) {
+            waits.push_back(toMilliseconds(network.now() - appended[done->ticket.value() - 1]));
+        }
+    };
+    writer.setWitnesses(witnesses, network.now());
+    writer.witnessesConfirmed(witnesses, network.now());
+    driver.drain();
+    network.run(Base::Instant(std::chrono::seconds(1)));
+    const Base::Instant end = network.now() + outage;
+    network.faults().outageFrom = network.now();
+    network.faults().outageUntil = end;
+    const Clock::time_point start = Clock::now();
+    for (Base::Instant next = network.now(); next < end;) {
+        next += Base::Duration(1'000'000 / perSecond);
+        network.run(next);
+        appended.push_back(next);
+        if (!writer.append(Ticket(appended.size()), {result("p", 1, 400)}, next)) {
+            std::puts("append refused");
+        }
+        driver.drain();
+    }
+    const double queued = static_cast<double>(writer.queuedBytes().value()) / 1e6;
+    const double held = static_cast<double>(buffers.begin()->second.heldBytes().value()) / 1e6;
+    const std::uint64_t writesBefore = network.store().writes();
+    runUntil(network, [&] { return writer.queuedBytes().value() == 0; });
+    std::sort(waits.begin(), waits.end());
+    std::printf("%8d %11.1f %9.1f %10.1f %10.1f %9.1f %9llu %14.1f\n",
+                perSecond,
+                waits[waits.size() / 2],
+                waits[waits.size() * 95 / 100],
+                queued,
+                held,
+                Base::toSeconds(network.now() - end),
+                static_cast<unsigned long long>(network.store().writes() - writesBefore),
+                millisecondsSince(start) * 1e3 / static_cast<double>(appended.size()));
+}
+
 void benchQueueMemory()
 {
     const double before = allocatedMegabytes();
@@ -365,6 +429,12 @@
     for (const int callsPerSecond : {5, 20, 80, 300}) {
         benchStoreLoad(callsPerSecond);
     }
+    std::puts("outage of 120 s with two witnesses");
+    std::puts(
+        "appends/s  median ms    p95 ms  queued MB  held MB   drain s   writes  processor us");
+    for (const int perSecond : {10, 100, 300}) {
+        benchOutage(perSecond);
+    }
     benchQueueMemory();
     return 0;
 }
--- a/tests/libs/journal/tst_journalwriter.cpp
+++ b/tests/libs/journal/tst_journalwriter.cpp
@@ -216,6 +216,32 @@
     cr_assert_eq(a.heldBytes().value(), 0, "the witness drops what the store has");
 }
 
+Test(journalwriter, fullWitnessEndsTheCommitsThere)
+{
+    FakeStore store;
+    JournalWriter writer(owner);
+    WitnessBuffer buffer(Base::IncarnationId("a.1"), Base::Bytes(1000));
+    const WitnessSet one{Base::IncarnationId("a.1")};
+    Base::Instant now{};
+    writer.setWitnesses(one, now);
+    writer.witnessesConfirmed(one, now);
+    settle<WriterAction>(writer, store, now);
+    cr_assert(writer.append(Ticket(1), {result("p", 1, 2000)}, now));
+    now += milliseconds(400);
+    cr_assert(writer.path(now) == CommitPath::Store);
+    for (int i = 0; i < 5; ++i) {
+        writer.tick(now);
+        for (const WriterAction &action : writer.takeActions()) {
+            if (const auto *send = std::get_if<SendMessage>(&action)) {
+                writer.handle(buffer.append(std::get<WitnessAppend>(send->message)), now);
+            }
+            cr_assert(!std::holds_alternative<RecordsCommitted>(action));
+        }
+        now += milliseconds(150);
+    }
+    cr_assert(writer.path(now) == CommitPath::None);
+}
+
 // A successor that reads the new lease may seal only the new witness.
 Test(journalwriter, newWitnessesAreReadyOnceTheyHoldWhatWasCommitted)
 {
