--- a/src/libs/journal/journalwriter.cpp
+++ b/src/libs/journal/journalwriter.cpp
@@ -72,6 +72,9 @@
     if (isFenced_) {
         return;
     }
+    if (const std::optional<EntrySequence> held = witnesses_.heldThrough()) {
+        tellCommitted(std::min(*held, lastSequence_));
+    }
     detectOutage(now);
     while (startSegment(now)) {
     }
@@ -277,9 +280,6 @@
         fence(Base::IncarnationId());
         return;
     }
-    if (const std::optional<EntrySequence> held = witnesses_.heldThrough()) {
-        tellCommitted(std::min(*held, lastSequence_));
-    }
     pump(now);
 }
 
