Reconsider the servers of calls that wait for any slot

With slots by grants, a call that any server may take asked two servers once and stayed with them, while others became idle.

--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -118,7 +118,8 @@
     void admit(Call &call, Service &service, Base::Instant now);
     void place(Call &call, Base::Instant now);
     void bind(Call &call, Server &server, bool mayReconsider, Base::Instant now);
-    void queueForAny(Call &call);
+    void queueForAny(Call &call, Base::Instant now);
+    void planReconsideration(Call &call, Base::Instant now);
     void askTwo(Call &call);
     void dequeue(Call &call);
     void reconsider(Call &call, Base::Instant now);
--- a/src/libs/dispatch/dispatcherplacement.cpp
+++ b/src/libs/dispatch/dispatcherplacement.cpp
@@ -76,7 +76,7 @@
         bind(call, *holder, true, now);
         return;
     }
-    queueForAny(call);
+    queueForAny(call, now);
 }
 
 void Dispatcher::bind(Call &call, Server &server, bool mayReconsider, Base::Instant now)
@@ -88,20 +88,26 @@
         demandChanged_.insert(server.state.id());
     }
     if (mayReconsider) {
-        call.reconsiderAt = now + settings_.reconsiderInterval;
-        reconsiderations_.emplace(*call.reconsiderAt, call.request.id);
+        planReconsideration(call, now);
     }
     offer(server, now);
 }
 
-void Dispatcher::queueForAny(Call &call)
+void Dispatcher::queueForAny(Call &call, Base::Instant now)
 {
     call.service->any.add(call.key);
     if (settings_.isBorrowingSlots && call.request.kind == ServiceKind::Model) {
         askTwo(call);
+        planReconsideration(call, now);
     }
 }
 
+void Dispatcher::planReconsideration(Call &call, Base::Instant now)
+{
+    call.reconsiderAt = now + settings_.reconsiderInterval;
+    reconsiderations_.emplace(*call.reconsiderAt, call.request.id);
+}
+
 // Late binding: whichever of two servers lends a slot first gets the call.
 // See Ousterhout et al., "Sparrow: Distributed, Low Latency Scheduling", SOSP 2013.
 void Dispatcher::askTwo(Call &call)
@@ -150,9 +156,8 @@
     call.reconsiderAt.reset();
     Base::Tokens cached;
     Server *holder = holderOf(call, cached);
-    if (holder == call.boundTo && isWorthWaiting(call, *holder, cached)) {
-        call.reconsiderAt = now + settings_.reconsiderInterval;
-        reconsiderations_.emplace(*call.reconsiderAt, call.request.id);
+    if (call.boundTo && holder == call.boundTo && isWorthWaiting(call, *holder, cached)) {
+        planReconsideration(call, now);
         return;
     }
     dequeue(call);
