Expect waits from load reports, not from the lender's last word

The wait for the server with a program's cache was estimated from the queue that the slot lender named with its last grant. That word is as old as the grant, so calls left their cache for fear of queues that were gone.

--- a/src/libs/dispatch/dispatcherplacement.cpp
+++ b/src/libs/dispatch/dispatcherplacement.cpp
@@ -231,11 +231,9 @@
 
 Base::Duration Dispatcher::expectedWait(const Server &server) const
 {
-    std::size_t ahead = server.bound.size();
-    if (borrows(server)) {
-        ahead = std::max<std::size_t>(ahead, slots_.backlog(server.state.id()));
-    }
-    return server.state.expectedWait(ahead);
+    // What other daemons wait for shows only in load reports: a lender's word about its queue is as
+    // old as its last grant, and calls left their cache for queues that were long gone.
+    return server.state.expectedWait(server.bound.size());
 }
 
 /// The less loaded of two servers drawn at random; nothing if none takes calls.
--- a/src/libs/dispatch/slotborrower.cpp
+++ b/src/libs/dispatch/slotborrower.cpp
@@ -25,7 +25,6 @@
 {
     Line &line = lines_[grant.server];
     line.epoch = std::max(line.epoch, grant.epoch);
-    line.backlog = grant.backlog;
     // A repeat may come after the slot was given back, so the last identifiers are kept.
     const std::pair key(grant.epoch, grant.slot);
     if (!line.known.insert(key).second) {
@@ -67,12 +66,6 @@
     lines_.erase(it);
 }
 
-std::uint32_t SlotBorrower::backlog(const Base::ServerId &server) const
-{
-    const auto it = lines_.find(server);
-    return it == lines_.end() ? 0 : it->second.backlog;
-}
-
 Base::Epoch SlotBorrower::epoch(const Base::ServerId &server) const
 {
     const auto it = lines_.find(server);
--- a/src/libs/dispatch/slotborrower.h
+++ b/src/libs/dispatch/slotborrower.h
@@ -29,8 +29,6 @@
     void ownerChanged(const Base::ServerId &server, Base::Instant now);
     void serverGone(const Base::ServerId &server);
 
-    /// Calls of all borrowers that waited at the lender when it last granted a slot.
-    std::uint32_t backlog(const Base::ServerId &server) const;
     Base::Epoch epoch(const Base::ServerId &server) const;
 
     void tick(Base::Instant now);
@@ -48,7 +46,6 @@
         std::vector<HeldSlot> held;
         std::set<std::pair<Base::Epoch, SlotId>> known;
         Base::Epoch epoch;
-        std::uint32_t backlog = 0;
         std::optional<Base::Instant> nextStatement;
     };
 
