--- a/src/tools/marjoram-load/experiment/summary.cpp
+++ b/src/tools/marjoram-load/experiment/summary.cpp
@@ -28,6 +28,7 @@
 Spread over(const std::vector<RunResult> &runs, Value value)
 {
     std::vector<double> values;
+    values.reserve(runs.size());
     for (const RunResult &run : runs) {
         values.push_back(value(run));
     }
--- a/src/tools/marjoram-load/experiment/trace.cpp
+++ b/src/tools/marjoram-load/experiment/trace.cpp
@@ -24,8 +24,8 @@
 ProgramTrace drawProgram(const TeamLoad &team, Base::Random &random)
 {
     ProgramTrace program;
-    const auto turns = static_cast<int>(1 + exponential(random, team.turns - 1) + 0.5);
-    for (int i = 0; i < turns; i++) {
+    const auto turns = std::lround(1 + exponential(random, team.turns - 1));
+    for (long i = 0; i < turns; i++) {
         Turn turn;
         turn.newTokens = tokens(random, i == 0 ? team.firstPromptTokens : team.turnTokens);
         turn.outputTokens = tokens(random, team.outputTokens);
