--- a/src/libs/dispatch/dispatcherplacement.cpp
+++ b/src/libs/dispatch/dispatcherplacement.cpp
@@ -76,7 +76,7 @@
         bind(call, *holder, true, now);
         return;
     }
-    queueForAny(call);
+    queueForAny(call, now);
 }
 
 void Dispatcher::bind(Call &call, Server &server, bool mayReconsider, Base::Instant now)
@@ -88,35 +88,24 @@
         demandChanged_.insert(server.state.id());
     }
     if (mayReconsider) {
-        call.reconsiderAt = now + settings_.reconsiderInterval;
-        reconsiderations_.emplace(*call.reconsiderAt, call.request.id);
+        planReconsideration(call, now);
     }
     offer(server, now);
 }
 
-void Dispatcher::queueForAny(Call &call)
+void Dispatcher::queueForAny(Call &call, Base::Instant now)
 {
     call.service->any.add(call.key);
     if (settings_.isBorrowingSlots && call.request.kind == ServiceKind::Model) {
         askTwo(call);
+        planReconsideration(call, now);
     }
 }
 
-// Late binding: whichever of two servers lends a slot first gets the call.
-// See Ousterhout et al., "Sparrow: Distributed, Low Latency Scheduling", SOSP 2013.
-void Dispatcher::askTwo(Call &call)
+void Dispatcher::planReconsideration(Call &call, Base::Instant now)
 {
-    Server *first = lessLoaded(call.service->servers, call.failedAt);
-    if (!first) {
-        return;
-    }
-    Server *second = lessLoaded(call.service->servers, first);
-    for (Server *server : {first, second}) {
-        if (server && server->asked.add(call.key)) {
-            call.asked.push_back(server);
-            demandChanged_.insert(server->state.id());
-        }
-    }
+    call.reconsiderAt = now + settings_.reconsiderInterval;
+    reconsiderations_.emplace(*call.reconsiderAt, call.request.id);
 }
 
 void Dispatcher::dequeue(Call &call)
@@ -150,9 +139,8 @@
     call.reconsiderAt.reset();
     Base::Tokens cached;
     Server *holder = holderOf(call, cached);
-    if (holder == call.boundTo && isWorthWaiting(call, *holder, cached)) {
-        call.reconsiderAt = now + settings_.reconsiderInterval;
-        reconsiderations_.emplace(*call.reconsiderAt, call.request.id);
+    if (call.boundTo && holder == call.boundTo && isWorthWaiting(call, *holder, cached)) {
+        planReconsideration(call, now);
         return;
     }
     dequeue(call);
@@ -226,11 +214,9 @@
 
 Base::Duration Dispatcher::expectedWait(const Server &server) const
 {
-    std::size_t ahead = server.bound.size();
-    if (borrows(server)) {
-        ahead = std::max<std::size_t>(ahead, slots_.backlog(server.state.id()));
-    }
-    return server.state.expectedWait(ahead);
+    // What other daemons wait for shows only in load reports: a lender's word about its queue is as
+    // old as its last grant, and calls left their cache for queues that were long gone.
+    return server.state.expectedWait(server.bound.size());
 }
 
 /// The less loaded of two servers drawn at random; nothing if none takes calls.
@@ -378,45 +364,4 @@
     return computed + settings_.outputTokenCost * static_cast<double>(output.value());
 }
 
-void Dispatcher::flushDemand(Base::Instant now)
-{
-    if (!settings_.isBorrowingSlots) {
-        return;
-    }
-    for (const Base::ServerId &id : std::exchange(demandChanged_, {})) {
-        if (Server *server = find(id)) {
-            slots_.demand(id, demandAt(*server), now);
-        }
-    }
-    for (SlotRequest &request : slots_.takeRequests()) {
-        actions_.emplace_back(SendSlotRequest{std::move(request)});
-    }
-}
-
-std::vector<TeamDemand> Dispatcher::demandAt(const Server &server)
-{
-    std::map<Base::TeamId, TeamDemand> teams;
-    const auto add = [&](const TeamCounter &team, std::size_t waiting, const QueueKey &first) {
-        const Call &call = *find(first.id);
-        const DispatchRequest &request = call.request;
-        TeamDemand &demand = teams[request.team];
-        if (demand.waiting == 0 || first.order < demand.firstKey) {
-            const Base::Tokens cached = cachedAt(call, server);
-            const double tokens = cost(request.promptTokens, cached, request.expectedOutput);
-            demand.firstKey = first.order;
-            demand.firstCost = Base::Tokens(static_cast<std::int64_t>(tokens));
-        }
-        demand.team = request.team;
-        demand.weight = team.weight;
-        demand.waiting += static_cast<std::uint32_t>(waiting);
-    };
-    server.bound.forEachTeam(add);
-    server.asked.forEachTeam(add);
-    std::vector<TeamDemand> demands;
-    for (auto &[team, demand] : teams) {
-        demands.push_back(std::move(demand));
-    }
-    return demands;
-}
-
 } // namespace Dispatch
