--- a/src/libs/ownership/assignment.cpp
+++ b/src/libs/ownership/assignment.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
+#include <unordered_map>
 
 namespace Ownership {
 
@@ -19,18 +19,17 @@
 public:
     std::size_t indexOf(const Base::IncarnationId &incarnation)
     {
-        const auto found
-            = std::find(incarnations_.begin(), incarnations_.end(), incarnation.text());
-        if (found != incarnations_.end()) {
-            return static_cast<std::size_t>(found - incarnations_.begin());
+        const auto [found, isNew] = indices_.emplace(incarnation, incarnations_.size());
+        if (isNew) {
+            incarnations_.push_back(incarnation.text());
         }
-        incarnations_.push_back(incarnation.text());
-        return incarnations_.size() - 1;
+        return found->second;
     }
 
     const std::vector<std::string> &incarnations() const { return incarnations_; }
 
 private:
+    std::unordered_map<Base::IncarnationId, std::size_t> indices_;
     std::vector<std::string> incarnations_;
 };
 
--- a/src/libs/ownership/assignmentplan.cpp
+++ b/src/libs/ownership/assignmentplan.cpp
@@ -4,7 +4,10 @@
 #include <base/visitor.h>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
+#include <set>
+#include <utility>
 
 namespace Ownership {
 
@@ -72,15 +75,18 @@
                    const std::vector<Candidate> &candidates)
 {
     PartitionEntry *entry = entryOf(assignment, edit.partition, edit.from);
-    const LoadTable loads(assignment, candidates);
-    if (entry == nullptr || loads.isEmpty()) {
+    if (entry == nullptr || candidates.empty()) {
         return false;
     }
+    const bool isWelcome
+        = std::ranges::find(candidates, edit.to, &Candidate::incarnation) != candidates.end();
+    const Base::IncarnationId to
+        = isWelcome ? edit.to : LoadTable(assignment, candidates).leastLoaded(edit.partition);
     if (edit.isAbsorbed) {
         entry->predecessors.clear();
     }
     entry->predecessors.push_back({entry->owner, entry->epoch, edit.releasedAt});
-    entry->owner = loads.contains(edit.to) ? edit.to : loads.leastLoaded(edit.partition);
+    entry->owner = to;
     entry->epoch = entry->epoch.next();
     return true;
 }
@@ -128,28 +134,32 @@
                                 const std::vector<Candidate> &candidates)
 {
     std::vector<Move> moves;
-    LoadTable loads(assignment, candidates);
-    if (loads.isEmpty()) {
+    if (candidates.empty()) {
         return moves;
     }
     std::map<Base::IncarnationId, std::vector<std::size_t>> owned;
     for (std::size_t i = 0; i < assignment.entries.size(); ++i) {
         owned[assignment.entries[i].owner].push_back(i);
     }
-    while (true) {
-        const std::vector<Base::IncarnationId> order = loads.byLoad();
-        const Base::IncarnationId &from = order.back();
-        const Base::IncarnationId &to = order.front();
-        if (loads.loadOf(from) < loads.loadOf(to) + 2) {
-            return moves;
-        }
+    std::set<std::pair<std::size_t, Base::IncarnationId>> byLoad;
+    for (const Candidate &candidate : candidates) {
+        byLoad.emplace(owned[candidate.incarnation].size(), candidate.incarnation);
+    }
+    while (std::prev(byLoad.end())->first >= byLoad.begin()->first + 2) {
+        auto most = byLoad.extract(std::prev(byLoad.end()));
+        auto least = byLoad.extract(byLoad.begin());
+        const Base::IncarnationId &from = most.value().second;
+        const Base::IncarnationId &to = least.value().second;
         std::vector<std::size_t> &partitions = owned[from];
         const std::size_t chosen = choosePartition(partitions, to);
         moves.push_back({partitionAt(partitions[chosen]), from, to});
         partitions.erase(partitions.begin() + static_cast<std::ptrdiff_t>(chosen));
-        loads.remove(from);
-        loads.add(to);
+        --most.value().first;
+        ++least.value().first;
+        byLoad.insert(std::move(most));
+        byLoad.insert(std::move(least));
     }
+    return moves;
 }
 
 } // namespace Ownership
--- a/src/libs/ownership/leaselisting.h
+++ b/src/libs/ownership/leaselisting.h
@@ -34,6 +34,10 @@
                  RequestSender &sender);
 
     void tick(Base::Instant now);
+    /// Lists with the next tick.
+    void listSoon() { lastListing_.reset(); }
+    /// Whether a listing was asked for and is not answered yet.
+    bool isPending() const { return listing_ || !lastListing_; }
     /// True if the reply was for a listing. Leases of the referenced incarnations are kept.
     bool handle(const Platform::StoreReply &reply,
                 const std::set<Base::IncarnationId> &referenced,
--- a/src/libs/ownership/loadtable.h
+++ b/src/libs/ownership/loadtable.h
@@ -23,18 +23,12 @@
     LoadTable(const Assignment &assignment, const std::vector<Candidate> &candidates);
 
     bool isEmpty() const { return loads_.empty(); }
-    bool contains(const Base::IncarnationId &incarnation) const;
 
     /// The candidate with the fewest partitions; of several, one in the zone with the fewest, then
     /// by rendezvous hash. The table must not be empty.
     Base::IncarnationId leastLoaded(Base::PartitionId partition) const;
 
     void add(const Base::IncarnationId &incarnation);
-    void remove(const Base::IncarnationId &incarnation);
-
-    /// Candidates by load, fewest partitions first.
-    std::vector<Base::IncarnationId> byLoad() const;
-    std::size_t loadOf(const Base::IncarnationId &incarnation) const;
 
 private:
     struct Load
--- a/src/libs/ownership/ownershipmanager.cpp
+++ b/src/libs/ownership/ownershipmanager.cpp
@@ -14,6 +14,7 @@
 
 constexpr Base::Duration busyCheck = std::chrono::milliseconds(50);
 constexpr Base::Duration idleCheck = std::chrono::milliseconds(500);
+constexpr Base::Duration longestBootstrapWait = std::chrono::seconds(20);
 constexpr Base::Duration shutdownSettling = std::chrono::seconds(1);
 constexpr Base::Duration rebalanceJitter = std::chrono::milliseconds(500);
 
@@ -125,6 +126,7 @@
 void OwnershipManager::handle(const Fleet::MembershipEvent &event, Base::Instant now)
 {
     peers_.handle(event, now);
+    membershipChangedAt_ = now;
     const std::size_t size = peers_.fleetSize();
     lease_.setFleetSize(size);
     assignment_.setFleetSize(size);
@@ -229,7 +231,18 @@
         return;
     }
     const auto steps = static_cast<std::int64_t>(*rank);
-    if (now >= *startedAt_ + settings_.startupGrace + settings_.rankStep * steps) {
+    const Base::Instant dueAt = *startedAt_ + settings_.startupGrace + settings_.rankStep * steps;
+    // While daemons still join, an assignment would leave the late ones out.
+    const bool isQuiet = now >= membershipChangedAt_ + settings_.startupGrace;
+    if (now < dueAt || (!isQuiet && now < dueAt + longestBootstrapWait)) {
+        return;
+    }
+    // Some of the daemons that answer may have registered since the last listing.
+    if (!wasListedForBootstrap_) {
+        wasListedForBootstrap_ = true;
+        listing_.listSoon();
+    }
+    if (!listing_.isPending()) {
         assignment_.addEdit(Bootstrap{settings_.partitionCount}, now);
     }
 }
--- a/src/libs/ownership/ownershipmanager.h
+++ b/src/libs/ownership/ownershipmanager.h
@@ -145,9 +145,11 @@
     std::set<Base::IncarnationId> owners_;
     /// Owners, and former owners whose journals are not absorbed.
     std::set<Base::IncarnationId> referenced_;
+    Base::Instant membershipChangedAt_;
     Base::Instant rebalanceAt_;
     Base::Instant witnessCheckAt_;
     bool areWitnessChangesHeld_ = false;
+    bool wasListedForBootstrap_ = false;
     std::optional<Base::Instant> shutdownStartedAt_;
     bool isShutdownComplete_ = false;
     Base::Instant lastTick_;
