--- a/tests/libs/ownership/tst_ownership.cpp
+++ b/tests/libs/ownership/tst_ownership.cpp
@@ -41,11 +41,11 @@
     return std::ranges::max_element(assignment.entries, {}, &PartitionEntry::epoch)->epoch;
 }
 
-std::uint64_t assignmentPuts(SimulatedFleet &fleet)
+OwnershipTest::StoreCounts countsOf(SimulatedFleet &fleet, Platform::ObjectKind kind)
 {
     const auto &counts = fleet.store().counts();
-    const auto found = counts.find(Platform::ObjectKind::Assignment);
-    return found == counts.end() ? 0 : found->second.writes;
+    const auto found = counts.find(kind);
+    return found == counts.end() ? OwnershipTest::StoreCounts() : found->second;
 }
 
 } // namespace
@@ -73,8 +73,9 @@
     fleet->run(settling);
     cr_assert_eq(fleet->settledProblem(), "");
     cr_assert(fleet->violations().empty());
-    // The takeover, and at most one write of each new owner for what it absorbed, some repeated.
-    cr_assert_leq(assignmentPuts(*fleet), 1 + 2 * 8);
+    // One fence, one takeover, and one write of each new owner for what it absorbed, some repeated.
+    cr_assert_leq(countsOf(*fleet, Platform::ObjectKind::DaemonLease).conflicts, 1U);
+    cr_assert_leq(countsOf(*fleet, Platform::ObjectKind::Assignment).writes, 1U + 8U + 4U);
 }
 
 Test(ownership, anOutageChangesNoOwner)
@@ -104,6 +105,20 @@
     cr_assert_eq(fleet->leasesLost(), 0U);
 }
 
+Test(ownership, theTimeOfAnOutageDoesNotCountForALapse)
+{
+    const auto fleet = settledFleet(9);
+    fleet->setStoreUp(false);
+    fleet->run(60s);
+    fleet->pause(2);
+    fleet->run(5s);
+    fleet->setStoreUp(true);
+    fleet->run(1s);
+    fleet->resume(2);
+    fleet->run(settling);
+    cr_assert_eq(fleet->leasesLost(), 0U);
+}
+
 Test(ownership, aPausedOwnerIsFencedAndRejoins)
 {
     const auto fleet = settledFleet(9);
