Fewer writes of the assignment when many daemons are lost at once

Change: owners are checked when membership was quiet for 10 ms a daemon (at most 2 s); edits of large fleets are batched for longer; lazy edits spread over 100 ms a daemon and back off longer.

--- a/src/libs/ownership/assignmentclient.cpp
+++ b/src/libs/ownership/assignmentclient.cpp
@@ -16,11 +16,14 @@
 constexpr Base::Duration shortestPollPause = std::chrono::seconds(2);
 constexpr Base::Duration longestPollPause = std::chrono::seconds(30);
 
-constexpr Base::Duration lazyEditPerDaemon = std::chrono::milliseconds(50);
+constexpr Base::Duration lazyEditPerDaemon = std::chrono::milliseconds(100);
 constexpr Base::Duration shortestLazyEdit = std::chrono::milliseconds(500);
 
 constexpr Base::Duration freshness = std::chrono::milliseconds(50);
+constexpr Base::Duration editBatchPerDaemon = std::chrono::milliseconds(1);
+
 constexpr Base::Duration firstBackOff = std::chrono::milliseconds(20);
+constexpr Base::Duration lazyBackOffPerDaemon = std::chrono::milliseconds(5);
 constexpr int backOffDoublings = 6;
 
 Platform::ObjectKey assignmentKey()
@@ -68,7 +71,9 @@
 
 void AssignmentClient::addEdit(const AssignmentEdit &edit, Base::Instant now)
 {
-    addEditAt(edit, now + settings_.editBatch);
+    const Base::Duration batch
+        = std::max(settings_.editBatch, scaled(editBatchPerDaemon, fleetSize_));
+    addEditAt({edit, now + batch, false});
 }
 
 void AssignmentClient::addLazyEdit(const AssignmentEdit &edit, Base::Instant now)
@@ -78,14 +83,14 @@
         const Base::Duration spread = scaled(lazyEditPerDaemon, fleetSize_);
         lazyEditsAt_ = now + shortestLazyEdit + randomUpTo(spread);
     }
-    addEditAt(edit, lazyEditsAt_);
+    addEditAt({edit, lazyEditsAt_, true});
 }
 
-void AssignmentClient::addEditAt(const AssignmentEdit &edit, Base::Instant dueAt)
+void AssignmentClient::addEditAt(QueuedEdit queued)
 {
-    const auto found = std::ranges::find(edits_, edit, &QueuedEdit::edit);
+    const auto found = std::ranges::find(edits_, queued.edit, &QueuedEdit::edit);
     if (found == edits_.end()) {
-        edits_.push_back({edit, dueAt});
+        edits_.push_back(std::move(queued));
     }
 }
 
@@ -136,7 +141,7 @@
                              [&](const Platform::WriteLost &lost) {
                                  writer_.reset();
                                  lostRaces_ = std::min(lostRaces_ + 1, backOffDoublings);
-                                 backOffUntil_ = now + randomUpTo(firstBackOff * (1 << lostRaces_));
+                                 backOffUntil_ = now + backOff();
                                  freshAt_ = now;
                                  adopt(lost.current);
                              },
@@ -264,6 +269,15 @@
     return wakeUp;
 }
 
+Base::Duration AssignmentClient::backOff()
+{
+    // Takeovers and handovers go before what can wait.
+    const bool isLazy = std::ranges::all_of(edits_, &QueuedEdit::isLazy);
+    const Base::Duration first
+        = isLazy ? std::max(firstBackOff, scaled(lazyBackOffPerDaemon, fleetSize_)) : firstBackOff;
+    return randomUpTo(first * (1 << lostRaces_));
+}
+
 Base::Duration AssignmentClient::readSpacing() const
 {
     return std::clamp(
--- a/src/libs/ownership/assignmentclient.h
+++ b/src/libs/ownership/assignmentclient.h
@@ -60,9 +60,10 @@
     {
         AssignmentEdit edit;
         Base::Instant dueAt;
+        bool isLazy = false;
     };
 
-    void addEditAt(const AssignmentEdit &edit, Base::Instant dueAt);
+    void addEditAt(QueuedEdit queued);
     void handleRead(const Platform::StoreOutcome &outcome, Base::Instant now);
     void handleWrite(const Platform::StoreOutcome &outcome, Base::Instant now);
     void handleProgress(const Platform::WriteProgress &progress, Base::Instant now);
@@ -71,6 +72,7 @@
     void sendRead();
     void writeBatch(const std::vector<Candidate> &candidates, Base::Instant now);
     bool isBatchDue(Base::Instant now) const;
+    Base::Duration backOff();
     Base::Duration readSpacing() const;
     Base::Duration pollPause() const;
     Base::Duration randomUpTo(Base::Duration bound);
--- a/src/libs/ownership/ownershipmanager.cpp
+++ b/src/libs/ownership/ownershipmanager.cpp
@@ -15,6 +15,8 @@
 constexpr Base::Duration busyCheck = std::chrono::milliseconds(50);
 constexpr Base::Duration idleCheck = std::chrono::milliseconds(500);
 constexpr Base::Duration longestBootstrapWait = std::chrono::seconds(20);
+constexpr Base::Duration calmPerDaemon = std::chrono::milliseconds(10);
+constexpr Base::Duration longestCalm = std::chrono::seconds(2);
 constexpr Base::Duration shutdownSettling = std::chrono::seconds(1);
 constexpr Base::Duration rebalanceJitter = std::chrono::milliseconds(500);
 
@@ -252,6 +254,14 @@
     if (now < *startedAt_ + settings_.startupGrace) {
         return;
     }
+    // When many daemons are lost, takeovers that start with the first suspicion would give its
+    // partitions to daemons that are lost as well.
+    const Base::Duration calm
+        = std::min(calmPerDaemon * static_cast<std::int64_t>(peers_.fleetSize()), longestCalm);
+    if (now < membershipChangedAt_ + calm && now < lastCalmAt_ + 3 * calm) {
+        return;
+    }
+    lastCalmAt_ = now;
     const std::optional<std::size_t> rank = peers_.rank();
     for (const Base::IncarnationId &owner : owners_) {
         if (watch_.isFenced(owner) && owner != self_.incarnation && rank) {
--- a/src/libs/ownership/ownershipmanager.h
+++ b/src/libs/ownership/ownershipmanager.h
@@ -146,6 +146,8 @@
     /// Owners, and former owners whose journals are not absorbed.
     std::set<Base::IncarnationId> referenced_;
     Base::Instant membershipChangedAt_;
+    /// Last time that the owners were checked.
+    Base::Instant lastCalmAt_;
     Base::Instant rebalanceAt_;
     Base::Instant witnessCheckAt_;
     bool areWitnessChangesHeld_ = false;
