Recovery settles every open call before it ends programs of withdrawn keys

A partition that comes back to a daemon which knows of a withdrawn key crashed it: the end of a parent reached a child whose open intent was not settled yet, so the child was ended first and its finding committed afterwards (random schedules with partition moves, new here). All open calls are settled first now; a focused test shows it.

A call that goes on for another caller after its key was withdrawn carries that caller's key.

--- a/src/libs/contracts/configuration.cpp
+++ b/src/libs/contracts/configuration.cpp
@@ -16,6 +16,14 @@
 
 } // namespace
 
+bool Service::isOpenTo(const std::optional<Base::TeamId> &team) const
+{
+    if (isOpenToAll) {
+        return true;
+    }
+    return team && (teams.empty() || std::ranges::find(teams, *team) != teams.end());
+}
+
 const Team *ConfigurationDocument::findTeam(const Base::TeamId &id) const
 {
     return findById(teams, id);
--- a/src/libs/contracts/configuration.h
+++ b/src/libs/contracts/configuration.h
@@ -70,6 +70,9 @@
     Base::Duration callTimeout = std::chrono::seconds(60);
     std::optional<ServiceObjective> objective;
 
+    /// Whether a request may call the service; the team is that of its key, if it has one.
+    bool isOpenTo(const std::optional<Base::TeamId> &team) const;
+
     bool operator==(const Service &) const = default;
 };
 
--- a/src/libs/programs/program.cpp
+++ b/src/libs/programs/program.cpp
@@ -156,7 +156,8 @@
         return;
     }
     if (turn.promptTokens().value() > 0) {
-        contextBound_ = turn.promptTokens() + turn.outputTokens() + boundOf(0);
+        // Read back as part of a prompt, an output can make more tokens than it was generated as.
+        contextBound_ = turn.promptTokens() + boundOf(turn.output().size());
         return;
     }
     contextBound_ += boundOf(turn.input().size()) + boundOf(turn.output().size());
--- a/src/libs/programs/programtable_p.h
+++ b/src/libs/programs/programtable_p.h
@@ -165,7 +165,8 @@
                       const Journal::CallIntent &intent,
                       bool isUncertain,
                       Base::Instant now);
-    void finishRecovery(const Base::ProgramId &program, Base::Instant now);
+    void settleOpenIntent(ProgramEntry &entry, Base::Instant now);
+    void endIfKeyIsWithdrawn(ProgramEntry &entry, Base::Instant now);
     void loseProgram(ProgramEntry &entry);
     Base::Ran ranOf(const ActiveCall &active) const;
     void loseAppends(Base::PartitionId partition);
--- a/src/libs/programs/programtableends.cpp
+++ b/src/libs/programs/programtableends.cpp
@@ -85,6 +85,10 @@
             entry.active->isAbandoned = true;
         }
         dropFrom(entry.active->call, ranOf(*entry.active));
+        // The call now runs for a caller whose key is in force.
+        if (staysWanted) {
+            entry.active->call.request.key = entry.active->call.callers.front().key;
+        }
     }
     callersLeft(entry, now);
 }
--- a/src/libs/programs/programtablerecovery.cpp
+++ b/src/libs/programs/programtablerecovery.cpp
@@ -133,8 +133,12 @@
             replayUncertain(record.body, now);
         }
     }
+    // Every open call is known before the first end, which reaches from parents to children.
     for (const Base::ProgramId &id : programs(partition)) {
-        finishRecovery(id, now);
+        settleOpenIntent(*find(id), now);
+    }
+    for (const Base::ProgramId &id : programs(partition)) {
+        endIfKeyIsWithdrawn(*find(id), now);
     }
 }
 
@@ -181,13 +185,16 @@
     emit(ReleaseEngineMemory{program});
 }
 
-void ProgramTable::Private::finishRecovery(const Base::ProgramId &program, Base::Instant now)
+void ProgramTable::Private::settleOpenIntent(ProgramEntry &entry, Base::Instant now)
 {
-    ProgramEntry &entry = *find(program);
     entry.lastActivity = now;
     if (entry.program.openIntent()) {
         settleIntent(entry, *entry.program.openIntent(), false, now);
     }
+}
+
+void ProgramTable::Private::endIfKeyIsWithdrawn(ProgramEntry &entry, Base::Instant now)
+{
     if (withdrawnKeys_.contains(entry.program.created().key)) {
         requestEnd(entry, Journal::EndReason::KeyWithdrawn, now);
     }
--- a/tests/libs/contracts/tst_configuration.cpp
+++ b/tests/libs/contracts/tst_configuration.cpp
@@ -1,6 +1,7 @@
 #include <contracts/configchanges.h>
 #include <contracts/configedit.h>
 #include <contracts/configurationcodec.h>
+#include <contracts/configurationindex.h>
 #include <contracts/keyhasher.h>
 #include <contracts/keyring.h>
 
@@ -167,3 +168,25 @@
     without.teams.clear();
     cr_assert(changesBetween(sample(), without).at(0) == withdrawn);
 }
+
+Test(configuration, onlyOpenServicesRunWithoutTheirTeamsKey)
+{
+    Service service = sample().services[0];
+    cr_assert(service.isOpenTo(Base::TeamId("lunch")));
+    cr_assert_not(service.isOpenTo(Base::TeamId("other")));
+    cr_assert_not(service.isOpenTo(std::nullopt));
+    service.teams.clear();
+    cr_assert(service.isOpenTo(Base::TeamId("other")));
+    cr_assert_not(service.isOpenTo(std::nullopt));
+    service.isOpenToAll = true;
+    cr_assert(service.isOpenTo(std::nullopt));
+}
+
+Test(configuration, indexFindsWhatTheDocumentHolds)
+{
+    const ConfigurationIndex index(std::make_shared<const ConfigurationDocument>(sample()));
+    cr_assert_eq(index.team(Base::TeamId("lunch"))->burst, 10);
+    cr_assert_eq(index.serversOf(Base::ServiceId("planner")).at(0)->slots, 16U);
+    cr_assert_null(index.service(Base::ServiceId("nothing")));
+    cr_assert(index.serversOf(Base::ServiceId("nothing")).empty());
+}
--- a/tests/libs/programs/schedule.cpp
+++ b/tests/libs/programs/schedule.cpp
@@ -15,6 +15,7 @@
 constexpr Base::Duration quietTime = 200s;
 constexpr Base::Duration tickInterval = 250ms;
 constexpr Base::Duration takeoverDelay = 1500ms;
+constexpr Base::Duration moveTimeout = 2s;
 constexpr Base::Duration clientTimeout = 15s;
 constexpr std::uint32_t callsPerProgram = 6;
 constexpr std::int64_t outputTokens = 12;
@@ -141,9 +142,15 @@
 
 void Schedule::startDaemon()
 {
-    owner_ = daemons_.size();
-    Daemon &daemon = daemons_.emplace_back();
-    daemon.table = std::make_unique<ProgramTable>(limits());
+    daemons_.emplace_back().table = std::make_unique<ProgramTable>(limits());
+    recoverAt(daemons_.size() - 1);
+}
+
+void Schedule::recoverAt(size_t index)
+{
+    owner_ = index;
+    Daemon &daemon = daemons_[index];
+    daemon.isSealed = false;
     daemon.table->partitionAcquired(partition, Base::Epoch(owner_ + 1), now_);
     if (random_.chance(0.5)) {
         for (const ProgramSnapshot &snapshot : snapshots_) {
@@ -159,6 +166,12 @@
 }
 
 void Schedule::takeOver(size_t old)
+{
+    seal(old);
+    startDaemon();
+}
+
+void Schedule::seal(size_t old)
 {
     Daemon &daemon = daemons_[old];
     // Writes that were under way may have landed before the seal; their answers are lost.
@@ -173,7 +186,35 @@
     }
     daemon.appends.clear();
     daemon.isSealed = true;
-    startDaemon();
+}
+
+void Schedule::move()
+{
+    note("the partition leaves daemon " + std::to_string(owner_));
+    daemons_[owner_].table->partitionLeaving(partition, now_);
+    finishMove(owner_, now_ + moveTimeout);
+}
+
+/// Moves the partition once nothing is under way, or by force; it may come back to the daemon.
+void Schedule::finishMove(size_t index, Base::Instant deadline)
+{
+    Daemon &daemon = daemons_[index];
+    if (daemon.state != DaemonState::Running || daemon.isSealed || owner_ != index) {
+        return;
+    }
+    if (daemon.table->isBusy(partition) && now_ < deadline) {
+        later(delay(100), [this, index, deadline]() { finishMove(index, deadline); });
+        return;
+    }
+    daemon.table->partitionLost(partition, now_);
+    seal(index);
+    drain(index);
+    if (random_.chance(0.5)) {
+        startDaemon();
+        return;
+    }
+    daemon.table->partitionAcquired(partition, Base::Epoch(1), now_);
+    recoverAt(index);
 }
 
 void Schedule::crash()
@@ -276,6 +317,8 @@
         crash();
     } else if (hasOwner && strikes(Pauses, 0.02)) {
         pause();
+    } else if (hasOwner && strikes(Moves, 0.02)) {
+        move();
     } else if (strikes(WithdrawnKeys, 0.004)) {
         withdrawKey();
     }
--- a/tests/libs/programs/schedule.h
+++ b/tests/libs/programs/schedule.h
@@ -21,7 +21,8 @@
     WithdrawnKeys = 64,
     CallersGone = 128,
     UncertainRecords = 256,
-    AllFaults = 511
+    Moves = 512,
+    AllFaults = 1023
 };
 
 struct ScheduleOptions
@@ -113,7 +114,11 @@
 
     // Daemons and journal
     void startDaemon();
+    void recoverAt(size_t daemon);
+    void move();
+    void finishMove(size_t daemon, Base::Instant deadline);
     void takeOver(size_t old);
+    void seal(size_t old);
     void crash();
     void pause();
     void wake(size_t daemon);
--- a/tests/libs/programs/tst_programschedules.cpp
+++ b/tests/libs/programs/tst_programschedules.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::uint64_t scheduleCount = 3'000;
+constexpr std::uint64_t scheduleCount = 4'000;
 constexpr std::uint64_t shrinkSeeds = 300;
 
 struct FailedSchedule
--- a/tests/libs/programs/tst_programtable.cpp
+++ b/tests/libs/programs/tst_programtable.cpp
@@ -149,6 +149,28 @@
     cr_assert_eq(f.last<StartDispatch>().number, Base::CallNumber(2));
 }
 
+Test(programtable, recoveryUnderAWithdrawnKeySettlesCallsBeforeItEndsPrograms)
+{
+    TableFixture f;
+    f.createProgram(1'000);
+    CreateProgram child = f.creation(400);
+    child.parent = Base::ProgramId("p");
+    f.table->create(child, f.now);
+    f.commitAll();
+    SubmitCall call = f.toolCall(1);
+    call.program = Base::ProgramId("p.1");
+    f.submit(call);
+    f.commitAll();
+    f.table->partitionLost(Base::PartitionId(0), f.now);
+    f.table->keyWithdrawn(Base::KeyId("key"), f.now);
+    f.table->partitionAcquired(Base::PartitionId(0), Base::Epoch(2), f.now);
+    f.table->recover(Base::PartitionId(0), f.journal, {}, f.now);
+    f.commitAll();
+    cr_assert_eq(f.table->size(), 0U);
+    const auto &found = std::get<Journal::CallResult>(f.journal.at(f.journal.size() - 4).body);
+    cr_assert_eq(found.error->ran, Ran::MayHaveRun);
+}
+
 Test(programtable, uncertainIntentCountsAsSeen)
 {
     TableFixture f;
@@ -347,6 +369,20 @@
     cr_assert(f.table->isLive(Base::ProgramId("p")));
 }
 
+Test(programtable, callOfAWithdrawnKeyGoesOnForAnotherCallersKey)
+{
+    TableFixture f;
+    f.createProgram();
+    SubmitCall call = f.toolCall(1);
+    call.key = Base::KeyId("second");
+    f.submit(call);
+    const Base::RequestId other = f.submit(f.toolCall(1));
+    f.table->keyWithdrawn(Base::KeyId("second"), f.now);
+    f.table->callerGone(other, f.now);
+    f.commitAll();
+    cr_assert_eq(f.last<StartDispatch>().key, Base::KeyId("key"));
+}
+
 Test(programtable, deadlineAndIdlenessEndPrograms)
 {
     TableFixture f;
