--- a/src/libs/programs/programentry.h
+++ b/src/libs/programs/programentry.h
@@ -81,6 +81,7 @@
     Base::Tokens reservedByNewChildren;
     std::uint32_t newChildren = 0;
     std::uint32_t lastChild = 0;
+    /// When a call last started, ended or was answered from the history.
     Base::Instant lastActivity;
     /// Key in the table's timer queue.
     std::optional<Base::Instant> timer;
--- a/src/libs/programs/programtablecalls.cpp
+++ b/src/libs/programs/programtablecalls.cpp
@@ -25,6 +25,8 @@
         return;
     }
     entry.active = std::move(active);
+    // Refused calls are no activity: a caller that repeats them does not keep a program alive.
+    entry.lastActivity = now;
     if (entry.active->isIdempotent()) {
         dispatch(entry, now);
         return;
--- a/src/libs/programs/programtableends.cpp
+++ b/src/libs/programs/programtableends.cpp
@@ -226,7 +226,8 @@
 
 bool ProgramTable::Private::isIdle(const ProgramEntry &entry) const
 {
-    return !entry.active && !entry.endReason && entry.parked.empty() && entry.newChildren == 0
+    // Calls that wait for a number which never comes do not keep a program alive.
+    return !entry.active && !entry.endReason && entry.newChildren == 0
            && entry.program.children().empty();
 }
 
--- a/src/libs/programs/programtableorder.cpp
+++ b/src/libs/programs/programtableorder.cpp
@@ -31,7 +31,6 @@
         refuse(request.request, std::move(*problem));
         return;
     }
-    entry->lastActivity = now;
     if (!answerKnownCall(*entry, request, now)) {
         takeNewCall(*entry, std::move(request), now);
     }
@@ -90,6 +89,7 @@
 {
     const std::shared_ptr<const Turn> turn = entry.program.turn(request.number);
     if (!turn->error()) {
+        entry.lastActivity = now;
         emit(ReplyAccepted{request.request});
         if (request.isStream) {
             emit(ReplyOutput{request.request, std::string(turn->output())});
--- a/tests/libs/programs/tst_programtable.cpp
+++ b/tests/libs/programs/tst_programtable.cpp
@@ -401,6 +401,19 @@
     cr_assert_eq(idle.count<ReleaseEngineMemory>(), 1U);
 }
 
+Test(programtable, refusedCallsDoNotKeepAProgramAlive)
+{
+    TableFixture f;
+    f.createProgram(10);
+    for (int minute = 0; minute < 30; ++minute) {
+        f.submit(f.call(1, std::string(500, 'x')));
+        f.submit(f.call(2));
+        f.passTime(1min);
+    }
+    f.commitAll();
+    cr_assert_eq(f.description().endReason, Journal::EndReason::Expired);
+}
+
 Test(programtable, lastCallReleasesEngineMemory)
 {
     TableFixture f;
