--- a/src/libs/programs/programtableends.cpp
+++ b/src/libs/programs/programtableends.cpp
@@ -85,6 +85,10 @@
             entry.active->isAbandoned = true;
         }
         dropFrom(entry.active->call, ranOf(*entry.active));
+        // The call now runs for a caller whose key is in force.
+        if (staysWanted) {
+            entry.active->call.request.key = entry.active->call.callers.front().key;
+        }
     }
     callersLeft(entry, now);
 }
@@ -222,7 +226,8 @@
 
 bool ProgramTable::Private::isIdle(const ProgramEntry &entry) const
 {
-    return !entry.active && !entry.endReason && entry.parked.empty() && entry.newChildren == 0
+    // Calls that wait for a number which never comes do not keep a program alive.
+    return !entry.active && !entry.endReason && entry.newChildren == 0
            && entry.program.children().empty();
 }
 
