Test that waiting calls do not hold off the idle expiry

Broken once (expiry only without waiting calls), the earlier test still passed, because the calls had expired before the check; it fails now.

--- a/tests/libs/programs/tst_programtable.cpp
+++ b/tests/libs/programs/tst_programtable.cpp
@@ -407,8 +407,9 @@
     f.createProgram(10);
     for (int minute = 0; minute < 30; ++minute) {
         f.submit(f.call(1, std::string(500, 'x')));
+        f.passTime(59s);
         f.submit(f.call(2));
-        f.passTime(1min);
+        f.passTime(1s);
     }
     f.commitAll();
     cr_assert_eq(f.description().endReason, Journal::EndReason::Expired);
