--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -232,6 +232,7 @@
   5: i64 permits
   6: i64 validForUs
   7: i64 backlog
+  8: string borrower
 }
 
 struct TeamDemand {
--- a/src/libs/ownership/leaseholder.cpp
+++ b/src/libs/ownership/leaseholder.cpp
@@ -35,16 +35,24 @@
 }
 
 void LeaseHolder::proposeWitnesses(const std::vector<Base::IncarnationId> &witnesses,
-                                   Base::Instant now)
+                                   Base::Instant /*now*/)
 {
     if (proposed_ || isLost_) {
         return;
     }
     proposed_ = witnesses;
-    renewAt_ = now;
+    isProposalReady_ = false;
     actions_.emplace_back(WitnessesProposed{lease_.witnesses, witnesses});
 }
 
+void LeaseHolder::witnessesReady(Base::Instant now)
+{
+    if (proposed_) {
+        isProposalReady_ = true;
+        renewAt_ = now;
+    }
+}
+
 void LeaseHolder::setLeaving(Base::Instant now)
 {
     lease_.isLeaving = true;
@@ -85,8 +93,10 @@
     DaemonLease lease = lease_;
     lease.renewals = ++lease_.renewals;
     lease.length = renewalsPerLease * renewalPause();
-    writtenWitnesses_ = proposed_;
-    if (proposed_) {
+    // A lease must not name witnesses that lack what was committed without the store.
+    writtenWitnesses_.reset();
+    if (proposed_ && isProposalReady_) {
+        writtenWitnesses_ = proposed_;
         lease.witnesses = *proposed_;
     }
     const Base::WriteId writeId(lease.incarnation.text() + "/lease/"
--- a/src/libs/ownership/leaseholder.h
+++ b/src/libs/ownership/leaseholder.h
@@ -29,9 +29,11 @@
     void setFleetSize(std::size_t size) { fleetSize_ = size; }
     void setConfigVersion(Base::ConfigVersion version) { lease_.configVersion = version; }
 
-    /// Writes the new witnesses at once. Ignored while an earlier proposal is unconfirmed, because
-    /// the store may hold either.
+    /// Asks for the new witnesses; they are written after witnessesReady(). Ignored while an
+    /// earlier proposal is unconfirmed, because the store may hold either.
     void proposeWitnesses(const std::vector<Base::IncarnationId> &witnesses, Base::Instant now);
+    /// The proposed witnesses hold every committed record that the store lacks.
+    void witnessesReady(Base::Instant now);
     void setLeaving(Base::Instant now);
 
     /// True if the reply was for this object.
@@ -64,6 +66,7 @@
     Platform::ObjectVersion version_;
     bool isLost_ = false;
     std::optional<std::vector<Base::IncarnationId>> proposed_;
+    bool isProposalReady_ = false;
     std::optional<std::vector<Base::IncarnationId>> writtenWitnesses_;
 
     std::optional<Platform::ConditionalWriter> writer_;
--- a/src/libs/ownership/ownershipactions.h
+++ b/src/libs/ownership/ownershipactions.h
@@ -40,7 +40,7 @@
     std::optional<Base::IncarnationId> fencedBy;
 };
 
-/// The own lease names new witnesses, but the store has not confirmed it yet. Until
+/// The own lease is to name new witnesses. Answer with witnessesReady(). Until
 /// WitnessesConfirmed the previous and the proposed ones must all hold a record.
 struct WitnessesProposed
 {
--- a/src/libs/ownership/ownershipmanager.cpp
+++ b/src/libs/ownership/ownershipmanager.cpp
@@ -156,6 +156,11 @@
     tick(now);
 }
 
+void OwnershipManager::witnessesReady(Base::Instant now)
+{
+    lease_.witnessesReady(now);
+}
+
 void OwnershipManager::setConfigVersion(Base::ConfigVersion version)
 {
     lease_.setConfigVersion(version);
--- a/src/libs/ownership/ownershipmanager.h
+++ b/src/libs/ownership/ownershipmanager.h
@@ -73,6 +73,10 @@
     /// just these witnesses: hold changes until the records are drained.
     void setWitnessChangesHeld(bool isHeld) { areWitnessChangesHeld_ = isHeld; }
 
+    /// Answer to WitnessesProposed: the proposed witnesses hold every committed record that the
+    /// store lacks, so the lease may name them.
+    void witnessesReady(Base::Instant now);
+
     /// The partition's predecessors were recovered and the findings are committed.
     void partitionServing(Base::PartitionId partition, Base::Instant now);
     /// Nothing of the predecessors' journals is needed any more.
--- a/src/libs/peercodec/peercodec.cpp
+++ b/src/libs/peercodec/peercodec.cpp
@@ -194,6 +194,7 @@
     wire.permits = number(grant.permits);
     wire.validForUs = grant.validFor.count();
     wire.backlog = number(grant.backlog);
+    wire.borrower = grant.borrower.text();
     return wire;
 }
 
@@ -295,6 +296,7 @@
     grant.permits = Admission::Permits(wire.permits);
     grant.validFor = Base::Duration(wire.validForUs);
     grant.backlog = Admission::Permits(wire.backlog);
+    grant.borrower = Base::IncarnationId(wire.borrower);
     return grant;
 }
 
--- a/src/libs/scheduler/daemoncore_ownership.cpp
+++ b/src/libs/scheduler/daemoncore_ownership.cpp
@@ -36,9 +36,7 @@
                                    message.message);
                            },
                            [&](const Fleet::MembershipEvent &event) { memberEvent(event, now); },
-                           [&](const Fleet::VersionsSeen &seen) {
-                               ownership_.handle(seen, now);
-                           }},
+                           [&](const Fleet::VersionsSeen &seen) { ownership_.handle(seen, now); }},
                    action);
     }
 }
@@ -363,7 +361,7 @@
                                 fenced.by.text()});
                         actions_.emplace_back(IncarnationEnded{});
                     },
-                    [&](const Journal::WitnessesReady &) {},
+                    [&](const Journal::WitnessesReady &) { ownership_.witnessesReady(now); },
                     [&](const Journal::OutageStarted &) {
                         report({Severity::Warning,
                                 "the store does not answer: records commit at the witnesses",
--- a/tests/libs/ownership/simulatedfleet.cpp
+++ b/tests/libs/ownership/simulatedfleet.cpp
@@ -185,6 +185,8 @@
             [&](const Ownership::DaemonDiscovered &discovered) {
                 self.view->addDaemon(discovered.daemon, now_);
             },
+            // No journal here, so the witnesses lack nothing.
+            [&](const Ownership::WitnessesProposed &) { self.manager->witnessesReady(now_); },
             [&](const Ownership::LeaseLost &) { restart(daemon); },
             [&](const Ownership::PartitionAcquired &acquired) { recover(daemon, acquired); },
             [&](const Ownership::HandoverWanted &wanted) { drain(daemon, wanted.partition); },
