--- a/src/libs/scheduler/daemoncore_ownership.cpp
+++ b/src/libs/scheduler/daemoncore_ownership.cpp
@@ -363,6 +363,7 @@
                     },
                     [&](const Journal::WitnessesReady &) { ownership_.witnessesReady(now); },
                     [&](const Journal::OutageStarted &) {
+                        ownership_.setWitnessChangesHeld(true);
                         report({Severity::Warning,
                                 "the store does not answer: records commit at the witnesses",
                                 {},
@@ -371,6 +372,7 @@
                                 "platform"});
                     },
                     [&](const Journal::OutageEnded &) {
+                        ownership_.setWitnessChangesHeld(false);
                         report({Severity::Info,
                                 "the store answers again and has every record",
                                 {},
