--- a/src/libs/rpc/thriftserver.cpp
+++ b/src/libs/rpc/thriftserver.cpp
@@ -9,7 +9,7 @@
 #include <thrift/transport/TNonblockingSSLServerSocket.h>
 #include <thrift/transport/TSSLSocket.h>
 
-#include <chrono>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -25,7 +25,6 @@
 using apache::thrift::transport::TNonblockingSSLServerSocket;
 
 constexpr size_t maxFrameBytes = 64 * 1024 * 1024;
-constexpr std::chrono::milliseconds pollInterval(5);
 
 } // namespace
 
@@ -60,9 +59,29 @@
     server_ = std::make_shared<TNonblockingServer>(
         processor_, std::make_shared<TCompactProtocolFactory>(), socket, workers_);
     server_->setMaxFrameSize(maxFrameBytes);
-    // Listening here makes a taken address an exception of the caller, not of the thread.
-    server_->registerEvents(nullptr);
-    thread_ = std::thread([server = server_] { server->serve(); });
+    // The server wakes its event loop on stop() only if another thread than the one that
+    // registered the events calls it, so the serving thread registers them. A taken address is
+    // still an exception of the caller.
+    std::promise<void> listening;
+    std::future<void> isListening = listening.get_future();
+    thread_ = std::thread([server = server_, listening = std::move(listening)]() mutable {
+        try {
+            server->registerEvents(nullptr);
+        } catch (...) {
+            listening.set_exception(std::current_exception());
+            return;
+        }
+        listening.set_value();
+        server->serve();
+    });
+    try {
+        isListening.get();
+    } catch (...) {
+        thread_.join();
+        workers_->stop();
+        server_.reset();
+        throw;
+    }
 }
 
 void ThriftServer::Private::stop()
--- a/src/libs/runtime/daemonruntime.cpp
+++ b/src/libs/runtime/daemonruntime.cpp
@@ -278,6 +278,14 @@
         .set(static_cast<double>(partitions));
     metrics_.gauge("marjoram_config_version", "Configuration version in force")
         .set(static_cast<double>(version));
+    const auto [requests, runs] = core_.ask(
+        [](const DaemonCore &core) { return std::pair(core.openRequests(), core.openRuns()); });
+    metrics_.gauge("marjoram_open_requests", "Requests that are not answered")
+        .set(static_cast<double>(requests));
+    metrics_.gauge("marjoram_open_runs", "Calls that wait for a backend server or run there")
+        .set(static_cast<double>(runs));
+    metrics_.gauge("marjoram_open_http_requests", "HTTP requests without a complete answer")
+        .set(static_cast<double>(callers_.pendingRequests()));
     metrics_.gauge("marjoram_peer_messages", "Messages acknowledged by peers")
         .set(static_cast<double>(peers_.messagesSent()));
     return metrics_.prometheusText();
--- a/src/libs/scheduler/daemoncore.cpp
+++ b/src/libs/scheduler/daemoncore.cpp
@@ -63,6 +63,7 @@
 void DaemonCore::Private::start(Instant now)
 {
     config_.start({}, now);
+    keysCheckedAt_ = now;
     ownership_.start(now);
     settle(now);
 }
@@ -70,6 +71,10 @@
 void DaemonCore::Private::tick(Instant now)
 {
     config_.tick(now);
+    for (const Contracts::KeyWithdrawn &key : keys_.expired(keysCheckedAt_, now)) {
+        programs_.keyWithdrawn(key.key, now);
+    }
+    keysCheckedAt_ = now;
     editor_.tick(now);
     membership_.tick(now);
     ownership_.tick(now);
@@ -390,9 +395,14 @@
     d_->settle(now);
 }
 
-bool DaemonCore::isBusy() const
+size_t DaemonCore::openRequests() const
+{
+    return d_->router_.pending() + d_->awaitingPermit_.size();
+}
+
+size_t DaemonCore::openRuns() const
 {
-    return d_->router_.pending() > 0 || !d_->runs_.empty() || !d_->awaitingPermit_.empty();
+    return d_->runs_.size();
 }
 
 void DaemonCore::tick(Instant now)
--- a/src/libs/scheduler/daemoncore.h
+++ b/src/libs/scheduler/daemoncore.h
@@ -104,8 +104,12 @@
 
     /// Takes no new requests and hands every partition over.
     void beginShutdown(Base::Instant now);
-    /// Requests, calls or appends that are under way here.
-    bool isBusy() const;
+    /// Requests or calls that are under way here.
+    bool isBusy() const { return openRequests() > 0 || openRuns() > 0; }
+    /// Requests that arrived here and are not answered.
+    size_t openRequests() const;
+    /// Calls that wait for a backend server or run there.
+    size_t openRuns() const;
 
     void tick(Base::Instant now);
     Base::Instant nextWakeUp(Base::Instant now) const;
--- a/src/libs/scheduler/daemoncore_calls.cpp
+++ b/src/libs/scheduler/daemoncore_calls.cpp
@@ -127,7 +127,7 @@
     if (run != serviceRuns_.end()) {
         // A run that reached its server goes on to its end there; only the answer is dropped.
         if (!runs_.at(run->second).isStarted) {
-            dispatcher_.cancel(run->second, now);
+            cancelRun(run->second, now);
         }
         return;
     }
--- a/src/libs/scheduler/daemoncore_owner.cpp
+++ b/src/libs/scheduler/daemoncore_owner.cpp
@@ -175,7 +175,7 @@
 {
     const auto run = programRuns_.find(cancel.dispatch);
     if (run != programRuns_.end()) {
-        dispatcher_.cancel(run->second, now);
+        cancelRun(run->second, now);
     }
 }
 
--- a/src/libs/scheduler/daemoncore_p.h
+++ b/src/libs/scheduler/daemoncore_p.h
@@ -168,6 +168,7 @@
     void modelFinished(Dispatch::DispatchId id, const Dispatch::Usage &usage, Base::Instant now);
     void plainFinished(Dispatch::DispatchId id, PlainResult result, Base::Instant now);
     void runFailed(Dispatch::DispatchId id, const Dispatch::Failure &failure, Base::Instant now);
+    void cancelRun(Dispatch::DispatchId id, Base::Instant now);
     void engineReported(const EngineReport &report, Base::Instant now);
     double weightOf(const Base::TeamId &team) const;
 
@@ -183,6 +184,8 @@
     Contracts::ConfigReplica config_;
     Contracts::ConfigEditor editor_;
     Contracts::KeyRing keys_;
+    /// Keys whose validity ended until then were treated as withdrawn.
+    Base::Instant keysCheckedAt_;
 
     Fleet::MembershipView membership_;
     Ownership::OwnershipManager ownership_;
--- a/src/libs/scheduler/daemoncore_runs.cpp
+++ b/src/libs/scheduler/daemoncore_runs.cpp
@@ -316,6 +316,20 @@
     }
 }
 
+void DaemonCore::Private::cancelRun(DispatchId id, Instant now)
+{
+    const bool isWaiting = !runs_.at(id).isStarted;
+    dispatcher_.cancel(id, now);
+    if (isWaiting) {
+        // The dispatcher drops a waiting call without a word; a running one still ends.
+        refused({id,
+                 Error{.code = Base::ErrorCode::Cancelled,
+                       .step = Base::Step::Dispatch,
+                       .message = "the caller left before the call was dispatched"}},
+                now);
+    }
+}
+
 void DaemonCore::Private::engineReported(const EngineReport &report, Instant now)
 {
     dispatcher_.loadReported(report.server, report.running, report.queued, report.at);
--- a/src/tools/marjoram-load/main.cpp
+++ b/src/tools/marjoram-load/main.cpp
@@ -1,4 +1,5 @@
 #include "experimentcommand.h"
+#include "httpcommand.h"
 
 int main(int argc, char **argv)
 {
@@ -6,6 +7,7 @@
     app.require_subcommand(1);
     int exitCode = 0;
     addExperimentCommand(app, exitCode);
+    addHttpCommand(app, exitCode);
     CLI11_PARSE(app, argc, argv);
     return exitCode;
 }
--- a/tests/libs/scheduler/tst_daemoncore.cpp
+++ b/tests/libs/scheduler/tst_daemoncore.cpp
@@ -148,3 +148,34 @@
     cr_assert(!fleet.caller(second).error());
     cr_assert_eq(fleet.executions().size(), 2U);
 }
+
+Test(daemoncore, nothingStaysOpenWhenTheWholeFleetStops)
+{
+    CoreFleet fleet(3, 7);
+    settle(fleet);
+    const Base::ProgramId program = fleet.createProgram(0);
+    const size_t first = fleet.submit(1, program, 1, "planner", "one", true);
+    cr_assert(fleet.runUntil([&] { return fleet.caller(first).pieces.size() == 2; }, 10s));
+    fleet.kill(0);
+    cr_assert(fleet.runUntil([&] { return isAnswered(fleet, first); }, 30s));
+    fleet.beginShutdown(1);
+    fleet.beginShutdown(2);
+    fleet.run(5s);
+    for (const size_t daemon : {1, 2}) {
+        cr_assert_eq(fleet.core(daemon).openRequests(), 0U);
+        cr_assert_eq(fleet.core(daemon).openRuns(), 0U);
+    }
+}
+
+Test(daemoncore, callerWhoLeavesBeforeTheDispatchLeavesNothingOpen)
+{
+    CoreFleet fleet(3, 8);
+    settle(fleet);
+    const Base::ProgramId program = fleet.createProgram(0);
+    const size_t first = fleet.submit(0, program, 1, "planner", "one");
+    fleet.callerLeaves(first);
+    fleet.run(10s);
+    for (size_t daemon = 0; daemon < fleet.size(); ++daemon) {
+        cr_assert_eq(fleet.core(daemon).openRuns(), 0U);
+    }
+}
