--- a/src/app/marjoramd/main.cpp
+++ b/src/app/marjoramd/main.cpp
@@ -1,3 +1,4 @@
+#include <rpc/tlsfactory.h>
 #include <runtime/daemonruntime.h>
 
 #include <CLI/CLI.hpp>
@@ -54,6 +55,7 @@
 /// Runs incarnations until one is stopped.
 int run(const Runtime::DaemonSettings &settings)
 {
+    Rpc::discardThriftOutput();
     const sigset_t signals = stopSignals();
     // Blocked in every thread; one thread waits for them.
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
--- a/src/libs/rpc/tlsfactory.cpp
+++ b/src/libs/rpc/tlsfactory.cpp
@@ -1,5 +1,6 @@
 #include "tlsfactory.h"
 
+#include <thrift/TOutput.h>
 #include <thrift/transport/TSSLSocket.h>
 
 #include <filesystem>
@@ -61,6 +62,11 @@
     return factory;
 }
 
+void discardThriftOutput()
+{
+    apache::thrift::GlobalOutput.setOutputFunction([](const char * /*message*/) {});
+}
+
 std::string tlsFingerprint(const TlsSettings &settings)
 {
     return stampOf(settings.certificateFile) + "/" + stampOf(settings.privateKeyFile) + "/"
--- a/src/libs/rpc/tlsfactory.h
+++ b/src/libs/rpc/tlsfactory.h
@@ -20,6 +20,10 @@
 std::shared_ptr<apache::thrift::transport::TSSLSocketFactory> makeTlsFactory(
     const TlsSettings &settings, TlsRole role);
 
+/// Thrift prints failed connections to standard error unless told otherwise; errors come back to
+/// the callers anyway.
+void discardThriftOutput();
+
 /// Changes whenever one of the files has changed on disk.
 std::string tlsFingerprint(const TlsSettings &settings);
 
--- a/src/libs/scheduler/daemoncore.cpp
+++ b/src/libs/scheduler/daemoncore.cpp
@@ -75,6 +75,9 @@
         programs_.keyWithdrawn(key.key, now);
     }
     keysCheckedAt_ = now;
+    for (PartitionLoaded &loaded : std::exchange(retryAdoptions_, {})) {
+        adopt(std::move(loaded), now);
+    }
     editor_.tick(now);
     membership_.tick(now);
     ownership_.tick(now);
--- a/src/libs/scheduler/daemoncore_ownership.cpp
+++ b/src/libs/scheduler/daemoncore_ownership.cpp
@@ -141,6 +141,9 @@
     loader_.lost(partition);
     std::erase_if(adoptions_,
                   [&](const auto &entry) { return entry.second.found.partition == partition; });
+    std::erase_if(retryAdoptions_, [&](const PartitionLoaded &loaded) {
+        return loaded.found.partition == partition;
+    });
     serving_.erase(partition);
     draining_.erase(partition);
     programs_.partitionLost(partition, now);
--- a/src/tools/marjoramctl/main.cpp
+++ b/src/tools/marjoramctl/main.cpp
@@ -1,5 +1,7 @@
 #include "commands.h"
 
+#include <rpc/tlsfactory.h>
+
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -51,6 +53,7 @@
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    Rpc::discardThriftOutput();
     CLI::App app("marjoramctl: operates a fleet of marjoramd daemons");
     app.require_subcommand(1);
     CommandContext context;
--- a/tests/libs/rpc/tst_peertransport.cpp
+++ b/tests/libs/rpc/tst_peertransport.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <condition_variable>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <mutex>
@@ -18,6 +19,8 @@
     explicit Certificates(const std::string &name)
         : folder_(std::filesystem::temp_directory_path() / (name + std::to_string(getpid())))
     {
+        // A peer that closes its end must not end the process, as in the daemon.
+        std::signal(SIGPIPE, SIG_IGN);
         const std::string command = std::string(MAKE_CERTIFICATES) + " " + folder_.string();
         cr_assert_eq(std::system(command.c_str()), 0); // NOLINT(concurrency-mt-unsafe)
     }
