--- a/src/libs/gateway/httpserver.cpp
+++ b/src/libs/gateway/httpserver.cpp
@@ -137,7 +137,7 @@
     serverSettings.address(settings_.address)
         .port(settings_.port)
         .request_handler(
-            [self](restinio::request_handle_t request) { return self->accept(request); })
+            [self](const restinio::request_handle_t &request) { return self->accept(request); })
         .connection_state_listener(listener)
         .incoming_http_msg_limits(limits)
         // Reading goes on while an answer is pending, so that a closed connection is noticed.
--- a/src/libs/scheduler/daemoncore_config.cpp
+++ b/src/libs/scheduler/daemoncore_config.cpp
@@ -13,14 +13,14 @@
 using Base::Instant;
 using Base::Visitor;
 
+} // namespace
+
 Dispatch::ServiceKind toDispatch(Contracts::ServiceKind kind)
 {
     return kind == Contracts::ServiceKind::Model ? Dispatch::ServiceKind::Model
                                                  : Dispatch::ServiceKind::Plain;
 }
 
-} // namespace
-
 Admission::RateLimit rateLimitOf(const Contracts::Team &team)
 {
     return {team.ratePerSecond,
--- a/src/libs/scheduler/daemoncore_p.h
+++ b/src/libs/scheduler/daemoncore_p.h
@@ -229,6 +229,8 @@
     std::unordered_map<Base::RequestId, Dispatch::DispatchId> serviceRuns_;
 };
 
+/// The contract's terms in the form of the libraries that carry them out.
 Admission::RateLimit rateLimitOf(const Contracts::Team &team);
+Dispatch::ServiceKind toDispatch(Contracts::ServiceKind kind);
 
 } // namespace Scheduler
--- a/src/libs/scheduler/daemoncore_runs.cpp
+++ b/src/libs/scheduler/daemoncore_runs.cpp
@@ -39,12 +39,6 @@
     return method == "GET" || method == "HEAD" || method == "OPTIONS";
 }
 
-Dispatch::ServiceKind toDispatch(Contracts::ServiceKind kind)
-{
-    return kind == Contracts::ServiceKind::Model ? Dispatch::ServiceKind::Model
-                                                 : Dispatch::ServiceKind::Plain;
-}
-
 } // namespace
 
 double DaemonCore::Private::weightOf(const Base::TeamId &team) const
