--- a/tests/benches/decisionbench.cpp
+++ b/tests/benches/decisionbench.cpp
@@ -100,6 +100,7 @@
         }
     }
     std::vector<Dispatch::DispatchRequest> calls;
+    calls.reserve(static_cast<std::size_t>(repetitions));
     for (int i = 0; i < repetitions; i++) {
         calls.push_back(request(++id, teams, random));
     }
