One check of which teams a service is offered to

Cause: the check stood twice, where requests arrive and at the owner of the program. Change: isOfferedTo() serves both; behaviour is as it was (the arriving side also admits services open to all).

--- a/src/libs/scheduler/daemoncore_calls.cpp
+++ b/src/libs/scheduler/daemoncore_calls.cpp
@@ -69,8 +69,7 @@
 
 bool mayUse(const Contracts::Service &service, const Base::TeamId &team)
 {
-    return service.isOpenToAll || service.teams.empty()
-           || std::find(service.teams.begin(), service.teams.end(), team) != service.teams.end();
+    return service.isOpenToAll || isOfferedTo(service, team);
 }
 
 } // namespace
--- a/src/libs/scheduler/daemoncore_config.cpp
+++ b/src/libs/scheduler/daemoncore_config.cpp
@@ -4,6 +4,7 @@
 
 #include <base/visitor.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace Scheduler {
@@ -27,6 +28,12 @@
             Admission::Permits(static_cast<std::int64_t>(std::floor(team.burst)))};
 }
 
+bool isOfferedTo(const Contracts::Service &service, const Base::TeamId &team)
+{
+    return service.teams.empty()
+           || std::find(service.teams.begin(), service.teams.end(), team) != service.teams.end();
+}
+
 void DaemonCore::Private::configActions(Instant now)
 {
     for (Contracts::ConfigReplicaAction &action : config_.takeActions()) {
--- a/src/libs/scheduler/daemoncore_owner.cpp
+++ b/src/libs/scheduler/daemoncore_owner.cpp
@@ -93,12 +93,7 @@
                        [&](const CallerApi::SubmitCallRequest &call) {
                            const Contracts::Service *service
                                = config_.document()->findService(call.service);
-                           const bool isAllowed = service
-                                                  && (service->teams.empty()
-                                                      || std::find(service->teams.begin(),
-                                                                   service->teams.end(),
-                                                                   request.team)
-                                                             != service->teams.end());
+                           const bool isAllowed = service && isOfferedTo(*service, request.team);
                            if (!isAllowed) {
                                reply(id, unknownService(call.service), now);
                                return;
--- a/src/libs/scheduler/daemoncore_p.h
+++ b/src/libs/scheduler/daemoncore_p.h
@@ -233,4 +233,7 @@
 Admission::RateLimit rateLimitOf(const Contracts::Team &team);
 Dispatch::ServiceKind toDispatch(Contracts::ServiceKind kind);
 
+/// Whether the service names the team, or none at all.
+bool isOfferedTo(const Contracts::Service &service, const Base::TeamId &team);
+
 } // namespace Scheduler
