--- /dev/null
+++ b/src/libs/dispatch/requestplacer.cpp
@@ -0,0 +1,230 @@
+#include "requestplacer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Dispatch {
+
+struct RequestPlacer::Server
+{
+    ListedServer listed;
+    std::uint32_t running = 0;
+    /// Requests of other daemons at the last report.
+    double othersLoad = 0;
+    Base::Instant reportedAt;
+    /// Mean latency in milliseconds; negative before the first answer.
+    double meanLatencyMs = -1;
+    std::uint32_t failures = 0;
+    std::optional<Base::Instant> ejectedUntil;
+    Base::Duration nextEjection{};
+    /// Parts that the server has read for this daemon, latest first.
+    std::list<std::uint64_t> recentParts;
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> parts;
+
+    void remember(std::uint64_t part, std::size_t limit);
+};
+
+void RequestPlacer::Server::remember(std::uint64_t part, std::size_t limit)
+{
+    if (const auto known = parts.find(part); known != parts.end()) {
+        recentParts.splice(recentParts.begin(), recentParts, known->second);
+        return;
+    }
+    recentParts.push_front(part);
+    parts.emplace(part, recentParts.begin());
+    if (parts.size() > limit) {
+        parts.erase(recentParts.back());
+        recentParts.pop_back();
+    }
+}
+
+RequestPlacer::RequestPlacer(Base::ZoneId zone, PlacementSettings settings, std::uint64_t seed)
+    : zone_(std::move(zone))
+    , settings_(settings)
+    , random_(seed)
+{}
+
+RequestPlacer::~RequestPlacer() = default;
+
+void RequestPlacer::serversChanged(const std::vector<ListedServer> &servers)
+{
+    std::unordered_map<Base::ServerId, std::unique_ptr<Server>> next;
+    for (const ListedServer &listed : servers) {
+        const auto known = servers_.find(listed.server.id);
+        const bool isSameLife = known != servers_.end() && known->second
+                                && known->second->listed.startedAt == listed.startedAt;
+        std::unique_ptr<Server> server
+            = isSameLife ? std::move(known->second) : std::make_unique<Server>();
+        server->listed = listed;
+        if (!isSameLife) {
+            server->nextEjection = settings_.firstEjection;
+        }
+        next[listed.server.id] = std::move(server);
+    }
+    servers_ = std::move(next);
+}
+
+RequestPlacer::Server *RequestPlacer::find(const ServerLife &life)
+{
+    const auto server = servers_.find(life.id);
+    const bool isSameLife
+        = server != servers_.end() && server->second->listed.startedAt == life.startedAt;
+    return isSameLife ? server->second.get() : nullptr;
+}
+
+bool RequestPlacer::isListed(const ServerLife &life) const
+{
+    const auto server = servers_.find(life.id);
+    return server != servers_.end() && server->second->listed.startedAt == life.startedAt;
+}
+
+bool RequestPlacer::hasServer(const Base::ServiceId &service) const
+{
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto &entry) {
+        const Contracts::BackendServer &server = entry.second->listed.server;
+        return server.service == service && !server.isLeaving;
+    });
+}
+
+double RequestPlacer::loadOf(const Server &server, Base::Instant now) const
+{
+    const double age = Base::toSeconds(now - server.reportedAt);
+    const double remembered = std::exp(-age / Base::toSeconds(settings_.reportAge));
+    return server.running + server.othersLoad * remembered;
+}
+
+Base::Tokens RequestPlacer::cachedAt(const Server &server,
+                                     const std::vector<PromptPart> &prompt) const
+{
+    Base::Tokens cached;
+    for (const PromptPart &part : prompt) {
+        if (!server.parts.contains(part.key)) {
+            break;
+        }
+        cached += part.tokens;
+    }
+    return cached;
+}
+
+double RequestPlacer::costOf(Server &server,
+                             const std::vector<PromptPart> &prompt,
+                             Base::Instant now)
+{
+    const double load = loadOf(server, now);
+    const double slots = std::max(1U, server.listed.server.slots);
+    double cost = server.listed.server.zone == zone_ ? 0 : settings_.crossZoneCostMs;
+    cost += load * settings_.costPerRunningMs;
+    if (server.meanLatencyMs >= 0) {
+        // A request beyond the slots waits until one of those before it has ended.
+        const double waiting = std::max(0.0, load + 1 - slots);
+        cost += server.meanLatencyMs * (1 + waiting / slots);
+    }
+    std::int64_t missing = 0;
+    bool isMissing = false;
+    for (const PromptPart &part : prompt) {
+        isMissing = isMissing || !server.parts.contains(part.key);
+        missing += isMissing ? part.tokens.value() : 0;
+    }
+    cost += static_cast<double>(missing) / settings_.prefillTokensPerMs;
+    return cost * (1 + settings_.jitter * random_.unit());
+}
+
+std::optional<Placement> RequestPlacer::choose(const Base::ServiceId &service,
+                                               const std::vector<PromptPart> &prompt,
+                                               const std::vector<Base::ServerId> &excluded,
+                                               Base::Instant now)
+{
+    Server *best = nullptr;
+    double bestCost = 0;
+    bool isBestEjected = false;
+    for (auto &[id, server] : servers_) {
+        const Contracts::BackendServer &config = server->listed.server;
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
+        if (config.service != service || config.isLeaving || isExcluded) {
+            continue;
+        }
+        const bool isEjected = server->ejectedUntil && now < *server->ejectedUntil;
+        const double cost = costOf(*server, prompt, now);
+        const bool isBetter
+            = !best || (isEjected != isBestEjected ? isBestEjected : cost < bestCost);
+        if (isBetter) {
+            best = server.get();
+            bestCost = cost;
+            isBestEjected = isEjected;
+        }
+    }
+    if (!best) {
+        return std::nullopt;
+    }
+    return Placement{best->listed.life(),
+                     best->listed.server.address,
+                     loadOf(*best, now),
+                     best->listed.server.slots,
+                     cachedAt(*best, prompt)};
+}
+
+void RequestPlacer::sent(const ServerLife &life, const std::vector<PromptPart> &prompt)
+{
+    Server *server = find(life);
+    if (!server) {
+        return;
+    }
+    ++server->running;
+    for (const PromptPart &part : prompt) {
+        server->remember(part.key, settings_.rememberedParts);
+    }
+}
+
+void RequestPlacer::ended(const ServerLife &life)
+{
+    if (Server *server = find(life); server && server->running > 0) {
+        --server->running;
+    }
+}
+
+void RequestPlacer::answered(const ServerLife &life, Base::Duration latency)
+{
+    Server *server = find(life);
+    if (!server) {
+        return;
+    }
+    const double milliseconds = Base::toSeconds(latency) * 1000;
+    server->meanLatencyMs
+        = server->meanLatencyMs < 0
+              ? milliseconds
+              : server->meanLatencyMs
+                    + settings_.latencyWeight * (milliseconds - server->meanLatencyMs);
+    server->failures = 0;
+    server->nextEjection = settings_.firstEjection;
+    server->ejectedUntil.reset();
+}
+
+void RequestPlacer::failed(const ServerLife &life, Base::Instant now)
+{
+    Server *server = find(life);
+    if (!server) {
+        return;
+    }
+    ++server->failures;
+    if (server->failures < settings_.failuresToEject) {
+        return;
+    }
+    server->ejectedUntil = now + server->nextEjection;
+    server->nextEjection = std::min(settings_.longestEjection, 2 * server->nextEjection);
+    server->failures = 0;
+}
+
+void RequestPlacer::loadReported(const ServerLife &life,
+                                 std::uint32_t running,
+                                 std::uint32_t waiting,
+                                 Base::Instant now)
+{
+    Server *server = find(life);
+    if (!server) {
+        return;
+    }
+    server->othersLoad = std::max(0.0, double(running) + waiting - server->running);
+    server->reportedAt = now;
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/src/libs/proxy/callerconnection.cpp
@@ -0,0 +1,374 @@
+#include "callerconnection.h"
+
+#include <asio/write.hpp>
+
+#include <array>
+#include <cstdio>
+
+namespace Proxy {
+
+namespace {
+
+constexpr std::size_t readBufferBytes = 16 * 1024;
+
+/// Bytes of later requests that are taken while one is handled.
+constexpr std::size_t maxPipelinedBytes = 64 * 1024;
+
+int statusOf(ParseError error)
+{
+    switch (error) {
+    case ParseError::HeadTooLarge:
+        return 431;
+    case ParseError::BodyTooLarge:
+        return 413;
+    case ParseError::None:
+    case ParseError::Malformed:
+        break;
+    }
+    return 400;
+}
+
+std::string chunkHead(std::size_t size)
+{
+    std::array<char, 24> text{};
+    const int length = std::snprintf(text.data(), text.size(), "%zx\r\n", size);
+    return {text.data(), static_cast<std::size_t>(length)};
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
+                                   std::shared_ptr<const CallerServices> services)
+    : socket_(std::move(socket))
+    , timer_(socket_.get_executor())
+    , services_(std::move(services))
+    , buffer_(readBufferBytes)
+{}
+
+void CallerConnection::start()
+{
+    std::error_code ignored; // a socket without the option still works
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    lastActivity_ = services_->now();
+    armTimer();
+    read();
+}
+
+void CallerConnection::read()
+{
+    const bool isFull = isHandling_ && incoming_.size() >= maxPipelinedBytes;
+    if (isReading_ || isClosed_ || isClosing_ || isFull) {
+        return;
+    }
+    isReading_ = true;
+    auto self = shared_from_this();
+    socket_.async_read_some(asio::buffer(buffer_),
+                            [self](const std::error_code &error, std::size_t size) {
+                                self->isReading_ = false;
+                                if (!self->isClosed_) {
+                                    self->onRead(error, size);
+                                }
+                            });
+}
+
+void CallerConnection::onRead(const std::error_code &error, std::size_t size)
+{
+    if (error) {
+        close();
+        return;
+    }
+    lastActivity_ = services_->now();
+    incoming_.append(buffer_.data(), size);
+    parse();
+    read();
+}
+
+void CallerConnection::parse()
+{
+    if (isParsing_) {
+        return;
+    }
+    isParsing_ = true;
+    while (!isHandling_ && !isClosed_ && !isClosing_ && !incoming_.empty()) {
+        if (parser_.state() == ParseState::Empty) {
+            const Contracts::CallerLimits limits = services_->limits();
+            parser_.setLimits({limits.headBytes, limits.bodyBytes});
+        }
+        incoming_.erase(0, parser_.feed(incoming_));
+        body_ += parser_.takeBody();
+        if (parser_.state() != ParseState::Empty && !messageBegun_) {
+            messageBegun_ = lastActivity_;
+            armTimer();
+        }
+        if (parser_.state() == ParseState::Failed) {
+            reject();
+        } else if (parser_.state() == ParseState::Complete) {
+            dispatchRequest();
+        } else {
+            sendContinueIfAsked();
+        }
+    }
+    isParsing_ = false;
+}
+
+void CallerConnection::sendContinueIfAsked()
+{
+    if (parser_.state() != ParseState::Body || hasContinued_) {
+        return;
+    }
+    hasContinued_ = true;
+    const auto expect = parser_.request().headers.find("Expect");
+    if (expect && equalsIgnoringCase(*expect, "100-continue")) {
+        outgoing_ += "HTTP/1.1 100 Continue\r\n\r\n";
+        flush();
+    }
+}
+
+void CallerConnection::reject()
+{
+    const int status = statusOf(parser_.error());
+    services_->onRejected(status, parser_.problem());
+    isHandling_ = true;
+    isKeptAlive_ = false;
+    isHeadRequest_ = false;
+    ResponseHead head;
+    head.status = status;
+    head.reason = reasonOf(status);
+    respond(std::move(head), {});
+}
+
+void CallerConnection::dispatchRequest()
+{
+    CallerRequest request;
+    request.head = parser_.takeRequest();
+    request.body = std::exchange(body_, {});
+    request.arrivedAt = services_->now();
+    parser_.reset();
+    messageBegun_.reset();
+    hasContinued_ = false;
+    isHandling_ = true;
+    isKeptAlive_ = request.head.isKeepAlive;
+    isHeadRequest_ = request.head.method == "HEAD";
+    isHttp11_ = request.head.isHttp11;
+    services_->onRequest(shared_from_this(), std::move(request));
+}
+
+void CallerConnection::respond(ResponseHead head, std::string_view body)
+{
+    Framing framing;
+    framing.length = body.size();
+    beginResponse(std::move(head), framing);
+    write(body);
+    endResponse();
+}
+
+void CallerConnection::beginResponse(ResponseHead head, Framing framing)
+{
+    if (isClosed_) {
+        return;
+    }
+    if (services_->isStopping()) {
+        isKeptAlive_ = false;
+    }
+    if (framing.kind == BodyFraming::Chunked && !isHttp11_) {
+        framing.kind = BodyFraming::UntilClose;
+    }
+    if (framing.kind == BodyFraming::UntilClose) {
+        isKeptAlive_ = false;
+    }
+    responseFraming_ = framing;
+    outgoing_ += serializeResponse(head, framing, isKeptAlive_);
+    flush();
+}
+
+void CallerConnection::write(std::string_view bytes)
+{
+    if (isClosed_ || bytes.empty() || isHeadRequest_) {
+        return;
+    }
+    if (responseFraming_.kind == BodyFraming::Chunked) {
+        outgoing_ += chunkHead(bytes.size());
+        outgoing_ += bytes;
+        outgoing_ += "\r\n";
+    } else {
+        outgoing_ += bytes;
+    }
+    flush();
+}
+
+void CallerConnection::endResponse()
+{
+    if (isClosed_) {
+        return;
+    }
+    if (responseFraming_.kind == BodyFraming::Chunked && !isHeadRequest_) {
+        outgoing_ += "0\r\n\r\n";
+    }
+    finishResponse();
+    flush();
+}
+
+void CallerConnection::finishResponse()
+{
+    isHandling_ = false;
+    onGone_ = nullptr;
+    onDrained_ = nullptr;
+    lastActivity_ = services_->now();
+    if (!isKeptAlive_ || services_->isStopping()) {
+        isClosing_ = true;
+        return;
+    }
+    armTimer();
+    if (incoming_.empty()) {
+        return;
+    }
+    // The next request waits; it is started from the event loop, not from within this one.
+    auto self = shared_from_this();
+    asio::post(socket_.get_executor(), [self] {
+        self->parse();
+        self->read();
+    });
+}
+
+void CallerConnection::abort()
+{
+    onGone_ = nullptr;
+    onDrained_ = nullptr;
+    close();
+}
+
+void CallerConnection::flush()
+{
+    if (isClosed_ || !writing_.empty()) {
+        return;
+    }
+    if (outgoing_.empty()) {
+        if (auto drained = std::exchange(onDrained_, nullptr)) {
+            drained();
+        }
+        if (isClosing_ && !isHandling_ && outgoing_.empty()) {
+            closeAfterWrites();
+        }
+        return;
+    }
+    writing_ = std::exchange(outgoing_, {});
+    auto self = shared_from_this();
+    asio::async_write(
+        socket_, asio::buffer(writing_), [self](const std::error_code &error, std::size_t) {
+            self->onWritten(error);
+        });
+}
+
+void CallerConnection::onWritten(const std::error_code &error)
+{
+    writing_.clear();
+    if (isClosed_) {
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    flush();
+}
+
+/// Tells the caller the end and leaves it time to read the answer: closing at once with unread
+/// bytes on the socket would reset the connection.
+void CallerConnection::closeAfterWrites()
+{
+    std::error_code ignored; // the connection is closed either way
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    constexpr auto lingerTime = std::chrono::milliseconds(200);
+    timer_.expires_after(lingerTime);
+    auto self = shared_from_this();
+    timer_.async_wait([self](const std::error_code &error) {
+        if (!error) {
+            self->close();
+        }
+    });
+    isClosing_ = false;
+    isHandling_ = true; // bytes that still come are dropped
+    read();
+    isClosing_ = true;
+}
+
+void CallerConnection::armTimer()
+{
+    const Contracts::CallerLimits limits = services_->limits();
+    const Base::Instant now = services_->now();
+    Base::Instant due = lastActivity_ + limits.idleTimeout;
+    if (messageBegun_) {
+        due = std::min(due, *messageBegun_ + limits.headTimeout);
+    }
+    // A timer that fires early looks again; moving it with every request would cost more.
+    if (timerDue_ && *timerDue_ <= due) {
+        return;
+    }
+    timerDue_ = due;
+    timer_.expires_after(std::max(Base::Duration::zero(), due - now));
+    auto self = shared_from_this();
+    timer_.async_wait([self](const std::error_code &error) {
+        if (!error && !self->isClosed_) {
+            self->timerDue_.reset();
+            self->onTimer();
+        }
+    });
+}
+
+void CallerConnection::onTimer()
+{
+    if (isHandling_ || isClosing_) {
+        return; // the timer is armed again when the answer has ended
+    }
+    const Contracts::CallerLimits limits = services_->limits();
+    const Base::Instant now = services_->now();
+    const bool isHeadLate = messageBegun_ && parser_.state() == ParseState::Head
+                            && now >= *messageBegun_ + limits.headTimeout;
+    const bool isIdle = now >= lastActivity_ + limits.idleTimeout;
+    if (isHeadLate || (isIdle && messageBegun_)) {
+        services_->onRejected(408, "request did not arrive in time");
+        isHandling_ = true;
+        isKeptAlive_ = false;
+        ResponseHead head;
+        head.status = 408;
+        head.reason = reasonOf(408);
+        respond(std::move(head), {});
+        return;
+    }
+    if (isIdle) {
+        close();
+        return;
+    }
+    if (messageBegun_ && parser_.state() == ParseState::Body) {
+        messageBegun_ = now; // the head is in time; the body may take the idle timeout
+    }
+    armTimer();
+}
+
+void CallerConnection::closeIfIdle()
+{
+    const bool isIdle = !isHandling_ && parser_.state() == ParseState::Empty && incoming_.empty()
+                        && pendingBytes() == 0;
+    if (isIdle) {
+        close();
+    }
+}
+
+void CallerConnection::close()
+{
+    if (isClosed_) {
+        return;
+    }
+    isClosed_ = true;
+    timer_.cancel();
+    std::error_code ignored; // nothing is left to do for a socket that can't be closed
+    socket_.close(ignored);
+    const auto self = shared_from_this();
+    onDrained_ = nullptr;
+    if (auto gone = std::exchange(onGone_, nullptr)) {
+        gone();
+    }
+    services_->onClosed(self);
+}
+
+} // namespace Proxy
--- /dev/null
+++ b/src/libs/proxy/clientconnection.cpp
@@ -0,0 +1,276 @@
+#include "clientconnection.h"
+
+#include <asio/write.hpp>
+
+#include <charconv>
+
+namespace Proxy {
+
+namespace {
+
+/// A response's events are small; a larger buffer costs memory on each connection.
+constexpr std::size_t readBufferBytes = 8 * 1024;
+
+/// "timeout=15, max=100" -> 15 s.
+std::optional<Base::Duration> parseKeepAlive(std::string_view value)
+{
+    constexpr std::string_view name = "timeout=";
+    const std::size_t at = value.find(name);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    long seconds = 0;
+    const char *first = value.data() + at + name.size();
+    const auto result = std::from_chars(first, value.data() + value.size(), seconds);
+    const bool isNumber = result.ec == std::errc() && seconds >= 0;
+    return isNumber ? std::optional<Base::Duration>(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(asio::io_context &context, asio::ip::tcp::endpoint peer)
+    : socket_(context)
+    , peer_(std::move(peer))
+    , connectTimer_(context)
+    , buffer_(readBufferBytes)
+{}
+
+void ClientConnection::connect(Base::Duration timeout,
+                               std::function<void(const std::string &problem)> done)
+{
+    auto self = shared_from_this();
+    auto callback = std::make_shared<std::function<void(const std::string &)>>(std::move(done));
+    const auto report = [callback](const std::string &problem) {
+        if (*callback) {
+            std::exchange(*callback, nullptr)(problem);
+        }
+    };
+    connectTimer_.expires_after(timeout);
+    connectTimer_.async_wait([self, report](const std::error_code &error) {
+        if (!error && !self->isClosed_) {
+            self->close();
+            report("no connection in time");
+        }
+    });
+    socket_.async_connect(peer_, [self, report](const std::error_code &error) {
+        if (self->isClosed_) {
+            return;
+        }
+        self->connectTimer_.cancel();
+        if (error) {
+            self->close();
+            report(error.message());
+            return;
+        }
+        self->setUpSocket();
+        report({});
+    });
+}
+
+void ClientConnection::setUpSocket()
+{
+    std::error_code ignored; // a socket without the option still works
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+void ClientConnection::send(std::string bytes, bool isHeadMethod, Handlers handlers)
+{
+    handlers_ = std::make_shared<Handlers>(std::move(handlers));
+    onUnusable_ = nullptr;
+    outgoing_ = std::move(bytes);
+    parser_.reset();
+    isHeadMethod_ = isHeadMethod;
+    if (isHeadMethod_) {
+        parser_.expectNoBody();
+    }
+    isAwaitingResponse_ = true;
+    isHeadSeen_ = false;
+    isDiscarding_ = false;
+    isReusable_ = false;
+    isWriting_ = true;
+    hasSent_ = true;
+    auto self = shared_from_this();
+    asio::async_write(
+        socket_, asio::buffer(outgoing_), [self](const std::error_code &error, std::size_t) {
+            self->isWriting_ = false;
+            if (self->isClosed_ || !error) {
+                return;
+            }
+            // The server may have answered before it broke off; reading tells.
+            if (!self->isReading_) {
+                self->fail("write: " + error.message());
+            }
+        });
+    read();
+}
+
+void ClientConnection::watchIdle(std::function<void()> onUnusable)
+{
+    onUnusable_ = std::move(onUnusable);
+    read();
+}
+
+void ClientConnection::pause()
+{
+    isPaused_ = true;
+}
+
+void ClientConnection::resume()
+{
+    isPaused_ = false;
+    read();
+}
+
+void ClientConnection::close()
+{
+    if (isClosed_) {
+        return;
+    }
+    isClosed_ = true;
+    isReusable_ = false;
+    handlers_.reset();
+    onUnusable_ = nullptr;
+    connectTimer_.cancel();
+    std::error_code ignored; // nothing is left to do for a socket that can't be closed
+    socket_.close(ignored);
+}
+
+void ClientConnection::read()
+{
+    if (isReading_ || isPaused_ || isClosed_) {
+        return;
+    }
+    isReading_ = true;
+    auto self = shared_from_this();
+    socket_.async_read_some(asio::buffer(buffer_),
+                            [self](const std::error_code &error, std::size_t size) {
+                                self->isReading_ = false;
+                                if (!self->isClosed_) {
+                                    self->onRead(error, size);
+                                }
+                            });
+}
+
+void ClientConnection::onRead(const std::error_code &error, std::size_t size)
+{
+    if (!isAwaitingResponse_) {
+        // Idle: the server closed the connection, or sent what nobody waits for.
+        auto onUnusable = std::exchange(onUnusable_, nullptr);
+        close();
+        if (onUnusable) {
+            onUnusable();
+        }
+        return;
+    }
+    if (error == asio::error::eof) {
+        parser_.finish();
+        if (parser_.state() == ParseState::Complete) {
+            onResponseComplete(true);
+        } else {
+            fail(parser_.problem().empty() ? "connection closed before the response"
+                                           : parser_.problem());
+        }
+        return;
+    }
+    if (error) {
+        fail(error.message());
+        return;
+    }
+    if (consume(std::string_view(buffer_.data(), size))) {
+        read();
+    }
+}
+
+/// Returns whether more is to be read.
+bool ClientConnection::consume(std::string_view bytes)
+{
+    while (!bytes.empty() && isAwaitingResponse_) {
+        bytes.remove_prefix(parser_.feed(bytes));
+        if (parser_.state() == ParseState::Failed) {
+            fail(parser_.problem());
+            return false;
+        }
+        const bool hasHead
+            = parser_.state() == ParseState::Body || parser_.state() == ParseState::Complete;
+        if (hasHead && !isHeadSeen_ && !onHeadParsed()) {
+            return false;
+        }
+        if (std::string body = parser_.takeBody(); !body.empty() && !isDiscarding_) {
+            const auto handlers = handlers_;
+            handlers->onBody(std::move(body));
+            if (isClosed_) {
+                return false;
+            }
+        }
+        if (parser_.state() != ParseState::Complete) {
+            continue;
+        }
+        const bool isInterim = parser_.response().status < 200;
+        if (isDiscarding_ || isInterim) {
+            const bool endsConnection = !isInterim && !parser_.response().isKeepAlive;
+            if (endsConnection) {
+                fail("connection ends with a response to another request");
+                return false;
+            }
+            parser_.reset();
+            if (isHeadMethod_) {
+                parser_.expectNoBody();
+            }
+            isHeadSeen_ = false;
+            isDiscarding_ = false;
+            continue;
+        }
+        onResponseComplete(!bytes.empty());
+        return false;
+    }
+    return true;
+}
+
+/// Returns whether the connection is still in use.
+bool ClientConnection::onHeadParsed()
+{
+    isHeadSeen_ = true;
+    const ResponseHead &head = parser_.response();
+    if (head.status == 101) {
+        fail("switch of protocols");
+        return false;
+    }
+    if (head.status < 200) {
+        return true;
+    }
+    const auto handlers = handlers_;
+    isDiscarding_ = handlers->onHead(head, parser_.framing()) == HeadVerdict::Discard;
+    if (!isClosed_ && !isDiscarding_) {
+        noteKeepAlive();
+    }
+    return !isClosed_;
+}
+
+void ClientConnection::noteKeepAlive()
+{
+    if (const auto value = parser_.response().headers.find("Keep-Alive")) {
+        keepAliveTimeout_ = parseKeepAlive(*value);
+    }
+}
+
+void ClientConnection::onResponseComplete(bool hasExtraBytes)
+{
+    isAwaitingResponse_ = false;
+    ++served_;
+    // A request that the server has not read to its end must not be followed by another one.
+    isReusable_ = !hasExtraBytes && !isWriting_ && parser_.response().isKeepAlive;
+    const auto handlers = std::exchange(handlers_, nullptr);
+    handlers->onEnd(ResponseEnd::Complete, {});
+}
+
+void ClientConnection::fail(const std::string &problem)
+{
+    isAwaitingResponse_ = false;
+    const auto handlers = std::exchange(handlers_, nullptr);
+    close();
+    if (handlers) {
+        handlers->onEnd(ResponseEnd::Broken, problem);
+    }
+}
+
+} // namespace Proxy
--- /dev/null
+++ b/src/libs/proxy/clientconnection.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "messageparser.h"
+
+#include <base/instant.h>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+namespace Proxy {
+
+/// How a response ended.
+enum class ResponseEnd {
+    /// Whole; the connection may be used again if isReusable() says so.
+    Complete,
+    /// The connection broke, or what came is no response.
+    Broken
+};
+
+enum class HeadVerdict {
+    Accept,
+    /// Belongs to another request; it is skipped and the next response is awaited.
+    Discard
+};
+
+/// One HTTP/1.1 connection to a server, one request at a time. Not thread-safe.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>
+{
+public:
+    struct Handlers
+    {
+        std::function<HeadVerdict(const ResponseHead &, const Framing &)> onHead;
+        std::function<void(std::string)> onBody;
+        /// Comes last, exactly once for each request, unless the connection is closed from here.
+        std::function<void(ResponseEnd, const std::string &problem)> onEnd;
+    };
+
+    ClientConnection(asio::io_context &context, asio::ip::tcp::endpoint peer);
+
+    ClientConnection(const ClientConnection &) = delete;
+    ClientConnection &operator=(const ClientConnection &) = delete;
+
+    /// Reports an empty text once connected, else what went wrong.
+    void connect(Base::Duration timeout, std::function<void(const std::string &problem)> done);
+    /// The connection has to be idle.
+    void send(std::string bytes, bool isHeadMethod, Handlers handlers);
+    /// Stops reading until resume(), for callers that are slower than the server.
+    void pause();
+    void resume();
+    /// Ends whatever is under way without a call of its handlers.
+    void close();
+
+    /// Calls back when an idle connection ends or says something that nobody asked for.
+    void watchIdle(std::function<void()> onUnusable);
+
+    bool isReusable() const { return isReusable_; }
+    /// Whether any byte of the current request may have left.
+    bool hasSent() const { return hasSent_; }
+    bool hasServedBefore() const { return served_ > 0; }
+    /// How long the server keeps the idle connection, as its last response said.
+    std::optional<Base::Duration> keepAliveTimeout() const { return keepAliveTimeout_; }
+
+private:
+    void read();
+    void onRead(const std::error_code &error, std::size_t size);
+    bool consume(std::string_view bytes);
+    bool onHeadParsed();
+    void onResponseComplete(bool hasExtraBytes);
+    void fail(const std::string &problem);
+    void noteKeepAlive();
+    void setUpSocket();
+
+    asio::ip::tcp::socket socket_;
+    asio::ip::tcp::endpoint peer_;
+    asio::steady_timer connectTimer_;
+    MessageParser parser_{MessageParser::Kind::Response};
+    std::string outgoing_;
+    std::vector<char> buffer_;
+    /// Shared, as a handler may close the connection that calls it.
+    std::shared_ptr<Handlers> handlers_;
+    std::function<void()> onUnusable_;
+    std::optional<Base::Duration> keepAliveTimeout_;
+    std::size_t served_ = 0;
+    bool isAwaitingResponse_ = false;
+    bool isWriting_ = false;
+    bool isReading_ = false;
+    bool isPaused_ = false;
+    bool isHeadSeen_ = false;
+    bool isDiscarding_ = false;
+    bool isHeadMethod_ = false;
+    bool isReusable_ = false;
+    bool isClosed_ = false;
+    bool hasSent_ = false;
+};
+
+} // namespace Proxy
--- /dev/null
+++ b/src/libs/proxy/connectionpool.cpp
@@ -0,0 +1,89 @@
+#include "connectionpool.h"
+
+#include <algorithm>
+
+namespace Proxy {
+
+ConnectionPool::ConnectionPool(PoolSettings settings)
+    : settings_(settings)
+{}
+
+std::shared_ptr<ClientConnection> ConnectionPool::take(const Dispatch::ServerLife &life,
+                                                       Base::Instant now)
+{
+    const auto entry = idle_.find(life);
+    if (entry == idle_.end()) {
+        return nullptr;
+    }
+    std::vector<Idle> &connections = entry->second;
+    while (!connections.empty()) {
+        const Idle idle = std::move(connections.back());
+        connections.pop_back();
+        if (now < idle.usableUntil) {
+            return idle.connection;
+        }
+        idle.connection->close();
+    }
+    return nullptr;
+}
+
+void ConnectionPool::give(const Dispatch::ServerLife &life,
+                          const std::shared_ptr<ClientConnection> &connection,
+                          Base::Instant now)
+{
+    std::vector<Idle> &connections = idle_[life];
+    const Base::Duration serverTimeout
+        = connection->keepAliveTimeout().value_or(settings_.longestIdle + settings_.closeMargin);
+    const Base::Duration usable
+        = std::min(settings_.longestIdle, serverTimeout - settings_.closeMargin);
+    const bool isKept = connection->isReusable() && usable > Base::Duration::zero()
+                        && connections.size() < settings_.idlePerServer;
+    if (!isKept) {
+        connection->close();
+        return;
+    }
+    connections.push_back({connection, now + usable});
+    connection->watchIdle([this, life, raw = connection.get()] { drop(life, raw); });
+}
+
+void ConnectionPool::drop(const Dispatch::ServerLife &life, const ClientConnection *connection)
+{
+    if (const auto entry = idle_.find(life); entry != idle_.end()) {
+        std::erase_if(entry->second,
+                      [&](const Idle &idle) { return idle.connection.get() == connection; });
+    }
+}
+
+void ConnectionPool::closeAll(const Dispatch::ServerLife &life)
+{
+    if (const auto entry = idle_.find(life); entry != idle_.end()) {
+        for (const Idle &idle : entry->second) {
+            idle.connection->close();
+        }
+        idle_.erase(entry);
+    }
+}
+
+void ConnectionPool::retain(const std::function<bool(const Dispatch::ServerLife &)> &isKept)
+{
+    std::vector<Dispatch::ServerLife> gone;
+    for (const auto &[life, connections] : idle_) {
+        if (!isKept(life)) {
+            gone.push_back(life);
+        }
+    }
+    for (const Dispatch::ServerLife &life : gone) {
+        closeAll(life);
+    }
+}
+
+std::size_t ConnectionPool::idleCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[life, connections] : idle_) {
+        count += connections.size();
+    }
+    return count;
+}
+
+} // namespace Proxy
--- /dev/null
+++ b/src/libs/proxy/eventsplitter.cpp
@@ -0,0 +1,80 @@
+#include "eventsplitter.h"
+
+#include <algorithm>
+
+namespace Proxy {
+
+namespace {
+
+/// Position after the first blank line; nothing if there is none.
+std::optional<std::size_t> endOfEvent(std::string_view text)
+{
+    bool isLineEmpty = true;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '\n') {
+            if (isLineEmpty && i > 0) {
+                return i + 1;
+            }
+            isLineEmpty = true;
+        } else if (text[i] != '\r') {
+            isLineEmpty = false;
+        }
+    }
+    return std::nullopt;
+}
+
+/// The value of a line "name: value"; nothing if the line has another name.
+std::optional<std::string_view> fieldValue(std::string_view line, std::string_view name)
+{
+    if (!line.starts_with(name)) {
+        return std::nullopt;
+    }
+    line.remove_prefix(name.size());
+    if (line.empty()) {
+        return line;
+    }
+    if (line.front() != ':') {
+        return std::nullopt;
+    }
+    line.remove_prefix(1);
+    if (line.starts_with(' ')) {
+        line.remove_prefix(1);
+    }
+    return line;
+}
+
+} // namespace
+
+std::string EventSplitter::feed(std::string_view bytes)
+{
+    partial_.append(bytes);
+    std::string whole;
+    std::string_view rest = partial_;
+    while (const std::optional<std::size_t> end = endOfEvent(rest)) {
+        noteEvent(rest.substr(0, *end));
+        whole.append(rest.substr(0, *end));
+        rest.remove_prefix(*end);
+    }
+    partial_.erase(0, partial_.size() - rest.size());
+    return whole;
+}
+
+void EventSplitter::noteEvent(std::string_view event)
+{
+    bool hasData = false;
+    while (!event.empty()) {
+        const std::size_t end = std::min(event.find('\n'), event.size() - 1);
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(end + 1);
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        if (const auto id = fieldValue(line, "id")) {
+            lastEventId_ = std::string(*id);
+        }
+        hasData = hasData || fieldValue(line, "data").has_value();
+    }
+    events_ += hasData ? 1 : 0;
+}
+
+} // namespace Proxy
--- /dev/null
+++ b/src/libs/proxy/httphead.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Proxy {
+
+struct HeaderField
+{
+    std::string name;
+    std::string value;
+
+    bool operator==(const HeaderField &) const = default;
+};
+
+/// Header fields in their order; names compare without regard to case.
+class HeaderFields
+{
+public:
+    void add(std::string name, std::string value);
+    /// Replaces every field of that name.
+    void set(std::string_view name, std::string value);
+    void remove(std::string_view name);
+
+    /// The first field of that name; nothing if there is none.
+    std::optional<std::string_view> find(std::string_view name) const;
+    bool contains(std::string_view name) const { return find(name).has_value(); }
+    std::size_t count(std::string_view name) const;
+
+    const std::vector<HeaderField> &all() const { return fields_; }
+    std::vector<HeaderField> &all() { return fields_; }
+
+private:
+    std::vector<HeaderField> fields_;
+};
+
+struct RequestHead
+{
+    std::string method;
+    /// Path and query as they came.
+    std::string target;
+    HeaderFields headers;
+    /// False for HTTP/1.0.
+    bool isHttp11 = true;
+    bool isKeepAlive = true;
+
+    /// The target without its query.
+    std::string_view path() const;
+};
+
+struct ResponseHead
+{
+    int status = 0;
+    std::string reason;
+    HeaderFields headers;
+    bool isKeepAlive = true;
+};
+
+bool equalsIgnoringCase(std::string_view a, std::string_view b);
+std::string_view trimmed(std::string_view text);
+
+/// Removes the fields that concern one connection only, those that Connection names included
+/// (RFC 9110, section 7.6.1), and the framing of the body.
+void removeConnectionFields(HeaderFields &headers);
+
+std::string serializeRequest(const RequestHead &head, std::size_t bodySize);
+
+/// How the end of an answer's body is marked.
+enum class BodyFraming {
+    /// Content-Length, or no body at all.
+    Length,
+    Chunked,
+    /// The body ends with the connection.
+    UntilClose
+};
+
+struct Framing
+{
+    BodyFraming kind = BodyFraming::Length;
+    std::optional<std::uint64_t> length;
+};
+
+std::string serializeResponse(const ResponseHead &head, const Framing &framing, bool isKeepAlive);
+
+/// The standard reason phrase.
+std::string_view reasonOf(int status);
+
+} // namespace Proxy
--- /dev/null
+++ b/src/libs/proxy/messageparser.cpp
@@ -0,0 +1,407 @@
+#include "messageparser.h"
+
+#include <http_parser.h>
+
+#include <utility>
+
+namespace Proxy {
+
+namespace {
+
+constexpr std::string_view headEnd = "\r\n\r\n";
+
+/// The first thing in a head that must not be there; empty if the head is sound.
+std::string_view headProblem(std::string_view head)
+{
+    bool isLineStart = true;
+    bool isFirstLine = true;
+    bool isInName = false;
+    for (std::size_t i = 0; i < head.size(); ++i) {
+        const char c = head[i];
+        if (c == '\r') {
+            if (i + 1 >= head.size() || head[i + 1] != '\n') {
+                return "carriage return without line feed in the head";
+            }
+            ++i;
+            isLineStart = true;
+            isFirstLine = false;
+            continue;
+        }
+        if (c == '\n') {
+            return "line feed without carriage return in the head";
+        }
+        const auto byte = static_cast<unsigned char>(c);
+        if ((byte < 0x20 && c != '\t') || byte == 0x7f) {
+            return "control character in the head";
+        }
+        const bool isBlank = c == ' ' || c == '\t';
+        if (isLineStart && !isFirstLine) {
+            if (isBlank) {
+                return "folded header line";
+            }
+            isInName = true;
+        }
+        if (isInName && isBlank) {
+            return "blank in a header name";
+        }
+        if (isInName && c == ':') {
+            isInName = false;
+        }
+        isLineStart = false;
+    }
+    return {};
+}
+
+/// Responses of these statuses never have a body (RFC 9110, section 6.4.1).
+bool hasBodyByStatus(int status)
+{
+    return status >= 200 && status != 204 && status != 304;
+}
+
+} // namespace
+
+class MessageParser::Private
+{
+public:
+    Private(Kind kind, ParserLimits limits)
+        : kind_(kind)
+        , limits_(limits)
+    {
+        http_parser_settings_init(&settings_);
+        settings_.on_url = &Private::onUrl;
+        settings_.on_status = &Private::onStatus;
+        settings_.on_header_field = &Private::onHeaderField;
+        settings_.on_header_value = &Private::onHeaderValue;
+        settings_.on_headers_complete = &Private::onHeadersComplete;
+        settings_.on_body = &Private::onBody;
+        settings_.on_message_complete = &Private::onMessageComplete;
+        reset();
+    }
+
+    void reset();
+    std::size_t collectHead(std::string_view bytes);
+    std::size_t execute(std::string_view bytes);
+    void fail(ParseError error, std::string problem);
+    void checkFraming();
+
+    static Private &self(http_parser *parser) { return *static_cast<Private *>(parser->data); }
+    static int onUrl(http_parser *parser, const char *at, std::size_t size);
+    static int onStatus(http_parser *parser, const char *at, std::size_t size);
+    static int onHeaderField(http_parser *parser, const char *at, std::size_t size);
+    static int onHeaderValue(http_parser *parser, const char *at, std::size_t size);
+    static int onHeadersComplete(http_parser *parser);
+    static int onBody(http_parser *parser, const char *at, std::size_t size);
+    static int onMessageComplete(http_parser *parser);
+
+    Kind kind_;
+    ParserLimits limits_;
+    http_parser_settings settings_{};
+    http_parser parser_{};
+    ParseState state_ = ParseState::Empty;
+    ParseError error_ = ParseError::None;
+    std::string problem_;
+    /// Bytes of a head that is not whole yet.
+    std::string head_;
+    RequestHead request_;
+    ResponseHead response_;
+    Framing framing_;
+    std::string body_;
+    std::size_t bodySize_ = 0;
+    bool hasNoBody_ = false;
+    bool isValueOpen_ = false;
+
+    HeaderFields &headers()
+    {
+        return kind_ == Kind::Request ? request_.headers : response_.headers;
+    }
+};
+
+void MessageParser::Private::reset()
+{
+    http_parser_init(&parser_, kind_ == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser_.data = this;
+    state_ = ParseState::Empty;
+    error_ = ParseError::None;
+    problem_.clear();
+    head_.clear();
+    request_ = {};
+    response_ = {};
+    framing_ = {};
+    body_.clear();
+    bodySize_ = 0;
+    hasNoBody_ = false;
+    isValueOpen_ = false;
+}
+
+void MessageParser::Private::fail(ParseError error, std::string problem)
+{
+    state_ = ParseState::Failed;
+    error_ = error;
+    problem_ = std::move(problem);
+}
+
+/// Gathers the head whole before it is parsed, so that it can be checked as the sender framed it.
+std::size_t MessageParser::Private::collectHead(std::string_view bytes)
+{
+    std::size_t used = 0;
+    if (state_ == ParseState::Empty) {
+        // Empty lines before a message are allowed (RFC 9112, section 2.2).
+        while (used < bytes.size() && (bytes[used] == '\r' || bytes[used] == '\n')) {
+            ++used;
+        }
+        if (used == bytes.size()) {
+            return used;
+        }
+        state_ = ParseState::Head;
+    }
+    const std::size_t before = head_.size();
+    head_.append(bytes.substr(used));
+    const std::size_t searchFrom = before < headEnd.size() ? 0 : before - headEnd.size() + 1;
+    const std::size_t end = head_.find(headEnd, searchFrom);
+    if (end == std::string::npos) {
+        if (head_.size() > limits_.headBytes) {
+            fail(ParseError::HeadTooLarge, "head is over the limit of the configuration");
+        } else if (const std::size_t bare = head_.find("\n\n"); bare != std::string::npos) {
+            fail(ParseError::Malformed, "line feed without carriage return in the head");
+        }
+        return bytes.size();
+    }
+    head_.resize(end + headEnd.size());
+    used += head_.size() - before;
+    if (head_.size() > limits_.headBytes) {
+        fail(ParseError::HeadTooLarge, "head is over the limit of the configuration");
+        return used;
+    }
+    if (const std::string_view problem = headProblem(head_); !problem.empty()) {
+        fail(ParseError::Malformed, std::string(problem));
+        return used;
+    }
+    const std::string head = std::move(head_);
+    head_.clear();
+    execute(head);
+    return used;
+}
+
+std::size_t MessageParser::Private::execute(std::string_view bytes)
+{
+    const std::size_t used = http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
+    const auto code = static_cast<http_errno>(parser_.http_errno);
+    if (code != HPE_OK && code != HPE_PAUSED && state_ != ParseState::Failed) {
+        fail(ParseError::Malformed, http_errno_description(code));
+    }
+    return used;
+}
+
+int MessageParser::Private::onUrl(http_parser *parser, const char *at, std::size_t size)
+{
+    self(parser).request_.target.append(at, size);
+    return 0;
+}
+
+int MessageParser::Private::onStatus(http_parser *parser, const char *at, std::size_t size)
+{
+    self(parser).response_.reason.append(at, size);
+    return 0;
+}
+
+int MessageParser::Private::onHeaderField(http_parser *parser, const char *at, std::size_t size)
+{
+    Private &d = self(parser);
+    if (d.state_ != ParseState::Head) {
+        return 0; // trailers concern one hop
+    }
+    if (d.headers().all().empty() || d.isValueOpen_) {
+        d.headers().add({}, {});
+        d.isValueOpen_ = false;
+    }
+    d.headers().all().back().name.append(at, size);
+    return 0;
+}
+
+int MessageParser::Private::onHeaderValue(http_parser *parser, const char *at, std::size_t size)
+{
+    Private &d = self(parser);
+    if (d.state_ != ParseState::Head) {
+        return 0;
+    }
+    d.headers().all().back().value.append(at, size);
+    d.isValueOpen_ = true;
+    return 0;
+}
+
+void MessageParser::Private::checkFraming()
+{
+    const HeaderFields &fields = headers();
+    if (fields.count("Transfer-Encoding") > 1) {
+        fail(ParseError::Malformed, "several Transfer-Encoding fields");
+        return;
+    }
+    if (const auto encoding = fields.find("Transfer-Encoding");
+        encoding && !equalsIgnoringCase(*encoding, "chunked")) {
+        fail(ParseError::Malformed, "transfer coding other than chunked");
+        return;
+    }
+    const bool isRequest = kind_ == Kind::Request;
+    if (isRequest
+        && (fields.count("Host") > 1 || (request_.isHttp11 && !fields.contains("Host")))) {
+        fail(ParseError::Malformed, "Host field missing or repeated");
+        return;
+    }
+    if (isRequest && fields.contains("Transfer-Encoding") && !request_.isHttp11) {
+        fail(ParseError::Malformed, "Transfer-Encoding in an HTTP/1.0 request");
+    }
+}
+
+int MessageParser::Private::onHeadersComplete(http_parser *parser)
+{
+    Private &d = self(parser);
+    parser->upgrade = 0;
+    const bool isChunked = (parser->flags & F_CHUNKED) != 0;
+    const bool hasLength = (parser->flags & F_CONTENTLENGTH) != 0;
+    if (d.kind_ == Kind::Request) {
+        d.request_.method = http_method_str(static_cast<http_method>(parser->method));
+        d.request_.isHttp11 = parser->http_major == 1 && parser->http_minor == 1;
+        d.request_.isKeepAlive = http_should_keep_alive(parser) != 0;
+    } else {
+        d.response_.status = static_cast<int>(parser->status_code);
+        d.response_.isKeepAlive = http_should_keep_alive(parser) != 0;
+    }
+    if (parser->http_major != 1) {
+        d.fail(ParseError::Malformed, "HTTP version other than 1.x");
+        return -1;
+    }
+    if (isChunked) {
+        d.framing_.kind = BodyFraming::Chunked;
+    } else if (hasLength) {
+        d.framing_.length = parser->content_length;
+    } else if (d.kind_ == Kind::Response && !d.hasNoBody_ && hasBodyByStatus(d.response_.status)) {
+        d.framing_.kind = BodyFraming::UntilClose;
+    }
+    d.checkFraming();
+    if (d.state_ == ParseState::Failed) {
+        return -1;
+    }
+    const bool hasConnectMethod = d.kind_ == Kind::Request && parser->method == HTTP_CONNECT;
+    if (hasConnectMethod) {
+        d.fail(ParseError::Malformed, "method CONNECT");
+        return -1;
+    }
+    if (d.kind_ == Kind::Request && hasLength && parser->content_length > d.limits_.bodyBytes) {
+        d.fail(ParseError::BodyTooLarge, "body is over the limit of the configuration");
+        return -1;
+    }
+    d.state_ = ParseState::Body;
+    return d.hasNoBody_ ? 1 : 0;
+}
+
+int MessageParser::Private::onBody(http_parser *parser, const char *at, std::size_t size)
+{
+    Private &d = self(parser);
+    d.bodySize_ += size;
+    if (d.kind_ == Kind::Request && d.bodySize_ > d.limits_.bodyBytes) {
+        d.fail(ParseError::BodyTooLarge, "body is over the limit of the configuration");
+        return -1;
+    }
+    d.body_.append(at, size);
+    return 0;
+}
+
+int MessageParser::Private::onMessageComplete(http_parser *parser)
+{
+    self(parser).state_ = ParseState::Complete;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+MessageParser::MessageParser(Kind kind, ParserLimits limits)
+    : d_(std::make_unique<Private>(kind, limits))
+{}
+
+MessageParser::~MessageParser() = default;
+
+std::size_t MessageParser::feed(std::string_view bytes)
+{
+    std::size_t used = 0;
+    while (used < bytes.size()) {
+        if (d_->state_ == ParseState::Empty || d_->state_ == ParseState::Head) {
+            used += d_->collectHead(bytes.substr(used));
+        } else if (d_->state_ == ParseState::Body) {
+            used += d_->execute(bytes.substr(used));
+        } else {
+            break;
+        }
+    }
+    return used;
+}
+
+void MessageParser::finish()
+{
+    if (d_->state_ == ParseState::Body) {
+        http_parser_execute(&d_->parser_, &d_->settings_, nullptr, 0);
+    }
+    if (d_->state_ == ParseState::Body || d_->state_ == ParseState::Head) {
+        d_->fail(ParseError::Malformed, "connection ended within the message");
+    }
+}
+
+void MessageParser::reset()
+{
+    d_->reset();
+}
+
+void MessageParser::setLimits(const ParserLimits &limits)
+{
+    d_->limits_ = limits;
+}
+
+void MessageParser::expectNoBody()
+{
+    d_->hasNoBody_ = true;
+}
+
+ParseState MessageParser::state() const
+{
+    return d_->state_;
+}
+
+ParseError MessageParser::error() const
+{
+    return d_->error_;
+}
+
+const std::string &MessageParser::problem() const
+{
+    return d_->problem_;
+}
+
+const RequestHead &MessageParser::request() const
+{
+    return d_->request_;
+}
+
+const ResponseHead &MessageParser::response() const
+{
+    return d_->response_;
+}
+
+RequestHead MessageParser::takeRequest()
+{
+    return std::move(d_->request_);
+}
+
+ResponseHead MessageParser::takeResponse()
+{
+    return std::move(d_->response_);
+}
+
+const Framing &MessageParser::framing() const
+{
+    return d_->framing_;
+}
+
+std::string MessageParser::takeBody()
+{
+    return std::exchange(d_->body_, {});
+}
+
+} // namespace Proxy
--- /dev/null
+++ b/src/libs/proxy/passthrough.cpp
@@ -0,0 +1,116 @@
+#include "passthrough.h"
+
+#include "exchange.h"
+
+#include <chrono>
+
+namespace Proxy {
+
+PassThrough::PassThrough(asio::io_context &context,
+                         PassThroughSettings settings,
+                         HeaderTranslator translator,
+                         AdmissionControls controls,
+                         Telemetry::Log &log,
+                         Telemetry::Metrics &metrics,
+                         std::uint64_t seed)
+    : context_(context)
+    , settings_(std::move(settings))
+    , translator_(std::move(translator))
+    , controls_(std::move(controls))
+    , log_(log)
+    , metrics_(metrics)
+    , placer_(settings_.zone, settings_.placement, seed)
+    , pool_(settings_.pool)
+{
+    services_ = std::make_shared<CallerServices>();
+    services_->onRequest = [this](const auto &caller, CallerRequest request) {
+        onRequest(caller, std::move(request));
+    };
+    services_->onRejected = [this](int status, const std::string &problem) {
+        log_.write(Telemetry::LogLevel::Warning,
+                   "request rejected with " + std::to_string(status) + ": " + problem,
+                   {.step = "parse"});
+        countAnswer(status, {});
+    };
+    services_->limits
+        = [this] { return table_ ? table_->document().limits : Contracts::CallerLimits{}; };
+    services_->now = [this] { return now(); };
+    services_->isStopping = [this] { return isStopping_; };
+    services_->onClosed = [this](const auto &connection) { connections_.erase(connection); };
+}
+
+PassThrough::~PassThrough() = default;
+
+Base::Instant PassThrough::now() const
+{
+    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    return Base::Instant(std::chrono::duration_cast<Base::Duration>(sinceStart));
+}
+
+bool PassThrough::configure(Contracts::RoutingDocument document)
+{
+    if (table_ && document.version <= table_->version()) {
+        return false;
+    }
+    const std::uint64_t version = document.version.value();
+    table_ = std::make_shared<const Contracts::RoutingTable>(std::move(document));
+    metrics_.gauge("marjoram_routing_version", "Version of the routing document in force")
+        .set(static_cast<double>(version));
+    return true;
+}
+
+void PassThrough::serversChanged(const std::vector<Dispatch::ListedServer> &servers)
+{
+    placer_.serversChanged(servers);
+    pool_.retain([this](const Dispatch::ServerLife &life) { return placer_.isListed(life); });
+}
+
+Base::ConfigVersion PassThrough::version() const
+{
+    return table_ ? table_->version() : Base::ConfigVersion{};
+}
+
+std::shared_ptr<const CallerServices> PassThrough::callerServices()
+{
+    return services_;
+}
+
+void PassThrough::addConnection(const std::shared_ptr<CallerConnection> &connection)
+{
+    connections_.insert(connection);
+}
+
+void PassThrough::onRequest(const std::shared_ptr<CallerConnection> &caller, CallerRequest request)
+{
+    const auto exchange = std::make_shared<Exchange>(*this, caller, std::move(request));
+    exchange->start();
+}
+
+void PassThrough::stop()
+{
+    isStopping_ = true;
+}
+
+void PassThrough::closeIdle()
+{
+    const std::vector<std::shared_ptr<CallerConnection>> open(connections_.begin(),
+                                                              connections_.end());
+    for (const auto &connection : open) {
+        connection->closeIfIdle();
+    }
+}
+
+void PassThrough::countAnswer(int status, Base::Duration latency)
+{
+    metrics_
+        .counter("marjoram_answers_total",
+                 "Final answers to callers by status; 0 stands for a closed connection",
+                 {{"status", std::to_string(status)}})
+        .add();
+    if (latency > Base::Duration::zero()) {
+        metrics_.distribution("marjoram_answer_seconds", "Time to the end of an answer")
+            .add(Base::toSeconds(latency));
+    }
+}
+
+} // namespace Proxy
--- a/src/libs/telemetry/log.cpp
+++ b/src/libs/telemetry/log.cpp
@@ -69,13 +69,14 @@
     return "marjoramfield." + std::to_string(++count);
 }
 
-log4cplus::SharedAppenderPtr createAppender(const std::string &file)
+log4cplus::SharedAppenderPtr createAppender(const LogSettings &settings)
 {
     log4cplus::SharedAppenderPtr appender;
-    if (file.empty()) {
-        appender = new log4cplus::ConsoleAppender(true, true);
+    if (settings.file.empty()) {
+        const bool isStandardError = settings.target == LogTarget::StandardError;
+        appender = new log4cplus::ConsoleAppender(isStandardError, true);
     } else {
-        appender = new log4cplus::FileAppender(file, std::ios_base::app);
+        appender = new log4cplus::FileAppender(settings.file, std::ios_base::app);
     }
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
     return appender;
@@ -96,6 +97,19 @@
             line[name] = redact(value, keyPrefixes);
         }
     }
+
+    void addDetail(nlohmann::ordered_json &line,
+                   const std::string &name,
+                   const std::string &value) const
+    {
+        addField(line, name.c_str(), value);
+    }
+
+    template<typename Number>
+    void addDetail(nlohmann::ordered_json &line, const std::string &name, Number value) const
+    {
+        line[name] = value;
+    }
 };
 
 Log::Log(const LogSettings &settings)
@@ -104,7 +118,7 @@
     private_->logger = log4cplus::Logger::getInstance(uniqueLoggerName());
     private_->logger.setAdditivity(false);
     private_->logger.setLogLevel(toLibraryLevel(settings.level));
-    private_->logger.addAppender(createAppender(settings.file));
+    private_->logger.addAppender(createAppender(settings));
     private_->daemon = settings.daemon;
     private_->keyPrefixes = settings.keyPrefixes;
 }
@@ -134,6 +148,10 @@
     private_->addField(line, "step", fields.step);
     private_->addField(line, "peer", fields.peer);
     line["message"] = redact(message, private_->keyPrefixes);
+    for (const LogDetail &detail : fields.details) {
+        std::visit([&](const auto &value) { private_->addDetail(line, detail.name, value); },
+                   detail.value);
+    }
     const auto replace = nlohmann::ordered_json::error_handler_t::replace;
     private_->logger.log(toLibraryLevel(level), line.dump(-1, ' ', false, replace));
 }
--- a/src/libs/telemetry/log.h
+++ b/src/libs/telemetry/log.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace Telemetry {
@@ -14,6 +16,13 @@
     Error
 };
 
+/// One input or outcome of a decision.
+struct LogDetail
+{
+    std::string name;
+    std::variant<std::string, std::int64_t, double> value;
+};
+
 /// Context of a log line; empty fields are left out.
 struct LogFields
 {
@@ -22,12 +31,20 @@
     std::string team;
     std::string step;
     std::string peer;
+    /// Inputs that decided and their age or version, and the outcome.
+    std::vector<LogDetail> details;
+};
+
+enum class LogTarget {
+    StandardError,
+    StandardOutput
 };
 
 struct LogSettings
 {
-    /// Empty means standard error.
+    /// Empty means the target.
     std::string file;
+    LogTarget target = LogTarget::StandardError;
     LogLevel level = LogLevel::Info;
     /// Identifies the daemon in every line.
     std::string daemon;
