--- /dev/null
+++ b/src/libs/programs/tokenledger.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include <base/instant.h>
+#include <base/types.h>
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace Programs {
+
+using ReservationId = Base::StrongNumber<struct ReservationIdTag, std::uint64_t>;
+
+/// Version of a program's claims in the store; 0 stands for claims that do not exist yet.
+using ClaimVersion = Base::StrongNumber<struct ClaimVersionTag, std::uint64_t>;
+
+struct TokenLedgerSettings
+{
+    /// Share of what is left that one claim takes, so that a program served by many daemons finds
+    /// something left at each. Programs of the two deployments use a quarter of their budgets.
+    double claimShare = 0.25;
+    /// Pause before a claim without an answer is tried again.
+    Base::Duration claimRetry = std::chrono::milliseconds(100);
+    /// A turn waits no longer for a claim.
+    Base::Duration longestWait = std::chrono::milliseconds(800);
+};
+
+struct TurnReservation
+{
+    ReservationId id;
+    Base::ProgramId program;
+    /// Tokens that all turns of the program may generate.
+    Base::Tokens budget;
+    /// The most that this turn generates.
+    Base::Tokens most;
+    /// How long the program may pause before it is forgotten.
+    Base::Duration retention{};
+};
+
+enum class TurnVerdict {
+    Admitted,
+    /// The budget does not hold the turn.
+    Spent,
+    /// The store gave no answer; nothing is known to be spent.
+    Unavailable
+};
+
+/// The turn may run or is refused.
+struct AnswerTurn
+{
+    ReservationId id;
+    TurnVerdict verdict = TurnVerdict::Unavailable;
+};
+
+/// Write the program's claims on the condition that they have this version.
+struct WriteClaim
+{
+    Base::ProgramId program;
+    ClaimVersion expected;
+    /// All that daemons have claimed, this claim included.
+    Base::Tokens total;
+    /// Kept with the claims, so that a write whose answer was lost is recognised.
+    Base::WriteId writeId;
+};
+
+using TokenLedgerAction = std::variant<AnswerTurn, WriteClaim>;
+
+/// The store's claims of one program.
+struct StoredClaims
+{
+    ClaimVersion version;
+    Base::Tokens total;
+    Base::WriteId lastWrite;
+};
+
+struct ClaimWritten
+{
+    ClaimVersion version;
+};
+
+/// Another daemon has written; the claims are as given.
+struct ClaimConflict
+{
+    StoredClaims stored;
+};
+
+/// No answer: the write may have been done, or may be done later.
+struct ClaimUnanswered
+{};
+
+using ClaimOutcome = std::variant<ClaimWritten, ClaimConflict, ClaimUnanswered>;
+
+/// Keeps programs within their token budgets across daemons and restarts. Each daemon claims parts
+/// of a budget in the store before turns use them; what a lost daemon had claimed counts as spent.
+class TokenLedger
+{
+public:
+    TokenLedger(Base::IncarnationId self, TokenLedgerSettings settings);
+
+    void reserve(const TurnReservation &turn, Base::Instant now);
+    /// The turn has ended or was not run; what it did not use is free again.
+    void settle(ReservationId id, Base::Tokens used, Base::Instant now);
+    /// The caller of a waiting turn is gone; it gets no answer.
+    void cancel(ReservationId id);
+    void claimAnswered(const Base::ProgramId &program,
+                       const ClaimOutcome &outcome,
+                       Base::Instant now);
+
+    void tick(Base::Instant now);
+    std::optional<Base::Instant> nextWakeUp() const;
+    std::vector<TokenLedgerAction> takeActions();
+
+    std::size_t programCount() const { return accounts_.size(); }
+
+private:
+    struct WaitingTurn
+    {
+        TurnReservation turn;
+        Base::Instant since;
+    };
+    struct Account
+    {
+        Base::Tokens budget;
+        /// Claimed by this daemon and confirmed by the store.
+        Base::Tokens claimed;
+        /// Handed to callers or reserved by turns under way.
+        Base::Tokens used;
+        /// Claims of all daemons at the last answer.
+        Base::Tokens storedTotal;
+        ClaimVersion version;
+        /// The claim under way, or without an answer.
+        std::optional<WriteClaim> pending;
+        bool isWriting = false;
+        std::optional<Base::Instant> retryAt;
+        std::vector<WaitingTurn> waiting;
+        std::size_t running = 0;
+        Base::Instant lastUse;
+        Base::Duration retention{};
+
+        Base::Tokens free() const { return claimed - used; }
+    };
+    struct Running
+    {
+        Base::ProgramId program;
+        Base::Tokens most;
+    };
+
+    void admit(Account &account, const TurnReservation &turn);
+    void serveWaiting(const Base::ProgramId &program, Account &account, Base::Instant now);
+    void claim(const Base::ProgramId &program, Account &account);
+    void answer(ReservationId id, TurnVerdict verdict);
+    void resolve(Account &account, const ClaimOutcome &outcome, Base::Instant now);
+    void forgetIdle(Base::Instant now);
+
+    Base::IncarnationId self_;
+    TokenLedgerSettings settings_;
+    std::uint64_t lastWrite_ = 0;
+    std::unordered_map<Base::ProgramId, Account> accounts_;
+    std::unordered_map<ReservationId, Running> running_;
+    /// Programs with waiting turns; the others need no wake-up but to be forgotten.
+    std::map<Base::ProgramId, Base::Instant> waitingSince_;
+    std::optional<Base::Instant> nextSweep_;
+    std::vector<TokenLedgerAction> actions_;
+};
+
+} // namespace Programs
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -126,10 +126,11 @@
         offer();
         return;
     }
-    isReserved_ = true;
     auto self = shared_from_this();
-    owner_.controls_.reserveTokens(
-        traits_, [self](BudgetVerdict verdict) { self->onBudgetVerdict(verdict); });
+    reservation_ = owner_.controls_.reserveTokens(
+        traits_, *route_->programRetention, [self](BudgetVerdict verdict) {
+            self->onBudgetVerdict(verdict);
+        });
 }
 
 void Exchange::onBudgetVerdict(BudgetVerdict verdict)
@@ -514,7 +515,7 @@
     isReserved_ = false;
     const auto handed = static_cast<std::int64_t>(events_.eventCount())
                         * (service_ ? service_->tokensPerEvent.value() : 0);
-    owner_.controls_.settleTokens(traits_, Base::Tokens(handed));
+    owner_.controls_.settleTokens(reservation_, Base::Tokens(handed));
 }
 
 void Exchange::writeLog(Ending ending)
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -89,6 +89,7 @@
     EventSplitter events_;
     bool isEventStream_ = false;
     bool isHeadPassed_ = false;
+    Programs::ReservationId reservation_;
     bool isReserved_ = false;
     bool isEnded_ = false;
 };
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -6,6 +6,7 @@
 
 #include <contracts/routingtable.h>
 #include <dispatch/requestplacer.h>
+#include <programs/tokenledger.h>
 #include <telemetry/log.h>
 #include <telemetry/metrics.h>
 
@@ -55,10 +56,13 @@
 struct AdmissionControls
 {
     std::function<RateVerdict(const Contracts::Team &)> checkRate;
-    /// Reserves the most that the turn may generate; answers now or later.
-    std::function<void(const RequestTraits &, std::function<void(BudgetVerdict)>)> reserveTokens;
-    /// The turn has ended, or was never run; tokens handed to the caller.
-    std::function<void(const RequestTraits &, Base::Tokens used)> settleTokens;
+    /// Reserves the most that the turn may generate, for a program that is forgotten after the
+    /// given pause; answers once, now or later.
+    std::function<Programs::ReservationId(
+        const RequestTraits &, Base::Duration, std::function<void(BudgetVerdict)>)>
+        reserveTokens;
+    /// An admitted turn has ended; tokens handed to the caller.
+    std::function<void(Programs::ReservationId, Base::Tokens used)> settleTokens;
 };
 
 /// Passes callers' requests on to backend servers: finds the route, checks the key, the rate and
