--- a/src/libs/admission/rateshares.h
+++ b/src/libs/admission/rateshares.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "messages.h"
+#include "ratepool.h"
 
 #include <base/instant.h>
 #include <base/types.h>
@@ -11,10 +11,22 @@
 
 namespace Admission {
 
+/// What a refusal would cost: a program that has begun is lost with everything it has done.
+enum class Urgency {
+    /// The first request of a program, as far as this daemon knows.
+    NewProgram,
+    /// A program under way, or a request without a program.
+    Started,
+    /// A call that a program makes once; its refusal ends the program.
+    ToolCall
+};
+
 struct ShareVerdict
 {
     bool isAdmitted = true;
-    /// When the next request of the team fits; set for refusals only.
+    /// The request's permit is there after this time; set for admitted requests only.
+    Base::Duration wait{};
+    /// When a request of this urgency fits; set for refusals only.
     Base::Duration retryAfter{};
 };
 
@@ -29,23 +41,39 @@
     /// Part of all limits that is this daemon's, from 0 to 1. Nothing is admitted before it is
     /// known.
     void setShare(double share, Base::Instant now);
-    /// Part of one team's limit; goes before the general one until it is cleared.
-    void setTeamShare(const Base::TeamId &team, std::optional<double> share, Base::Instant now);
+    /// Parts of some teams' limits that go before the general one until the given time.
+    void setTeamShares(const std::vector<TeamShare> &shares,
+                       Base::Instant validUntil,
+                       Base::Instant now);
+
+    /// Requests of each team that reach this daemon; teams without any are left out.
+    std::vector<TeamDemand> demands(Base::Instant now);
 
-    ShareVerdict admit(const Base::TeamId &team, Base::Instant now);
+    /// Urgent requests may wait for their permit for a short time; new programs leave permits to
+    /// those under way.
+    ShareVerdict admit(const Base::TeamId &team, Urgency urgency, Base::Instant now);
+    /// The admitted request was not sent to any server.
+    void refund(const Base::TeamId &team, Base::Instant now);
 
 private:
     struct Bucket
     {
         RateLimit limit;
         std::optional<double> share;
+        Base::Instant shareUntil;
         double level = 0;
         Base::Instant filledAt;
+        /// Mean arrivals a second, and those since it was last brought up to date.
+        double demand = 0;
+        double arrivals = 0;
+        Base::Instant countedAt;
         bool isNew = true;
     };
 
     double shareOf(const Bucket &bucket) const;
+    double capacityOf(const Bucket &bucket) const;
     void refill(Bucket &bucket, Base::Instant now);
+    void refillUntil(Bucket &bucket, Base::Instant until);
     void capLevel(Bucket &bucket) const;
 
     double share_ = 0;
--- /dev/null
+++ b/src/libs/dispatch/serverdirectory.cpp
@@ -0,0 +1,84 @@
+#include "serverdirectory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Dispatch {
+
+namespace {
+
+bool contains(const std::vector<ListedServer> &list, const Base::ServerId &id)
+{
+    return std::any_of(
+        list.begin(), list.end(), [&](const ListedServer &each) { return each.server.id == id; });
+}
+
+/// Two servers at one address: the entry that lapsed is the older one, and its server is gone.
+bool hasAddress(const std::vector<ListedServer> &list, const std::string &address)
+{
+    return std::any_of(list.begin(), list.end(), [&](const ListedServer &each) {
+        return each.server.address == address;
+    });
+}
+
+} // namespace
+
+void ServerDirectory::storeLost()
+{
+    isStoreLost_ = true;
+}
+
+bool ServerDirectory::listed(std::vector<ListedServer> list, Base::Instant now)
+{
+    if (std::exchange(isStoreLost_, false)) {
+        graceUntil_ = now + lapseGrace_;
+    }
+    const bool isGrace = graceUntil_ && now < *graceUntil_;
+    std::map<Base::ServerId, Base::Instant> lapsed;
+    const std::size_t listedCount = list.size();
+    for (const ListedServer &known : servers_) {
+        const bool isListed = contains(list, known.server.id);
+        const bool isReplaced = hasAddress(list, known.server.address);
+        const bool isKept = isGrace && !known.server.isLeaving;
+        if (!isListed && !isReplaced && isKept) {
+            lapsed[known.server.id] = *graceUntil_;
+        }
+    }
+    for (const ListedServer &known : servers_) {
+        if (lapsed.contains(known.server.id)) {
+            list.push_back(known);
+        }
+    }
+    if (listedCount != list.size()) {
+        std::sort(list.begin(), list.end(), [](const ListedServer &a, const ListedServer &b) {
+            return a.server.id < b.server.id;
+        });
+    }
+    lapsed_ = std::move(lapsed);
+    const bool isChanged = !isKnown_ || list != servers_;
+    isKnown_ = true;
+    servers_ = std::move(list);
+    return isChanged;
+}
+
+bool ServerDirectory::expire(Base::Instant now)
+{
+    const std::size_t before = servers_.size();
+    std::erase_if(servers_, [&](const ListedServer &each) {
+        const auto lapsed = lapsed_.find(each.server.id);
+        return lapsed != lapsed_.end() && now >= lapsed->second;
+    });
+    std::erase_if(lapsed_, [&](const auto &entry) { return now >= entry.second; });
+    return servers_.size() != before;
+}
+
+std::optional<Base::Instant> ServerDirectory::nextExpiry() const
+{
+    std::optional<Base::Instant> next;
+    for (const auto &[id, until] : lapsed_) {
+        next = next ? std::min(*next, until) : until;
+    }
+    return next;
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/src/libs/dispatch/serverdirectory.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "requestplacer.h"
+
+#include <map>
+
+namespace Dispatch {
+
+/// The servers that may get requests, from lists that the store gives. While the store is away its
+/// entries may lapse though their servers live; they are kept until those had time to come back.
+class ServerDirectory
+{
+public:
+    /// Entries that lapsed are back within about this time of the store's return.
+    explicit ServerDirectory(Base::Duration lapseGrace)
+        : lapseGrace_(lapseGrace)
+    {}
+
+    /// No list could be read.
+    void storeLost();
+    /// The complete list. Returns whether the servers have changed.
+    bool listed(std::vector<ListedServer> list, Base::Instant now);
+    /// Drops entries whose time to come back is over. Returns whether the servers have changed.
+    bool expire(Base::Instant now);
+    std::optional<Base::Instant> nextExpiry() const;
+
+    const std::vector<ListedServer> &servers() const { return servers_; }
+    bool isKnown() const { return isKnown_; }
+
+private:
+    Base::Duration lapseGrace_;
+    std::vector<ListedServer> servers_;
+    /// Servers that the last list no longer had, and until when they are kept.
+    std::map<Base::ServerId, Base::Instant> lapsed_;
+    std::optional<Base::Instant> graceUntil_;
+    bool isStoreLost_ = false;
+    bool isKnown_ = false;
+};
+
+} // namespace Dispatch
--- /dev/null
+++ b/src/libs/programs/allotmenttable.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "tokenledger.h"
+
+namespace Programs {
+
+/// Ask the program's home for tokens; answer with answered().
+struct AskHome
+{
+    ReservationId id;
+    Base::ProgramId program;
+    Base::Tokens budget;
+    Base::Tokens needed;
+    Base::Duration retention{};
+};
+
+/// The home does not answer: the turn is to be reserved in the daemon's own ledger.
+struct ReserveLocally
+{
+    TurnReservation turn;
+};
+
+using AllotmentAction = std::variant<AnswerTurn, AskHome, ReserveLocally>;
+
+/// Tokens of programs whose home is another daemon, as far as the home has handed them over.
+class AllotmentTable
+{
+public:
+    /// Answered by AnswerTurn, or passed on by ReserveLocally.
+    void reserve(const TurnReservation &turn, Base::Instant now);
+    /// Whether the turn was admitted here and has to be settled here.
+    bool isRunning(ReservationId id) const { return running_.contains(id); }
+    void settle(ReservationId id, Base::Tokens used, Base::Instant now);
+
+    /// The home's answer to AskHome of that reservation; Unavailable if it gave none.
+    void answered(ReservationId id, TurnVerdict verdict, Base::Tokens amount, Base::Instant now);
+
+    /// Forgets programs that have paused for longer than their retention.
+    void sweep(Base::Instant now);
+    std::vector<AllotmentAction> takeActions();
+
+private:
+    struct Allotment
+    {
+        Base::Tokens free;
+        std::vector<TurnReservation> waiting;
+        /// The reservation for which the home is asked now.
+        std::optional<ReservationId> asking;
+        std::size_t running = 0;
+        Base::Instant lastUse;
+        Base::Duration retention{};
+    };
+    struct Running
+    {
+        Base::ProgramId program;
+        Base::Tokens most;
+    };
+
+    void serve(const Base::ProgramId &program, Allotment &allotment);
+
+    std::unordered_map<Base::ProgramId, Allotment> allotments_;
+    std::unordered_map<ReservationId, Running> running_;
+    std::unordered_map<ReservationId, Base::ProgramId> asked_;
+    std::vector<AllotmentAction> actions_;
+};
+
+} // namespace Programs
--- a/src/libs/programs/tokenledger.cpp
+++ b/src/libs/programs/tokenledger.cpp
@@ -40,12 +40,22 @@
     account.used += turn.most;
     ++account.running;
     running_[turn.id] = {turn.program, turn.most};
-    answer(turn.id, TurnVerdict::Admitted);
+    answer(turn.id, TurnVerdict::Admitted, turn.most);
 }
 
-void TokenLedger::answer(ReservationId id, TurnVerdict verdict)
+/// What another daemon gets counts as used here.
+void TokenLedger::handOver(Account &account, const TurnReservation &turn)
 {
-    actions_.push_back(AnswerTurn{id, verdict});
+    const auto share = static_cast<std::int64_t>(static_cast<double>(account.free().value())
+                                                 * settings_.transferShare);
+    const Tokens amount(std::max(turn.most.value(), share));
+    account.used += amount;
+    answer(turn.id, TurnVerdict::Admitted, amount);
+}
+
+void TokenLedger::answer(ReservationId id, TurnVerdict verdict, Tokens amount)
+{
+    actions_.push_back(AnswerTurn{id, verdict, amount});
 }
 
 /// Answers what can be answered, and claims more if a turn needs it.
@@ -54,7 +64,11 @@
     while (!account.waiting.empty()) {
         const WaitingTurn &first = account.waiting.front();
         if (account.free() >= first.turn.most) {
-            admit(account, first.turn);
+            if (first.turn.isTransfer) {
+                handOver(account, first.turn);
+            } else {
+                admit(account, first.turn);
+            }
         } else if (now - first.since >= settings_.longestWait) {
             answer(first.turn.id, TurnVerdict::Unavailable);
         } else if (account.isWriting || account.pending) {
--- a/src/libs/programs/tokenledger.h
+++ b/src/libs/programs/tokenledger.h
@@ -18,9 +18,12 @@
 
 struct TokenLedgerSettings
 {
-    /// Share of what is left that one claim takes, so that a program served by many daemons finds
-    /// something left at each. Programs of the two deployments use a quarter of their budgets.
-    double claimShare = 0.25;
+    /// Share of what is left that one claim takes. Programs of the two deployments use a quarter of
+    /// their budgets; after the loss of the daemon that claimed, the other half serves them.
+    double claimShare = 0.5;
+    /// Share of what is free that one transfer hands over, so that a program served by many daemons
+    /// finds something left for each.
+    double transferShare = 0.25;
     /// Pause before a claim without an answer is tried again.
     Base::Duration claimRetry = std::chrono::milliseconds(100);
     /// A turn waits no longer for a claim.
@@ -37,6 +40,8 @@
     Base::Tokens most;
     /// How long the program may pause before it is forgotten.
     Base::Duration retention{};
+    /// The tokens go to another daemon for good; it gets a share, of which `most` is the least.
+    bool isTransfer = false;
 };
 
 enum class TurnVerdict {
@@ -52,6 +57,8 @@
 {
     ReservationId id;
     TurnVerdict verdict = TurnVerdict::Unavailable;
+    /// Tokens that are reserved, or handed over.
+    Base::Tokens amount;
 };
 
 /// Write the program's claims on the condition that they have this version.
@@ -148,9 +155,10 @@
     };
 
     void admit(Account &account, const TurnReservation &turn);
+    void handOver(Account &account, const TurnReservation &turn);
     void serveWaiting(const Base::ProgramId &program, Account &account, Base::Instant now);
     void claim(const Base::ProgramId &program, Account &account);
-    void answer(ReservationId id, TurnVerdict verdict);
+    void answer(ReservationId id, TurnVerdict verdict, Base::Tokens amount = {});
     void resolve(Account &account, const ClaimOutcome &outcome, Base::Instant now);
     void forgetIdle(Base::Instant now);
 
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -71,9 +71,7 @@
         = std::min(route_->timeout, traits_.patience.value_or(route_->timeout));
     deadline_ = request_.arrivedAt + patience;
     armDeadline();
-    if (checkRate()) {
-        checkBudget();
-    }
+    checkRate();
 }
 
 bool Exchange::findRoute()
@@ -106,23 +104,55 @@
     return true;
 }
 
-bool Exchange::checkRate()
+/// Turns carry a budget; what a program calls besides is a tool.
+bool Exchange::isTurn() const
+{
+    return route_->programRetention && traits_.programBudget && !traits_.program.isEmpty();
+}
+
+Admission::Urgency Exchange::urgency() const
+{
+    if (traits_.program.isEmpty()) {
+        return Admission::Urgency::Started;
+    }
+    if (!isTurn()) {
+        return Admission::Urgency::ToolCall;
+    }
+    return owner_.programs_.contains(traits_.program) ? Admission::Urgency::Started
+                                                      : Admission::Urgency::NewProgram;
+}
+
+void Exchange::checkRate()
 {
     if (!team_) {
-        return true;
+        checkBudget();
+        return;
     }
-    const RateVerdict verdict = owner_.controls_.checkRate(team_->team);
+    const Admission::ShareVerdict verdict = owner_.controls_.checkRate(team_->team, urgency());
     if (!verdict.isAdmitted) {
         answerLocally(429, "over_rate", "rate of the team is used up", verdict.retryAfter);
+        return;
+    }
+    hasPermit_ = true;
+    if (!traits_.program.isEmpty()) {
+        owner_.programs_.add(traits_.program);
+    }
+    if (verdict.wait == Base::Duration::zero()) {
+        checkBudget();
+        return;
     }
-    return verdict.isAdmitted;
+    auto self = shared_from_this();
+    rateTimer_.emplace(owner_.context_, verdict.wait);
+    rateTimer_->async_wait([self](const std::error_code &error) {
+        if (!error && !self->isEnded_) {
+            self->checkBudget();
+        }
+    });
 }
 
 void Exchange::checkBudget()
 {
-    const bool isTurn
-        = route_->programRetention && traits_.programBudget && !traits_.program.isEmpty();
-    if (!isTurn) {
+    if (!isTurn()) {
         offer();
         return;
     }
@@ -208,6 +238,7 @@
         return;
     }
     ++offers_;
+    hasPermit_ = false; // used
     connect(*placement_);
 }
 
@@ -500,8 +531,14 @@
     }
     isEnded_ = true;
     timer_.cancel();
+    if (rateTimer_) {
+        rateTimer_->cancel();
+    }
     releaseServer(false);
     settle();
+    if (hasPermit_) {
+        owner_.controls_.refundRate(team_->team);
+    }
     --owner_.active_;
     owner_.countAnswer(ending.status, now() - request_.arrivedAt);
     writeLog(std::move(ending));
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -28,7 +28,9 @@
 
     bool findRoute();
     bool checkKey();
-    bool checkRate();
+    bool isTurn() const;
+    Admission::Urgency urgency() const;
+    void checkRate();
     void checkBudget();
     void onBudgetVerdict(BudgetVerdict verdict);
     void armDeadline();
@@ -72,6 +74,8 @@
     const Contracts::RoutedTeam *team_ = nullptr;
     Base::Instant deadline_;
     asio::steady_timer timer_;
+    /// Runs while the request waits for a permit of its team.
+    std::optional<asio::steady_timer> rateTimer_;
 
     /// The server that the request is offered to now.
     std::optional<Dispatch::Placement> placement_;
@@ -91,6 +95,8 @@
     bool isHeadPassed_ = false;
     Programs::ReservationId reservation_;
     bool isReserved_ = false;
+    /// A permit was taken and no server has got the request yet.
+    bool hasPermit_ = false;
     bool isEnded_ = false;
 };
 
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "callerconnection.h"
+
 #include "connectionpool.h"
+#include "programmemory.h"
 #include "requesttraits.h"
 
+#include <admission/rateshares.h>
 #include <contracts/routingtable.h>
 #include <dispatch/requestplacer.h>
 #include <programs/tokenledger.h>
@@ -37,13 +40,6 @@
     PoolSettings pool;
 };
 
-/// Admission of requests by rates; answers at once.
-struct RateVerdict
-{
-    bool isAdmitted = true;
-    Base::Duration retryAfter{};
-};
-
 /// Verdict on one turn of a program.
 enum class BudgetVerdict {
     Admitted,
@@ -55,7 +51,9 @@
 /// The parts that decide whether a request may run.
 struct AdmissionControls
 {
-    std::function<RateVerdict(const Contracts::Team &)> checkRate;
+    std::function<Admission::ShareVerdict(const Contracts::Team &, Admission::Urgency)> checkRate;
+    /// An admitted request was sent to no server.
+    std::function<void(const Contracts::Team &)> refundRate;
     /// Reserves the most that the turn may generate, for a program that is forgotten after the
     /// given pause; answers once, now or later.
     std::function<Programs::ReservationId(
@@ -117,6 +115,7 @@
     std::shared_ptr<const Contracts::RoutingTable> table_;
     std::shared_ptr<CallerServices> services_;
     std::set<std::shared_ptr<CallerConnection>> connections_;
+    ProgramMemory programs_;
     std::size_t active_ = 0;
     bool isStopping_ = false;
 };
--- /dev/null
+++ b/src/libs/proxy/peerlink.cpp
@@ -0,0 +1,208 @@
+#include "peerlink.h"
+
+#include <base/visitor.h>
+
+namespace Proxy {
+
+namespace {
+
+/// A round trip between zones is under 3 ms; a daemon on a small share of a core may pause for
+/// some tens of milliseconds.
+constexpr Base::Duration answerTimeout = std::chrono::milliseconds(30);
+
+/// The longest that a peer works on a question of which it has said that it has arrived; the wait
+/// of a turn for a claim is shorter.
+constexpr Base::Duration longestWork = std::chrono::milliseconds(900);
+
+/// The number of the question that a body answers; nothing for questions.
+std::optional<QuestionNumber> answeredNumber(const PeerBody &body)
+{
+    using Result = std::optional<QuestionNumber>;
+    return std::visit(Base::Visitor{[](const RateAnswer &answer) { return Result(answer.number); },
+                                    [](const TokenAnswer &answer) { return Result(answer.number); },
+                                    [](const auto &) { return Result(); }},
+                      body);
+}
+
+} // namespace
+
+PeerLink::PeerLink(asio::io_context &context,
+                   Base::VmId self,
+                   const asio::ip::udp::endpoint &address,
+                   Telemetry::Log &log,
+                   Telemetry::Metrics &metrics,
+                   std::function<Base::Instant()> now)
+    : self_(self)
+    , address_(address)
+    , log_(log)
+    , metrics_(metrics)
+    , now_(std::move(now))
+    , socket_(context)
+    , timer_(context)
+    , roster_(std::move(self))
+{}
+
+void PeerLink::start(Asked asked)
+{
+    asked_ = std::move(asked);
+    socket_.open(address_.protocol());
+    socket_.bind(address_);
+    socket_.non_blocking(true);
+    receive();
+}
+
+void PeerLink::setDaemons(const std::vector<PeerAddress> &daemons)
+{
+    endpoints_.clear();
+    std::vector<Base::VmId> names;
+    for (const PeerAddress &daemon : daemons) {
+        endpoints_.emplace(daemon.vm, daemon.endpoint);
+        names.push_back(daemon.vm);
+    }
+    roster_.setDaemons(names);
+}
+
+std::optional<asio::ip::udp::endpoint> PeerLink::endpointOf(const Base::VmId &peer) const
+{
+    const auto entry = endpoints_.find(peer);
+    return entry == endpoints_.end() ? std::nullopt : std::optional(entry->second);
+}
+
+QuestionNumber PeerLink::nextNumber()
+{
+    lastNumber_ = lastNumber_.next();
+    return lastNumber_;
+}
+
+void PeerLink::ask(const Base::VmId &peer, QuestionNumber number, PeerBody body, Answered answered)
+{
+    Question question;
+    question.peer = peer;
+    question.bytes = encodePeerMessage({self_, routingVersion_, std::move(body)});
+    question.answered = std::move(answered);
+    question.due = now_() + answerTimeout;
+    send(peer, question.bytes);
+    questions_.emplace(number, std::move(question));
+    armTimer();
+}
+
+void PeerLink::answer(const Base::VmId &peer, PeerBody body)
+{
+    send(peer, encodePeerMessage({self_, routingVersion_, std::move(body)}));
+}
+
+/// A datagram that can't be sent is as good as lost.
+void PeerLink::send(const Base::VmId &peer, const std::string &bytes)
+{
+    const auto endpoint = endpoints_.find(peer);
+    if (endpoint == endpoints_.end()) {
+        return;
+    }
+    std::error_code error;
+    socket_.send_to(asio::buffer(bytes), endpoint->second, 0, error);
+    if (error) {
+        metrics_.counter("marjoram_peer_send_failures_total", "Datagrams that could not be sent")
+            .add();
+    }
+}
+
+void PeerLink::receive()
+{
+    socket_.async_receive_from(
+        asio::buffer(buffer_), sender_, [this](const std::error_code &error, std::size_t size) {
+            if (error == asio::error::operation_aborted) {
+                return;
+            }
+            if (!error) {
+                onDatagram(std::string_view(buffer_.data(), size));
+            }
+            receive();
+        });
+}
+
+void PeerLink::onDatagram(std::string_view bytes)
+{
+    const std::optional<PeerMessage> message = decodePeerMessage(bytes);
+    const bool isKnown = message && endpoints_.contains(message->sender);
+    if (!isKnown) {
+        metrics_.counter("marjoram_peer_unusable_total", "Datagrams from nobody known").add();
+        return;
+    }
+    if (message->routingVersion > routingVersion_ && onNewerVersion_) {
+        onNewerVersion_(message->sender);
+    }
+    if (const auto *working = std::get_if<StillWorking>(&message->body)) {
+        extend(working->number, message->sender);
+    } else if (const auto number = answeredNumber(message->body)) {
+        settle(*number, message->sender, message->body);
+    } else {
+        asked_(message->sender, message->body);
+    }
+}
+
+void PeerLink::extend(QuestionNumber number, const Base::VmId &sender)
+{
+    const auto entry = questions_.find(number);
+    if (entry != questions_.end() && entry->second.peer == sender) {
+        entry->second.due = now_() + longestWork;
+        entry->second.isRepeated = true;
+    }
+}
+
+void PeerLink::settle(QuestionNumber number, const Base::VmId &sender, const PeerBody &body)
+{
+    const auto entry = questions_.find(number);
+    if (entry == questions_.end() || entry->second.peer != sender) {
+        return;
+    }
+    const Answered answered = std::move(entry->second.answered);
+    questions_.erase(entry);
+    roster_.answered(sender);
+    answered(&body);
+}
+
+void PeerLink::armTimer()
+{
+    if (isTimerArmed_ || questions_.empty()) {
+        return;
+    }
+    Base::Instant due = questions_.begin()->second.due;
+    for (const auto &[number, question] : questions_) {
+        due = std::min(due, question.due);
+    }
+    isTimerArmed_ = true;
+    timer_.expires_after(std::max(Base::Duration::zero(), due - now_()));
+    timer_.async_wait([this](const std::error_code &error) {
+        isTimerArmed_ = false;
+        if (!error) {
+            onTimer();
+        }
+    });
+}
+
+void PeerLink::onTimer()
+{
+    const Base::Instant now = now_();
+    std::vector<Answered> givenUp;
+    for (auto entry = questions_.begin(); entry != questions_.end();) {
+        Question &question = entry->second;
+        if (now < question.due) {
+            ++entry;
+        } else if (!question.isRepeated) {
+            question.isRepeated = true;
+            question.due = now + answerTimeout;
+            send(question.peer, question.bytes);
+            ++entry;
+        } else {
+            roster_.unanswered(question.peer, now);
+            givenUp.push_back(std::move(question.answered));
+            entry = questions_.erase(entry);
+        }
+    }
+    for (const Answered &answered : givenUp) {
+        answered(nullptr);
+    }
+    armTimer();
+}
+
+} // namespace Proxy
--- /dev/null
+++ b/src/libs/proxy/peerlink.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "peermessages.h"
+#include "peerroster.h"
+
+#include <telemetry/log.h>
+#include <telemetry/metrics.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <unordered_map>
+
+namespace Proxy {
+
+struct PeerAddress
+{
+    Base::VmId vm;
+    asio::ip::udp::endpoint endpoint;
+};
+
+/// Questions and answers between daemons, in datagrams. A question is repeated once.
+class PeerLink
+{
+public:
+    /// The answer's body; nothing if the peer did not answer in time.
+    using Answered = std::function<void(const PeerBody *)>;
+    using Asked = std::function<void(const Base::VmId &sender, const PeerBody &)>;
+
+    PeerLink(asio::io_context &context,
+             Base::VmId self,
+             const asio::ip::udp::endpoint &address,
+             Telemetry::Log &log,
+             Telemetry::Metrics &metrics,
+             std::function<Base::Instant()> now);
+
+    /// Throws std::exception if the address cannot be bound.
+    void start(Asked asked);
+    void setDaemons(const std::vector<PeerAddress> &daemons);
+    /// Goes into every message.
+    void setRoutingVersion(Base::ConfigVersion version) { routingVersion_ = version; }
+    /// Called when a peer states a newer version than this daemon's.
+    void onNewerVersion(std::function<void(const Base::VmId &)> callback)
+    {
+        onNewerVersion_ = std::move(callback);
+    }
+
+    QuestionNumber nextNumber();
+    /// The body's number has to be from nextNumber().
+    void ask(const Base::VmId &peer, QuestionNumber number, PeerBody body, Answered answered);
+    void answer(const Base::VmId &peer, PeerBody body);
+
+    PeerRoster &roster() { return roster_; }
+    std::optional<asio::ip::udp::endpoint> endpointOf(const Base::VmId &peer) const;
+
+private:
+    struct Question
+    {
+        Base::VmId peer;
+        std::string bytes;
+        Answered answered;
+        Base::Instant due;
+        bool isRepeated = false;
+    };
+
+    void receive();
+    void onDatagram(std::string_view bytes);
+    void send(const Base::VmId &peer, const std::string &bytes);
+    void extend(QuestionNumber number, const Base::VmId &sender);
+    void settle(QuestionNumber number, const Base::VmId &sender, const PeerBody &body);
+    void armTimer();
+    void onTimer();
+
+    Base::VmId self_;
+    asio::ip::udp::endpoint address_;
+    Telemetry::Log &log_;
+    Telemetry::Metrics &metrics_;
+    std::function<Base::Instant()> now_;
+    asio::ip::udp::socket socket_;
+    asio::ip::udp::endpoint sender_;
+    std::array<char, 65'536> buffer_{};
+    asio::steady_timer timer_;
+    bool isTimerArmed_ = false;
+    PeerRoster roster_;
+    std::map<Base::VmId, asio::ip::udp::endpoint> endpoints_;
+    std::unordered_map<QuestionNumber, Question> questions_;
+    QuestionNumber lastNumber_;
+    Base::ConfigVersion routingVersion_;
+    std::function<void(const Base::VmId &)> onNewerVersion_;
+    Asked asked_;
+};
+
+} // namespace Proxy
--- /dev/null
+++ b/src/libs/proxy/peermessages.cpp
@@ -0,0 +1,177 @@
+#include "peermessages.h"
+
+#include <base/visitor.h>
+#include <proxypeer/proxypeer_types.h>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace Proxy {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+namespace Wire = ProxyPeerProtocol;
+
+std::int64_t toWire(QuestionNumber number)
+{
+    return static_cast<std::int64_t>(number.value());
+}
+
+QuestionNumber numberFromWire(std::int64_t number)
+{
+    return QuestionNumber(static_cast<std::uint64_t>(number));
+}
+
+Wire::TokenVerdict::type toWire(Programs::TurnVerdict verdict)
+{
+    switch (verdict) {
+    case Programs::TurnVerdict::Admitted:
+        return Wire::TokenVerdict::Granted;
+    case Programs::TurnVerdict::Spent:
+        return Wire::TokenVerdict::Spent;
+    case Programs::TurnVerdict::Unavailable:
+        break;
+    }
+    return Wire::TokenVerdict::Unavailable;
+}
+
+Programs::TurnVerdict verdictFromWire(Wire::TokenVerdict::type verdict)
+{
+    switch (verdict) {
+    case Wire::TokenVerdict::Granted:
+        return Programs::TurnVerdict::Admitted;
+    case Wire::TokenVerdict::Spent:
+        return Programs::TurnVerdict::Spent;
+    case Wire::TokenVerdict::Unavailable:
+        break;
+    }
+    return Programs::TurnVerdict::Unavailable;
+}
+
+Wire::PeerBody toWire(const PeerBody &body)
+{
+    Wire::PeerBody wire;
+    std::visit(Base::Visitor{[&](const RateStatement &statement) {
+                                 Wire::RateStatement part;
+                                 part.number = toWire(statement.number);
+                                 for (const Admission::TeamDemand &demand : statement.demands) {
+                                     Wire::TeamDemand each;
+                                     each.team = demand.team.text();
+                                     each.perSecond = demand.perSecond;
+                                     part.demands.push_back(std::move(each));
+                                 }
+                                 wire.__set_rateStatement(part);
+                             },
+                             [&](const RateAnswer &answer) {
+                                 Wire::RateAnswer part;
+                                 part.number = toWire(answer.number);
+                                 for (const Admission::TeamShare &share : answer.shares) {
+                                     Wire::TeamShare each;
+                                     each.team = share.team.text();
+                                     each.share = share.share;
+                                     part.shares.push_back(std::move(each));
+                                 }
+                                 wire.__set_rateAnswer(part);
+                             },
+                             [&](const TokenRequest &request) {
+                                 Wire::TokenRequest part;
+                                 part.number = toWire(request.number);
+                                 part.program = request.program.text();
+                                 part.budget = request.budget.value();
+                                 part.needed = request.needed.value();
+                                 part.retentionMs
+                                     = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                           request.retention)
+                                           .count();
+                                 wire.__set_tokenRequest(part);
+                             },
+                             [&](const TokenAnswer &answer) {
+                                 Wire::TokenAnswer part;
+                                 part.number = toWire(answer.number);
+                                 part.verdict = toWire(answer.verdict);
+                                 part.amount = answer.amount.value();
+                                 wire.__set_tokenAnswer(part);
+                             },
+                             [&](const StillWorking &working) {
+                                 Wire::StillWorking part;
+                                 part.number = toWire(working.number);
+                                 wire.__set_stillWorking(part);
+                             }},
+               body);
+    return wire;
+}
+
+std::optional<PeerBody> fromWire(const Wire::PeerBody &wire)
+{
+    if (wire.__isset.rateStatement) {
+        RateStatement statement{numberFromWire(wire.rateStatement.number), {}};
+        for (const Wire::TeamDemand &demand : wire.rateStatement.demands) {
+            statement.demands.push_back({Base::TeamId(demand.team), demand.perSecond});
+        }
+        return statement;
+    }
+    if (wire.__isset.rateAnswer) {
+        RateAnswer answer{numberFromWire(wire.rateAnswer.number), {}};
+        for (const Wire::TeamShare &share : wire.rateAnswer.shares) {
+            answer.shares.push_back({Base::TeamId(share.team), share.share});
+        }
+        return answer;
+    }
+    if (wire.__isset.tokenRequest) {
+        const Wire::TokenRequest &request = wire.tokenRequest;
+        return TokenRequest{numberFromWire(request.number),
+                            Base::ProgramId(request.program),
+                            Base::Tokens(request.budget),
+                            Base::Tokens(request.needed),
+                            std::chrono::milliseconds(request.retentionMs)};
+    }
+    if (wire.__isset.tokenAnswer) {
+        const Wire::TokenAnswer &answer = wire.tokenAnswer;
+        return TokenAnswer{numberFromWire(answer.number),
+                           verdictFromWire(answer.verdict),
+                           Base::Tokens(answer.amount)};
+    }
+    if (wire.__isset.stillWorking) {
+        return StillWorking{numberFromWire(wire.stillWorking.number)};
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string encodePeerMessage(const PeerMessage &message)
+{
+    Wire::PeerMessage wire;
+    wire.sender = message.sender.text();
+    wire.routingVersion = static_cast<std::int64_t>(message.routingVersion.value());
+    wire.body = toWire(message.body);
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocol protocol(buffer);
+    wire.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+std::optional<PeerMessage> decodePeerMessage(std::string_view bytes)
+{
+    try {
+        std::string copy(bytes);
+        const auto buffer = std::make_shared<TMemoryBuffer>(
+            reinterpret_cast<std::uint8_t *>(copy.data()), static_cast<std::uint32_t>(copy.size()));
+        TCompactProtocol protocol(buffer);
+        Wire::PeerMessage wire;
+        wire.read(&protocol);
+        const std::optional<PeerBody> body = fromWire(wire.body);
+        if (!body || wire.routingVersion < 0) {
+            return std::nullopt;
+        }
+        return PeerMessage{Base::VmId(wire.sender),
+                           Base::ConfigVersion(static_cast<std::uint64_t>(wire.routingVersion)),
+                           *body};
+    } catch (const apache::thrift::TException &) {
+        return std::nullopt; // the caller logs bytes that are no message
+    }
+}
+
+} // namespace Proxy
--- /dev/null
+++ b/src/libs/proxy/peerroster.cpp
@@ -0,0 +1,69 @@
+#include "peerroster.h"
+
+#include <base/random.h>
+
+namespace Proxy {
+
+PeerRoster::PeerRoster(Base::VmId self, RosterSettings settings)
+    : self_(std::move(self))
+    , settings_(settings)
+{
+    setDaemons({self_});
+}
+
+void PeerRoster::setDaemons(const std::vector<Base::VmId> &daemons)
+{
+    std::map<Base::VmId, Peer> next;
+    for (const Base::VmId &daemon : daemons) {
+        if (const auto known = peers_.find(daemon); known != peers_.end()) {
+            next.emplace(*known);
+        } else {
+            next[daemon].hash = Base::hash64(daemon.text());
+        }
+    }
+    if (!next.contains(self_)) {
+        next[self_].hash = Base::hash64(self_.text());
+    }
+    peers_ = std::move(next);
+}
+
+Base::VmId PeerRoster::onDuty(std::string_view key, Base::Instant now) const
+{
+    const Base::VmId *best = &self_;
+    std::uint64_t bestRank = Base::hash64(key, peers_.at(self_).hash);
+    for (const auto &[vm, peer] : peers_) {
+        const std::uint64_t rank = Base::hash64(key, peer.hash);
+        if (rank > bestRank && !isSuspect(vm, now)) {
+            best = &vm;
+            bestRank = rank;
+        }
+    }
+    return *best;
+}
+
+void PeerRoster::answered(const Base::VmId &peer)
+{
+    if (const auto entry = peers_.find(peer); entry != peers_.end()) {
+        entry->second.unanswered = 0;
+        entry->second.suspectUntil.reset();
+    }
+}
+
+void PeerRoster::unanswered(const Base::VmId &peer, Base::Instant now)
+{
+    const auto entry = peers_.find(peer);
+    if (entry == peers_.end()) {
+        return;
+    }
+    if (++entry->second.unanswered >= settings_.unansweredLimit) {
+        entry->second.suspectUntil = now + settings_.suspicion;
+    }
+}
+
+bool PeerRoster::isSuspect(const Base::VmId &peer, Base::Instant now) const
+{
+    const auto entry = peers_.find(peer);
+    return entry != peers_.end() && entry->second.suspectUntil && now < *entry->second.suspectUntil;
+}
+
+} // namespace Proxy
--- a/src/libs/proxy/turnadmission.cpp
+++ b/src/libs/proxy/turnadmission.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Pause between looks for programs that have paused for longer than their retention.
+constexpr Base::Duration sweepInterval = std::chrono::seconds(10);
+
 BudgetVerdict toBudgetVerdict(Programs::TurnVerdict verdict)
 {
     switch (verdict) {
@@ -24,72 +27,168 @@
 } // namespace
 
 TurnAdmission::TurnAdmission(asio::io_context &context,
-                             Base::IncarnationId self,
+                             Base::VmId self,
+                             Base::IncarnationId incarnation,
+                             PeerLink &peers,
                              ClaimWriter writer,
                              std::function<Base::Instant()> now)
-    : ledger_(std::move(self), {})
+    : self_(std::move(self))
+    , peers_(peers)
+    , ledger_(std::move(incarnation), {})
     , writer_(std::move(writer))
     , now_(std::move(now))
     , timer_(context)
 {}
 
+Programs::ReservationId TurnAdmission::addAnswer(Answer answer)
+{
+    lastId_ = lastId_.next();
+    answers_.emplace(lastId_, std::move(answer));
+    return lastId_;
+}
+
 Programs::ReservationId TurnAdmission::reserve(const RequestTraits &turn,
                                                Base::Duration retention,
                                                std::function<void(BudgetVerdict)> answer)
 {
-    lastId_ = lastId_.next();
-    const Programs::ReservationId id = lastId_;
-    answers_.emplace(id, std::move(answer));
-    ledger_.reserve({id, turn.program, *turn.programBudget, turn.maxOutput, retention}, now_());
+    const Programs::ReservationId id
+        = addAnswer([answer = std::move(answer)](Programs::TurnVerdict verdict, Base::Tokens) {
+              answer(toBudgetVerdict(verdict));
+          });
+    const Programs::TurnReservation reservation{
+        id, turn.program, *turn.programBudget, turn.maxOutput, retention};
+    const Base::Instant now = now_();
+    if (peers_.roster().onDuty(turn.program.text(), now) == self_) {
+        ledger_.reserve(reservation, now);
+    } else {
+        allotments_.reserve(reservation, now);
+    }
     runActions();
     return id;
 }
 
 void TurnAdmission::settle(Programs::ReservationId id, Base::Tokens used)
 {
-    ledger_.settle(id, used, now_());
+    if (allotments_.isRunning(id)) {
+        allotments_.settle(id, used, now_());
+    } else {
+        ledger_.settle(id, used, now_());
+    }
+    runActions();
+}
+
+void TurnAdmission::onTokenRequest(const Base::VmId &sender, const TokenRequest &request)
+{
+    if (!requests_.emplace(sender, request.number).second) {
+        return;
+    }
+    const Programs::ReservationId id
+        = addAnswer([this, sender, number = request.number](Programs::TurnVerdict verdict,
+                                                            Base::Tokens amount) {
+              requests_.erase({sender, number});
+              peers_.answer(sender, TokenAnswer{number, verdict, amount});
+          });
+    Programs::TurnReservation reservation{
+        id, request.program, request.budget, request.needed, request.retention};
+    reservation.isTransfer = true;
+    ledger_.reserve(reservation, now_());
     runActions();
+    if (answers_.contains(id)) {
+        peers_.answer(sender, StillWorking{request.number});
+    }
 }
 
 void TurnAdmission::runActions()
+{
+    runAllotmentActions();
+    runLedgerActions();
+    armTimer();
+}
+
+void TurnAdmission::runAllotmentActions()
+{
+    for (const Programs::AllotmentAction &action : allotments_.takeActions()) {
+        std::visit(Base::Visitor{[this](const Programs::AnswerTurn &answer) { giveAnswer(answer); },
+                                 [this](const Programs::AskHome &ask) { askHome(ask); },
+                                 [this](const Programs::ReserveLocally &local) {
+                                     ledger_.reserve(local.turn, now_());
+                                 }},
+                   action);
+    }
+}
+
+void TurnAdmission::runLedgerActions()
 {
     for (const Programs::TokenLedgerAction &action : ledger_.takeActions()) {
-        std::visit(
-            Base::Visitor{
-                [this](const Programs::AnswerTurn &verdict) {
-                    // Answered from the event loop: the caller of reserve() has
-                    // not been told the number yet.
-                    auto answer = answers_.extract(verdict.id);
-                    asio::post(timer_.get_executor(),
-                               [call = std::move(answer.mapped()),
-                                verdict = toBudgetVerdict(verdict.verdict)] { call(verdict); });
-                },
-                [this](const Programs::WriteClaim &claim) {
-                    writer_(claim,
-                            [this, program = claim.program](const Programs::ClaimOutcome &outcome) {
-                                ledger_.claimAnswered(program, outcome, now_());
-                                runActions();
-                            });
-                }},
-            action);
+        std::visit(Base::Visitor{[this](const Programs::AnswerTurn &answer) { giveAnswer(answer); },
+                                 [this](const Programs::WriteClaim &claim) { writeClaim(claim); }},
+                   action);
     }
-    armTimer();
+}
+
+void TurnAdmission::askHome(const Programs::AskHome &ask)
+{
+    const Base::VmId home = peers_.roster().onDuty(ask.program.text(), now_());
+    if (home == self_) {
+        // The home was lost since the turn was reserved.
+        allotments_.answered(ask.id, Programs::TurnVerdict::Unavailable, {}, now_());
+        runAllotmentActions();
+        return;
+    }
+    const QuestionNumber number = peers_.nextNumber();
+    const TokenRequest request{number, ask.program, ask.budget, ask.needed, ask.retention};
+    peers_.ask(home, number, request, [this, id = ask.id](const PeerBody *body) {
+        const auto *answer = body ? std::get_if<TokenAnswer>(body) : nullptr;
+        allotments_.answered(id,
+                             answer ? answer->verdict : Programs::TurnVerdict::Unavailable,
+                             answer ? answer->amount : Base::Tokens(),
+                             now_());
+        runActions();
+    });
+}
+
+/// Answers from the event loop: the caller of reserve() has not been told the number yet.
+void TurnAdmission::giveAnswer(const Programs::AnswerTurn &answer)
+{
+    auto entry = answers_.extract(answer.id);
+    if (entry.empty()) {
+        return;
+    }
+    asio::post(timer_.get_executor(),
+               [call = std::move(entry.mapped()), answer] { call(answer.verdict, answer.amount); });
+}
+
+void TurnAdmission::writeClaim(const Programs::WriteClaim &claim)
+{
+    writer_(claim, [this, program = claim.program](const Programs::ClaimOutcome &outcome) {
+        ledger_.claimAnswered(program, outcome, now_());
+        runActions();
+    });
 }
 
 void TurnAdmission::armTimer()
 {
-    const std::optional<Base::Instant> next = ledger_.nextWakeUp();
-    if (!next || (timerDue_ && *timerDue_ <= *next)) {
+    const Base::Instant now = now_();
+    if (!nextSweep_) {
+        nextSweep_ = now + sweepInterval;
+    }
+    const Base::Instant next = std::min(*nextSweep_, ledger_.nextWakeUp().value_or(*nextSweep_));
+    if (timerDue_ && *timerDue_ <= next) {
         return;
     }
     timerDue_ = next;
-    timer_.expires_after(std::max(Base::Duration::zero(), *next - now_()));
+    timer_.expires_after(std::max(Base::Duration::zero(), next - now));
     timer_.async_wait([this](const std::error_code &error) {
         if (error) {
             return;
         }
         timerDue_.reset();
-        ledger_.tick(now_());
+        const Base::Instant due = now_();
+        if (due >= *nextSweep_) {
+            nextSweep_.reset();
+            allotments_.sweep(due);
+        }
+        ledger_.tick(due);
         runActions();
     });
 }
--- a/src/libs/proxy/turnadmission.h
+++ b/src/libs/proxy/turnadmission.h
@@ -1,23 +1,30 @@
 #pragma once
 
 #include "passthrough.h"
+#include "peerlink.h"
 
-#include <programs/tokenledger.h>
+#include <programs/allotmenttable.h>
 
 #include <asio/steady_timer.hpp>
 
+#include <set>
+
 namespace Proxy {
 
 /// Writes claims to the store and answers each exactly once.
 using ClaimWriter = std::function<void(const Programs::WriteClaim &,
                                        std::function<void(Programs::ClaimOutcome)>)>;
 
-/// Runs a TokenLedger on the event loop: admits turns of programs within their token budgets.
+/// Admits turns of programs within their token budgets: by the ledger of this daemon, or by tokens
+/// that the program's home has handed over. Any daemon may claim from the store, so a home that
+/// can't be reached costs a store call and nothing else.
 class TurnAdmission
 {
 public:
     TurnAdmission(asio::io_context &context,
-                  Base::IncarnationId self,
+                  Base::VmId self,
+                  Base::IncarnationId incarnation,
+                  PeerLink &peers,
                   ClaimWriter writer,
                   std::function<Base::Instant()> now);
 
@@ -28,17 +35,34 @@
     /// The turn was admitted and has ended; tokens are those handed to the caller.
     void settle(Programs::ReservationId id, Base::Tokens used);
 
+    /// Another daemon asks for tokens of a program.
+    void onTokenRequest(const Base::VmId &sender, const TokenRequest &request);
+
 private:
+    using Answer = std::function<void(Programs::TurnVerdict, Base::Tokens)>;
+
+    Programs::ReservationId addAnswer(Answer answer);
     void runActions();
+    void runLedgerActions();
+    void runAllotmentActions();
+    void askHome(const Programs::AskHome &ask);
+    void giveAnswer(const Programs::AnswerTurn &answer);
+    void writeClaim(const Programs::WriteClaim &claim);
     void armTimer();
 
+    Base::VmId self_;
+    PeerLink &peers_;
     Programs::TokenLedger ledger_;
+    Programs::AllotmentTable allotments_;
     ClaimWriter writer_;
     std::function<Base::Instant()> now_;
     asio::steady_timer timer_;
     std::optional<Base::Instant> timerDue_;
+    std::optional<Base::Instant> nextSweep_;
     Programs::ReservationId lastId_;
-    std::unordered_map<Programs::ReservationId, std::function<void(BudgetVerdict)>> answers_;
+    std::unordered_map<Programs::ReservationId, Answer> answers_;
+    /// Requests of other daemons under way; their repeats are not served again.
+    std::set<std::pair<Base::VmId, QuestionNumber>> requests_;
 };
 
 } // namespace Proxy
--- a/src/libs/telemetry/log.h
+++ b/src/libs/telemetry/log.h
@@ -44,12 +44,12 @@
 {
     /// Empty means the target.
     std::string file;
-    LogTarget target = LogTarget::StandardError;
     LogLevel level = LogLevel::Info;
     /// Identifies the daemon in every line.
     std::string daemon;
     /// Words that contain one of these are keys and are never written.
     std::vector<std::string> keyPrefixes;
+    LogTarget target = LogTarget::StandardError;
 };
 
 /// Structured log: one JSON object per line, written through log4cplus. Thread-safe.
