--- a/src/libs/proxy/proxydaemon.cpp
+++ b/src/libs/proxy/proxydaemon.cpp
@@ -166,17 +166,25 @@
     continueStop();
 }
 
-/// New connections are still taken until the balancer has noticed; then the process ends as soon
-/// as nothing is under way.
+StopStep ProxyDaemon::stepNow() const
+{
+    return settings_.stop.stepAt(passThrough_.now() - *stopBegan_,
+                                 passThrough_.activeRequests(),
+                                 passThrough_.openConnections());
+}
+
 void ProxyDaemon::continueStop()
 {
-    const Base::Duration elapsed = passThrough_.now() - *stopBegan_;
-    const bool hasLeft = elapsed >= settings_.leaveNotice;
-    if (hasLeft) {
+    StopStep step = stepNow();
+    if (!step.isAccepting && callers_.is_open()) {
+        std::error_code ignored; // the process ends soon
+        callers_.close(ignored);
+    }
+    if (step.isClosingIdle) {
         passThrough_.closeIdle();
+        step = stepNow();
     }
-    const bool isIdle = passThrough_.activeRequests() == 0 && passThrough_.openConnections() == 0;
-    if ((hasLeft && isIdle) || elapsed >= settings_.drainTimeout) {
+    if (step.isOver) {
         log_.write(LogLevel::Info,
                    "stopped",
                    {.step = "process",
--- a/src/libs/proxy/proxydaemon.h
+++ b/src/libs/proxy/proxydaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "passthrough.h"
+#include "stopplan.h"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -14,10 +15,7 @@
     asio::ip::tcp::endpoint status;
     std::string readinessPath = "/healthz";
     std::string metricsPath = "/metrics";
-    /// A balancer takes a daemon out after two misses of a question asked each second.
-    Base::Duration leaveNotice = std::chrono::milliseconds(2600);
-    /// Longest wait for requests under way at a shutdown.
-    Base::Duration drainTimeout = std::chrono::milliseconds(7400);
+    StopPlan stop;
 };
 
 /// The sockets and signals of a daemon that passes requests on: listeners, readiness, graceful end.
@@ -44,6 +42,7 @@
     void waitForSignal();
     void beginStop();
     void continueStop();
+    StopStep stepNow() const;
     bool isReady() const;
     void noteReadiness();
 
--- /dev/null
+++ b/tests/libs/programs/tst_tokenledger.cpp
@@ -0,0 +1,337 @@
+#include <base/random.h>
+#include <programs/allotmenttable.h>
+#include <programs/tokenledger.h>
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <utility>
+
+using namespace Programs;
+using Base::Tokens;
+
+namespace {
+
+const Base::ProgramId program("p");
+constexpr Base::Duration retention = std::chrono::seconds(60);
+
+Base::Instant at(std::int64_t milliseconds)
+{
+    return Base::Instant(std::chrono::milliseconds(milliseconds));
+}
+
+TurnReservation turn(std::uint64_t id, std::int64_t budget, std::int64_t most)
+{
+    return {ReservationId(id), program, Tokens(budget), Tokens(most), retention, false};
+}
+
+/// The store's claims of one program, with conditional writes.
+class ClaimStore
+{
+public:
+    ClaimOutcome write(const WriteClaim &claim)
+    {
+        if (claim.expected != claims_.version) {
+            return ClaimConflict{claims_};
+        }
+        claims_ = {claims_.version.next(), claim.total, claim.writeId};
+        return ClaimWritten{claims_.version};
+    }
+
+    const StoredClaims &claims() const { return claims_; }
+
+private:
+    StoredClaims claims_;
+};
+
+/// Daemons that serve one program in any order, through a store whose answers and writes get lost
+/// or come late, and that are killed and start again.
+class LedgerFleet
+{
+public:
+    static constexpr std::int64_t budget = 6000;
+    static constexpr std::int64_t most = 580;
+
+    explicit LedgerFleet(std::uint64_t seed)
+        : random_(seed)
+    {
+        for (std::size_t i = 0; i < 4; ++i) {
+            restart(i);
+        }
+    }
+
+    void run()
+    {
+        for (int step = 0; step < 600; ++step) {
+            now_ += static_cast<std::int64_t>(random_.below(40));
+            const std::size_t daemon = random_.below(ledgers_.size());
+            switch (random_.below(12)) {
+            case 0:
+                restart(daemon);
+                break;
+            case 1:
+            case 2:
+            case 3:
+                finishSome(daemon);
+                break;
+            case 4:
+                executeLate();
+                break;
+            default:
+                begin(daemon, random_.chance(0.2));
+                break;
+            }
+            for (std::size_t each = 0; each < ledgers_.size(); ++each) {
+                ledgers_[each]->tick(at(now_));
+                perform(each);
+            }
+            cr_assert(handed_ <= budget + most, "%ld tokens of %ld", handed_, budget);
+        }
+    }
+
+    std::int64_t handed() const { return handed_; }
+
+private:
+    void restart(std::size_t daemon)
+    {
+        const std::string name
+            = "d" + std::to_string(daemon) + "." + std::to_string(++incarnations_);
+        if (daemon == ledgers_.size()) {
+            ledgers_.emplace_back();
+            running_.emplace_back();
+        }
+        ledgers_[daemon]
+            = std::make_unique<TokenLedger>(Base::IncarnationId(name), TokenLedgerSettings{});
+        while (!running_[daemon].empty()) {
+            running_[daemon].pop_front();
+            handed_ += static_cast<std::int64_t>(random_.below(most + 1)); // up to the kill
+        }
+    }
+
+    void begin(std::size_t daemon, bool isTransfer)
+    {
+        TurnReservation reservation = turn(++lastId_, budget, most);
+        reservation.isTransfer = isTransfer;
+        transfers_[lastId_] = isTransfer;
+        ledgers_[daemon]->reserve(reservation, at(now_));
+    }
+
+    void finishSome(std::size_t daemon)
+    {
+        if (running_[daemon].empty()) {
+            return;
+        }
+        const ReservationId id = running_[daemon].front();
+        running_[daemon].pop_front();
+        const auto used = static_cast<std::int64_t>(random_.below(most + 1));
+        handed_ += used;
+        ledgers_[daemon]->settle(id, Tokens(used), at(now_));
+    }
+
+    void perform(std::size_t daemon)
+    {
+        for (const TokenLedgerAction &action : ledgers_[daemon]->takeActions()) {
+            if (const auto *answer = std::get_if<AnswerTurn>(&action)) {
+                if (answer->verdict != TurnVerdict::Admitted) {
+                    continue;
+                }
+                if (transfers_[answer->id.value()]) {
+                    handed_ += answer->amount.value(); // the other daemon uses all of it
+                } else {
+                    running_[daemon].push_back(answer->id);
+                }
+                continue;
+            }
+            write(daemon, std::get<WriteClaim>(action));
+        }
+    }
+
+    void write(std::size_t daemon, const WriteClaim &claim)
+    {
+        const std::uint64_t fate = random_.below(10);
+        ClaimOutcome outcome = ClaimUnanswered{};
+        if (fate == 0) {
+            late_.push_back(claim); // done later, if the condition still holds
+        } else if (fate == 1) {
+            store_.write(claim); // done, and the answer is lost
+        } else if (fate > 2) {
+            outcome = store_.write(claim);
+        }
+        ledgers_[daemon]->claimAnswered(program, outcome, at(now_));
+        perform(daemon);
+    }
+
+    void executeLate()
+    {
+        if (!late_.empty()) {
+            store_.write(late_.front());
+            late_.pop_front();
+        }
+    }
+
+    Base::Random random_;
+    std::int64_t now_ = 0;
+    ClaimStore store_;
+    std::vector<std::unique_ptr<TokenLedger>> ledgers_;
+    std::vector<std::deque<ReservationId>> running_;
+    std::deque<WriteClaim> late_;
+    std::map<std::uint64_t, bool> transfers_;
+    std::uint64_t lastId_ = 0;
+    int incarnations_ = 0;
+    std::int64_t handed_ = 0;
+};
+
+WriteClaim onlyClaim(TokenLedger &ledger)
+{
+    const auto actions = ledger.takeActions();
+    cr_assert_eq(actions.size(), 1);
+    return std::get<WriteClaim>(actions[0]);
+}
+
+AnswerTurn onlyAnswer(TokenLedger &ledger)
+{
+    const auto actions = ledger.takeActions();
+    cr_assert_eq(actions.size(), 1);
+    return std::get<AnswerTurn>(actions[0]);
+}
+
+} // namespace
+
+Test(tokenledger, claimsBeforeATurnIsAdmitted)
+{
+    TokenLedger ledger(Base::IncarnationId("a.1"), {});
+    ClaimStore store;
+    ledger.reserve(turn(1, 6000, 580), at(0));
+    const WriteClaim claim = onlyClaim(ledger);
+    cr_assert_eq(claim.total.value(), 3000);
+    ledger.claimAnswered(program, store.write(claim), at(5));
+    cr_assert_eq(onlyAnswer(ledger).verdict, TurnVerdict::Admitted);
+    ledger.reserve(turn(2, 6000, 580), at(6));
+    cr_assert_eq(onlyAnswer(ledger).verdict, TurnVerdict::Admitted, "one claim serves many turns");
+}
+
+Test(tokenledger, refusesWhatTheBudgetDoesNotHold)
+{
+    TokenLedger ledger(Base::IncarnationId("a.1"), {});
+    ClaimStore store;
+    ledger.reserve(turn(1, 1000, 580), at(0));
+    ledger.claimAnswered(program, store.write(onlyClaim(ledger)), at(0));
+    cr_assert_eq(onlyAnswer(ledger).verdict, TurnVerdict::Admitted);
+    ledger.reserve(turn(2, 1000, 580), at(1));
+    cr_assert_eq(
+        onlyAnswer(ledger).verdict, TurnVerdict::Spent, "the first may use all of its most");
+    ledger.settle(ReservationId(1), Tokens(100), at(2));
+    ledger.reserve(turn(3, 1000, 580), at(3));
+    const auto actions = ledger.takeActions();
+    cr_assert(std::holds_alternative<WriteClaim>(actions.at(0))
+                  || std::get<AnswerTurn>(actions.at(0)).verdict == TurnVerdict::Admitted,
+              "what the first did not use is free again");
+}
+
+Test(tokenledger, recognisesItsWriteWhenTheAnswerWasLost)
+{
+    TokenLedger ledger(Base::IncarnationId("a.1"), {});
+    ClaimStore store;
+    ledger.reserve(turn(1, 6000, 580), at(0));
+    const WriteClaim claim = onlyClaim(ledger);
+    store.write(claim);
+    ledger.claimAnswered(program, ClaimUnanswered{}, at(5));
+    ledger.tick(at(200));
+    const WriteClaim again = onlyClaim(ledger);
+    cr_assert(again.writeId == claim.writeId);
+    ledger.claimAnswered(program, store.write(again), at(205));
+    cr_assert_eq(onlyAnswer(ledger).verdict, TurnVerdict::Admitted);
+    cr_assert_eq(store.claims().total.value(), 3000, "claimed once");
+}
+
+Test(tokenledger, givesUpOnAStoreThatDoesNotAnswer)
+{
+    TokenLedger ledger(Base::IncarnationId("a.1"), {});
+    ledger.reserve(turn(1, 6000, 580), at(0));
+    onlyClaim(ledger);
+    ledger.claimAnswered(program, ClaimUnanswered{}, at(500));
+    ledger.tick(at(800));
+    const auto actions = ledger.takeActions();
+    const auto isRefused = [](const TokenLedgerAction &action) {
+        const auto *answer = std::get_if<AnswerTurn>(&action);
+        return answer && answer->verdict == TurnVerdict::Unavailable;
+    };
+    cr_assert(std::any_of(actions.begin(), actions.end(), isRefused));
+}
+
+Test(tokenledger, aNewIncarnationDoesNotUseWhatTheOldOneClaimed)
+{
+    ClaimStore store;
+    TokenLedger old(Base::IncarnationId("a.1"), {});
+    old.reserve(turn(1, 2000, 580), at(0));
+    old.claimAnswered(program, store.write(onlyClaim(old)), at(0));
+    TokenLedger fresh(Base::IncarnationId("a.2"), {});
+    fresh.reserve(turn(1, 2000, 580), at(10));
+    fresh.claimAnswered(program, store.write(onlyClaim(fresh)), at(15));
+    const WriteClaim second = onlyClaim(fresh);
+    cr_assert_eq(second.total.value(), 1580, "1,000 of the old one count as spent");
+}
+
+/// The stated bound: never over the budget by more than the most of one turn.
+Test(tokenledger, noScheduleHandsOutMoreThanTheBudget)
+{
+    std::int64_t total = 0;
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        LedgerFleet fleet(seed);
+        fleet.run();
+        total += fleet.handed();
+    }
+    cr_assert_gt(total, 400 * 1500, "the schedules hand out something");
+}
+
+Test(allotmenttable, asksTheHomeOnceForSeveralTurns)
+{
+    AllotmentTable table;
+    table.reserve(turn(1, 6000, 580), at(0));
+    table.reserve(turn(2, 6000, 580), at(0));
+    auto actions = table.takeActions();
+    cr_assert_eq(actions.size(), 1);
+    cr_assert_eq(std::get<AskHome>(actions[0]).needed.value(), 580);
+    table.answered(ReservationId(1), TurnVerdict::Admitted, Tokens(1500), at(5));
+    actions = table.takeActions();
+    cr_assert_eq(actions.size(), 2);
+    cr_assert_eq(std::get<AnswerTurn>(actions[1]).verdict, TurnVerdict::Admitted);
+}
+
+Test(allotmenttable, asksAgainForWhatIsMissing)
+{
+    AllotmentTable table;
+    table.reserve(turn(1, 6000, 580), at(0));
+    table.takeActions();
+    table.answered(ReservationId(1), TurnVerdict::Admitted, Tokens(700), at(5));
+    table.takeActions();
+    table.reserve(turn(2, 6000, 580), at(6));
+    cr_assert_eq(std::get<AskHome>(table.takeActions().at(0)).needed.value(), 460);
+    table.settle(ReservationId(1), Tokens(100), at(7));
+    cr_assert_eq(std::get<AnswerTurn>(table.takeActions().at(0)).verdict,
+                 TurnVerdict::Admitted,
+                 "the first left enough");
+}
+
+Test(allotmenttable, passesTurnsOnWhenTheHomeDoesNotAnswer)
+{
+    AllotmentTable table;
+    table.reserve(turn(1, 6000, 580), at(0));
+    table.takeActions();
+    table.answered(ReservationId(1), TurnVerdict::Unavailable, {}, at(60));
+    const auto actions = table.takeActions();
+    cr_assert(std::get<ReserveLocally>(actions.at(0)).turn.id == ReservationId(1));
+    cr_assert(!table.isRunning(ReservationId(1)));
+}
+
+Test(allotmenttable, saysWhenTheBudgetIsSpent)
+{
+    AllotmentTable table;
+    table.reserve(turn(1, 6000, 580), at(0));
+    table.takeActions();
+    table.answered(ReservationId(1), TurnVerdict::Spent, {}, at(5));
+    cr_assert_eq(std::get<AnswerTurn>(table.takeActions().at(0)).verdict, TurnVerdict::Spent);
+}
--- /dev/null
+++ b/tests/libs/proxy/tst_eventsplitter.cpp
@@ -0,0 +1,29 @@
+#include <proxy/eventsplitter.h>
+
+#include <criterion/criterion.h>
+
+using namespace Proxy;
+
+Test(eventsplitter, passesWholeEventsOnly)
+{
+    const std::string text = "id: 1\ndata: a\n\nx-version: 7\nid: 2\r\ndata: b\r\n\r\nid: 3\nda";
+    for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+        EventSplitter events;
+        std::string passed;
+        for (std::size_t at = 0; at < text.size(); at += piece) {
+            passed += events.feed(std::string_view(text).substr(at, piece));
+        }
+        cr_assert_eq(passed, text.substr(0, text.find("id: 3")));
+        cr_assert_eq(events.eventCount(), 2);
+        cr_assert_eq(*events.lastEventId(), "2", "the event that is not whole does not count");
+        cr_assert(events.hasPartialEvent());
+    }
+}
+
+Test(eventsplitter, doesNotCountComments)
+{
+    EventSplitter events;
+    events.feed(": keep-alive\n\n");
+    cr_assert_eq(events.eventCount(), 0);
+    cr_assert(!events.lastEventId());
+}
--- /dev/null
+++ b/tests/libs/proxy/tst_messageparser.cpp
@@ -0,0 +1,208 @@
+#include <proxy/messageparser.h>
+
+#include <criterion/criterion.h>
+
+using namespace Proxy;
+
+namespace {
+
+constexpr auto request = MessageParser::Kind::Request;
+constexpr auto response = MessageParser::Kind::Response;
+
+struct Parsed
+{
+    ParseState state = ParseState::Empty;
+    ParseError error = ParseError::None;
+    std::string body;
+    std::size_t used = 0;
+    RequestHead requestHead;
+    ResponseHead responseHead;
+};
+
+/// Feeds the bytes in pieces of the given size.
+Parsed parse(MessageParser::Kind kind,
+             const std::string &bytes,
+             std::size_t piece,
+             ParserLimits limits = {})
+{
+    MessageParser parser(kind, limits);
+    Parsed result;
+    while (result.used < bytes.size()) {
+        const std::string_view rest = std::string_view(bytes).substr(result.used, piece);
+        const std::size_t used = parser.feed(rest);
+        result.used += used;
+        result.body += parser.takeBody();
+        const bool isOver
+            = parser.state() == ParseState::Complete || parser.state() == ParseState::Failed;
+        if (isOver || used == 0) {
+            break;
+        }
+    }
+    result.state = parser.state();
+    result.error = parser.error();
+    result.requestHead = parser.takeRequest();
+    result.responseHead = parser.takeResponse();
+    return result;
+}
+
+ParseState stateOf(const std::string &bytes)
+{
+    const Parsed whole = parse(request, bytes, bytes.size());
+    const Parsed single = parse(request, bytes, 1);
+    cr_assert_eq(whole.state, single.state, "the pieces in which bytes come must not matter");
+    return whole.state;
+}
+
+const std::string start = "POST /a/b?c=1 HTTP/1.1\r\nHost: x.example\r\n";
+
+} // namespace
+
+Test(messageparser, readsARequestWithALength)
+{
+    const std::string text = start + "Content-Length: 5\r\n\r\nhello";
+    for (const std::size_t piece : {std::size_t{1}, std::size_t{7}, text.size()}) {
+        const Parsed parsed = parse(request, text + "GET", piece);
+        cr_assert_eq(parsed.state, ParseState::Complete);
+        cr_assert_eq(parsed.body, "hello");
+        cr_assert_eq(parsed.used, text.size(), "what follows belongs to the next request");
+        cr_assert_eq(parsed.requestHead.method, "POST");
+        cr_assert_eq(parsed.requestHead.target, "/a/b?c=1");
+        cr_assert_eq(parsed.requestHead.path(), "/a/b");
+    }
+}
+
+Test(messageparser, readsARequestInChunks)
+{
+    const std::string text
+        = start + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n";
+    for (const std::size_t piece : {std::size_t{1}, std::size_t{5}, text.size()}) {
+        const Parsed parsed = parse(request, text, piece);
+        cr_assert_eq(parsed.state, ParseState::Complete);
+        cr_assert_eq(parsed.body, "abcde");
+        cr_assert(!parsed.requestHead.headers.contains("T"), "trailers concern one hop");
+    }
+}
+
+Test(messageparser, takesARequestWithinABodyAsBody)
+{
+    const std::string inner = "GET /other/ HTTP/1.1\r\nHost: x.example\r\n\r\n";
+    const std::string text
+        = start + "Content-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner;
+    const Parsed parsed = parse(request, text, text.size());
+    cr_assert_eq(parsed.state, ParseState::Complete);
+    cr_assert_eq(parsed.body, inner);
+}
+
+Test(messageparser, refusesWhatTwoHopsMayReadDifferently)
+{
+    const std::vector<std::string> bad{
+        start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        start + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        start + "Content-Length: 3, 4\r\n\r\nabcd",
+        start + "Content-Length: -1\r\n\r\n",
+        start + "Content-Length: 1x\r\n\r\na",
+        start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        start + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        start + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+        start + "Transfer-Encoding: chunked\r\n\r\n-1\r\n\r\n",
+        start + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
+        start + "X-A: b\r\n folded\r\n\r\n",
+        start + "X-A : b\r\n\r\n",
+        start + " X-A: b\r\n\r\n",
+        "POST / HTTP/1.1\nHost: x\n\n",
+        start + "X-A: b\nX-B: c\r\n\r\n",
+        start + "X-A: b\rc\r\n\r\n",
+        start + std::string("X-A: b\0c\r\n\r\n", 12),
+        start + "Host: y.example\r\n\r\n",
+        "GET / HTTP/1.1\r\nX-A: b\r\n\r\n",
+        "GET / HTTP/2.0\r\nHost: x\r\n\r\n",
+        "POST / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "CONNECT x:80 HTTP/1.1\r\nHost: x\r\n\r\n",
+        "NONSENSE\r\n\r\n",
+    };
+    for (const std::string &text : bad) {
+        cr_assert_eq(stateOf(text), ParseState::Failed, "accepted: %s", text.c_str());
+    }
+}
+
+Test(messageparser, doesNotSwitchProtocols)
+{
+    const std::string text
+        = "GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n";
+    const Parsed parsed = parse(request, text + "PRI", text.size() + 3);
+    cr_assert_eq(parsed.state, ParseState::Complete);
+    cr_assert_eq(parsed.used, text.size());
+}
+
+Test(messageparser, boundsHeadAndBody)
+{
+    const ParserLimits limits{200, 10};
+    const std::string large(300, 'x');
+    cr_assert_eq(parse(request, start + "X-A: " + large + "\r\n\r\n", 50, limits).error,
+                 ParseError::HeadTooLarge);
+    cr_assert_eq(parse(request, start + "X-A: " + large, 50, limits).error,
+                 ParseError::HeadTooLarge);
+    cr_assert_eq(parse(request, start + "Content-Length: 11\r\n\r\n", 50, limits).error,
+                 ParseError::BodyTooLarge);
+    cr_assert_eq(parse(request,
+                       start + "Transfer-Encoding: chunked\r\n\r\nb\r\nabcdefghijk\r\n0\r\n\r\n",
+                       50,
+                       limits)
+                     .error,
+                 ParseError::BodyTooLarge);
+}
+
+Test(messageparser, tellsWholeResponsesFromCutOnes)
+{
+    MessageParser whole(response);
+    whole.feed("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc");
+    whole.finish();
+    cr_assert_eq(whole.state(), ParseState::Complete);
+    cr_assert_eq(whole.framing().kind, BodyFraming::UntilClose);
+    cr_assert_eq(whole.takeBody(), "abc");
+
+    for (const char *cut : {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                            "HTTP/1.1 200 OK\r\nContent-"}) {
+        MessageParser parser(response);
+        parser.feed(cut);
+        parser.finish();
+        cr_assert_eq(parser.state(), ParseState::Failed, "taken as whole: %s", cut);
+    }
+}
+
+Test(messageparser, knowsResponsesWithoutABody)
+{
+    MessageParser head(response);
+    head.expectNoBody();
+    head.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+    cr_assert_eq(head.state(), ParseState::Complete);
+    cr_assert_eq(parse(response, "HTTP/1.1 204 No Content\r\n\r\n", 100).state,
+                 ParseState::Complete);
+    cr_assert_eq(parse(response, "HTTP/1.1 304 Not Modified\r\n\r\n", 100).state,
+                 ParseState::Complete);
+}
+
+Test(messageparser, leavesBytesBehindAResponse)
+{
+    const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const Parsed parsed = parse(response, text + "HTTP/1.1 200 OK\r\n", 1000);
+    cr_assert_eq(parsed.state, ParseState::Complete);
+    cr_assert_eq(parsed.used, text.size());
+}
+
+Test(httphead, dropsFieldsOfOneConnection)
+{
+    HeaderFields headers;
+    headers.add("Connection", "close, X-Hop");
+    headers.add("x-hop", "1");
+    headers.add("Keep-Alive", "timeout=3");
+    headers.add("Transfer-Encoding", "chunked");
+    headers.add("TE", "trailers");
+    headers.add("Upgrade", "h2c");
+    headers.add("X-Stays", "1");
+    removeConnectionFields(headers);
+    cr_assert_eq(headers.all().size(), 1);
+    cr_assert(headers.contains("x-stays"));
+}
--- /dev/null
+++ b/tests/libs/proxy/tst_peers.cpp
@@ -0,0 +1,93 @@
+#include <proxy/peermessages.h>
+#include <proxy/peerroster.h>
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+using namespace Proxy;
+
+namespace {
+
+Base::Instant at(std::int64_t milliseconds)
+{
+    return Base::Instant(std::chrono::milliseconds(milliseconds));
+}
+
+std::vector<Base::VmId> vms(int count)
+{
+    std::vector<Base::VmId> result;
+    for (int i = 0; i < count; ++i) {
+        result.emplace_back("vm-" + std::to_string(i));
+    }
+    return result;
+}
+
+} // namespace
+
+Test(peermessages, everyBodyComesBackAsItWas)
+{
+    const QuestionNumber number(7);
+    const std::vector<PeerBody> bodies{
+        RateStatement{number, {{Base::TeamId("a"), 12.5}, {Base::TeamId("b"), 0.25}}},
+        RateAnswer{number, {{Base::TeamId("a"), 0.5}}},
+        TokenRequest{number,
+                     Base::ProgramId("p"),
+                     Base::Tokens(900),
+                     Base::Tokens(80),
+                     std::chrono::seconds(60)},
+        TokenAnswer{number, Programs::TurnVerdict::Spent, Base::Tokens(0)},
+        TokenAnswer{number, Programs::TurnVerdict::Admitted, Base::Tokens(300)},
+        StillWorking{number}};
+    for (const PeerBody &body : bodies) {
+        const PeerMessage message{Base::VmId("vm-1"), Base::ConfigVersion(3), body};
+        const std::string bytes = encodePeerMessage(message);
+        cr_assert(decodePeerMessage(bytes) == message);
+        for (std::size_t size = 0; size < bytes.size(); ++size) {
+            const auto cut = decodePeerMessage(std::string_view(bytes).substr(0, size));
+            cr_assert(!cut || !(*cut == message), "a cut datagram is not the message");
+        }
+    }
+    cr_assert(!decodePeerMessage("nonsense"));
+}
+
+Test(peerroster, daemonsWithTheSameListAgree)
+{
+    const auto daemons = vms(7);
+    std::map<Base::VmId, int> duties;
+    for (int key = 0; key < 700; ++key) {
+        std::set<Base::VmId> answers;
+        for (const Base::VmId &self : daemons) {
+            PeerRoster roster(self);
+            roster.setDaemons(daemons);
+            answers.insert(roster.onDuty("program-" + std::to_string(key), at(0)));
+        }
+        cr_assert_eq(answers.size(), 1);
+        ++duties[*answers.begin()];
+    }
+    cr_assert_eq(duties.size(), 7);
+    for (const auto &[vm, count] : duties) {
+        cr_assert_gt(count, 50, "%s has %d of 700 duties", vm.text().c_str(), count);
+    }
+}
+
+Test(peerroster, passesOverADaemonThatDoesNotAnswer)
+{
+    const auto daemons = vms(3);
+    PeerRoster roster(daemons[0]);
+    roster.setDaemons(daemons);
+    std::string key;
+    for (int i = 0; key.empty(); ++i) {
+        const std::string candidate = "key-" + std::to_string(i);
+        key = roster.onDuty(candidate, at(0)) == daemons[1] ? candidate : "";
+    }
+    roster.unanswered(daemons[1], at(0));
+    cr_assert(roster.onDuty(key, at(0)) == daemons[1], "one datagram may be lost");
+    roster.unanswered(daemons[1], at(10));
+    cr_assert(roster.onDuty(key, at(10)) != daemons[1]);
+    cr_assert(roster.onDuty(key, at(1011)) == daemons[1], "it is asked again after a time");
+    roster.unanswered(daemons[1], at(1020));
+    cr_assert(roster.onDuty(key, at(1020)) != daemons[1]);
+    roster.answered(daemons[1]);
+    cr_assert(roster.onDuty(key, at(1020)) == daemons[1]);
+}
--- /dev/null
+++ b/tests/platform/tst_platformadapter.cpp
@@ -0,0 +1,262 @@
+#include <platform/documents.h>
+#include <platform/headers.h>
+#include <platform/nodesettings.h>
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+using namespace Adapter;
+using nlohmann::json;
+
+namespace {
+
+json nodeFile()
+{
+    return {
+        {"node_name", "front-a-1"},
+        {"ip", "10.1.0.11"},
+        {"zone", "a"},
+        {"zones", {{"a", "r"}, {"b", "r"}}},
+        {"listen",
+         {{"front", "10.1.0.11:8368"}, {"ready", "10.1.0.11:8369"}, {"control", "10.1.0.11:8367"}}},
+        {"seeds", {"10.1.0.11:8367", "10.2.0.34:8367"}},
+        {"data_dir", nullptr},
+        {"something_new", 5},
+        {"bounds", {{"config_apply_ms", 2000}, {"grace_s", 8}}},
+        {"platform", {{"address", "10.200.1.7:8362"}}}};
+}
+
+json serverEntry()
+{
+    return {{"service", "s"},
+            {"address", "10.128.0.9:8080"},
+            {"zone", "a"},
+            {"version", "v1"},
+            {"slots", 16},
+            {"state", "ready"},
+            {"cold_left_ms", 0},
+            {"seq_no", 4},
+            {"born", 1790000000123}};
+}
+
+std::optional<Dispatch::ListedServer> server(const json &entry)
+{
+    std::vector<DocumentProblem> problems;
+    // As it comes from the wire, where whole numbers have no sign.
+    const auto decoded = decodeServer("i-1", json::parse(entry.dump()), problems);
+    cr_assert_eq(decoded.has_value(), problems.empty(), "an entry is used or its problem is noted");
+    return decoded;
+}
+
+json routing()
+{
+    return json::parse(R"({
+        "version": 7,
+        "routes": [{"name": "r1", "host": "h.example", "path_prefix": "/p/", "kind": "stream",
+                    "timeout_ms": 3000, "goal_ms": 250, "priority": 1, "service": "s",
+                    "attempts": 2, "retain_s": 60.0, "public": false, "resumable": true}],
+        "services": [{"name": "s", "max_conns": 170, "engine": {"stride": 29}}],
+        "limits": {"header_bytes": 1000, "body_bytes": 2000, "header_timeout_ms": 300,
+                   "idle_timeout_ms": 400},
+        "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "rate_per_s": 17.5, "burst": 9}]
+    })");
+}
+
+} // namespace
+
+Test(nodesettings, readsTheFile)
+{
+    const ParsedNodeSettings parsed = parseNodeSettings(nodeFile().dump());
+    cr_assert(parsed.problems.empty());
+    cr_assert_eq(parsed.settings.vm.text(), "front-a-1");
+    cr_assert_eq(parsed.settings.callers->port(), 8368);
+    cr_assert_eq(parsed.settings.peers->port(), 8367);
+    cr_assert_eq(parsed.settings.store.port(), 8362);
+    cr_assert_eq(parsed.settings.seeds.size(), 2);
+    cr_assert_eq(parsed.settings.zones.size(), 2);
+    cr_assert_eq(parsed.settings.stopGrace, std::chrono::seconds(8));
+}
+
+Test(nodesettings, saysWhatIsWrong)
+{
+    json file = nodeFile();
+    file["listen"]["front"] = "somewhere";
+    file["platform"].erase("address");
+    file.erase("zone");
+    const ParsedNodeSettings parsed = parseNodeSettings(file.dump());
+    cr_assert_eq(parsed.problems.size(), 3);
+    cr_assert_eq(parseNodeSettings("{").problems.size(), 1);
+}
+
+Test(documents, readsARoutingDocument)
+{
+    const auto decoded = decodeRouting(routing());
+    cr_assert(decoded && decoded->problems.empty());
+    const Contracts::RoutingDocument &document = decoded->document;
+    cr_assert_eq(document.version.value(), 7);
+    const Contracts::Route &route = document.routes.at(0);
+    cr_assert_eq(route.kind, Contracts::RouteKind::Stream);
+    cr_assert_eq(route.timeout, std::chrono::seconds(3));
+    cr_assert_eq(route.attempts, 2);
+    cr_assert(route.isResumable);
+    cr_assert_eq(*route.programRetention, std::chrono::seconds(60));
+    cr_assert_eq(document.services.at(0).tokensPerEvent.value(), 29);
+    cr_assert_eq(document.limits.headTimeout, std::chrono::milliseconds(300));
+    cr_assert_eq(document.teams.at(0).team.keys.size(), 2);
+    cr_assert(document.teams.at(0).team.keys[0].hash == Contracts::hashSecret("k1"));
+    cr_assert_float_eq(document.teams.at(0).team.ratePerSecond, 17.5, 1e-9);
+}
+
+Test(documents, readsASplit)
+{
+    json spec = routing();
+    spec["routes"][0].erase("service");
+    spec["routes"][0]["split"]
+        = {{{"service", "s"}, {"weight", 90}}, {{"service", "t"}, {"weight", 10}}};
+    const auto decoded = decodeRouting(spec);
+    cr_assert_eq(decoded->document.routes.at(0).services.at(1).weight, 10);
+}
+
+Test(documents, badFieldsDoNotStopTheRest)
+{
+    json spec = routing();
+    spec["routes"].push_back(5);
+    spec["routes"].push_back(
+        json::parse(R"({"name": "r2", "host": 5, "path_prefix": "/q/", "kind": "new"})"));
+    spec["routes"][0]["timeout_ms"] = "soon";
+    spec["tenants"].push_back(json::parse(R"({"api_keys": "k"})"));
+    const auto decoded = decodeRouting(spec);
+    cr_assert(decoded);
+    cr_assert_eq(decoded->document.routes.size(), 1);
+    cr_assert_eq(decoded->document.teams.size(), 1);
+    cr_assert_geq(decoded->problems.size(), 4);
+    cr_assert(!decodeRouting(json(5)));
+    spec.erase("version");
+    cr_assert(!decodeRouting(spec), "without a version nobody knows what is newer");
+}
+
+Test(documents, aRouteOfUnknownKindIsNotRepeated)
+{
+    json spec = routing();
+    spec["routes"][0]["kind"] = "new";
+    cr_assert_eq(decodeRouting(spec)->document.routes.at(0).kind,
+                 Contracts::RouteKind::NonIdempotent);
+}
+
+Test(documents, readsAServer)
+{
+    const auto decoded = server(serverEntry());
+    cr_assert_eq(decoded->server.slots, 16);
+    cr_assert_eq(decoded->startedAt, 1790000000123U);
+    cr_assert(!decoded->server.isLeaving);
+    json leaving = serverEntry();
+    leaving["state"] = "draining";
+    cr_assert(server(leaving)->server.isLeaving);
+}
+
+Test(documents, entriesOfOtherWritersNameNoServer)
+{
+    const std::vector<std::pair<std::string, json>> bad{{"service", 5},
+                                                        {"address", "here"},
+                                                        {"address", 7},
+                                                        {"zone", nullptr},
+                                                        {"slots", "16"},
+                                                        {"slots", -1},
+                                                        {"state", "happy"},
+                                                        {"born", "x"}};
+    for (const auto &[field, value] : bad) {
+        json entry = serverEntry();
+        entry[field] = value;
+        cr_assert(!server(entry), "%s = %s", field.c_str(), value.dump().c_str());
+    }
+    for (const char *field : {"service", "address", "zone", "state", "slots"}) {
+        json entry = serverEntry();
+        entry.erase(field);
+        cr_assert(!server(entry), "without %s", field);
+    }
+    cr_assert(!server(json("text")));
+    cr_assert(!server(json()));
+}
+
+Test(headers, readsWhatACallerSays)
+{
+    Proxy::RequestHead head;
+    head.headers.add("X-Attempt-Id", "9c41");
+    head.headers.add("X-Deadline-Ms", "1200");
+    head.headers.add("X-Program-Id", "p1");
+    head.headers.add("X-Session-Id", "s1");
+    head.headers.add("X-Token-Budget", "4640");
+    head.headers.add("X-Token-Count", "1840,580");
+    head.headers.add("X-Finish-Ms", "5200");
+    head.headers.add("X-Model", "m");
+    head.headers.add("X-Prompt-Prefix", "5c1e:800,91bd:410");
+    const Proxy::RequestTraits traits = headerTranslator().readRequest(head);
+    cr_assert_eq(traits.id, "9c41");
+    cr_assert_eq(*traits.patience, std::chrono::milliseconds(1200));
+    cr_assert_eq(traits.programBudget->value(), 4640);
+    cr_assert_eq(traits.maxOutput.value(), 580);
+    cr_assert_eq(traits.prompt.size(), 2);
+    cr_assert_eq(traits.prompt[1].tokens.value(), 410);
+    head.headers.set("X-Model", "other");
+    cr_assert_neq(headerTranslator().readRequest(head).prompt[0].key, traits.prompt[0].key);
+}
+
+Test(headers, badNumbersCountAsAbsent)
+{
+    Proxy::RequestHead head;
+    head.headers.add("X-Deadline-Ms", "12x");
+    head.headers.add("X-Token-Budget", "-5");
+    head.headers.add("X-Prompt-Prefix", "a:1,b");
+    const Proxy::RequestTraits traits = headerTranslator().readRequest(head);
+    cr_assert(!traits.patience);
+    cr_assert(!traits.programBudget);
+    cr_assert_eq(traits.prompt.size(), 1);
+}
+
+Test(headers, callersCannotSetWhatIsTheSystems)
+{
+    Proxy::HeaderFields headers;
+    for (const char *name : {"Authorization",
+                             "X-Tenant",
+                             "X-Target-Instance",
+                             "X-Kv-Hold",
+                             "X-Pin-Ms",
+                             "X-Kv-Backup",
+                             "Kv-From",
+                             "Kv-Fetch"}) {
+        headers.add(name, "forged");
+        headers.add(name, "twice");
+    }
+    headers.add("X-Deadline-Ms", "3000");
+    headers.add("X-Attempt-Id", "9c41");
+    Proxy::ForwardTraits forward;
+    forward.server = Base::ServerId("i-1");
+    forward.team = Base::TeamId("club");
+    forward.timeLeft = std::chrono::milliseconds(2500);
+    headerTranslator().prepareForward(headers, forward);
+    cr_assert_eq(headers.all().size(), 4);
+    cr_assert_eq(*headers.find("X-Tenant"), "club");
+    cr_assert_eq(*headers.find("X-Target-Instance"), "i-1");
+    cr_assert_eq(*headers.find("X-Deadline-Ms"), "2500");
+    cr_assert_eq(*headers.find("X-Attempt-Id"), "9c41");
+}
+
+Test(headers, readsWhatAServerSays)
+{
+    Proxy::ResponseHead head;
+    head.status = 200;
+    head.headers.add("X-Attempt-Id", "9c41");
+    head.headers.add("X-Server-Stamp", "3e1b.07");
+    head.headers.add("X-Server-Load", "3,1,8");
+    const Proxy::ResponseTraits traits = headerTranslator().readResponse(head);
+    cr_assert_eq(traits.id, "9c41");
+    cr_assert(traits.isAuthentic);
+    cr_assert_eq(traits.load->waiting, 1);
+    cr_assert(!traits.isNotRun);
+    head.headers.set("X-Server-Load", "3,1");
+    cr_assert(!headerTranslator().readResponse(head).load);
+    head.headers.add("X-Not-Executed", "1");
+    cr_assert(headerTranslator().readResponse(head).isNotRun);
+    head.status = 421;
+    cr_assert(headerTranslator().readResponse(head).isWrongServer);
+}
