--- /dev/null
+++ b/tests/libs/proxy/scriptedserver.cpp
@@ -0,0 +1,142 @@
+#include "scriptedserver.h"
+
+#include <asio/write.hpp>
+
+#include <array>
+
+namespace {
+
+/// Length of the whole request at the start of the text; 0 if it is not whole.
+std::size_t requestLength(const std::string &text)
+{
+    const std::size_t head = text.find("\r\n\r\n");
+    if (head == std::string::npos) {
+        return 0;
+    }
+    std::size_t length = head + 4;
+    if (const std::size_t field = text.find("Content-Length: "); field < head) {
+        length += std::stoul(text.substr(field + 16));
+    }
+    return length <= text.size() ? length : 0;
+}
+
+std::string idOf(const std::string &request)
+{
+    const std::string name = "Request-Id: ";
+    const std::size_t start = request.find(name) + name.size();
+    return request.substr(start, request.find("\r\n", start) - start);
+}
+
+std::string withId(std::string text, const std::string &id)
+{
+    for (std::size_t at = text.find("{id}"); at != std::string::npos; at = text.find("{id}")) {
+        text.replace(at, 4, id);
+    }
+    return text;
+}
+
+} // namespace
+
+class ScriptedServer::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(ScriptedServer &server, asio::ip::tcp::socket socket, Script script)
+        : server_(server)
+        , socket_(std::move(socket))
+        , script_(std::move(script))
+    {}
+
+    void read()
+    {
+        auto self = shared_from_this();
+        socket_.async_read_some(
+            asio::buffer(buffer_),
+            [self](const std::error_code &error, std::size_t size) { self->onRead(error, size); });
+    }
+
+    void close()
+    {
+        std::error_code ignored;
+        socket_.close(ignored);
+    }
+
+private:
+    void onRead(const std::error_code &error, std::size_t size)
+    {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (error) {
+            ++server_.closedByPeer_;
+            return;
+        }
+        incoming_.append(buffer_.data(), size);
+        while (const std::size_t length = requestLength(incoming_)) {
+            const std::string request = incoming_.substr(0, length);
+            incoming_.erase(0, length);
+            server_.requests_.push_back(request);
+            answer(idOf(request));
+        }
+        if (socket_.is_open()) {
+            read();
+        }
+    }
+
+    void answer(const std::string &id)
+    {
+        if (next_ < script_.answers.size()) {
+            const std::string text = withId(script_.answers[next_++], id);
+            std::error_code ignored;
+            asio::write(socket_, asio::buffer(text), ignored);
+        }
+        if (next_ == script_.answers.size() && script_.closesAfterwards) {
+            close();
+        }
+    }
+
+    ScriptedServer &server_;
+    asio::ip::tcp::socket socket_;
+    Script script_;
+    std::array<char, 4096> buffer_{};
+    std::string incoming_;
+    std::size_t next_ = 0;
+};
+
+ScriptedServer::ScriptedServer(asio::io_context &context)
+    : context_(context)
+    , acceptor_(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+{
+    accept();
+}
+
+ScriptedServer::~ScriptedServer()
+{
+    for (const auto &connection : connections_) {
+        connection->close();
+    }
+}
+
+std::string ScriptedServer::address() const
+{
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+void ScriptedServer::accept()
+{
+    acceptor_.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
+        if (error) {
+            return;
+        }
+        ++connectionCount_;
+        Script script;
+        if (!scripts_.empty()) {
+            script = std::move(scripts_.front());
+            scripts_.pop_front();
+        }
+        const auto connection
+            = std::make_shared<Connection>(*this, std::move(socket), std::move(script));
+        connections_.push_back(connection);
+        connection->read();
+        accept();
+    });
+}
--- /dev/null
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -0,0 +1,472 @@
+#include "scriptedserver.h"
+
+#include <proxy/passthrough.h>
+
+#include <asio/write.hpp>
+#include <criterion/criterion.h>
+
+#include <array>
+
+using namespace Proxy;
+using Contracts::RouteKind;
+
+namespace {
+
+constexpr auto guardTime = std::chrono::seconds(10);
+
+RequestTraits readRequest(const RequestHead &head)
+{
+    RequestTraits traits;
+    traits.id = std::string(head.headers.find("Request-Id").value_or(""));
+    if (const auto patience = head.headers.find("Patience-Ms")) {
+        traits.patience = std::chrono::milliseconds(std::stoi(std::string(*patience)));
+    }
+    return traits;
+}
+
+ResponseTraits readResponse(const ResponseHead &head)
+{
+    ResponseTraits traits;
+    traits.id = std::string(head.headers.find("Request-Id").value_or(""));
+    traits.isNotRun = head.headers.contains("Not-Run");
+    traits.isWrongServer = head.status == 421;
+    traits.isAuthentic = head.headers.contains("Proof");
+    return traits;
+}
+
+void prepareForward(HeaderFields &headers, const ForwardTraits &forward)
+{
+    headers.remove("Authorization");
+    headers.set("Team", forward.team.text());
+    headers.set("Server", forward.server.text());
+    if (forward.resumeAfter) {
+        headers.set("Last-Event-Id", *forward.resumeAfter);
+    }
+}
+
+const std::string whole
+    = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nContent-Length: 5\r\n\r\nhello";
+const std::string notRun
+    = "HTTP/1.1 503 Busy\r\nRequest-Id: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+const std::string streamHead
+    = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nContent-Type: text/event-stream\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(const std::string &text)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return size.data() + text + "\r\n";
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
+}
+
+Contracts::Route route(const std::string &prefix, RouteKind kind, std::uint32_t attempts)
+{
+    Contracts::Route result;
+    result.id = Contracts::RouteId(prefix);
+    result.host = "x.example";
+    result.pathPrefix = prefix;
+    result.kind = kind;
+    result.isResumable = prefix == "/resumable/";
+    result.services = {{Base::ServiceId("s"), 1}};
+    result.attempts = attempts;
+    return result;
+}
+
+Contracts::RoutingDocument routing()
+{
+    Contracts::RoutingDocument document;
+    document.version = Base::ConfigVersion(1);
+    document.services = {{Base::ServiceId("s")}};
+    document.routes = {route("/safe/", RouteKind::Idempotent, 2),
+                       route("/once/", RouteKind::NonIdempotent, 2),
+                       route("/stream/", RouteKind::Stream, 1),
+                       route("/resumable/", RouteKind::Stream, 2)};
+    Contracts::RoutedTeam team;
+    team.team.id = Base::TeamId("club");
+    Contracts::Key key;
+    key.hash = Contracts::hashSecret("secret");
+    team.team.keys = {key};
+    document.teams = {team};
+    return document;
+}
+
+/// A caller, the proxy and two servers on one event loop.
+class Fixture
+{
+public:
+    Fixture()
+        : passThrough_(context_,
+                       {},
+                       {&readRequest, &readResponse, &prepareForward},
+                       controls(),
+                       silentLog(),
+                       metrics_,
+                       1)
+        , acceptor_(context_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , caller_(context_)
+        , first(context_)
+        , second(context_)
+    {
+        accept();
+        caller_.connect(acceptor_.local_endpoint());
+        readCaller();
+    }
+
+    void configure() { passThrough_.configure(routing()); }
+
+    void listServers(bool hasSecond)
+    {
+        std::vector<Dispatch::ListedServer> servers{listed("one", first)};
+        if (hasSecond) {
+            servers.push_back(listed("two", second));
+        }
+        passThrough_.serversChanged(servers);
+    }
+
+    void send(const std::string &bytes) { asio::write(caller_, asio::buffer(bytes)); }
+
+    void request(const std::string &path, const std::string &id, const std::string &more = "")
+    {
+        send("POST " + path
+             + " HTTP/1.1\r\nHost: x.example\r\nAuthorization: Bearer secret\r\nRequest-Id: " + id
+             + "\r\nContent-Length: 4\r\n" + more + "\r\nbody");
+    }
+
+    /// Runs the loop until the condition holds; fails the test if it never does.
+    void runUntil(const std::function<bool()> &condition, const char *what)
+    {
+        const auto end = std::chrono::steady_clock::now() + guardTime;
+        while (!condition()) {
+            cr_assert(std::chrono::steady_clock::now() < end,
+                      "never: %s; got: %s",
+                      what,
+                      received.c_str());
+            context_.run_one_for(std::chrono::milliseconds(20));
+        }
+    }
+
+    void awaitAnswer(const std::string &text)
+    {
+        runUntil([&] { return received.find(text) != std::string::npos; }, text.c_str());
+    }
+
+    void awaitClose()
+    {
+        runUntil([&] { return isClosed; }, "the caller's connection ends");
+    }
+
+    void leave() { caller_.close(); }
+    PassThrough &passThrough() { return passThrough_; }
+
+private:
+    /// One for all fixtures of a test, as the log library starts and ends once a process.
+    static Telemetry::Log &silentLog()
+    {
+        static Telemetry::Log log(
+            {.file = {}, .level = Telemetry::LogLevel::Error, .daemon = {}, .keyPrefixes = {}});
+        return log;
+    }
+
+    static AdmissionControls controls()
+    {
+        AdmissionControls result;
+        result.checkRate = [](const auto &, auto) { return Admission::ShareVerdict{}; };
+        result.refundRate = [](const auto &) {};
+        return result;
+    }
+
+    static Dispatch::ListedServer listed(const std::string &id, const ScriptedServer &server)
+    {
+        Dispatch::ListedServer result;
+        result.server.id = Base::ServerId(id);
+        result.server.service = Base::ServiceId("s");
+        result.server.address = server.address();
+        result.server.slots = 4;
+        return result;
+    }
+
+    void accept()
+    {
+        acceptor_.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
+            if (!error) {
+                const auto connection = std::make_shared<CallerConnection>(
+                    std::move(socket), passThrough_.callerServices());
+                passThrough_.addConnection(connection);
+                connection->start();
+                accept();
+            }
+        });
+    }
+
+    void readCaller()
+    {
+        caller_.async_read_some(asio::buffer(buffer_),
+                                [this](const std::error_code &error, std::size_t size) {
+                                    if (error) {
+                                        isClosed = true;
+                                        return;
+                                    }
+                                    received.append(buffer_.data(), size);
+                                    readCaller();
+                                });
+    }
+
+    asio::io_context context_;
+    Telemetry::Metrics metrics_;
+    PassThrough passThrough_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::ip::tcp::socket caller_;
+    std::array<char, 4096> buffer_{};
+
+public:
+    ScriptedServer first;
+    ScriptedServer second;
+    std::string received;
+    bool isClosed = false;
+};
+
+std::size_t requestCount(const Fixture &fixture)
+{
+    return fixture.first.requests().size() + fixture.second.requests().size();
+}
+
+} // namespace
+
+Test(passthrough, passesRequestAndAnswerOnUnchanged)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{whole}});
+    fixture.request("/once/a%20b?q=%2F",
+                    "r1",
+                    "X-Other: 1\r\nConnection: X-Hop\r\nX-Hop: 2\r\nTeam: forged\r\n");
+    fixture.awaitAnswer("hello");
+    const std::string &seen = fixture.first.requests().at(0);
+    cr_assert(seen.starts_with("POST /once/a%20b?q=%2F HTTP/1.1\r\n"));
+    cr_assert(seen.ends_with("\r\n\r\nbody"));
+    cr_assert(seen.find("X-Other: 1") != std::string::npos);
+    cr_assert(seen.find("Team: club") != std::string::npos);
+    for (const char *hidden : {"secret", "forged", "X-Hop"}) {
+        cr_assert(seen.find(hidden) == std::string::npos, "%s has reached the server", hidden);
+    }
+    cr_assert(fixture.received.starts_with("HTTP/1.1 200 OK\r\n"));
+    cr_assert(fixture.received.find("Proof: p") != std::string::npos);
+}
+
+Test(passthrough, keepsConnectionsOnBothSides)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{whole, whole}});
+    fixture.request("/once/", "r1");
+    fixture.awaitAnswer("Request-Id: r1");
+    fixture.runUntil([&] { return fixture.passThrough().activeRequests() == 0; }, "the first ends");
+    fixture.request("/once/", "r2");
+    fixture.awaitAnswer("Request-Id: r2");
+    cr_assert_eq(fixture.first.connectionCount(), 1);
+}
+
+Test(passthrough, refusesWhatMayNotRun)
+{
+    Fixture fixture;
+    fixture.request("/once/", "r1");
+    fixture.awaitAnswer("HTTP/1.1 503");
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.request("/nowhere/", "r2");
+    fixture.awaitAnswer("HTTP/1.1 404");
+    fixture.send("GET /once/ HTTP/1.1\r\nHost: x.example\r\nAuthorization: Bearer other\r\n\r\n");
+    fixture.awaitAnswer("HTTP/1.1 401");
+    cr_assert_eq(requestCount(fixture), 0);
+}
+
+Test(passthrough, forwardsNothingOfAMalformedRequest)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.send("POST /once/ HTTP/1.1\r\nHost: x.example\r\nAuthorization: Bearer "
+                 "secret\r\nContent-Length: 4\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /safe/ HTTP/1.1\r\nHost: "
+                 "x.example\r\n\r\n");
+    fixture.awaitAnswer("HTTP/1.1 400");
+    fixture.awaitClose();
+    cr_assert_eq(requestCount(fixture), 0);
+}
+
+Test(passthrough, neverPassesACutAnswerOnAsWhole)
+{
+    const std::vector<std::string> cut{
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nContent-Length: 9\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n5\r\nhello\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nTransfer-Encoding: "
+        "chunked\r\n\r\nxx\r\nhello\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nContent-Encoding: "
+        "gzip\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nProof: p\r\nContent-Length: 5\r\n\r\nhello",
+        "garbage garbage\r\n\r\n",
+        ""};
+    for (const std::string &answer : cut) {
+        Fixture fixture;
+        fixture.configure();
+        fixture.listServers(true);
+        fixture.first.add({{answer}, true});
+        fixture.second.add({{answer}, true});
+        fixture.request("/once/", "r1");
+        fixture.awaitAnswer("HTTP/1.1 502");
+        cr_assert_eq(
+            requestCount(fixture), 1, "what is not idempotent runs once: %s", answer.c_str());
+    }
+}
+
+Test(passthrough, repeatsIdempotentRequestsElsewhere)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(true);
+    // The server that is chosen first breaks off; the other one answers.
+    fixture.first.add({{""}, true});
+    fixture.second.add({{""}, true});
+    fixture.request("/safe/", "r1");
+    fixture.runUntil([&] { return requestCount(fixture) == 2; },
+                     "a second server gets the request");
+    cr_assert_eq(fixture.first.requests().size(), 1);
+    cr_assert_eq(fixture.second.requests().size(), 1);
+    fixture.awaitAnswer("HTTP/1.1 502");
+    cr_assert_eq(requestCount(fixture), 2, "no more than the route's attempts");
+}
+
+Test(passthrough, offersRequestsThatWereNotRunElsewhere)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(true);
+    fixture.first.add({{notRun}});
+    fixture.second.add({{notRun}});
+    fixture.request("/once/", "r1");
+    fixture.awaitAnswer("HTTP/1.1 503");
+    cr_assert_eq(fixture.first.requests().size(), 1);
+    cr_assert_eq(fixture.second.requests().size(), 1);
+    cr_assert(fixture.received.find("Retry-After: ") != std::string::npos);
+}
+
+Test(passthrough, skipsALateAnswerToAnotherRequest)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    const std::string other
+        = "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nProof: p\r\nContent-Length: 5\r\n\r\nstale";
+    fixture.first.add({{other + whole}});
+    fixture.request("/once/", "r1");
+    fixture.awaitAnswer("hello");
+    cr_assert(fixture.received.find("stale") == std::string::npos);
+}
+
+Test(passthrough, doesNotReuseAConnectionWithExtraBytes)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{whole + "HTTP/1.1 200 OK\r\n"}});
+    fixture.first.add({{whole}});
+    fixture.request("/once/", "r1");
+    fixture.awaitAnswer("Request-Id: r1");
+    fixture.runUntil([&] { return fixture.passThrough().activeRequests() == 0; }, "the first ends");
+    fixture.request("/once/", "r2");
+    fixture.awaitAnswer("Request-Id: r2");
+    cr_assert_eq(fixture.first.connectionCount(), 2);
+}
+
+Test(passthrough, resumesABrokenStreamFromItsLastWholeEvent)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(true);
+    const std::string broken = streamHead + chunk(event(1) + event(2) + "id: 3\nda");
+    fixture.first.add({{broken}, true});
+    fixture.second.add({{broken}, true});
+    fixture.request("/resumable/", "r1");
+    fixture.runUntil([&] { return requestCount(fixture) == 2; }, "the stream goes on elsewhere");
+    const auto resumed = [](const ScriptedServer &server) {
+        return server.requests().at(0).find("Last-Event-Id: 2\r\n") != std::string::npos;
+    };
+    cr_assert_neq(
+        resumed(fixture.first), resumed(fixture.second), "one of the two resumes after event 2");
+    fixture.awaitClose();
+    cr_assert(fixture.received.find("0\r\n\r\n") == std::string::npos,
+              "an early end must not look whole");
+    cr_assert(fixture.received.find("id: 3") == std::string::npos);
+}
+
+Test(passthrough, passesAWholeStream)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{streamHead + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n"}});
+    fixture.request("/stream/", "r1");
+    fixture.awaitAnswer("0\r\n\r\n");
+    cr_assert(fixture.received.find(event(1)) != std::string::npos);
+    cr_assert(fixture.received.find(event(2)) != std::string::npos);
+}
+
+Test(passthrough, cutsAStreamThatMayNotBeResumed)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(true);
+    const std::string broken = streamHead + chunk(event(1));
+    fixture.first.add({{broken}, true});
+    fixture.second.add({{broken}, true});
+    fixture.request("/stream/", "r1");
+    fixture.awaitClose();
+    cr_assert_eq(requestCount(fixture), 1);
+    cr_assert(fixture.received.find("0\r\n\r\n") == std::string::npos);
+}
+
+Test(passthrough, freesTheServerWhenTheCallerLeaves)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{streamHead + chunk(event(1))}});
+    fixture.request("/resumable/", "r1");
+    fixture.awaitAnswer("id: 1");
+    fixture.leave();
+    fixture.runUntil([&] { return fixture.first.closedByPeer() == 1; },
+                     "the server's connection ends");
+    cr_assert_eq(requestCount(fixture), 1);
+    cr_assert_eq(fixture.passThrough().activeRequests(), 0);
+}
+
+Test(passthrough, answersWhenTheTimeIsUp)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.request("/once/", "r1", "Patience-Ms: 50\r\n");
+    fixture.awaitAnswer("HTTP/1.1 504");
+}
+
+Test(passthrough, endsConnectionsWhileStopping)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{whole}});
+    fixture.passThrough().stop();
+    fixture.request("/once/", "r1");
+    fixture.awaitAnswer("Connection: close");
+    fixture.awaitAnswer("hello");
+    fixture.awaitClose();
+}
