A program's home serves on credit while the store is away

Change: a daemon that has been there since the fleet first started and is the first choice for a program knows its every claim, and admits turns before the claim is confirmed: one turn's most while the store answers, half of the budget while it does not; the next claim covers it. A store that is away is tried by one claim at a time, the others follow in rounds; turns that can't run on credit are refused at once. Daemons state what they have handed out, so that a new home counts it. Ruled out: credit at any home (one that started later may not know of claims).

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -37,6 +37,8 @@
   /** The least that is of use. */
   4: i64 needed
   5: i64 retentionMs
+  /** Tokens that the asker has handed to callers so far. */
+  6: i64 used
 }
 
 enum TokenVerdict {
--- a/src/libs/programs/allotmenttable.cpp
+++ b/src/libs/programs/allotmenttable.cpp
@@ -21,6 +21,7 @@
         const TurnReservation turn = waiting.front();
         waiting.erase(waiting.begin());
         allotment.free -= turn.most;
+        allotment.used += turn.most;
         ++allotment.running;
         running_[turn.id] = {program, turn.most};
         actions_.push_back(AnswerTurn{turn.id, TurnVerdict::Admitted, turn.most});
@@ -29,8 +30,12 @@
         const TurnReservation &first = waiting.front();
         allotment.asking = first.id;
         asked_[first.id] = program;
-        actions_.push_back(
-            AskHome{first.id, program, first.budget, first.most - allotment.free, first.retention});
+        actions_.push_back(AskHome{first.id,
+                                   program,
+                                   first.budget,
+                                   first.most - allotment.free,
+                                   first.retention,
+                                   allotment.used});
     }
 }
 
@@ -75,6 +80,7 @@
     }
     Allotment &allotment = allotments_[run->second.program];
     allotment.free += run->second.most - used;
+    allotment.used -= run->second.most - used;
     --allotment.running;
     allotment.lastUse = now;
     const Base::ProgramId program = run->second.program;
--- a/src/libs/programs/allotmenttable.h
+++ b/src/libs/programs/allotmenttable.h
@@ -12,6 +12,8 @@
     Base::Tokens budget;
     Base::Tokens needed;
     Base::Duration retention{};
+    /// Tokens that this daemon has handed to callers, or may hand to them in turns under way.
+    Base::Tokens used;
 };
 
 /// The home does not answer: the turn is to be reserved in the daemon's own ledger.
@@ -43,6 +45,7 @@
     struct Allotment
     {
         Base::Tokens free;
+        Base::Tokens used;
         std::vector<TurnReservation> waiting;
         /// The reservation for which the home is asked now.
         std::optional<ReservationId> asking;
--- a/src/libs/programs/tokenledger.cpp
+++ b/src/libs/programs/tokenledger.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace Programs {
 
@@ -15,6 +14,12 @@
 /// Pause between looks for programs that are to be forgotten.
 constexpr Base::Duration sweepInterval = std::chrono::seconds(10);
 
+Tokens shareOf(Tokens amount, double share)
+{
+    return Tokens(
+        static_cast<std::int64_t>(std::ceil(static_cast<double>(amount.value()) * share)));
+}
+
 } // namespace
 
 TokenLedger::TokenLedger(Base::IncarnationId self, TokenLedgerSettings settings)
@@ -22,12 +27,27 @@
     , settings_(settings)
 {}
 
+/// A home that was lost with turns on credit leaves no claim of them; what daemons have handed to
+/// callers is counted where it is more than the claims.
+Tokens TokenLedger::Account::unclaimed() const
+{
+    Tokens stated;
+    for (const auto &[vm, tokens] : statedUse) {
+        stated += tokens;
+    }
+    return budget - std::max(storedTotal, stated);
+}
+
 void TokenLedger::reserve(const TurnReservation &turn, Base::Instant now)
 {
     Account &account = accounts_[turn.program];
     account.budget = turn.budget;
     account.retention = turn.retention;
     account.lastUse = now;
+    if (turn.statedUse) {
+        Tokens &known = account.statedUse[turn.statedUse->first];
+        known = std::max(known, turn.statedUse->second);
+    }
     if (!nextSweep_) {
         nextSweep_ = now + sweepInterval;
     }
@@ -46,9 +66,8 @@
 /// What another daemon gets counts as used here.
 void TokenLedger::handOver(Account &account, const TurnReservation &turn)
 {
-    const auto share = static_cast<std::int64_t>(static_cast<double>(account.free().value())
-                                                 * settings_.transferShare);
-    const Tokens amount(std::max(turn.most.value(), share));
+    const Tokens share = shareOf(account.free(), settings_.transferShare);
+    const Tokens amount = std::max(turn.most, share);
     account.used += amount;
     answer(turn.id, TurnVerdict::Admitted, amount);
 }
@@ -58,27 +77,17 @@
     actions_.push_back(AnswerTurn{id, verdict, amount});
 }
 
-/// Answers what can be answered, and claims more if a turn needs it.
+/// One turn's most while the store answers, as the claim is on its way; more while it does not.
+bool TokenLedger::mayUseCredit(const Account &account, const TurnReservation &turn) const
+{
+    const Tokens limit = isStoreAway() ? shareOf(account.budget, settings_.creditShare) : turn.most;
+    const Tokens credit = turn.most - account.free();
+    return turn.mayUseCredit && credit <= std::min(limit, account.unclaimed());
+}
+
 void TokenLedger::serveWaiting(const Base::ProgramId &program, Account &account, Base::Instant now)
 {
-    while (!account.waiting.empty()) {
-        const WaitingTurn &first = account.waiting.front();
-        if (account.free() >= first.turn.most) {
-            if (first.turn.isTransfer) {
-                handOver(account, first.turn);
-            } else {
-                admit(account, first.turn);
-            }
-        } else if (now - first.since >= settings_.longestWait) {
-            answer(first.turn.id, TurnVerdict::Unavailable);
-        } else if (account.isWriting || account.pending) {
-            break;
-        } else if (account.budget - account.storedTotal + account.free() < first.turn.most) {
-            answer(first.turn.id, TurnVerdict::Spent);
-        } else {
-            claim(program, account);
-            break;
-        }
+    while (!account.waiting.empty() && serveFirst(program, account, now)) {
         account.waiting.erase(account.waiting.begin());
     }
     if (account.waiting.empty()) {
@@ -88,25 +97,61 @@
     }
 }
 
-void TokenLedger::claim(const Base::ProgramId &program, Account &account)
+/// Answers the first waiting turn; returns false if it goes on waiting.
+bool TokenLedger::serveFirst(const Base::ProgramId &program, Account &account, Base::Instant now)
 {
-    const Tokens left = account.budget - account.storedTotal;
-    const Tokens needed = account.waiting.front().turn.most - account.free();
-    const auto share = static_cast<std::int64_t>(
-        std::ceil(static_cast<double>(left.value()) * settings_.claimShare));
-    const Tokens amount(std::clamp(share, needed.value(), left.value()));
+    const WaitingTurn &first = account.waiting.front();
+    const TurnReservation &turn = first.turn;
+    if (account.free() < turn.most) {
+        if (!account.pending && account.unclaimed() + account.free() < turn.most) {
+            answer(turn.id, TurnVerdict::Spent);
+            return true;
+        }
+        if (!account.pending) {
+            claim(program, account, turn.most - account.free());
+        }
+        if (!mayUseCredit(account, turn)) {
+            const bool isHopeless = isStoreAway() || now - first.since >= settings_.longestWait;
+            if (isHopeless) {
+                answer(turn.id, TurnVerdict::Unavailable);
+            }
+            return isHopeless;
+        }
+    }
+    if (turn.isTransfer) {
+        handOver(account, turn);
+    } else {
+        admit(account, turn);
+    }
+    return true;
+}
+
+void TokenLedger::claim(const Base::ProgramId &program, Account &account, Tokens needed)
+{
+    const Tokens left = account.unclaimed();
+    const Tokens amount = std::max(needed, std::min(left, shareOf(left, settings_.claimShare)));
     const std::string writeId = self_.text() + "-" + std::to_string(++lastWrite_);
     account.pending = WriteClaim{
-        program, account.version, account.storedTotal + amount, Base::WriteId(writeId)};
+        program, account.version, account.budget - left + amount, Base::WriteId(writeId)};
+    account.pendingAmount = amount;
+    if (isStoreAway() || nextRound_) {
+        deferred_.push_back(program);
+    } else {
+        write(account);
+    }
+}
+
+void TokenLedger::write(Account &account)
+{
     account.isWriting = true;
     actions_.push_back(*account.pending);
 }
 
-void TokenLedger::resolve(Account &account, const ClaimOutcome &outcome, Base::Instant now)
+void TokenLedger::resolve(Account &account, const ClaimOutcome &outcome)
 {
     const WriteClaim write = *account.pending;
     const auto confirm = [&](ClaimVersion version) {
-        account.claimed += write.total - account.storedTotal;
+        account.claimed += account.pendingAmount;
         account.storedTotal = write.total;
         account.version = version;
         account.pending.reset();
@@ -124,12 +169,27 @@
                                  account.pending.reset();
                              },
                              [&](const ClaimUnanswered &) {
-                                 // The same write again: it is done once at most, by its condition.
-                                 account.retryAt = now + settings_.claimRetry;
+                                 // The same write again later: by its condition it is done once.
+                                 deferred_.push_back(write.program);
                              }},
                outcome);
 }
 
+void TokenLedger::noteStore(const ClaimOutcome &outcome, Base::Instant now)
+{
+    if (std::holds_alternative<ClaimUnanswered>(outcome)) {
+        probePause_ = isStoreAway() ? std::min(settings_.longestProbe, 2 * probePause_)
+                                    : settings_.firstProbe;
+        probeAt_ = now + probePause_;
+        nextRound_.reset();
+        return;
+    }
+    if (isStoreAway()) {
+        probeAt_.reset();
+        nextRound_ = now;
+    }
+}
+
 void TokenLedger::claimAnswered(const Base::ProgramId &program,
                                 const ClaimOutcome &outcome,
                                 Base::Instant now)
@@ -140,10 +200,28 @@
     }
     Account &account = entry->second;
     account.isWriting = false;
-    resolve(account, outcome, now);
+    noteStore(outcome, now);
+    resolve(account, outcome);
+    coverCredit(program, account);
+    if (isStoreAway()) {
+        // Turns that can't run on credit are refused at once.
+        const auto waiting = waitingSince_;
+        for (const auto &[each, since] : waiting) {
+            serveWaiting(each, accounts_[each], now);
+        }
+        return;
+    }
     serveWaiting(program, account, now);
 }
 
+/// Turns have run on credit beyond the claim that was confirmed.
+void TokenLedger::coverCredit(const Base::ProgramId &program, Account &account)
+{
+    if (!account.pending && account.free() < Tokens(0)) {
+        claim(program, account, Tokens(0) - account.free());
+    }
+}
+
 void TokenLedger::settle(ReservationId id, Tokens used, Base::Instant now)
 {
     const auto run = running_.find(id);
@@ -163,27 +241,38 @@
     serveWaiting(entry->first, account, now);
 }
 
-void TokenLedger::cancel(ReservationId id)
+/// One claim tries a store that is away; once it answers, the others follow in rounds.
+void TokenLedger::writeDeferred()
 {
-    for (auto &[program, since] : waitingSince_) {
-        std::erase_if(accounts_[program].waiting,
-                      [&](const WaitingTurn &waiting) { return waiting.turn.id == id; });
+    std::size_t left = isStoreAway() ? 1 : settings_.writesPerRound;
+    while (left > 0 && !deferred_.empty()) {
+        const auto entry = accounts_.find(deferred_.front());
+        deferred_.pop_front();
+        const bool isDue
+            = entry != accounts_.end() && entry->second.pending && !entry->second.isWriting;
+        if (isDue) {
+            write(entry->second);
+            --left;
+        }
     }
-    std::erase_if(waitingSince_,
-                  [&](const auto &entry) { return accounts_[entry.first].waiting.empty(); });
 }
 
 void TokenLedger::tick(Base::Instant now)
 {
+    if (isStoreAway() && now >= *probeAt_) {
+        probeAt_ = now + settings_.longestWait; // until the answer says more
+        if (deferred_.empty()) {
+            probeAt_.reset(); // nothing to try it with: the next claim will tell
+        }
+        writeDeferred();
+    }
+    if (nextRound_ && now >= *nextRound_) {
+        writeDeferred();
+        nextRound_ = deferred_.empty() ? std::nullopt : std::optional(now + settings_.writeRound);
+    }
     const auto waiting = waitingSince_;
     for (const auto &[program, since] : waiting) {
-        Account &account = accounts_[program];
-        if (account.retryAt && now >= *account.retryAt && account.pending && !account.isWriting) {
-            account.retryAt.reset();
-            account.isWriting = true;
-            actions_.push_back(*account.pending);
-        }
-        serveWaiting(program, account, now);
+        serveWaiting(program, accounts_[program], now);
     }
     if (nextSweep_ && now >= *nextSweep_) {
         forgetIdle(now);
@@ -196,7 +285,7 @@
 {
     std::erase_if(accounts_, [&](const auto &entry) {
         const Account &account = entry.second;
-        return account.running == 0 && account.waiting.empty() && !account.isWriting
+        return account.running == 0 && account.waiting.empty() && !account.pending
                && now - account.lastUse > account.retention;
     });
     nextSweep_ = accounts_.empty() ? std::nullopt : std::optional(now + sweepInterval);
@@ -205,13 +294,15 @@
 std::optional<Base::Instant> TokenLedger::nextWakeUp() const
 {
     std::optional<Base::Instant> next = nextSweep_;
-    for (const auto &[program, since] : waitingSince_) {
-        const Account &account = accounts_.at(program);
-        Base::Instant due = since + settings_.longestWait;
-        if (account.retryAt && account.pending && !account.isWriting) {
-            due = std::min(due, *account.retryAt);
+    const auto consider = [&](std::optional<Base::Instant> due) {
+        if (due) {
+            next = next ? std::min(*next, *due) : due;
         }
-        next = next ? std::min(*next, due) : due;
+    };
+    consider(probeAt_);
+    consider(nextRound_);
+    for (const auto &[program, since] : waitingSince_) {
+        consider(since + settings_.longestWait);
     }
     return next;
 }
--- a/src/libs/programs/tokenledger.h
+++ b/src/libs/programs/tokenledger.h
@@ -3,9 +3,11 @@
 #include <base/instant.h>
 #include <base/types.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -24,8 +26,17 @@
     /// Share of what is free that one transfer hands over, so that a program served by many daemons
     /// finds something left for each.
     double transferShare = 0.25;
-    /// Pause before a claim without an answer is tried again.
-    Base::Duration claimRetry = std::chrono::milliseconds(100);
+    /// Part of a budget that turns may use before the store has confirmed a claim, while it does
+    /// not answer. Programs of the two deployments use a quarter of their budgets.
+    double creditShare = 0.5;
+    /// Pauses between claims while the store does not answer, first and longest. Calls to a store
+    /// that is away are priced as well.
+    Base::Duration firstProbe = std::chrono::milliseconds(200);
+    Base::Duration longestProbe = std::chrono::seconds(1);
+    /// Claims written at once when the store is back, and the pause before the next ones: 200 a
+    /// second and daemon, as the store takes 400 writes a second.
+    std::size_t writesPerRound = 10;
+    Base::Duration writeRound = std::chrono::milliseconds(50);
     /// A turn waits no longer for a claim.
     Base::Duration longestWait = std::chrono::milliseconds(800);
 };
@@ -42,6 +53,11 @@
     Base::Duration retention{};
     /// The tokens go to another daemon for good; it gets a share, of which `most` is the least.
     bool isTransfer = false;
+    /// This daemon knows of every claim of the program, as it has been its home since its first
+    /// turn; the turn may run before its claim is confirmed.
+    bool mayUseCredit = false;
+    /// Tokens that the daemon which asks has handed to callers so far, whoever gave them to it.
+    std::optional<std::pair<Base::VmId, Base::Tokens>> statedUse;
 };
 
 enum class TurnVerdict {
@@ -100,7 +116,9 @@
 using ClaimOutcome = std::variant<ClaimWritten, ClaimConflict, ClaimUnanswered>;
 
 /// Keeps programs within their token budgets across daemons and restarts. Each daemon claims parts
-/// of a budget in the store before turns use them; what a lost daemon had claimed counts as spent.
+/// of a budget in the store; what a lost daemon had claimed counts as spent. Turns wait for the
+/// claim, but for programs whose every claim this daemon knows: those may run on credit, which the
+/// next claim covers.
 class TokenLedger
 {
 public:
@@ -109,8 +127,6 @@
     void reserve(const TurnReservation &turn, Base::Instant now);
     /// The turn has ended or was not run; what it did not use is free again.
     void settle(ReservationId id, Base::Tokens used, Base::Instant now);
-    /// The caller of a waiting turn is gone; it gets no answer.
-    void cancel(ReservationId id);
     void claimAnswered(const Base::ProgramId &program,
                        const ClaimOutcome &outcome,
                        Base::Instant now);
@@ -120,6 +136,8 @@
     std::vector<TokenLedgerAction> takeActions();
 
     std::size_t programCount() const { return accounts_.size(); }
+    /// The last claim had no answer.
+    bool isStoreAway() const { return probeAt_.has_value(); }
 
 private:
     struct WaitingTurn
@@ -132,21 +150,25 @@
         Base::Tokens budget;
         /// Claimed by this daemon and confirmed by the store.
         Base::Tokens claimed;
-        /// Handed to callers or reserved by turns under way.
+        /// Handed to callers or other daemons, or reserved by turns under way.
         Base::Tokens used;
         /// Claims of all daemons at the last answer.
         Base::Tokens storedTotal;
         ClaimVersion version;
         /// The claim under way, or without an answer.
         std::optional<WriteClaim> pending;
+        Base::Tokens pendingAmount;
         bool isWriting = false;
-        std::optional<Base::Instant> retryAt;
         std::vector<WaitingTurn> waiting;
+        std::map<Base::VmId, Base::Tokens> statedUse;
         std::size_t running = 0;
         Base::Instant lastUse;
         Base::Duration retention{};
 
+        /// Negative while turns run on credit.
         Base::Tokens free() const { return claimed - used; }
+        /// What no daemon has claimed or is known to have used.
+        Base::Tokens unclaimed() const;
     };
     struct Running
     {
@@ -154,12 +176,18 @@
         Base::Tokens most;
     };
 
+    bool mayUseCredit(const Account &account, const TurnReservation &turn) const;
     void admit(Account &account, const TurnReservation &turn);
     void handOver(Account &account, const TurnReservation &turn);
     void serveWaiting(const Base::ProgramId &program, Account &account, Base::Instant now);
-    void claim(const Base::ProgramId &program, Account &account);
+    bool serveFirst(const Base::ProgramId &program, Account &account, Base::Instant now);
+    void claim(const Base::ProgramId &program, Account &account, Base::Tokens needed);
+    void write(Account &account);
+    void writeDeferred();
+    void coverCredit(const Base::ProgramId &program, Account &account);
     void answer(ReservationId id, TurnVerdict verdict, Base::Tokens amount = {});
-    void resolve(Account &account, const ClaimOutcome &outcome, Base::Instant now);
+    void resolve(Account &account, const ClaimOutcome &outcome);
+    void noteStore(const ClaimOutcome &outcome, Base::Instant now);
     void forgetIdle(Base::Instant now);
 
     Base::IncarnationId self_;
@@ -167,8 +195,15 @@
     std::uint64_t lastWrite_ = 0;
     std::unordered_map<Base::ProgramId, Account> accounts_;
     std::unordered_map<ReservationId, Running> running_;
-    /// Programs with waiting turns; the others need no wake-up but to be forgotten.
+    /// Programs with waiting turns, and since when the first of them waits.
     std::map<Base::ProgramId, Base::Instant> waitingSince_;
+    /// Programs whose claims wait until the store answers again, first come first.
+    std::deque<Base::ProgramId> deferred_;
+    /// Set while the store does not answer: when the next claim tries it.
+    std::optional<Base::Instant> probeAt_;
+    Base::Duration probePause_{};
+    /// Set while deferred claims are written.
+    std::optional<Base::Instant> nextRound_;
     std::optional<Base::Instant> nextSweep_;
     std::vector<TokenLedgerAction> actions_;
 };
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -85,6 +85,7 @@
                                      = std::chrono::duration_cast<std::chrono::milliseconds>(
                                            request.retention)
                                            .count();
+                                 part.used = request.used.value();
                                  wire.__set_tokenRequest(part);
                              },
                              [&](const TokenAnswer &answer) {
@@ -125,7 +126,8 @@
                             Base::ProgramId(request.program),
                             Base::Tokens(request.budget),
                             Base::Tokens(request.needed),
-                            std::chrono::milliseconds(request.retentionMs)};
+                            std::chrono::milliseconds(request.retentionMs),
+                            Base::Tokens(request.used)};
     }
     if (wire.__isset.tokenAnswer) {
         const Wire::TokenAnswer &answer = wire.tokenAnswer;
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -40,6 +40,8 @@
     Base::Tokens budget;
     Base::Tokens needed;
     Base::Duration retention{};
+    /// Tokens that the asker has handed to callers so far.
+    Base::Tokens used;
 
     bool operator==(const TokenRequest &) const = default;
 };
--- a/src/libs/proxy/peerroster.cpp
+++ b/src/libs/proxy/peerroster.cpp
@@ -2,6 +2,8 @@
 
 #include <base/random.h>
 
+#include <algorithm>
+
 namespace Proxy {
 
 PeerRoster::PeerRoster(Base::VmId self, RosterSettings settings)
@@ -25,6 +27,17 @@
         next[self_].hash = Base::hash64(self_.text());
     }
     peers_ = std::move(next);
+    for (const auto &[vm, peer] : peers_) {
+        everListed_.insert(peer.hash);
+    }
+}
+
+bool PeerRoster::isFirstChoice(std::string_view key) const
+{
+    const std::uint64_t ownRank = Base::hash64(key, peers_.at(self_).hash);
+    return std::none_of(everListed_.begin(), everListed_.end(), [&](std::uint64_t hash) {
+        return Base::hash64(key, hash) > ownRank;
+    });
 }
 
 Base::VmId PeerRoster::onDuty(std::string_view key, Base::Instant now) const
--- a/src/libs/proxy/peerroster.h
+++ b/src/libs/proxy/peerroster.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -32,6 +33,9 @@
     /// The daemon on duty for the key among those that answer; this daemon if no other does.
     Base::VmId onDuty(std::string_view key, Base::Instant now) const;
 
+    /// Whether this daemon has the duty before any other that was ever listed, lost ones included.
+    bool isFirstChoice(std::string_view key) const;
+
     void answered(const Base::VmId &peer);
     void unanswered(const Base::VmId &peer, Base::Instant now);
     bool isSuspect(const Base::VmId &peer, Base::Instant now) const;
@@ -47,6 +51,8 @@
     Base::VmId self_;
     RosterSettings settings_;
     std::map<Base::VmId, Peer> peers_;
+    /// Hashes of all daemons that were ever listed.
+    std::set<std::uint64_t> everListed_;
 };
 
 } // namespace Proxy
--- a/src/libs/proxy/turnadmission.cpp
+++ b/src/libs/proxy/turnadmission.cpp
@@ -40,6 +40,11 @@
     , timer_(context)
 {}
 
+bool TurnAdmission::knowsAllOf(const Base::ProgramId &program) const
+{
+    return knowsAllPrograms_ && peers_.roster().isFirstChoice(program.text());
+}
+
 Programs::ReservationId TurnAdmission::addAnswer(Answer answer)
 {
     lastId_ = lastId_.next();
@@ -55,8 +60,9 @@
         = addAnswer([answer = std::move(answer)](Programs::TurnVerdict verdict, Base::Tokens) {
               answer(toBudgetVerdict(verdict));
           });
-    const Programs::TurnReservation reservation{
+    Programs::TurnReservation reservation{
         id, turn.program, *turn.programBudget, turn.maxOutput, retention};
+    reservation.mayUseCredit = knowsAllOf(turn.program);
     const Base::Instant now = now_();
     if (peers_.roster().onDuty(turn.program.text(), now) == self_) {
         ledger_.reserve(reservation, now);
@@ -91,6 +97,8 @@
     Programs::TurnReservation reservation{
         id, request.program, request.budget, request.needed, request.retention};
     reservation.isTransfer = true;
+    reservation.mayUseCredit = knowsAllOf(request.program);
+    reservation.statedUse = {sender, request.used};
     ledger_.reserve(reservation, now_());
     runActions();
     if (answers_.contains(id)) {
@@ -136,7 +144,8 @@
         return;
     }
     const QuestionNumber number = peers_.nextNumber();
-    const TokenRequest request{number, ask.program, ask.budget, ask.needed, ask.retention};
+    const TokenRequest request{
+        number, ask.program, ask.budget, ask.needed, ask.retention, ask.used};
     peers_.ask(home, number, request, [this, id = ask.id](const PeerBody *body) {
         const auto *answer = body ? std::get_if<TokenAnswer>(body) : nullptr;
         allotments_.answered(id,
--- a/src/libs/proxy/turnadmission.h
+++ b/src/libs/proxy/turnadmission.h
@@ -28,6 +28,10 @@
                   ClaimWriter writer,
                   std::function<Base::Instant()> now);
 
+    /// This daemon has been there since the fleet first started, so it knows of every program whose
+    /// home it is; their turns may run while the store does not answer.
+    void setKnowsAllPrograms() { knowsAllPrograms_ = true; }
+
     /// Names the reservation that settle() ends.
     Programs::ReservationId reserve(const RequestTraits &turn,
                                     Base::Duration retention,
@@ -41,6 +45,7 @@
 private:
     using Answer = std::function<void(Programs::TurnVerdict, Base::Tokens)>;
 
+    bool knowsAllOf(const Base::ProgramId &program) const;
     Programs::ReservationId addAnswer(Answer answer);
     void runActions();
     void runLedgerActions();
@@ -60,6 +65,7 @@
     std::optional<Base::Instant> timerDue_;
     std::optional<Base::Instant> nextSweep_;
     Programs::ReservationId lastId_;
+    bool knowsAllPrograms_ = false;
     std::unordered_map<Programs::ReservationId, Answer> answers_;
     /// Requests of other daemons under way; their repeats are not served again.
     std::set<std::pair<Base::VmId, QuestionNumber>> requests_;
