Claims go through other daemons when the store turns one away; the credit of a home is counted

Change: ClaimRelay lets another daemon write a claim; a refusal states the credit, which the asker's ledger counts (tst_tokenledger countsTheCreditOfAHomeThatRefuses, failing before); no claim is written to a store that is known not to answer. Ruled out: no credit at a home without the store (the store down for all is the usual case).

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -47,7 +47,10 @@
   Unavailable = 2
 }
 
-/** Answer to a TokenRequest; tokens granted are the asker's for good. */
+/**
+ * Answer to a TokenRequest; tokens granted are the asker's for good. With Unavailable the amount is
+ * what the home has let turns use without a claim, which the asker has to count.
+ */
 struct TokenAnswer {
   1: i64 number
   2: TokenVerdict verdict
@@ -59,12 +62,38 @@
   1: i64 number
 }
 
+/** Writes a claim for a daemon that can't reach the store. */
+struct ClaimRelay {
+  1: i64 number
+  2: string program
+  3: i64 expectedVersion
+  4: i64 total
+  5: string writeId
+}
+
+enum RelayOutcome {
+  Written = 0
+  Conflict = 1
+  Unanswered = 2
+}
+
+/** The claims as they are after the write, or as they are instead. */
+struct ClaimRelayAnswer {
+  1: i64 number
+  2: RelayOutcome outcome
+  3: i64 version
+  4: i64 total
+  5: string lastWrite
+}
+
 union PeerBody {
   1: RateStatement rateStatement
   2: RateAnswer rateAnswer
   3: TokenRequest tokenRequest
   4: TokenAnswer tokenAnswer
   5: StillWorking stillWorking
+  6: ClaimRelay claimRelay
+  7: ClaimRelayAnswer claimRelayAnswer
 }
 
 struct PeerMessage {
--- a/src/libs/programs/allotmenttable.cpp
+++ b/src/libs/programs/allotmenttable.cpp
@@ -65,7 +65,7 @@
         if (verdict == TurnVerdict::Spent) {
             actions_.push_back(AnswerTurn{id, verdict, {}});
         } else {
-            actions_.push_back(ReserveLocally{*turn});
+            actions_.push_back(ReserveLocally{*turn, amount});
         }
         allotment.waiting.erase(turn);
     }
--- a/src/libs/programs/allotmenttable.h
+++ b/src/libs/programs/allotmenttable.h
@@ -20,6 +20,8 @@
 struct ReserveLocally
 {
     TurnReservation turn;
+    /// What the home has let turns use without a claim, as far as it said so.
+    Base::Tokens homeCredit;
 };
 
 using AllotmentAction = std::variant<AnswerTurn, AskHome, ReserveLocally>;
@@ -34,7 +36,8 @@
     bool isRunning(ReservationId id) const { return running_.contains(id); }
     void settle(ReservationId id, Base::Tokens used, Base::Instant now);
 
-    /// The home's answer to AskHome of that reservation; Unavailable if it gave none.
+    /// The home's answer to AskHome of that reservation; Unavailable if it gave none. The amount is
+    /// what it granted, or with Unavailable what it has let turns use without a claim.
     void answered(ReservationId id, TurnVerdict verdict, Base::Tokens amount, Base::Instant now);
 
     /// Forgets programs that have paused for longer than their retention.
--- a/src/libs/programs/tokenledger.cpp
+++ b/src/libs/programs/tokenledger.cpp
@@ -31,11 +31,14 @@
 /// callers is counted where it is more than the claims.
 Tokens TokenLedger::Account::unclaimed() const
 {
-    Tokens stated;
-    for (const auto &[vm, tokens] : statedUse) {
-        stated += tokens;
-    }
-    return budget - std::max(storedTotal, stated);
+    const auto sum = [](const std::map<Base::VmId, Tokens> &parts) {
+        Tokens total;
+        for (const auto &[vm, tokens] : parts) {
+            total += tokens;
+        }
+        return total;
+    };
+    return budget - std::max(storedTotal, sum(statedUse)) - sum(creditElsewhere);
 }
 
 void TokenLedger::reserve(const TurnReservation &turn, Base::Instant now)
@@ -48,6 +51,9 @@
         Tokens &known = account.statedUse[turn.statedUse->first];
         known = std::max(known, turn.statedUse->second);
     }
+    if (turn.creditElsewhere) {
+        account.creditElsewhere[turn.creditElsewhere->first] = turn.creditElsewhere->second;
+    }
     if (!nextSweep_) {
         nextSweep_ = now + sweepInterval;
     }
@@ -113,7 +119,7 @@
         if (!mayUseCredit(account, turn)) {
             const bool isHopeless = isStoreAway() || now - first.since >= settings_.longestWait;
             if (isHopeless) {
-                answer(turn.id, TurnVerdict::Unavailable);
+                answer(turn.id, TurnVerdict::Unavailable, account.credit());
             }
             return isHopeless;
         }
--- a/src/libs/programs/tokenledger.h
+++ b/src/libs/programs/tokenledger.h
@@ -3,6 +3,7 @@
 #include <base/instant.h>
 #include <base/types.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -58,6 +59,8 @@
     bool mayUseCredit = false;
     /// Tokens that the daemon which asks has handed to callers so far, whoever gave them to it.
     std::optional<std::pair<Base::VmId, Base::Tokens>> statedUse;
+    /// Tokens that another daemon has let turns use without a claim.
+    std::optional<std::pair<Base::VmId, Base::Tokens>> creditElsewhere;
 };
 
 enum class TurnVerdict {
@@ -73,8 +76,10 @@
 {
     ReservationId id;
     TurnVerdict verdict = TurnVerdict::Unavailable;
-    /// Tokens that are reserved, or handed over.
+    /// Tokens that are reserved, or handed over; with Unavailable, those in use without a claim.
     Base::Tokens amount;
+
+    bool operator==(const AnswerTurn &) const = default;
 };
 
 /// Write the program's claims on the condition that they have this version.
@@ -86,6 +91,8 @@
     Base::Tokens total;
     /// Kept with the claims, so that a write whose answer was lost is recognised.
     Base::WriteId writeId;
+
+    bool operator==(const WriteClaim &) const = default;
 };
 
 using TokenLedgerAction = std::variant<AnswerTurn, WriteClaim>;
@@ -96,22 +103,30 @@
     ClaimVersion version;
     Base::Tokens total;
     Base::WriteId lastWrite;
+
+    bool operator==(const StoredClaims &) const = default;
 };
 
 struct ClaimWritten
 {
     ClaimVersion version;
+
+    bool operator==(const ClaimWritten &) const = default;
 };
 
 /// Another daemon has written; the claims are as given.
 struct ClaimConflict
 {
     StoredClaims stored;
+
+    bool operator==(const ClaimConflict &) const = default;
 };
 
 /// No answer: the write may have been done, or may be done later.
 struct ClaimUnanswered
-{};
+{
+    bool operator==(const ClaimUnanswered &) const = default;
+};
 
 using ClaimOutcome = std::variant<ClaimWritten, ClaimConflict, ClaimUnanswered>;
 
@@ -161,12 +176,14 @@
         bool isWriting = false;
         std::vector<WaitingTurn> waiting;
         std::map<Base::VmId, Base::Tokens> statedUse;
+        std::map<Base::VmId, Base::Tokens> creditElsewhere;
         std::size_t running = 0;
         Base::Instant lastUse;
         Base::Duration retention{};
 
         /// Negative while turns run on credit.
         Base::Tokens free() const { return claimed - used; }
+        Base::Tokens credit() const { return std::max(Base::Tokens(0), used - claimed); }
         /// What no daemon has claimed or is known to have used.
         Base::Tokens unclaimed() const;
     };
--- a/src/libs/proxy/peerlink.cpp
+++ b/src/libs/proxy/peerlink.cpp
@@ -18,10 +18,12 @@
 std::optional<QuestionNumber> answeredNumber(const PeerBody &body)
 {
     using Result = std::optional<QuestionNumber>;
-    return std::visit(Base::Visitor{[](const RateAnswer &answer) { return Result(answer.number); },
-                                    [](const TokenAnswer &answer) { return Result(answer.number); },
-                                    [](const auto &) { return Result(); }},
-                      body);
+    return std::visit(
+        Base::Visitor{[](const RateAnswer &answer) { return Result(answer.number); },
+                      [](const TokenAnswer &answer) { return Result(answer.number); },
+                      [](const ClaimRelayAnswer &answer) { return Result(answer.number); },
+                      [](const auto &) { return Result(); }},
+        body);
 }
 
 } // namespace
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -50,57 +50,105 @@
     return Programs::TurnVerdict::Unavailable;
 }
 
-Wire::PeerBody toWire(const PeerBody &body)
+Wire::ClaimRelayAnswer toWire(const ClaimRelayAnswer &answer)
 {
-    Wire::PeerBody wire;
-    std::visit(Base::Visitor{[&](const RateStatement &statement) {
-                                 Wire::RateStatement part;
-                                 part.number = toWire(statement.number);
-                                 for (const Admission::TeamDemand &demand : statement.demands) {
-                                     Wire::TeamDemand each;
-                                     each.team = demand.team.text();
-                                     each.perSecond = demand.perSecond;
-                                     part.demands.push_back(std::move(each));
-                                 }
-                                 wire.__set_rateStatement(part);
-                             },
-                             [&](const RateAnswer &answer) {
-                                 Wire::RateAnswer part;
-                                 part.number = toWire(answer.number);
-                                 for (const Admission::TeamShare &share : answer.shares) {
-                                     Wire::TeamShare each;
-                                     each.team = share.team.text();
-                                     each.share = share.share;
-                                     part.shares.push_back(std::move(each));
-                                 }
-                                 wire.__set_rateAnswer(part);
-                             },
-                             [&](const TokenRequest &request) {
-                                 Wire::TokenRequest part;
-                                 part.number = toWire(request.number);
-                                 part.program = request.program.text();
-                                 part.budget = request.budget.value();
-                                 part.needed = request.needed.value();
-                                 part.retentionMs
-                                     = std::chrono::duration_cast<std::chrono::milliseconds>(
-                                           request.retention)
-                                           .count();
-                                 part.used = request.used.value();
-                                 wire.__set_tokenRequest(part);
+    Wire::ClaimRelayAnswer part;
+    part.number = toWire(answer.number);
+    std::visit(Base::Visitor{[&](const Programs::ClaimWritten &written) {
+                                 part.outcome = Wire::RelayOutcome::Written;
+                                 part.version = static_cast<std::int64_t>(written.version.value());
                              },
-                             [&](const TokenAnswer &answer) {
-                                 Wire::TokenAnswer part;
-                                 part.number = toWire(answer.number);
-                                 part.verdict = toWire(answer.verdict);
-                                 part.amount = answer.amount.value();
-                                 wire.__set_tokenAnswer(part);
+                             [&](const Programs::ClaimConflict &conflict) {
+                                 part.outcome = Wire::RelayOutcome::Conflict;
+                                 part.version
+                                     = static_cast<std::int64_t>(conflict.stored.version.value());
+                                 part.total = conflict.stored.total.value();
+                                 part.lastWrite = conflict.stored.lastWrite.text();
                              },
-                             [&](const StillWorking &working) {
-                                 Wire::StillWorking part;
-                                 part.number = toWire(working.number);
-                                 wire.__set_stillWorking(part);
+                             [&](const Programs::ClaimUnanswered &) {
+                                 part.outcome = Wire::RelayOutcome::Unanswered;
                              }},
-               body);
+               answer.outcome);
+    return part;
+}
+
+Programs::ClaimOutcome outcomeFromWire(const Wire::ClaimRelayAnswer &answer)
+{
+    const Programs::ClaimVersion version(static_cast<std::uint64_t>(answer.version));
+    switch (answer.outcome) {
+    case Wire::RelayOutcome::Written:
+        return Programs::ClaimWritten{version};
+    case Wire::RelayOutcome::Conflict:
+        return Programs::ClaimConflict{
+            {version, Base::Tokens(answer.total), Base::WriteId(answer.lastWrite)}};
+    case Wire::RelayOutcome::Unanswered:
+        break;
+    }
+    return Programs::ClaimUnanswered{};
+}
+
+Wire::PeerBody toWire(const PeerBody &body)
+{
+    Wire::PeerBody wire;
+    std::visit(
+        Base::Visitor{
+            [&](const RateStatement &statement) {
+                Wire::RateStatement part;
+                part.number = toWire(statement.number);
+                for (const Admission::TeamDemand &demand : statement.demands) {
+                    Wire::TeamDemand each;
+                    each.team = demand.team.text();
+                    each.perSecond = demand.perSecond;
+                    part.demands.push_back(std::move(each));
+                }
+                wire.__set_rateStatement(part);
+            },
+            [&](const RateAnswer &answer) {
+                Wire::RateAnswer part;
+                part.number = toWire(answer.number);
+                for (const Admission::TeamShare &share : answer.shares) {
+                    Wire::TeamShare each;
+                    each.team = share.team.text();
+                    each.share = share.share;
+                    part.shares.push_back(std::move(each));
+                }
+                wire.__set_rateAnswer(part);
+            },
+            [&](const TokenRequest &request) {
+                Wire::TokenRequest part;
+                part.number = toWire(request.number);
+                part.program = request.program.text();
+                part.budget = request.budget.value();
+                part.needed = request.needed.value();
+                part.retentionMs
+                    = std::chrono::duration_cast<std::chrono::milliseconds>(request.retention)
+                          .count();
+                part.used = request.used.value();
+                wire.__set_tokenRequest(part);
+            },
+            [&](const TokenAnswer &answer) {
+                Wire::TokenAnswer part;
+                part.number = toWire(answer.number);
+                part.verdict = toWire(answer.verdict);
+                part.amount = answer.amount.value();
+                wire.__set_tokenAnswer(part);
+            },
+            [&](const StillWorking &working) {
+                Wire::StillWorking part;
+                part.number = toWire(working.number);
+                wire.__set_stillWorking(part);
+            },
+            [&](const ClaimRelay &relay) {
+                Wire::ClaimRelay part;
+                part.number = toWire(relay.number);
+                part.program = relay.claim.program.text();
+                part.expectedVersion = static_cast<std::int64_t>(relay.claim.expected.value());
+                part.total = relay.claim.total.value();
+                part.writeId = relay.claim.writeId.text();
+                wire.__set_claimRelay(part);
+            },
+            [&](const ClaimRelayAnswer &answer) { wire.__set_claimRelayAnswer(toWire(answer)); }},
+        body);
     return wire;
 }
 
@@ -135,6 +183,19 @@
                            verdictFromWire(answer.verdict),
                            Base::Tokens(answer.amount)};
     }
+    if (wire.__isset.claimRelay) {
+        const Wire::ClaimRelay &relay = wire.claimRelay;
+        return ClaimRelay{
+            numberFromWire(relay.number),
+            {Base::ProgramId(relay.program),
+             Programs::ClaimVersion(static_cast<std::uint64_t>(relay.expectedVersion)),
+             Base::Tokens(relay.total),
+             Base::WriteId(relay.writeId)}};
+    }
+    if (wire.__isset.claimRelayAnswer) {
+        return ClaimRelayAnswer{numberFromWire(wire.claimRelayAnswer.number),
+                                outcomeFromWire(wire.claimRelayAnswer)};
+    }
     if (wire.__isset.stillWorking) {
         return StillWorking{numberFromWire(wire.stillWorking.number)};
     }
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -50,6 +50,7 @@
 {
     QuestionNumber number;
     Programs::TurnVerdict verdict = Programs::TurnVerdict::Unavailable;
+    /// Tokens granted; with Unavailable, what the home has let turns use without a claim.
     Base::Tokens amount;
 
     bool operator==(const TokenAnswer &) const = default;
@@ -63,7 +64,30 @@
     bool operator==(const StillWorking &) const = default;
 };
 
-using PeerBody = std::variant<RateStatement, RateAnswer, TokenRequest, TokenAnswer, StillWorking>;
+/// Writes a claim for a daemon that can't reach the store.
+struct ClaimRelay
+{
+    QuestionNumber number;
+    Programs::WriteClaim claim;
+
+    bool operator==(const ClaimRelay &) const = default;
+};
+
+struct ClaimRelayAnswer
+{
+    QuestionNumber number;
+    Programs::ClaimOutcome outcome;
+
+    bool operator==(const ClaimRelayAnswer &) const = default;
+};
+
+using PeerBody = std::variant<RateStatement,
+                              RateAnswer,
+                              TokenRequest,
+                              TokenAnswer,
+                              StillWorking,
+                              ClaimRelay,
+                              ClaimRelayAnswer>;
 
 /// One datagram between daemons.
 struct PeerMessage
--- a/src/libs/proxy/turnadmission.cpp
+++ b/src/libs/proxy/turnadmission.cpp
@@ -11,6 +11,12 @@
 /// Pause between looks for programs that have paused for longer than their retention.
 constexpr Base::Duration sweepInterval = std::chrono::seconds(10);
 
+/// For this time after a claim that the store did not answer, claims go to other daemons first.
+constexpr Base::Duration relayTime = std::chrono::seconds(1);
+
+/// Daemons that are asked to write a claim; a store that turns machines away serves most of them.
+constexpr int relayAttempts = 3;
+
 BudgetVerdict toBudgetVerdict(Programs::TurnVerdict verdict)
 {
     switch (verdict) {
@@ -116,12 +122,11 @@
 void TurnAdmission::runAllotmentActions()
 {
     for (const Programs::AllotmentAction &action : allotments_.takeActions()) {
-        std::visit(Base::Visitor{[this](const Programs::AnswerTurn &answer) { giveAnswer(answer); },
-                                 [this](const Programs::AskHome &ask) { askHome(ask); },
-                                 [this](const Programs::ReserveLocally &local) {
-                                     ledger_.reserve(local.turn, now_());
-                                 }},
-                   action);
+        std::visit(
+            Base::Visitor{[this](const Programs::AnswerTurn &answer) { giveAnswer(answer); },
+                          [this](const Programs::AskHome &ask) { askHome(ask); },
+                          [this](const Programs::ReserveLocally &local) { reserveLocally(local); }},
+            action);
     }
 }
 
@@ -167,14 +172,78 @@
                [call = std::move(entry.mapped()), answer] { call(answer.verdict, answer.amount); });
 }
 
+void TurnAdmission::reserveLocally(const Programs::ReserveLocally &local)
+{
+    Programs::TurnReservation turn = local.turn;
+    const Base::VmId home = peers_.roster().onDuty(turn.program.text(), now_());
+    if (home != self_ && local.homeCredit > Base::Tokens(0)) {
+        turn.creditElsewhere = {home, local.homeCredit};
+    }
+    ledger_.reserve(turn, now_());
+}
+
+/// A store that turns this daemon away may still serve others: they write the claim for it.
 void TurnAdmission::writeClaim(const Programs::WriteClaim &claim)
 {
-    writer_(claim, [this, program = claim.program](const Programs::ClaimOutcome &outcome) {
-        ledger_.claimAnswered(program, outcome, now_());
-        runActions();
+    if (relayUntil_ && now_() < *relayUntil_) {
+        relayClaim(claim, 1);
+        return;
+    }
+    writer_(claim, [this, claim](const Programs::ClaimOutcome &outcome) {
+        if (std::holds_alternative<Programs::ClaimUnanswered>(outcome)) {
+            relayUntil_ = now_() + relayTime;
+            relayClaim(claim, 1);
+            return;
+        }
+        relayUntil_.reset();
+        claimAnswered(claim.program, outcome);
     });
 }
 
+void TurnAdmission::relayClaim(const Programs::WriteClaim &claim, int attempt)
+{
+    const std::string key = claim.writeId.text() + std::to_string(attempt);
+    const Base::VmId peer = peers_.roster().onDuty(key, now_());
+    if (attempt > relayAttempts) {
+        claimAnswered(claim.program, Programs::ClaimUnanswered{});
+        return;
+    }
+    if (peer == self_) {
+        relayClaim(claim, attempt + 1);
+        return;
+    }
+    const QuestionNumber number = peers_.nextNumber();
+    peers_.ask(peer, number, ClaimRelay{number, claim}, [=, this](const PeerBody *body) {
+        const auto *answer = body ? std::get_if<ClaimRelayAnswer>(body) : nullptr;
+        const bool isAnswered
+            = answer && !std::holds_alternative<Programs::ClaimUnanswered>(answer->outcome);
+        if (isAnswered) {
+            claimAnswered(claim.program, answer->outcome);
+        } else {
+            relayClaim(claim, attempt + 1);
+        }
+    });
+}
+
+void TurnAdmission::onClaimRelay(const Base::VmId &sender, const ClaimRelay &relay)
+{
+    if (!requests_.emplace(sender, relay.number).second) {
+        return;
+    }
+    peers_.answer(sender, StillWorking{relay.number});
+    writer_(relay.claim, [=, this, number = relay.number](const Programs::ClaimOutcome &outcome) {
+        requests_.erase({sender, number});
+        peers_.answer(sender, ClaimRelayAnswer{number, outcome});
+    });
+}
+
+void TurnAdmission::claimAnswered(const Base::ProgramId &program,
+                                  const Programs::ClaimOutcome &outcome)
+{
+    ledger_.claimAnswered(program, outcome, now_());
+    runActions();
+}
+
 void TurnAdmission::armTimer()
 {
     const Base::Instant now = now_();
--- a/src/libs/proxy/turnadmission.h
+++ b/src/libs/proxy/turnadmission.h
@@ -41,6 +41,8 @@
 
     /// Another daemon asks for tokens of a program.
     void onTokenRequest(const Base::VmId &sender, const TokenRequest &request);
+    /// Another daemon can't reach the store.
+    void onClaimRelay(const Base::VmId &sender, const ClaimRelay &relay);
 
 private:
     using Answer = std::function<void(Programs::TurnVerdict, Base::Tokens)>;
@@ -50,9 +52,12 @@
     void runActions();
     void runLedgerActions();
     void runAllotmentActions();
+    void reserveLocally(const Programs::ReserveLocally &local);
     void askHome(const Programs::AskHome &ask);
     void giveAnswer(const Programs::AnswerTurn &answer);
     void writeClaim(const Programs::WriteClaim &claim);
+    void relayClaim(const Programs::WriteClaim &claim, int attempt);
+    void claimAnswered(const Base::ProgramId &program, const Programs::ClaimOutcome &outcome);
     void armTimer();
 
     Base::VmId self_;
@@ -66,6 +71,8 @@
     std::optional<Base::Instant> nextSweep_;
     Programs::ReservationId lastId_;
     bool knowsAllPrograms_ = false;
+    /// Set while the store does not answer this daemon: claims go to other daemons first.
+    std::optional<Base::Instant> relayUntil_;
     std::unordered_map<Programs::ReservationId, Answer> answers_;
     /// Requests of other daemons under way; their repeats are not served again.
     std::set<std::pair<Base::VmId, QuestionNumber>> requests_;
--- a/tests/libs/programs/tst_tokenledger.cpp
+++ b/tests/libs/programs/tst_tokenledger.cpp
@@ -312,6 +312,47 @@
                  "the home that gave them is lost, and with it their claim");
 }
 
+/// scale-2 of zanon-cembali, 10.758 s: a home that the store turned away had given its credit; the
+/// daemons that it then refused claimed the whole budget once more.
+Test(tokenledger, countsTheCreditOfAHomeThatRefuses)
+{
+    TokenLedger home(Base::IncarnationId("h.1"), {});
+    std::int64_t onCredit = 0;
+    TurnReservation request = turn(1, 1740, 580);
+    request.isTransfer = true;
+    request.mayUseCredit = true;
+    home.reserve(request, at(0));
+    home.claimAnswered(program, ClaimUnanswered{}, at(1));
+    home.takeActions();
+    onCredit += 580;
+    request.id = ReservationId(2);
+    home.reserve(request, at(2));
+    const AnswerTurn refused = onlyAnswer(home);
+    cr_assert_eq(refused.verdict, TurnVerdict::Unavailable, "half of the budget is used");
+    cr_assert_eq(refused.amount.value(), onCredit);
+
+    TokenLedger asker(Base::IncarnationId("a.1"), {});
+    ClaimStore store;
+    TurnReservation local = turn(3, 1740, 580);
+    local.creditElsewhere = {Base::VmId("h"), refused.amount};
+    std::int64_t admitted = 0;
+    for (std::uint64_t id = 3; id < 10; ++id) {
+        local.id = ReservationId(id);
+        asker.reserve(local, at(3));
+        for (const TokenLedgerAction &action : asker.takeActions()) {
+            if (const auto *claim = std::get_if<WriteClaim>(&action)) {
+                asker.claimAnswered(program, store.write(*claim), at(3));
+            }
+        }
+        for (const TokenLedgerAction &action : asker.takeActions()) {
+            const auto *answer = std::get_if<AnswerTurn>(&action);
+            admitted += answer && answer->verdict == TurnVerdict::Admitted ? 580 : 0;
+        }
+    }
+    cr_assert_leq(onCredit + admitted, 1740);
+    cr_assert_gt(admitted, 0);
+}
+
 Test(tokenledger, writesInRoundsWhenTheStoreIsBack)
 {
     TokenLedger ledger(Base::IncarnationId("a.1"), {});
--- a/tests/libs/proxy/tst_peers.cpp
+++ b/tests/libs/proxy/tst_peers.cpp
@@ -39,7 +39,17 @@
                      Base::Tokens(40)},
         TokenAnswer{number, Programs::TurnVerdict::Spent, Base::Tokens(0)},
         TokenAnswer{number, Programs::TurnVerdict::Admitted, Base::Tokens(300)},
-        StillWorking{number}};
+        StillWorking{number},
+        ClaimRelay{number,
+                   {Base::ProgramId("p"),
+                    Programs::ClaimVersion(4),
+                    Base::Tokens(90),
+                    Base::WriteId("w-1")}},
+        ClaimRelayAnswer{number, Programs::ClaimWritten{Programs::ClaimVersion(5)}},
+        ClaimRelayAnswer{number,
+                         Programs::ClaimConflict{
+                             {Programs::ClaimVersion(5), Base::Tokens(70), Base::WriteId("w-2")}}},
+        ClaimRelayAnswer{number, Programs::ClaimUnanswered{}}};
     for (const PeerBody &body : bodies) {
         const PeerMessage message{Base::VmId("vm-1"), Base::ConfigVersion(3), body};
         const std::string bytes = encodePeerMessage(message);
@@ -72,6 +82,24 @@
     }
 }
 
+Test(peerroster, aFirstChoiceIsFirstAmongLostDaemonsToo)
+{
+    const auto daemons = vms(3);
+    PeerRoster roster(daemons[0]);
+    roster.setDaemons(daemons);
+    int firstChoices = 0;
+    for (int key = 0; key < 300; ++key) {
+        firstChoices += roster.isFirstChoice("key-" + std::to_string(key)) ? 1 : 0;
+    }
+    roster.setDaemons({daemons[0]});
+    for (int key = 0; key < 300; ++key) {
+        const std::string text = "key-" + std::to_string(key);
+        cr_assert(roster.onDuty(text, at(0)) == daemons[0]);
+        firstChoices -= roster.isFirstChoice(text) ? 1 : 0;
+    }
+    cr_assert_eq(firstChoices, 0);
+}
+
 Test(peerroster, passesOverADaemonThatDoesNotAnswer)
 {
     const auto daemons = vms(3);
