--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -29,6 +29,19 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+const char *nameOf(Admission::Urgency urgency)
+{
+    switch (urgency) {
+    case Admission::Urgency::NewProgram:
+        return "new_program";
+    case Admission::Urgency::Started:
+        return "started";
+    case Admission::Urgency::ToolCall:
+        break;
+    }
+    return "tool_call";
+}
+
 /// The key of "Authorization: Bearer KEY"; empty if there is none.
 std::string_view bearerKey(const HeaderFields &headers)
 {
@@ -128,7 +141,8 @@
         checkBudget();
         return;
     }
-    const Admission::ShareVerdict verdict = owner_.controls_.checkRate(team_->team, urgency());
+    urgency_ = urgency();
+    const Admission::ShareVerdict verdict = owner_.controls_.checkRate(team_->team, urgency_);
     if (!verdict.isAdmitted) {
         answerLocally(429, "over_rate", "rate of the team is used up", verdict.retryAfter);
         return;
@@ -578,6 +592,9 @@
     if (route_) {
         fields.details.push_back({"route", route_->id.text()});
     }
+    if (team_) {
+        fields.details.push_back({"urgency", nameOf(urgency_)});
+    }
     if (service_) {
         fields.details.push_back({"service", service_->id.text()});
     }
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -95,6 +95,7 @@
     bool isHeadPassed_ = false;
     Programs::ReservationId reservation_;
     bool isReserved_ = false;
+    Admission::Urgency urgency_ = Admission::Urgency::Started;
     /// A permit was taken and no server has got the request yet.
     bool hasPermit_ = false;
     bool isEnded_ = false;
