A stand-in of the platform's store for the adapter's feeds and claims

Configuration, servers, claims and the directory of daemons are tested against it on one event loop: pages, watches, lost history, lost answers, refusals, garbage.

--- /dev/null
+++ b/tests/platform/platformstore.cpp
@@ -0,0 +1,196 @@
+#include "platformstore.h"
+
+#include <algorithm>
+
+using nlohmann::json;
+
+namespace {
+
+/// The value of a query's parameter; empty if it is not there.
+std::string parameter(const std::string &query, const std::string &name)
+{
+    const std::size_t at = query.find(name + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const std::size_t start = at + name.size() + 1;
+    return query.substr(start, query.find('&', start) - start);
+}
+
+} // namespace
+
+PlatformStore::PlatformStore(asio::io_context &context)
+    : acceptor_(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , services_(std::make_shared<Proxy::CallerServices>())
+{
+    services_->onRequest = [this](const Caller &caller, const Proxy::CallerRequest &request) {
+        onRequest(caller, request);
+    };
+    services_->onRejected = [](int, const std::string &) {};
+    services_->limits = [] { return Contracts::CallerLimits{}; };
+    services_->now = [] { return Base::Instant(); };
+    services_->isStopping = [] { return false; };
+    services_->onClosed = [](const Caller &) {};
+    accept();
+}
+
+void PlatformStore::accept()
+{
+    acceptor_.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
+        if (!error) {
+            std::make_shared<Proxy::CallerConnection>(std::move(socket), services_)->start();
+            accept();
+        }
+    });
+}
+
+void PlatformStore::answer(const Caller &caller, int status, const json &body)
+{
+    Proxy::ResponseHead head;
+    head.status = status;
+    head.reason = Proxy::reasonOf(status);
+    caller->respond(std::move(head), body.dump());
+}
+
+void PlatformStore::onRequest(const Caller &caller, const Proxy::CallerRequest &request)
+{
+    ++calls_;
+    if (refusal_ != 0) {
+        answer(caller, refusal_, json::object());
+        return;
+    }
+    const std::string base = "/marjoramfield/objects/";
+    std::string path(request.head.path().substr(base.size()));
+    const std::string query = request.head.target.substr(request.head.path().size());
+    const std::size_t slash = path.find('/');
+    const std::string kind = path.substr(0, slash);
+    const std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
+    if (request.head.method != "GET") {
+        write(caller, request, kind, name);
+    } else if (!name.empty()) {
+        const auto found = kinds_[kind].find(name);
+        const bool exists = found != kinds_[kind].end();
+        answer(caller, exists ? 200 : 404, exists ? found->second : json::object());
+    } else if (!parameter(query, "watch").empty()) {
+        watch(caller, kind, query);
+    } else {
+        list(caller, kind, query);
+    }
+}
+
+void PlatformStore::list(const Caller &caller, const std::string &kind, const std::string &query)
+{
+    const std::string after = parameter(query, "after");
+    json items = json::array();
+    bool hasMore = false;
+    for (const auto &[name, object] : kinds_[kind]) {
+        if (name <= after) {
+            continue;
+        }
+        hasMore = items.size() == pageSize_;
+        if (hasMore) {
+            break;
+        }
+        items.push_back(object);
+    }
+    answer(caller, 200, {{"items", items}, {"has_more", hasMore}, {"current_rev", revision_}});
+}
+
+void PlatformStore::watch(const Caller &caller, const std::string &kind, const std::string &query)
+{
+    const Watch entry{caller, kind, std::stoull(parameter(query, "watch"))};
+    if (entry.after < oldest_) {
+        answer(caller, 410, json::object());
+    } else if (!answerWatch(entry)) {
+        watches_.push_back(entry);
+    }
+}
+
+bool PlatformStore::answerWatch(const Watch &watch)
+{
+    json events = json::array();
+    for (const auto &[name, object] : kinds_[watch.kind]) {
+        if (object["meta"]["revision"].get<std::uint64_t>() > watch.after) {
+            events.push_back({{"deleted", false}, {"object", object}});
+        }
+    }
+    if (events.empty()) {
+        return false;
+    }
+    answer(watch.caller, 200, {{"events", events}, {"current_rev", revision_}});
+    return true;
+}
+
+void PlatformStore::changed(const std::string &kind)
+{
+    std::erase_if(watches_,
+                  [&](const Watch &watch) { return watch.kind == kind && answerWatch(watch); });
+}
+
+void PlatformStore::store(const std::string &kind, const std::string &name, const json &spec)
+{
+    // As on the wire, where whole numbers have no sign.
+    kinds_[kind][name] = json::parse(
+        json{{"meta", {{"name", name}, {"revision", ++revision_}}}, {"spec", spec}}.dump());
+}
+
+void PlatformStore::write(const Caller &caller,
+                          const Proxy::CallerRequest &request,
+                          const std::string &kind,
+                          std::string name)
+{
+    const json body = json::parse(request.body);
+    if (name.empty()) {
+        name = body["meta"]["name"].get<std::string>();
+    }
+    const auto found = kinds_[kind].find(name);
+    const bool exists = found != kinds_[kind].end();
+    const bool isCreation = request.head.method == "POST";
+    const auto expected = body["meta"].find("revision");
+    const bool isOther = exists && expected != body["meta"].end()
+                         && *expected != found->second["meta"]["revision"];
+    if (!isCreation && !exists) {
+        answer(caller, 404, json::object());
+        return;
+    }
+    if ((isCreation && exists) || isOther) {
+        answer(caller, 409, found->second);
+        return;
+    }
+    store(kind, name, body["spec"]);
+    if (std::exchange(losesNextAnswer_, false)) {
+        caller->abort();
+    } else {
+        answer(caller, 200, kinds_[kind][name]);
+    }
+    changed(kind);
+}
+
+void PlatformStore::put(const std::string &kind, const std::string &name, const json &spec)
+{
+    store(kind, name, spec);
+    changed(kind);
+}
+
+void PlatformStore::erase(const std::string &kind, const std::string &name)
+{
+    kinds_[kind].erase(name);
+    ++revision_;
+}
+
+json PlatformStore::spec(const std::string &kind, const std::string &name) const
+{
+    const auto objects = kinds_.find(kind);
+    if (objects == kinds_.end() || !objects->second.contains(name)) {
+        return {};
+    }
+    return objects->second.at(name)["spec"];
+}
+
+void PlatformStore::compact()
+{
+    oldest_ = ++revision_;
+    for (const Watch &watch : std::exchange(watches_, {})) {
+        answer(watch.caller, 410, json::object());
+    }
+}
--- /dev/null
+++ b/tests/platform/tst_feeds.cpp
@@ -0,0 +1,223 @@
+#include "platformstore.h"
+
+#include <platform/claimwriter.h>
+#include <platform/daemondirectory.h>
+#include <platform/feeds.h>
+
+#include <criterion/criterion.h>
+
+using namespace Adapter;
+using nlohmann::json;
+
+namespace {
+
+constexpr auto guardTime = std::chrono::seconds(10);
+
+json routing(int version)
+{
+    return {{"version", version}, {"routes", json::array()}, {"services", json::array()}};
+}
+
+json server(const std::string &state)
+{
+    return {{"service", "s"},
+            {"address", "10.0.0.9:80"},
+            {"zone", "a"},
+            {"slots", 4},
+            {"state", state}};
+}
+
+Base::Instant steadyNow()
+{
+    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    return Base::Instant(std::chrono::duration_cast<Base::Duration>(sinceStart));
+}
+
+/// A daemon's feeds before a stand-in of the store, on one event loop.
+class Fixture
+{
+public:
+    Fixture()
+        : platform(context)
+        , store(context, platform.endpoint(), log(), metrics)
+        , documents(context, freeEndpoint(), log(), &steadyNow)
+        , configuration(context,
+                        store,
+                        documents,
+                        log(),
+                        [this](const Contracts::RoutingDocument &document) {
+                            versions.push_back(document.version.value());
+                        })
+        , servers(
+              context,
+              store,
+              documents,
+              [] { return std::optional<asio::ip::udp::endpoint>(); },
+              &steadyNow,
+              log(),
+              [this](const auto &list) { listed = list; })
+    {}
+
+    void runUntil(const std::function<bool()> &condition, const char *what)
+    {
+        const auto end = std::chrono::steady_clock::now() + guardTime;
+        while (!condition()) {
+            cr_assert(std::chrono::steady_clock::now() < end, "never: %s", what);
+            context.run_one_for(std::chrono::milliseconds(20));
+        }
+    }
+
+    void awaitVersion(std::uint64_t version)
+    {
+        runUntil([&] { return !versions.empty() && versions.back() == version; }, "the version");
+    }
+
+    Programs::ClaimOutcome write(const Programs::WriteClaim &claim)
+    {
+        std::optional<Programs::ClaimOutcome> outcome;
+        claimWriter(store)(claim, [&](const Programs::ClaimOutcome &each) { outcome = each; });
+        runUntil([&] { return outcome.has_value(); }, "an outcome");
+        return *outcome;
+    }
+
+    static Telemetry::Log &log()
+    {
+        static Telemetry::Log silent(
+            {.file = {}, .level = Telemetry::LogLevel::Error, .daemon = {}, .keyPrefixes = {}});
+        return silent;
+    }
+
+    asio::io_context context;
+    Telemetry::Metrics metrics;
+    PlatformStore platform;
+    ObjectStore store;
+    Proxy::PeerDocuments documents;
+    std::vector<std::uint64_t> versions;
+    std::vector<Dispatch::ListedServer> listed;
+    ConfigurationFeed configuration;
+    ServerFeed servers;
+
+private:
+    static asio::ip::tcp::endpoint freeEndpoint() { return {asio::ip::address_v4::loopback(), 0}; }
+};
+
+Programs::WriteClaim claim(std::uint64_t expected, std::int64_t total, const char *writeId)
+{
+    return {Base::ProgramId("p/1"),
+            Programs::ClaimVersion(expected),
+            Base::Tokens(total),
+            Base::WriteId(writeId)};
+}
+
+} // namespace
+
+Test(feeds, followsTheConfiguration)
+{
+    Fixture fixture;
+    fixture.platform.put("config", "main", routing(3));
+    fixture.configuration.start();
+    fixture.awaitVersion(3);
+    fixture.platform.put("config", "main", routing(8));
+    fixture.awaitVersion(8);
+    fixture.platform.compact();
+    fixture.platform.put("config", "main", routing(9));
+    fixture.awaitVersion(9);
+}
+
+Test(feeds, neverTakesAnOlderConfiguration)
+{
+    Fixture fixture;
+    fixture.platform.put("config", "main", routing(8));
+    fixture.configuration.start();
+    fixture.awaitVersion(8);
+    fixture.platform.put("config", "main", routing(7));
+    fixture.platform.put("config", "main", {{"version", "text"}});
+    fixture.platform.put("config", "main", routing(9));
+    fixture.awaitVersion(9);
+    cr_assert_eq(fixture.versions.size(), 2);
+}
+
+Test(feeds, waitsForAConfigurationThatIsNotThereYet)
+{
+    Fixture fixture;
+    fixture.configuration.start();
+    fixture.runUntil([&] { return fixture.platform.calls() >= 2; }, "a second look");
+    fixture.platform.put("config", "main", routing(1));
+    fixture.awaitVersion(1);
+}
+
+Test(feeds, readsTheServersOverSeveralPages)
+{
+    Fixture fixture;
+    fixture.platform.setPageSize(2);
+    for (const char *name : {"i-1", "i-2", "i-3", "i-4", "i-5"}) {
+        fixture.platform.put("servers", name, server("ready"));
+    }
+    fixture.platform.put("servers", "i-6", {{"service", 5}});
+    fixture.servers.start();
+    fixture.runUntil([&] { return fixture.listed.size() == 5; }, "five servers");
+    fixture.platform.put("servers", "i-3", server("draining"));
+    fixture.platform.erase("servers", "i-1");
+    fixture.runUntil([&] { return fixture.listed.size() == 4; }, "four servers");
+    cr_assert(fixture.listed.at(1).server.isLeaving);
+}
+
+Test(feeds, keepsItsServersWhileTheStoreIsAway)
+{
+    Fixture fixture;
+    fixture.platform.put("servers", "i-1", server("ready"));
+    fixture.servers.start();
+    fixture.runUntil([&] { return fixture.listed.size() == 1; }, "a server");
+    fixture.platform.refuseWith(503);
+    fixture.runUntil([&] { return !fixture.store.isReachable(); }, "the store is lost");
+    fixture.platform.refuseWith(0);
+    fixture.platform.erase("servers", "i-1");
+    fixture.runUntil([&] { return fixture.store.isReachable(); }, "the store is back");
+    cr_assert_eq(fixture.listed.size(), 1, "an entry that lapsed may come back");
+    fixture.runUntil([&] { return fixture.listed.empty(); }, "an entry that stays away is gone");
+}
+
+Test(claimwriter, writesOnItsCondition)
+{
+    Fixture fixture;
+    const auto created = fixture.write(claim(0, 100, "w1"));
+    const auto version = std::get<Programs::ClaimWritten>(created).version;
+    cr_assert(std::holds_alternative<Programs::ClaimWritten>(
+        fixture.write(claim(version.value(), 200, "w2"))));
+    const auto conflict
+        = std::get<Programs::ClaimConflict>(fixture.write(claim(version.value(), 300, "w3")));
+    cr_assert_eq(conflict.stored.total.value(), 200);
+    cr_assert_eq(conflict.stored.lastWrite.text(), "w2");
+}
+
+Test(claimwriter, findsItsOwnWriteAfterALostAnswer)
+{
+    Fixture fixture;
+    fixture.platform.loseNextAnswer();
+    cr_assert(
+        std::holds_alternative<Programs::ClaimUnanswered>(fixture.write(claim(0, 100, "w1"))));
+    cr_assert(!fixture.store.isReachable());
+    cr_assert(std::holds_alternative<Programs::ClaimUnanswered>(fixture.write(claim(0, 100, "w1"))),
+              "no call to a store that is known not to answer");
+    cr_assert_eq(fixture.platform.calls(), 1);
+    fixture.servers.start();
+    fixture.runUntil([&] { return fixture.store.isReachable(); }, "a reader finds the store back");
+    const auto conflict = std::get<Programs::ClaimConflict>(fixture.write(claim(0, 100, "w1")));
+    cr_assert_eq(conflict.stored.lastWrite.text(), "w1");
+}
+
+Test(daemondirectory, statesItselfAndFindsOthers)
+{
+    Fixture fixture;
+    fixture.platform.put("daemons", "b", {{"address", "10.0.0.2:7"}, {"zone", "z"}});
+    fixture.platform.put("daemons", "c", 5);
+    std::vector<ListedDaemon> found;
+    DaemonDirectory directory(fixture.context,
+                              fixture.store,
+                              {Base::VmId("a"), "10.0.0.1:7", Base::ZoneId("z")},
+                              Fixture::log(),
+                              [&](const auto &daemons) { found = daemons; });
+    directory.start();
+    fixture.runUntil([&] { return found.size() == 2; }, "both daemons");
+    cr_assert_eq(fixture.platform.spec("daemons", "a")["address"], "10.0.0.1:7");
+}
