--- a/src/libs/programs/tokenledger.h
+++ b/src/libs/programs/tokenledger.h
@@ -28,8 +28,8 @@
     /// finds something left for each.
     double transferShare = 0.25;
     /// Part of a budget that turns may use before the store has confirmed a claim, while it does
-    /// not answer. Programs of the two deployments use a quarter of their budgets.
-    double creditShare = 0.5;
+    /// not answer. Budgets of the two deployments are 1.5 times the most of all turns.
+    double creditShare = 0.75;
     /// Pauses between claims while the store does not answer, first and longest. Calls to a store
     /// that is away are priced as well.
     Base::Duration firstProbe = std::chrono::milliseconds(200);
