--- a/src/libs/dispatch/requestplacer.h
+++ b/src/libs/dispatch/requestplacer.h
@@ -59,8 +59,8 @@
     /// What one more running request costs the others on an engine: 261 tokens of a turn at
     /// 0.0202 ms a token and slot, borne by both sides.
     double costPerRunningMs = 10;
-    /// Round trip to a server in another zone, and the price of the bytes, in milliseconds.
-    double crossZoneCostMs = 4;
+    /// A round trip to another zone takes up to 2.8 ms; the rest stands for the price of the bytes.
+    double crossZoneCostMs = 12;
     /// Random share of the cost, so that daemons with the same view choose different servers.
     double jitter = 0.2;
     /// Weight of the newest observation in a server's mean latency.
