A home that hears no other daemon gives no credit

Change: PeerRoster::isIsolated: nothing heard for 400 ms (each daemon states its demand every 250 ms); such a home admits nothing without a claim (tst_peers, failing before). Ruled out: the smaller credit of before (1.5 times the budget is over, too). Left: groups of daemons that hear each other without the store.

--- a/src/libs/proxy/peerroster.cpp
+++ b/src/libs/proxy/peerroster.cpp
@@ -54,6 +54,11 @@
     return *best;
 }
 
+bool PeerRoster::isIsolated(Base::Instant now) const
+{
+    return everListed_.size() > 1 && (!lastHeard_ || now - *lastHeard_ > settings_.isolation);
+}
+
 void PeerRoster::answered(const Base::VmId &peer)
 {
     if (const auto entry = peers_.find(peer); entry != peers_.end()) {
--- a/src/libs/proxy/peerroster.h
+++ b/src/libs/proxy/peerroster.h
@@ -17,6 +17,9 @@
     int unansweredLimit = 2;
     /// Time for which it is passed over before it is asked again.
     Base::Duration suspicion = std::chrono::seconds(1);
+    /// Silence of all others after which this daemon counts itself as cut off. Each states its
+    /// demand every 250 ms.
+    Base::Duration isolation = std::chrono::milliseconds(400);
 };
 
 /// The daemons of the fleet and which of them answer. Duties are dealt by rendezvous hashing, so
@@ -36,6 +39,11 @@
     /// Whether this daemon has the duty before any other that was ever listed, lost ones included.
     bool isFirstChoice(std::string_view key) const;
 
+    /// Something came from another daemon.
+    void heard(Base::Instant now) { lastHeard_ = now; }
+    /// Nothing comes from any other daemon, so they may go on without this one.
+    bool isIsolated(Base::Instant now) const;
+
     void answered(const Base::VmId &peer);
     void unanswered(const Base::VmId &peer, Base::Instant now);
     bool isSuspect(const Base::VmId &peer, Base::Instant now) const;
@@ -53,6 +61,7 @@
     std::map<Base::VmId, Peer> peers_;
     /// Hashes of all daemons that were ever listed.
     std::set<std::uint64_t> everListed_;
+    std::optional<Base::Instant> lastHeard_;
 };
 
 } // namespace Proxy
--- a/src/libs/proxy/turnadmission.cpp
+++ b/src/libs/proxy/turnadmission.cpp
@@ -46,9 +46,11 @@
     , timer_(context)
 {}
 
+/// Others claim for the programs of a home that they do not hear.
 bool TurnAdmission::knowsAllOf(const Base::ProgramId &program) const
 {
-    return knowsAllPrograms_ && peers_.roster().isFirstChoice(program.text());
+    const PeerRoster &roster = peers_.roster();
+    return knowsAllPrograms_ && roster.isFirstChoice(program.text()) && !roster.isIsolated(now_());
 }
 
 Programs::ReservationId TurnAdmission::addAnswer(Answer answer)
--- a/tests/libs/proxy/tst_peers.cpp
+++ b/tests/libs/proxy/tst_peers.cpp
@@ -100,6 +100,20 @@
     cr_assert_eq(firstChoices, 0);
 }
 
+/// cut-off-home-and-limits --vary --seed 280516959422 on wattlebird-prod: a home that was cut off
+/// from all others gave its credit while they claimed the whole budget.
+Test(peerroster, aDaemonThatHearsNobodyIsIsolated)
+{
+    PeerRoster alone(Base::VmId("a"));
+    cr_assert(!alone.isIsolated(at(5000)), "there are no others");
+    PeerRoster roster(Base::VmId("a"));
+    roster.setDaemons(vms(3));
+    cr_assert(roster.isIsolated(at(0)));
+    roster.heard(at(1000));
+    cr_assert(!roster.isIsolated(at(1400)));
+    cr_assert(roster.isIsolated(at(1401)));
+}
+
 Test(peerroster, passesOverADaemonThatDoesNotAnswer)
 {
     const auto daemons = vms(3);
--- a/tests/platform/platformstore.cpp
+++ b/tests/platform/platformstore.cpp
@@ -143,6 +143,12 @@
     if (name.empty()) {
         name = body["meta"]["name"].get<std::string>();
     }
+    if (const std::size_t part = name.find("/status"); part != std::string::npos) {
+        name.resize(part);
+        kinds_[kind][name]["status"] = body["status"];
+        answer(caller, 200, kinds_[kind][name]);
+        return;
+    }
     const auto found = kinds_[kind].find(name);
     const bool exists = found != kinds_[kind].end();
     const bool isCreation = request.head.method == "POST";
@@ -187,6 +193,15 @@
     return objects->second.at(name)["spec"];
 }
 
+json PlatformStore::status(const std::string &kind, const std::string &name) const
+{
+    const auto objects = kinds_.find(kind);
+    if (objects == kinds_.end() || !objects->second.contains(name)) {
+        return {};
+    }
+    return objects->second.at(name).value("status", json());
+}
+
 void PlatformStore::compact()
 {
     oldest_ = ++revision_;
--- a/tests/platform/platformstore.h
+++ b/tests/platform/platformstore.h
@@ -22,6 +22,7 @@
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     void erase(const std::string &kind, const std::string &name);
     nlohmann::json spec(const std::string &kind, const std::string &name) const;
+    nlohmann::json status(const std::string &kind, const std::string &name) const;
 
     /// Answers every call with this status instead; 0 ends that.
     void refuseWith(int status) { refusal_ = status; }
--- a/tests/platform/tst_feeds.cpp
+++ b/tests/platform/tst_feeds.cpp
@@ -3,6 +3,7 @@
 #include <platform/claimwriter.h>
 #include <platform/daemondirectory.h>
 #include <platform/feeds.h>
+#include <platform/storenode.h>
 
 #include <criterion/criterion.h>
 
@@ -221,3 +222,17 @@
     fixture.runUntil([&] { return found.size() == 2; }, "both daemons");
     cr_assert_eq(fixture.platform.spec("daemons", "a")["address"], "10.0.0.1:7");
 }
+
+Test(retirementfeed, completesItsOwnRetirementOnly)
+{
+    Fixture fixture;
+    fixture.platform.put("retirements", "other", {{"duration_s", 10}});
+    RetirementFeed feed(fixture.context, fixture.store, Base::VmId("mine"), Fixture::log());
+    feed.start();
+    fixture.runUntil([&] { return fixture.platform.calls() >= 2; }, "a watch");
+    fixture.platform.put("retirements", "mine", {{"duration_s", 10}});
+    fixture.runUntil([&] { return !fixture.platform.status("retirements", "mine").is_null(); },
+                     "a status");
+    cr_assert_eq(fixture.platform.status("retirements", "mine")["state"], "completed");
+    cr_assert(fixture.platform.status("retirements", "other").is_null());
+}
