--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -256,7 +256,6 @@
 void ClientConnection::onResponseComplete(bool hasExtraBytes)
 {
     isAwaitingResponse_ = false;
-    ++served_;
     // A request that the server has not read to its end must not be followed by another one.
     isReusable_ = !hasExtraBytes && !isWriting_ && parser_.response().isKeepAlive;
     const auto handlers = std::exchange(handlers_, nullptr);
--- a/src/libs/proxy/clientconnection.h
+++ b/src/libs/proxy/clientconnection.h
@@ -60,7 +60,6 @@
     bool isReusable() const { return isReusable_; }
     /// Whether any byte of the current request may have left.
     bool hasSent() const { return hasSent_; }
-    bool hasServedBefore() const { return served_ > 0; }
     /// How long the server keeps the idle connection, as its last response said.
     std::optional<Base::Duration> keepAliveTimeout() const { return keepAliveTimeout_; }
 
@@ -84,7 +83,6 @@
     std::shared_ptr<Handlers> handlers_;
     std::function<void()> onUnusable_;
     std::optional<Base::Duration> keepAliveTimeout_;
-    std::size_t served_ = 0;
     bool isAwaitingResponse_ = false;
     bool isWriting_ = false;
     bool isReading_ = false;
--- a/src/libs/proxy/connectionpool.cpp
+++ b/src/libs/proxy/connectionpool.cpp
@@ -77,13 +77,4 @@
     }
 }
 
-std::size_t ConnectionPool::idleCount() const
-{
-    std::size_t count = 0;
-    for (const auto &[life, connections] : idle_) {
-        count += connections.size();
-    }
-    return count;
-}
-
 } // namespace Proxy
--- a/src/libs/proxy/connectionpool.h
+++ b/src/libs/proxy/connectionpool.h
@@ -34,8 +34,6 @@
     /// Closes connections to servers of which the check does not hold.
     void retain(const std::function<bool(const Dispatch::ServerLife &)> &isKept);
 
-    std::size_t idleCount() const;
-
 private:
     struct Idle
     {
