Credit needs the word of the daemon that divides the rates

Change: every daemon states its demand to the divider of the rates, so that one knows whether it hears most of the fleet and says so in its answer; homes give credit only on its word of the last 600 ms (tst_admission knowsWhetherItHearsMostDaemons). isIsolated is gone. Ruled out: counting whom each daemon hears by itself (a daemon hears most others less than once a second).

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -27,6 +27,8 @@
 struct RateAnswer {
   1: i64 number
   2: list<TeamShare> shares
+  /** The sender hears more than half of the fleet. */
+  3: bool hearsMost
 }
 
 /** Asks the home of a program for a part of its token budget. */
--- a/src/libs/admission/ratepool.cpp
+++ b/src/libs/admission/ratepool.cpp
@@ -38,6 +38,14 @@
     return shares;
 }
 
+bool RatePool::hearsMostSince(Base::Instant since) const
+{
+    const auto heard = std::count_if(members_.begin(), members_.end(), [&](const auto &entry) {
+        return entry.second.statedAt >= since;
+    });
+    return 2 * static_cast<std::size_t>(heard) > daemonCount_;
+}
+
 void RatePool::forgetExpired(Base::Instant now)
 {
     std::erase_if(members_,
--- a/src/libs/admission/ratepool.h
+++ b/src/libs/admission/ratepool.h
@@ -50,7 +50,8 @@
                                   const std::vector<TeamDemand> &demands,
                                   Base::Instant now);
 
-    std::size_t memberCount() const { return members_.size(); }
+    /// Whether more than half of the daemons have stated their demand since the given time.
+    bool hearsMostSince(Base::Instant since) const;
 
 private:
     struct Member
--- a/src/libs/proxy/peerlink.cpp
+++ b/src/libs/proxy/peerlink.cpp
@@ -130,7 +130,6 @@
         metrics_.counter("marjoram_peer_unusable_total", "Datagrams from nobody known").add();
         return;
     }
-    roster_.heard(now_());
     if (message->routingVersion > routingVersion_ && onNewerVersion_) {
         onNewerVersion_(message->sender);
     }
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -112,6 +112,7 @@
                     each.share = share.share;
                     part.shares.push_back(std::move(each));
                 }
+                part.hearsMost = answer.hearsMost;
                 wire.__set_rateAnswer(part);
             },
             [&](const TokenRequest &request) {
@@ -162,7 +163,7 @@
         return statement;
     }
     if (wire.__isset.rateAnswer) {
-        RateAnswer answer{numberFromWire(wire.rateAnswer.number), {}};
+        RateAnswer answer{numberFromWire(wire.rateAnswer.number), {}, wire.rateAnswer.hearsMost};
         for (const Wire::TeamShare &share : wire.rateAnswer.shares) {
             answer.shares.push_back({Base::TeamId(share.team), share.share});
         }
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -28,6 +28,8 @@
 {
     QuestionNumber number;
     std::vector<Admission::TeamShare> shares;
+    /// The sender hears more than half of the fleet.
+    bool hearsMost = false;
 
     bool operator==(const RateAnswer &) const = default;
 };
--- a/src/libs/proxy/peerroster.cpp
+++ b/src/libs/proxy/peerroster.cpp
@@ -28,16 +28,17 @@
     }
     peers_ = std::move(next);
     for (const auto &[vm, peer] : peers_) {
-        everListed_.insert(peer.hash);
+        everListed_[vm] = peer.hash;
     }
 }
 
-bool PeerRoster::isFirstChoice(std::string_view key) const
+Base::VmId PeerRoster::firstChoice(std::string_view key) const
 {
-    const std::uint64_t ownRank = Base::hash64(key, peers_.at(self_).hash);
-    return std::none_of(everListed_.begin(), everListed_.end(), [&](std::uint64_t hash) {
-        return Base::hash64(key, hash) > ownRank;
-    });
+    const auto rank = [&](const auto &entry) { return Base::hash64(key, entry.second); };
+    return std::max_element(everListed_.begin(),
+                            everListed_.end(),
+                            [&](const auto &a, const auto &b) { return rank(a) < rank(b); })
+        ->first;
 }
 
 Base::VmId PeerRoster::onDuty(std::string_view key, Base::Instant now) const
@@ -54,11 +55,6 @@
     return *best;
 }
 
-bool PeerRoster::isIsolated(Base::Instant now) const
-{
-    return everListed_.size() > 1 && (!lastHeard_ || now - *lastHeard_ > settings_.isolation);
-}
-
 void PeerRoster::answered(const Base::VmId &peer)
 {
     if (const auto entry = peers_.find(peer); entry != peers_.end()) {
--- a/src/libs/proxy/peerroster.h
+++ b/src/libs/proxy/peerroster.h
@@ -5,7 +5,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string_view>
 #include <vector>
 
@@ -17,9 +16,6 @@
     int unansweredLimit = 2;
     /// Time for which it is passed over before it is asked again.
     Base::Duration suspicion = std::chrono::seconds(1);
-    /// Silence of all others after which this daemon counts itself as cut off. Each states its
-    /// demand every 250 ms.
-    Base::Duration isolation = std::chrono::milliseconds(400);
 };
 
 /// The daemons of the fleet and which of them answer. Duties are dealt by rendezvous hashing, so
@@ -36,13 +32,9 @@
     /// The daemon on duty for the key among those that answer; this daemon if no other does.
     Base::VmId onDuty(std::string_view key, Base::Instant now) const;
 
-    /// Whether this daemon has the duty before any other that was ever listed, lost ones included.
-    bool isFirstChoice(std::string_view key) const;
-
-    /// Something came from another daemon.
-    void heard(Base::Instant now) { lastHeard_ = now; }
-    /// Nothing comes from any other daemon, so they may go on without this one.
-    bool isIsolated(Base::Instant now) const;
+    bool isFirstChoice(std::string_view key) const { return firstChoice(key) == self_; }
+    /// The daemon that has the duty before any other that was ever listed, lost ones included.
+    Base::VmId firstChoice(std::string_view key) const;
 
     void answered(const Base::VmId &peer);
     void unanswered(const Base::VmId &peer, Base::Instant now);
@@ -59,9 +51,8 @@
     Base::VmId self_;
     RosterSettings settings_;
     std::map<Base::VmId, Peer> peers_;
-    /// Hashes of all daemons that were ever listed.
-    std::set<std::uint64_t> everListed_;
-    std::optional<Base::Instant> lastHeard_;
+    /// All daemons that were ever listed, and their hashes.
+    std::map<Base::VmId, std::uint64_t> everListed_;
 };
 
 } // namespace Proxy
--- a/src/libs/proxy/ratesharing.cpp
+++ b/src/libs/proxy/ratesharing.cpp
@@ -10,6 +10,9 @@
 /// Longer than some lost statements, and short against the windows in which limits are counted.
 constexpr Base::Duration shareValidity = std::chrono::milliseconds(1000);
 
+/// Two statements; a claim that fails tells later that the store is away.
+constexpr Base::Duration contactTime = std::chrono::milliseconds(600);
+
 /// All rates are divided by one daemon at a time.
 constexpr const char *dutyName = "rates";
 
@@ -54,8 +57,19 @@
 
 void RateSharing::onRateStatement(const Base::VmId &sender, const RateStatement &statement)
 {
-    peers_.answer(sender,
-                  RateAnswer{statement.number, pool_.stated(sender, statement.demands, now_())});
+    const Base::Instant now = now_();
+    RateAnswer answer{statement.number, pool_.stated(sender, statement.demands, now)};
+    answer.hearsMost = pool_.hearsMostSince(now - contactTime);
+    peers_.answer(sender, std::move(answer));
+}
+
+bool RateSharing::isWithMost() const
+{
+    const Base::Instant since = now_() - contactTime;
+    if (peers_.roster().isFirstChoice(dutyName)) {
+        return pool_.hearsMostSince(since);
+    }
+    return wasWithMostAt_ && *wasWithMostAt_ >= since;
 }
 
 void RateSharing::stateDemand()
--- a/src/libs/proxy/ratesharing.h
+++ b/src/libs/proxy/ratesharing.h
@@ -26,6 +26,11 @@
 
     Admission::ShareVerdict admit(const Base::TeamId &team, Admission::Urgency urgency);
     void refund(const Base::TeamId &team);
+    /// Whether this daemon is in one part with more than half of the fleet, as far as the first
+    /// choice for dividing the rates tells: every daemon states its demand there. While that daemon
+    /// is lost nobody is known to be.
+    bool isWithMost() const;
+
     void onRateStatement(const Base::VmId &sender, const RateStatement &statement);
 
 private:
@@ -38,6 +43,8 @@
     asio::steady_timer timer_;
     Admission::RateShares shares_;
     Admission::RatePool pool_;
+    /// When the statement was sent that the first choice last answered so.
+    std::optional<Base::Instant> wasWithMostAt_;
     bool isStarted_ = false;
 };
 
--- a/src/libs/proxy/turnadmission.cpp
+++ b/src/libs/proxy/turnadmission.cpp
@@ -46,11 +46,9 @@
     , timer_(context)
 {}
 
-/// Others claim for the programs of a home that they do not hear.
 bool TurnAdmission::knowsAllOf(const Base::ProgramId &program) const
 {
-    const PeerRoster &roster = peers_.roster();
-    return knowsAllPrograms_ && roster.isFirstChoice(program.text()) && !roster.isIsolated(now_());
+    return isWithMost_ && isWithMost_() && peers_.roster().isFirstChoice(program.text());
 }
 
 Programs::ReservationId TurnAdmission::addAnswer(Answer answer)
--- a/src/libs/proxy/turnadmission.h
+++ b/src/libs/proxy/turnadmission.h
@@ -30,7 +30,12 @@
 
     /// This daemon has been there since the fleet first started, so it knows of every program whose
     /// home it is; their turns may run while the store does not answer.
-    void setKnowsAllPrograms() { knowsAllPrograms_ = true; }
+    /// The check says whether this daemon is in touch with most of the fleet: others claim for the
+    /// programs of a home that is not.
+    void setKnowsAllPrograms(std::function<bool()> isWithMost)
+    {
+        isWithMost_ = std::move(isWithMost);
+    }
 
     /// Names the reservation that settle() ends.
     Programs::ReservationId reserve(const RequestTraits &turn,
@@ -70,7 +75,8 @@
     std::optional<Base::Instant> timerDue_;
     std::optional<Base::Instant> nextSweep_;
     Programs::ReservationId lastId_;
-    bool knowsAllPrograms_ = false;
+    /// Empty unless this daemon knows of every program whose home it is.
+    std::function<bool()> isWithMost_;
     /// Set while the store does not answer this daemon: claims go to other daemons first.
     std::optional<Base::Instant> relayUntil_;
     std::unordered_map<Programs::ReservationId, Answer> answers_;
--- a/tests/libs/admission/tst_rateshares.cpp
+++ b/tests/libs/admission/tst_rateshares.cpp
@@ -181,6 +181,20 @@
         pool.stated(a, {{team, 1500}}, at(1500)).at(0).share, 0.25, 1e-9, "b is gone");
 }
 
+/// cut-off-home-and-limits --vary --seed 280516959422 and 435706479747 on wattlebird-prod: homes
+/// that were cut off, alone or two together, gave credit while the others claimed the whole budget.
+Test(ratepool, knowsWhetherItHearsMostDaemons)
+{
+    RatePool pool(std::chrono::seconds(1));
+    pool.setDaemonCount(4);
+    pool.stated(Base::VmId("a"), {}, at(0));
+    pool.stated(Base::VmId("b"), {}, at(100));
+    cr_assert(!pool.hearsMostSince(at(0)), "two of four are not most");
+    pool.stated(Base::VmId("c"), {}, at(200));
+    cr_assert(pool.hearsMostSince(at(0)));
+    cr_assert(!pool.hearsMostSince(at(50)));
+}
+
 Test(ratepool, spareRateIsSpread)
 {
     RatePool pool(std::chrono::seconds(1));
--- a/tests/libs/proxy/tst_peers.cpp
+++ b/tests/libs/proxy/tst_peers.cpp
@@ -30,7 +30,7 @@
     const QuestionNumber number(7);
     const std::vector<PeerBody> bodies{
         RateStatement{number, {{Base::TeamId("a"), 12.5}, {Base::TeamId("b"), 0.25}}},
-        RateAnswer{number, {{Base::TeamId("a"), 0.5}}},
+        RateAnswer{number, {{Base::TeamId("a"), 0.5}}, true},
         TokenRequest{number,
                      Base::ProgramId("p"),
                      Base::Tokens(900),
@@ -100,20 +100,6 @@
     cr_assert_eq(firstChoices, 0);
 }
 
-/// cut-off-home-and-limits --vary --seed 280516959422 on wattlebird-prod: a home that was cut off
-/// from all others gave its credit while they claimed the whole budget.
-Test(peerroster, aDaemonThatHearsNobodyIsIsolated)
-{
-    PeerRoster alone(Base::VmId("a"));
-    cr_assert(!alone.isIsolated(at(5000)), "there are no others");
-    PeerRoster roster(Base::VmId("a"));
-    roster.setDaemons(vms(3));
-    cr_assert(roster.isIsolated(at(0)));
-    roster.heard(at(1000));
-    cr_assert(!roster.isIsolated(at(1400)));
-    cr_assert(roster.isIsolated(at(1401)));
-}
-
 Test(peerroster, passesOverADaemonThatDoesNotAnswer)
 {
     const auto daemons = vms(3);
