--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -134,7 +134,7 @@
     ResponseHead head;
     head.status = status;
     head.reason = reasonOf(status);
-    respond(std::move(head), {});
+    respond(head, {});
 }
 
 void CallerConnection::dispatchRequest()
@@ -153,16 +153,16 @@
     services_->onRequest(shared_from_this(), std::move(request));
 }
 
-void CallerConnection::respond(ResponseHead head, std::string_view body)
+void CallerConnection::respond(const ResponseHead &head, std::string_view body)
 {
     Framing framing;
     framing.length = body.size();
-    beginResponse(std::move(head), framing);
+    beginResponse(head, framing);
     write(body);
     endResponse();
 }
 
-void CallerConnection::beginResponse(ResponseHead head, Framing framing)
+void CallerConnection::beginResponse(const ResponseHead &head, Framing framing)
 {
     if (isClosed_) {
         return;
@@ -332,7 +332,7 @@
         ResponseHead head;
         head.status = 408;
         head.reason = reasonOf(408);
-        respond(std::move(head), {});
+        respond(head, {});
         return;
     }
     if (isIdle) {
--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -52,9 +52,9 @@
     void start();
 
     /// The whole answer to the request under way.
-    void respond(ResponseHead head, std::string_view body);
+    void respond(const ResponseHead &head, std::string_view body);
     /// An answer whose body follows in pieces.
-    void beginResponse(ResponseHead head, Framing framing);
+    void beginResponse(const ResponseHead &head, Framing framing);
     void write(std::string_view bytes);
     void endResponse();
     /// Closes the connection, so that an unfinished answer does not look whole.
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -294,7 +294,7 @@
     handlers.onHead = [self](const ResponseHead &head, const Framing &framing) {
         return self->onHead(head, framing);
     };
-    handlers.onBody = [self](std::string bytes) { self->onBody(std::move(bytes)); };
+    handlers.onBody = [self](const std::string &bytes) { self->onBody(bytes); };
     handlers.onEnd
         = [self](ResponseEnd end, const std::string &problem) { self->onEnd(end, problem); };
     connection_->send(serializeForServer(), request_.head.method == "HEAD", std::move(handlers));
@@ -364,7 +364,7 @@
            || framing_.length.value_or(0) <= owner_.settings_.wholeAnswerBytes;
 }
 
-void Exchange::onBody(std::string bytes)
+void Exchange::onBody(const std::string &bytes)
 {
     if (isEventStream_) {
         passBody(events_.feed(bytes));
@@ -460,7 +460,7 @@
         framing = {BodyFraming::Chunked, std::nullopt};
     }
     isHeadPassed_ = true;
-    caller_->beginResponse(std::move(head), framing);
+    caller_->beginResponse(head, framing);
 }
 
 void Exchange::passBody(std::string_view bytes)
@@ -527,7 +527,7 @@
         head.headers.add("Retry-After", secondsText(*retryAfter));
     }
     releaseServer(false);
-    caller_->respond(std::move(head), detail + "\n");
+    caller_->respond(head, detail + "\n");
     finish({status, outcome, std::move(detail)});
 }
 
--- a/src/libs/proxy/httpcaller.cpp
+++ b/src/libs/proxy/httpcaller.cpp
@@ -63,7 +63,7 @@
             self->result_.status = head.status;
             return HeadVerdict::Accept;
         };
-        handlers.onBody = [self](std::string body) { self->result_.body += body; };
+        handlers.onBody = [self](const std::string &body) { self->result_.body += body; };
         handlers.onEnd = [self](ResponseEnd end, const std::string &problem) {
             if (end == ResponseEnd::Broken) {
                 self->fail(problem);
@@ -131,8 +131,11 @@
     }
 }
 
-void HttpCaller::call(
-    std::string method, std::string target, std::string body, Base::Duration timeout, Done done)
+void HttpCaller::call(std::string method,
+                      std::string target,
+                      const std::string &body,
+                      Base::Duration timeout,
+                      Done done)
 {
     RequestHead head;
     head.method = std::move(method);
--- a/src/libs/proxy/httpcaller.h
+++ b/src/libs/proxy/httpcaller.h
@@ -32,7 +32,7 @@
     /// Always answers, at the latest when the time is up.
     void call(std::string method,
               std::string target,
-              std::string body,
+              const std::string &body,
               Base::Duration timeout,
               Done done);
 
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -23,9 +23,8 @@
     , pool_(settings_.pool)
 {
     services_ = std::make_shared<CallerServices>();
-    services_->onRequest = [this](const auto &caller, CallerRequest request) {
-        onRequest(caller, std::move(request));
-    };
+    services_->onRequest
+        = [this](const auto &caller, const CallerRequest &request) { onRequest(caller, request); };
     services_->onRejected = [this](int status, const std::string &problem) {
         log_.write(Telemetry::LogLevel::Warning,
                    "request rejected with " + std::to_string(status) + ": " + problem,
--- a/src/libs/proxy/peerdocuments.cpp
+++ b/src/libs/proxy/peerdocuments.cpp
@@ -87,7 +87,7 @@
         }
     }
     head.reason = reasonOf(head.status);
-    caller->respond(std::move(head), body);
+    caller->respond(head, body);
 }
 
 void PeerDocuments::publish(const std::string &name, PeerDocument document)
--- a/src/libs/proxy/proxydaemon.cpp
+++ b/src/libs/proxy/proxydaemon.cpp
@@ -90,7 +90,7 @@
 }
 
 void ProxyDaemon::accept(asio::ip::tcp::acceptor &acceptor,
-                         std::shared_ptr<const CallerServices> services)
+                         const std::shared_ptr<const CallerServices> &services)
 {
     acceptor.async_accept(
         [this, &acceptor, services](const std::error_code &error, asio::ip::tcp::socket socket) {
@@ -122,19 +122,19 @@
         noteReadiness();
         head.status = isReady() ? 200 : 503;
         head.reason = reasonOf(head.status);
-        caller->respond(std::move(head), {});
+        caller->respond(head, {});
         return;
     }
     if (request.head.path() == settings_.metricsPath) {
         head.status = 200;
         head.reason = reasonOf(200);
         head.headers.add("Content-Type", "text/plain; version=0.0.4");
-        caller->respond(std::move(head), metrics_.prometheusText());
+        caller->respond(head, metrics_.prometheusText());
         return;
     }
     head.status = 404;
     head.reason = reasonOf(404);
-    caller->respond(std::move(head), {});
+    caller->respond(head, {});
 }
 
 void ProxyDaemon::waitForSignal()
--- a/src/libs/proxy/proxydaemon.h
+++ b/src/libs/proxy/proxydaemon.h
@@ -36,7 +36,8 @@
     void onReload(std::function<void()> reload) { reload_ = std::move(reload); }
 
 private:
-    void accept(asio::ip::tcp::acceptor &acceptor, std::shared_ptr<const CallerServices> services);
+    void accept(asio::ip::tcp::acceptor &acceptor,
+                const std::shared_ptr<const CallerServices> &services);
     void answerStatus(const std::shared_ptr<CallerConnection> &caller,
                       const CallerRequest &request);
     void waitForSignal();
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -303,6 +303,7 @@
 
 Test(passthrough, neverPassesACutAnswerOnAsWhole)
 {
+    // NOLINTNEXTLINE(bugprone-suspicious-missing-comma): long literals continue on the next line
     const std::vector<std::string> cut{
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nContent-Length: 9\r\n\r\nhello",
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nTransfer-Encoding: "
--- a/tests/libs/proxy/tst_peers.cpp
+++ b/tests/libs/proxy/tst_peers.cpp
@@ -17,6 +17,7 @@
 std::vector<Base::VmId> vms(int count)
 {
     std::vector<Base::VmId> result;
+    result.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         result.emplace_back("vm-" + std::to_string(i));
     }
--- a/tests/platform/tst_platformadapter.cpp
+++ b/tests/platform/tst_platformadapter.cpp
@@ -43,7 +43,7 @@
 {
     std::vector<DocumentProblem> problems;
     // As it comes from the wire, where whole numbers have no sign.
-    const auto decoded = decodeServer("i-1", json::parse(entry.dump()), problems);
+    auto decoded = decodeServer("i-1", json::parse(entry.dump()), problems);
     cr_assert_eq(decoded.has_value(), problems.empty(), "an entry is used or its problem is noted");
     return decoded;
 }
