--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -303,8 +303,9 @@
 
 Test(passthrough, neverPassesACutAnswerOnAsWhole)
 {
-    // NOLINTNEXTLINE(bugprone-suspicious-missing-comma): long literals continue on the next line
     const std::vector<std::string> cut{
+        // NOLINTNEXTLINE(bugprone-suspicious-missing-comma): long literals continue on the next
+        // line
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nContent-Length: 9\r\n\r\nhello",
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nTransfer-Encoding: "
         "chunked\r\n\r\n5\r\nhello\r\n",
