Permits of a team from one daemon, a question for each request

Change: teams fall into four groups; the daemon on duty for a group holds the whole bucket (Admission::PermitPool) and is asked for each request's permit. Each daemon brings its even part along as a member, so pools of parts that are cut off from each other never hold more than the whole; pools start empty. The word 'hears most of the fleet' now comes from any of the four.

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -5,30 +5,44 @@
  */
 namespace cpp ProxyPeerProtocol
 
-/** Requests of one team that reached the sender. */
-struct TeamDemand {
-  1: string team
-  2: double perSecond
+/**
+ * The sender's even part of the rates of these groups of teams is in the receiver's pools for the
+ * time of a membership.
+ */
+struct PoolStatement {
+  1: i64 number
+  2: list<i32> groups
 }
 
-/** A daemon puts its even part of all rates into the receiver's pool for the validity of a share. */
-struct RateStatement {
+struct PoolAnswer {
   1: i64 number
-  2: list<TeamDemand> demands
+  /** The sender hears more than half of the fleet. */
+  2: bool hearsMost
 }
 
-/** Part of one team's rate and burst, from 0 to 1. */
-struct TeamShare {
-  1: string team
-  2: double share
+enum RequestUrgency {
+  NewProgram = 0
+  Started = 1
+  ToolCall = 2
 }
 
-/** Answer to a RateStatement; valid from when the statement was sent. */
-struct RateAnswer {
+/** Asks for the permit of one request of a team; a statement for the team's group as well. */
+struct PermitRequest {
   1: i64 number
-  2: list<TeamShare> shares
-  /** The sender hears more than half of the fleet. */
-  3: bool hearsMost
+  2: string team
+  3: RequestUrgency urgency
+}
+
+struct PermitAnswer {
+  1: i64 number
+  2: bool isAdmitted
+  /** Until the permit is there, or until a request fits if it was refused. */
+  3: i64 waitUs
+}
+
+/** The permit was not used; not answered. */
+struct PermitReturn {
+  1: string team
 }
 
 /** Asks the home of a program for a part of its token budget. */
@@ -89,13 +103,16 @@
 }
 
 union PeerBody {
-  1: RateStatement rateStatement
-  2: RateAnswer rateAnswer
+  1: PoolStatement poolStatement
+  2: PoolAnswer poolAnswer
   3: TokenRequest tokenRequest
   4: TokenAnswer tokenAnswer
   5: StillWorking stillWorking
   6: ClaimRelay claimRelay
   7: ClaimRelayAnswer claimRelayAnswer
+  8: PermitRequest permitRequest
+  9: PermitAnswer permitAnswer
+  10: PermitReturn permitReturn
 }
 
 struct PeerMessage {
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -142,7 +142,21 @@
         return;
     }
     urgency_ = urgency();
-    const Admission::ShareVerdict verdict = owner_.controls_.checkRate(team_->team, urgency_);
+    auto self = shared_from_this();
+    owner_.controls_.takePermit(
+        team_->team, urgency_, [self](const Admission::PermitVerdict &verdict) {
+            self->onPermitVerdict(verdict);
+        });
+}
+
+void Exchange::onPermitVerdict(const Admission::PermitVerdict &verdict)
+{
+    if (isEnded_) {
+        if (verdict.isAdmitted) {
+            owner_.controls_.returnPermit(team_->team);
+        }
+        return;
+    }
     if (!verdict.isAdmitted) {
         answerLocally(429, "over_rate", "rate of the team is used up", verdict.retryAfter);
         return;
@@ -548,7 +562,7 @@
     releaseServer(false);
     settle();
     if (hasPermit_) {
-        owner_.controls_.refundRate(team_->team);
+        owner_.controls_.returnPermit(team_->team);
     }
     --owner_.active_;
     owner_.countAnswer(ending.status, now() - request_.arrivedAt);
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -31,6 +31,7 @@
     bool isTurn() const;
     Admission::Urgency urgency() const;
     void checkRate();
+    void onPermitVerdict(const Admission::PermitVerdict &verdict);
     void checkBudget();
     void onBudgetVerdict(BudgetVerdict verdict);
     void armDeadline();
@@ -96,7 +97,7 @@
     Programs::ReservationId reservation_;
     bool isReserved_ = false;
     Admission::Urgency urgency_ = Admission::Urgency::Started;
-    /// A permit was taken and no server has got the request yet.
+    /// A permit was taken, and no server has got the request yet.
     bool hasPermit_ = false;
     bool isEnded_ = false;
 };
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -6,7 +6,7 @@
 #include "programmemory.h"
 #include "requesttraits.h"
 
-#include <admission/rateshares.h>
+#include <admission/permitpool.h>
 #include <contracts/routingtable.h>
 #include <dispatch/requestplacer.h>
 #include <programs/tokenledger.h>
@@ -51,9 +51,12 @@
 /// The parts that decide whether a request may run.
 struct AdmissionControls
 {
-    std::function<Admission::ShareVerdict(const Contracts::Team &, Admission::Urgency)> checkRate;
-    /// An admitted request was sent to no server.
-    std::function<void(const Contracts::Team &)> refundRate;
+    using PermitCallback = std::function<void(const Admission::PermitVerdict &)>;
+
+    /// Takes the permit of one request; answers once, now or later.
+    std::function<void(const Contracts::Team &, Admission::Urgency, PermitCallback)> takePermit;
+    /// The request of a permit was sent to no server.
+    std::function<void(const Contracts::Team &)> returnPermit;
     /// Reserves the most that the turn may generate, for a program that is forgotten after the
     /// given pause; answers once, now or later.
     std::function<Programs::ReservationId(
--- a/src/libs/proxy/peerlink.cpp
+++ b/src/libs/proxy/peerlink.cpp
@@ -14,12 +14,16 @@
 /// of a turn for a claim is shorter.
 constexpr Base::Duration longestWork = std::chrono::milliseconds(900);
 
+/// Each daemon states its part of the rates to some others every 500 ms, and they answer.
+constexpr Base::Duration aloneAfter = std::chrono::milliseconds(800);
+
 /// The number of the question that a body answers; nothing for questions.
 std::optional<QuestionNumber> answeredNumber(const PeerBody &body)
 {
     using Result = std::optional<QuestionNumber>;
     return std::visit(
-        Base::Visitor{[](const RateAnswer &answer) { return Result(answer.number); },
+        Base::Visitor{[](const PoolAnswer &answer) { return Result(answer.number); },
+                      [](const PermitAnswer &answer) { return Result(answer.number); },
                       [](const TokenAnswer &answer) { return Result(answer.number); },
                       [](const ClaimRelayAnswer &answer) { return Result(answer.number); },
                       [](const auto &) { return Result(); }},
@@ -70,6 +74,11 @@
     return entry == endpoints_.end() ? std::nullopt : std::optional(entry->second);
 }
 
+bool PeerLink::isAlone() const
+{
+    return now_() - lastHeardAt_ >= aloneAfter;
+}
+
 QuestionNumber PeerLink::nextNumber()
 {
     lastNumber_ = lastNumber_.next();
@@ -130,6 +139,7 @@
         metrics_.counter("marjoram_peer_unusable_total", "Datagrams from nobody known").add();
         return;
     }
+    lastHeardAt_ = now_();
     if (message->routingVersion > routingVersion_ && onNewerVersion_) {
         onNewerVersion_(message->sender);
     }
--- a/src/libs/proxy/peerlink.h
+++ b/src/libs/proxy/peerlink.h
@@ -54,6 +54,9 @@
     void ask(const Base::VmId &peer, QuestionNumber number, PeerBody body, Answered answered);
     void answer(const Base::VmId &peer, PeerBody body);
 
+    /// Whether nothing has been heard from any other daemon for some time.
+    bool isAlone() const;
+
     PeerRoster &roster() { return roster_; }
     std::optional<asio::ip::udp::endpoint> endpointOf(const Base::VmId &peer) const;
 
@@ -90,6 +93,7 @@
     std::unordered_map<QuestionNumber, Question> questions_;
     QuestionNumber lastNumber_;
     Base::ConfigVersion routingVersion_;
+    Base::Instant lastHeardAt_;
     std::function<void(const Base::VmId &)> onNewerVersion_;
     Asked asked_;
 };
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -50,6 +50,49 @@
     return Programs::TurnVerdict::Unavailable;
 }
 
+Wire::RequestUrgency::type toWire(Admission::Urgency urgency)
+{
+    switch (urgency) {
+    case Admission::Urgency::NewProgram:
+        return Wire::RequestUrgency::NewProgram;
+    case Admission::Urgency::Started:
+        return Wire::RequestUrgency::Started;
+    case Admission::Urgency::ToolCall:
+        break;
+    }
+    return Wire::RequestUrgency::ToolCall;
+}
+
+Admission::Urgency urgencyFromWire(Wire::RequestUrgency::type urgency)
+{
+    switch (urgency) {
+    case Wire::RequestUrgency::NewProgram:
+        return Admission::Urgency::NewProgram;
+    case Wire::RequestUrgency::ToolCall:
+        return Admission::Urgency::ToolCall;
+    case Wire::RequestUrgency::Started:
+        break;
+    }
+    return Admission::Urgency::Started;
+}
+
+Wire::PermitAnswer toWire(const PermitAnswer &answer)
+{
+    const Admission::PermitVerdict &verdict = answer.verdict;
+    Wire::PermitAnswer part;
+    part.number = toWire(answer.number);
+    part.isAdmitted = verdict.isAdmitted;
+    part.waitUs = (verdict.isAdmitted ? verdict.wait : verdict.retryAfter).count();
+    return part;
+}
+
+Admission::PermitVerdict verdictFromWire(const Wire::PermitAnswer &answer)
+{
+    const Base::Duration wait(std::max<std::int64_t>(0, answer.waitUs));
+    return answer.isAdmitted ? Admission::PermitVerdict{true, wait, {}}
+                             : Admission::PermitVerdict{false, {}, wait};
+}
+
 Wire::ClaimRelayAnswer toWire(const ClaimRelayAnswer &answer)
 {
     Wire::ClaimRelayAnswer part;
@@ -92,28 +135,32 @@
     Wire::PeerBody wire;
     std::visit(
         Base::Visitor{
-            [&](const RateStatement &statement) {
-                Wire::RateStatement part;
+            [&](const PoolStatement &statement) {
+                Wire::PoolStatement part;
                 part.number = toWire(statement.number);
-                for (const Admission::TeamDemand &demand : statement.demands) {
-                    Wire::TeamDemand each;
-                    each.team = demand.team.text();
-                    each.perSecond = demand.perSecond;
-                    part.demands.push_back(std::move(each));
+                for (const TeamGroup group : statement.groups) {
+                    part.groups.push_back(group.value());
                 }
-                wire.__set_rateStatement(part);
+                wire.__set_poolStatement(part);
             },
-            [&](const RateAnswer &answer) {
-                Wire::RateAnswer part;
+            [&](const PoolAnswer &answer) {
+                Wire::PoolAnswer part;
                 part.number = toWire(answer.number);
-                for (const Admission::TeamShare &share : answer.shares) {
-                    Wire::TeamShare each;
-                    each.team = share.team.text();
-                    each.share = share.share;
-                    part.shares.push_back(std::move(each));
-                }
                 part.hearsMost = answer.hearsMost;
-                wire.__set_rateAnswer(part);
+                wire.__set_poolAnswer(part);
+            },
+            [&](const PermitRequest &request) {
+                Wire::PermitRequest part;
+                part.number = toWire(request.number);
+                part.team = request.team.text();
+                part.urgency = toWire(request.urgency);
+                wire.__set_permitRequest(part);
+            },
+            [&](const PermitAnswer &answer) { wire.__set_permitAnswer(toWire(answer)); },
+            [&](const PermitReturn &back) {
+                Wire::PermitReturn part;
+                part.team = back.team.text();
+                wire.__set_permitReturn(part);
             },
             [&](const TokenRequest &request) {
                 Wire::TokenRequest part;
@@ -155,19 +202,27 @@
 
 std::optional<PeerBody> fromWire(const Wire::PeerBody &wire)
 {
-    if (wire.__isset.rateStatement) {
-        RateStatement statement{numberFromWire(wire.rateStatement.number), {}};
-        for (const Wire::TeamDemand &demand : wire.rateStatement.demands) {
-            statement.demands.push_back({Base::TeamId(demand.team), demand.perSecond});
+    if (wire.__isset.poolStatement) {
+        PoolStatement statement{numberFromWire(wire.poolStatement.number), {}};
+        for (const std::int32_t group : wire.poolStatement.groups) {
+            statement.groups.emplace_back(group);
         }
         return statement;
     }
-    if (wire.__isset.rateAnswer) {
-        RateAnswer answer{numberFromWire(wire.rateAnswer.number), {}, wire.rateAnswer.hearsMost};
-        for (const Wire::TeamShare &share : wire.rateAnswer.shares) {
-            answer.shares.push_back({Base::TeamId(share.team), share.share});
-        }
-        return answer;
+    if (wire.__isset.poolAnswer) {
+        return PoolAnswer{numberFromWire(wire.poolAnswer.number), wire.poolAnswer.hearsMost};
+    }
+    if (wire.__isset.permitRequest) {
+        return PermitRequest{numberFromWire(wire.permitRequest.number),
+                             Base::TeamId(wire.permitRequest.team),
+                             urgencyFromWire(wire.permitRequest.urgency)};
+    }
+    if (wire.__isset.permitAnswer) {
+        return PermitAnswer{numberFromWire(wire.permitAnswer.number),
+                            verdictFromWire(wire.permitAnswer)};
+    }
+    if (wire.__isset.permitReturn) {
+        return PermitReturn{Base::TeamId(wire.permitReturn.team)};
     }
     if (wire.__isset.tokenRequest) {
         const Wire::TokenRequest &request = wire.tokenRequest;
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <admission/ratepool.h>
+#include <admission/permitpool.h>
 #include <base/types.h>
 #include <programs/tokenledger.h>
 
@@ -15,23 +15,51 @@
 /// Position of a question among those of one daemon.
 using QuestionNumber = Base::StrongNumber<struct QuestionNumberTag, std::uint64_t>;
 
-/// Puts the sender's part of all rates into the receiver's pool.
-struct RateStatement
+/// A part of all teams whose permits one daemon gives.
+using TeamGroup = Base::StrongNumber<struct TeamGroupTag, std::int32_t>;
+
+/// Puts the sender's part of the groups' rates into the receiver's pools.
+struct PoolStatement
 {
     QuestionNumber number;
-    std::vector<Admission::TeamDemand> demands;
+    std::vector<TeamGroup> groups;
 
-    bool operator==(const RateStatement &) const = default;
+    bool operator==(const PoolStatement &) const = default;
 };
 
-struct RateAnswer
+struct PoolAnswer
 {
     QuestionNumber number;
-    std::vector<Admission::TeamShare> shares;
     /// The sender hears more than half of the fleet.
     bool hearsMost = false;
 
-    bool operator==(const RateAnswer &) const = default;
+    bool operator==(const PoolAnswer &) const = default;
+};
+
+/// Asks for the permit of one request; a statement for the team's group as well.
+struct PermitRequest
+{
+    QuestionNumber number;
+    Base::TeamId team;
+    Admission::Urgency urgency = Admission::Urgency::Started;
+
+    bool operator==(const PermitRequest &) const = default;
+};
+
+struct PermitAnswer
+{
+    QuestionNumber number;
+    Admission::PermitVerdict verdict;
+
+    bool operator==(const PermitAnswer &) const = default;
+};
+
+/// A permit that was not used; not answered.
+struct PermitReturn
+{
+    Base::TeamId team;
+
+    bool operator==(const PermitReturn &) const = default;
 };
 
 /// Asks the home of a program for a part of its token budget.
@@ -83,8 +111,11 @@
     bool operator==(const ClaimRelayAnswer &) const = default;
 };
 
-using PeerBody = std::variant<RateStatement,
-                              RateAnswer,
+using PeerBody = std::variant<PoolStatement,
+                              PoolAnswer,
+                              PermitRequest,
+                              PermitAnswer,
+                              PermitReturn,
                               TokenRequest,
                               TokenAnswer,
                               StillWorking,
--- a/src/libs/proxy/ratesharing.cpp
+++ b/src/libs/proxy/ratesharing.cpp
@@ -1,20 +1,33 @@
 #include "ratesharing.h"
 
+#include <base/random.h>
+
+#include <map>
+
 namespace Proxy {
 
 namespace {
 
-/// Demand moves between daemons within about a second; the bounds count in windows of 5 s.
-constexpr Base::Duration statementInterval = std::chrono::milliseconds(250);
+/// A home of a group answers the statements of the whole fleet: 128 a second with 64 daemons.
+constexpr Base::Duration statementInterval = std::chrono::milliseconds(500);
 
-/// Longer than some lost statements, and short against the windows in which limits are counted.
-constexpr Base::Duration shareValidity = std::chrono::milliseconds(1000);
+/// Two statements, and short against the windows of 5 s in which limits are counted, as a daemon
+/// that changes sides is a member of two pools for that long.
+constexpr Base::Duration membership = std::chrono::milliseconds(1100);
 
-/// Two statements; a claim that fails tells later that the store is away.
+/// A statement and its answer; a claim that fails tells later that the store is away.
 constexpr Base::Duration contactTime = std::chrono::milliseconds(600);
 
-/// All rates are divided by one daemon at a time.
-constexpr const char *dutyName = "rates";
+/// Questions for one permit before this daemon gives it from its own part.
+constexpr int permitAttempts = 3;
+
+/// A question is repeated after 30 ms, and its answer may take as long.
+constexpr Base::Duration repeatTime = std::chrono::milliseconds(200);
+
+std::string dutyName(std::size_t group)
+{
+    return "rates/" + std::to_string(group);
+}
 
 } // namespace
 
@@ -26,80 +39,185 @@
     , peers_(peers)
     , now_(std::move(now))
     , timer_(context)
-    , pool_(shareValidity)
+    , pools_{Admission::PermitPool(membership),
+             Admission::PermitPool(membership),
+             Admission::PermitPool(membership),
+             Admission::PermitPool(membership)}
 {}
 
-void RateSharing::configure(const TeamLimits &limits)
+std::size_t RateSharing::groupOf(const Base::TeamId &team)
+{
+    return Base::hash64(team.text()) % groupCount;
+}
+
+Base::VmId RateSharing::dutyOf(std::size_t group) const
+{
+    return peers_.roster().onDuty(dutyName(group), now_());
+}
+
+/// A daemon that hears nobody gives permits from its own part only.
+Base::VmId RateSharing::homeOf(std::size_t group) const
+{
+    return peers_.isAlone() ? self_ : dutyOf(group);
+}
+
+void RateSharing::configure(const Admission::TeamLimits &limits)
 {
-    shares_.configure(limits, now_());
-    pool_.configure(limits);
+    std::array<Admission::TeamLimits, groupCount> parts;
+    limited_.clear();
+    for (const auto &[team, limit] : limits) {
+        limited_.insert(team);
+        parts[groupOf(team)].emplace_back(team, limit);
+    }
+    for (std::size_t group = 0; group < groupCount; ++group) {
+        pools_[group].configure(parts[group], now_());
+    }
 }
 
 void RateSharing::setDaemonCount(std::size_t count)
 {
-    pool_.setDaemonCount(count);
-    shares_.setShare(1.0 / static_cast<double>(std::max<std::size_t>(1, count)), now_());
+    for (Admission::PermitPool &pool : pools_) {
+        pool.setDaemonCount(count, now_());
+    }
     if (!isStarted_) {
         isStarted_ = true;
-        stateDemand();
+        state();
+    }
+}
+
+void RateSharing::acquire(const Base::TeamId &team,
+                          Admission::Urgency urgency,
+                          PermitCallback callback)
+{
+    if (!limited_.contains(team)) {
+        callback({});
+        return;
+    }
+    ask(team, urgency, std::move(callback), 1);
+}
+
+void RateSharing::ask(const Base::TeamId &team,
+                      Admission::Urgency urgency,
+                      PermitCallback callback,
+                      int attempt)
+{
+    const std::size_t index = groupOf(team);
+    const Base::Instant askedAt = now_();
+    const Base::VmId home = homeOf(index);
+    if (home == self_ || attempt > permitAttempts) {
+        Admission::PermitPool &pool = pools_[index];
+        pool.joined(self_, askedAt);
+        callback(pool.admit(team, urgency, askedAt));
+        return;
     }
+    const QuestionNumber number = peers_.nextNumber();
+    auto answered
+        = [this, team, urgency, callback = std::move(callback), attempt](const PeerBody *body) {
+              if (const auto *answer = body ? std::get_if<PermitAnswer>(body) : nullptr) {
+                  callback(answer->verdict);
+              } else {
+                  ask(team, urgency, callback, attempt + 1);
+              }
+          };
+    peers_.ask(home, number, PermitRequest{number, team, urgency}, std::move(answered));
 }
 
-Admission::ShareVerdict RateSharing::admit(const Base::TeamId &team, Admission::Urgency urgency)
+void RateSharing::giveBack(const Base::TeamId &team)
 {
-    return shares_.admit(team, urgency, now_());
+    const Base::VmId home = homeOf(groupOf(team));
+    if (home == self_) {
+        onPermitReturn({team});
+    } else {
+        peers_.answer(home, PermitReturn{team});
+    }
 }
 
-void RateSharing::refund(const Base::TeamId &team)
+void RateSharing::onPermitReturn(const PermitReturn &back)
 {
-    shares_.refund(team, now_());
+    pools_[groupOf(back.team)].refund(back.team, now_());
 }
 
-void RateSharing::onRateStatement(const Base::VmId &sender, const RateStatement &statement)
+void RateSharing::onPermitRequest(const Base::VmId &sender, const PermitRequest &request)
 {
     const Base::Instant now = now_();
-    RateAnswer answer{statement.number, pool_.stated(sender, statement.demands, now)};
-    answer.hearsMost = pool_.hearsMostSince(now - contactTime);
-    peers_.answer(sender, std::move(answer));
+    while (!given_.empty() && now - given_.front().givenAt >= repeatTime) {
+        given_.pop_front();
+    }
+    for (const GivenAnswer &given : given_) {
+        if (given.sender == sender && given.answer.number == request.number) {
+            peers_.answer(sender, given.answer);
+            return;
+        }
+    }
+    Admission::PermitPool &pool = pools_[groupOf(request.team)];
+    pool.joined(sender, now);
+    const PermitAnswer answer{request.number, pool.admit(request.team, request.urgency, now)};
+    given_.push_back({sender, answer, now});
+    peers_.answer(sender, answer);
 }
 
-bool RateSharing::isWithMost() const
+void RateSharing::onPoolStatement(const Base::VmId &sender, const PoolStatement &statement)
 {
-    const Base::Instant since = now_() - contactTime;
-    if (peers_.roster().isFirstChoice(dutyName)) {
-        return pool_.hearsMostSince(since);
+    for (const TeamGroup group : statement.groups) {
+        if (group.value() >= 0 && static_cast<std::size_t>(group.value()) < groupCount) {
+            pools_[static_cast<std::size_t>(group.value())].joined(sender, now_());
+        }
     }
-    return wasWithMostAt_ && *wasWithMostAt_ >= since;
+    peers_.answer(sender, PoolAnswer{statement.number, hearsMost()});
 }
 
-void RateSharing::stateDemand()
+bool RateSharing::hearsMost() const
 {
-    const Base::Instant askedAt = now_();
-    const Base::VmId divider = peers_.roster().onDuty(dutyName, askedAt);
-    const std::vector<Admission::TeamDemand> demands = shares_.demands(askedAt);
-    if (divider == self_) {
-        shares_.setTeamShares(
-            pool_.stated(self_, demands, askedAt), askedAt + shareValidity, askedAt);
-        stateLater();
-        return;
+    const Base::Instant since = now_() - contactTime;
+    return std::any_of(pools_.begin(), pools_.end(), [&](const Admission::PermitPool &pool) {
+        return pool.hearsMostSince(since);
+    });
+}
+
+bool RateSharing::isWithMost() const
+{
+    return hearsMost() || (wasWithMostAt_ && *wasWithMostAt_ >= now_() - contactTime);
+}
+
+/// Every group's home is told of this daemon's part, one datagram for each home.
+void RateSharing::state()
+{
+    std::map<Base::VmId, std::vector<TeamGroup>> homes;
+    for (std::size_t group = 0; group < groupCount; ++group) {
+        const Base::VmId home = dutyOf(group);
+        if (home == self_ || peers_.isAlone()) {
+            pools_[group].joined(self_, now_());
+        }
+        homes[home].emplace_back(static_cast<std::int32_t>(group));
+    }
+    for (auto &[home, groups] : homes) {
+        if (home != self_) {
+            stateTo(home, std::move(groups));
+        }
     }
-    const QuestionNumber number = peers_.nextNumber();
-    peers_.ask(
-        divider, number, RateStatement{number, demands}, [this, askedAt](const PeerBody *body) {
-            const auto *answer = body ? std::get_if<RateAnswer>(body) : nullptr;
-            if (answer) {
-                shares_.setTeamShares(answer->shares, askedAt + shareValidity, now_());
-            }
-        });
     stateLater();
 }
 
+void RateSharing::stateTo(const Base::VmId &home, std::vector<TeamGroup> groups)
+{
+    const QuestionNumber number = peers_.nextNumber();
+    peers_.ask(home,
+               number,
+               PoolStatement{number, std::move(groups)},
+               [this, statedAt = now_()](const PeerBody *body) {
+                   const auto *answer = body ? std::get_if<PoolAnswer>(body) : nullptr;
+                   if (answer && answer->hearsMost) {
+                       wasWithMostAt_ = statedAt;
+                   }
+               });
+}
+
 void RateSharing::stateLater()
 {
     timer_.expires_after(statementInterval);
     timer_.async_wait([this](const std::error_code &error) {
         if (!error) {
-            stateDemand();
+            state();
         }
     });
 }
--- a/src/libs/proxy/ratesharing.h
+++ b/src/libs/proxy/ratesharing.h
@@ -2,48 +2,78 @@
 
 #include "peerlink.h"
 
-#include <admission/rateshares.h>
+#include <admission/permitpool.h>
 
 #include <asio/steady_timer.hpp>
 
-namespace Proxy {
+#include <array>
+#include <deque>
+#include <set>
 
-using TeamLimits = std::vector<std::pair<Base::TeamId, Admission::RateLimit>>;
+namespace Proxy {
 
-/// Keeps the rates of teams over the whole fleet: admits by this daemon's shares, states its demand
-/// to the daemon that divides the rates, and divides them while this daemon is on that duty.
+/// Keeps the rates of teams over the whole fleet. Teams fall into groups; one daemon, on that duty
+/// by the roster, gives the permits of a group's teams, one for each request. This class asks for
+/// permits and gives those of the groups that this daemon is on duty for.
 class RateSharing
 {
 public:
+    using PermitCallback = std::function<void(const Admission::PermitVerdict &)>;
+
     RateSharing(asio::io_context &context,
                 Base::VmId self,
                 PeerLink &peers,
                 std::function<Base::Instant()> now);
 
-    void configure(const TeamLimits &limits);
+    void configure(const Admission::TeamLimits &limits);
     /// Daemons of the fleet, whether they answer or not.
     void setDaemonCount(std::size_t count);
 
-    Admission::ShareVerdict admit(const Base::TeamId &team, Admission::Urgency urgency);
-    void refund(const Base::TeamId &team);
-    /// Whether this daemon is in one part with more than half of the fleet, as far as the first
-    /// choice for dividing the rates tells: every daemon states its demand there. While that daemon
-    /// is lost nobody is known to be.
+    /// Calls back once, at once or after the answer of the daemon on duty.
+    void acquire(const Base::TeamId &team, Admission::Urgency urgency, PermitCallback callback);
+    /// The permit was not used.
+    void giveBack(const Base::TeamId &team);
+    /// Whether this daemon is in one part with more than half of the fleet: it hears most daemons,
+    /// or one that it hears says so.
     bool isWithMost() const;
 
-    void onRateStatement(const Base::VmId &sender, const RateStatement &statement);
+    void onPoolStatement(const Base::VmId &sender, const PoolStatement &statement);
+    void onPermitRequest(const Base::VmId &sender, const PermitRequest &request);
+    void onPermitReturn(const PermitReturn &back);
 
 private:
-    void stateDemand();
+    static constexpr std::size_t groupCount = 4;
+
+    /// An answer that is given again if the question is repeated.
+    struct GivenAnswer
+    {
+        Base::VmId sender;
+        PermitAnswer answer;
+        Base::Instant givenAt;
+    };
+
+    static std::size_t groupOf(const Base::TeamId &team);
+    Base::VmId dutyOf(std::size_t group) const;
+    Base::VmId homeOf(std::size_t group) const;
+    void ask(const Base::TeamId &team,
+             Admission::Urgency urgency,
+             PermitCallback callback,
+             int attempt);
+    void state();
+    void stateTo(const Base::VmId &home, std::vector<TeamGroup> groups);
     void stateLater();
+    bool hearsMost() const;
 
     Base::VmId self_;
     PeerLink &peers_;
     std::function<Base::Instant()> now_;
     asio::steady_timer timer_;
-    Admission::RateShares shares_;
-    Admission::RatePool pool_;
-    /// When the statement was sent that the first choice last answered so.
+    /// Pools of the groups; members turn to those of groups that this daemon is on duty for.
+    std::array<Admission::PermitPool, groupCount> pools_;
+    /// Teams that have a limit.
+    std::set<Base::TeamId> limited_;
+    std::deque<GivenAnswer> given_;
+    /// When the statement was sent that was last answered with the word that most are heard.
     std::optional<Base::Instant> wasWithMostAt_;
     bool isStarted_ = false;
 };
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -175,8 +175,8 @@
     static AdmissionControls controls()
     {
         AdmissionControls result;
-        result.checkRate = [](const auto &, auto) { return Admission::ShareVerdict{}; };
-        result.refundRate = [](const auto &) {};
+        result.takePermit = [](const auto &, auto, const auto &callback) { callback({}); };
+        result.returnPermit = [](const auto &) {};
         return result;
     }
 
--- a/tests/libs/proxy/tst_peers.cpp
+++ b/tests/libs/proxy/tst_peers.cpp
@@ -30,8 +30,12 @@
 {
     const QuestionNumber number(7);
     const std::vector<PeerBody> bodies{
-        RateStatement{number, {{Base::TeamId("a"), 12.5}, {Base::TeamId("b"), 0.25}}},
-        RateAnswer{number, {{Base::TeamId("a"), 0.5}}, true},
+        PoolStatement{number, {TeamGroup(0), TeamGroup(3)}},
+        PoolAnswer{number, true},
+        PermitRequest{number, Base::TeamId("a"), Admission::Urgency::ToolCall},
+        PermitAnswer{number, {true, std::chrono::milliseconds(30), {}}},
+        PermitAnswer{number, {false, {}, std::chrono::milliseconds(300)}},
+        PermitReturn{Base::TeamId("a")},
         TokenRequest{number,
                      Base::ProgramId("p"),
                      Base::Tokens(900),
