Few daemons read the store for all

Change: every message between daemons says at which revision the sender's list changed, at which it was last confirmed and how old that is (Proxy::SharedList). The daemons that give permits, which all others hear twice a second, read for them: the first at an age of 0.8 s, the second at 1.0 s, any other daemon only at 1.3 s. Changes are told to all at once. Only the first two watch the configuration. Tests: tst_sharedlist, readsNothingThatOthersConfirm, readsForItselfWhatNobodyConfirms. A configuration that is absent counts as read, or a list would be kept for ever as if the store had just come back (keepsItsServersWhileTheStoreIsAway failed so before this was mended). Ruled out: word of every read to every daemon (64 datagrams every 0.8 s).

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -5,6 +5,19 @@
  */
 namespace cpp ProxyPeerProtocol
 
+/** What the sender knows of the list of servers in the store. */
+struct ListStatement {
+  /** Revision at which the list was first seen with this content. */
+  1: i64 changedAt
+  /** Revision at which it was last known to have it, and the time since that was read. */
+  2: i64 confirmedAt
+  3: i64 ageMs
+}
+
+/** Says nothing but what every message does; not answered. */
+struct Notice {
+}
+
 /**
  * The sender's even part of the rates of these groups of teams is in the receiver's pools for the
  * time of a membership.
@@ -113,6 +126,7 @@
   8: PermitRequest permitRequest
   9: PermitAnswer permitAnswer
   10: PermitReturn permitReturn
+  11: Notice notice
 }
 
 struct PeerMessage {
@@ -120,4 +134,5 @@
   /** Version of the routing document that the sender has. */
   2: i64 routingVersion
   3: PeerBody body
+  4: optional ListStatement servers
 }
--- a/src/libs/proxy/peerlink.cpp
+++ b/src/libs/proxy/peerlink.cpp
@@ -89,7 +89,7 @@
 {
     Question question;
     question.peer = peer;
-    question.bytes = encodePeerMessage({self_, routingVersion_, std::move(body)});
+    question.bytes = encode(std::move(body));
     question.answered = std::move(answered);
     question.due = now_() + answerTimeout;
     send(peer, question.bytes);
@@ -99,7 +99,34 @@
 
 void PeerLink::answer(const Base::VmId &peer, PeerBody body)
 {
-    send(peer, encodePeerMessage({self_, routingVersion_, std::move(body)}));
+    send(peer, encode(std::move(body)));
+}
+
+std::string PeerLink::encode(PeerBody body) const
+{
+    return encodePeerMessage({self_,
+                              routingVersion_,
+                              std::move(body),
+                              statedServers_ ? statedServers_() : std::nullopt});
+}
+
+void PeerLink::notify(const std::vector<Base::VmId> &peers)
+{
+    const std::string bytes = encode(Notice{});
+    for (const Base::VmId &peer : peers) {
+        send(peer, bytes);
+    }
+}
+
+void PeerLink::notifyAll()
+{
+    std::vector<Base::VmId> others;
+    for (const auto &[vm, endpoint] : endpoints_) {
+        if (vm != self_) {
+            others.push_back(vm);
+        }
+    }
+    notify(others);
 }
 
 /// A datagram that can't be sent is as good as lost.
@@ -140,8 +167,11 @@
         return;
     }
     lastHeardAt_ = now_();
-    if (message->routingVersion > routingVersion_ && onNewerVersion_) {
-        onNewerVersion_(message->sender);
+    if (onStated_) {
+        onStated_(message->sender, message->routingVersion, message->servers);
+    }
+    if (std::holds_alternative<Notice>(message->body)) {
+        return;
     }
     if (const auto *working = std::get_if<StillWorking>(&message->body)) {
         extend(working->number, message->sender);
--- a/src/libs/proxy/peerlink.h
+++ b/src/libs/proxy/peerlink.h
@@ -43,11 +43,18 @@
     void setDaemons(const std::vector<PeerAddress> &daemons);
     /// Goes into every message.
     void setRoutingVersion(Base::ConfigVersion version) { routingVersion_ = version; }
-    /// Called when a peer states a newer version than this daemon's.
-    void onNewerVersion(std::function<void(const Base::VmId &)> callback)
+    /// What this daemon knows of the list of servers; goes into every message.
+    void stateServers(std::function<std::optional<ListStatement>()> statement)
     {
-        onNewerVersion_ = std::move(callback);
+        statedServers_ = std::move(statement);
     }
+    /// Called with what a peer's message says: its version of the routing document and its list.
+    using Stated = std::function<void(
+        const Base::VmId &, Base::ConfigVersion, const std::optional<ListStatement> &)>;
+    void onStated(Stated callback) { onStated_ = std::move(callback); }
+    /// Tells the daemons what every message says.
+    void notify(const std::vector<Base::VmId> &peers);
+    void notifyAll();
 
     QuestionNumber nextNumber();
     /// The body's number has to be from nextNumber().
@@ -70,6 +77,7 @@
         bool isRepeated = false;
     };
 
+    std::string encode(PeerBody body) const;
     void receive();
     void onDatagram(std::string_view bytes);
     void send(const Base::VmId &peer, const std::string &bytes);
@@ -94,7 +102,8 @@
     QuestionNumber lastNumber_;
     Base::ConfigVersion routingVersion_;
     Base::Instant lastHeardAt_;
-    std::function<void(const Base::VmId &)> onNewerVersion_;
+    std::function<std::optional<ListStatement>()> statedServers_;
+    Stated onStated_;
     Asked asked_;
 };
 
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -50,6 +50,22 @@
     return Programs::TurnVerdict::Unavailable;
 }
 
+Wire::ListStatement toWire(const ListStatement &statement)
+{
+    Wire::ListStatement part;
+    part.changedAt = static_cast<std::int64_t>(statement.changedAt);
+    part.confirmedAt = static_cast<std::int64_t>(statement.confirmedAt);
+    part.ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(statement.age).count();
+    return part;
+}
+
+ListStatement statementFromWire(const Wire::ListStatement &statement)
+{
+    return {static_cast<std::uint64_t>(statement.changedAt),
+            static_cast<std::uint64_t>(statement.confirmedAt),
+            std::chrono::milliseconds(std::max<std::int64_t>(0, statement.ageMs))};
+}
+
 Wire::RequestUrgency::type toWire(Admission::Urgency urgency)
 {
     switch (urgency) {
@@ -195,7 +211,8 @@
                 part.writeId = relay.claim.writeId.text();
                 wire.__set_claimRelay(part);
             },
-            [&](const ClaimRelayAnswer &answer) { wire.__set_claimRelayAnswer(toWire(answer)); }},
+            [&](const ClaimRelayAnswer &answer) { wire.__set_claimRelayAnswer(toWire(answer)); },
+            [&](const Notice &) { wire.__set_notice({}); }},
         body);
     return wire;
 }
@@ -252,6 +269,9 @@
         return ClaimRelayAnswer{numberFromWire(wire.claimRelayAnswer.number),
                                 outcomeFromWire(wire.claimRelayAnswer)};
     }
+    if (wire.__isset.notice) {
+        return Notice{};
+    }
     if (wire.__isset.stillWorking) {
         return StillWorking{numberFromWire(wire.stillWorking.number)};
     }
@@ -266,6 +286,9 @@
     wire.sender = message.sender.text();
     wire.routingVersion = static_cast<std::int64_t>(message.routingVersion.value());
     wire.body = toWire(message.body);
+    if (message.servers) {
+        wire.__set_servers(toWire(*message.servers));
+    }
     const auto buffer = std::make_shared<TMemoryBuffer>();
     TCompactProtocol protocol(buffer);
     wire.write(&protocol);
@@ -285,9 +308,14 @@
         if (!body || wire.routingVersion < 0) {
             return std::nullopt;
         }
-        return PeerMessage{Base::VmId(wire.sender),
-                           Base::ConfigVersion(static_cast<std::uint64_t>(wire.routingVersion)),
-                           *body};
+        PeerMessage message{Base::VmId(wire.sender),
+                            Base::ConfigVersion(static_cast<std::uint64_t>(wire.routingVersion)),
+                            *body,
+                            {}};
+        if (wire.__isset.servers) {
+            message.servers = statementFromWire(wire.servers);
+        }
+        return message;
     } catch (const apache::thrift::TException &) {
         return std::nullopt; // the caller logs bytes that are no message
     }
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "sharedlist.h"
+
 #include <admission/permitpool.h>
 #include <base/types.h>
 #include <programs/tokenledger.h>
@@ -111,6 +113,12 @@
     bool operator==(const ClaimRelayAnswer &) const = default;
 };
 
+/// Says nothing but what every message does; not answered.
+struct Notice
+{
+    bool operator==(const Notice &) const = default;
+};
+
 using PeerBody = std::variant<PoolStatement,
                               PoolAnswer,
                               PermitRequest,
@@ -120,7 +128,8 @@
                               TokenAnswer,
                               StillWorking,
                               ClaimRelay,
-                              ClaimRelayAnswer>;
+                              ClaimRelayAnswer,
+                              Notice>;
 
 /// One datagram between daemons.
 struct PeerMessage
@@ -129,6 +138,8 @@
     /// Version of the routing document that the sender has; 0 for none.
     Base::ConfigVersion routingVersion;
     PeerBody body;
+    /// What the sender knows of the list of servers; nothing if it has none.
+    std::optional<ListStatement> servers;
 
     bool operator==(const PeerMessage &) const = default;
 };
--- a/src/libs/proxy/ratesharing.cpp
+++ b/src/libs/proxy/ratesharing.cpp
@@ -61,6 +61,18 @@
     return peers_.isAlone() ? self_ : dutyOf(group);
 }
 
+std::vector<Base::VmId> RateSharing::homes() const
+{
+    std::vector<Base::VmId> result;
+    for (std::size_t group = 0; group < groupCount; ++group) {
+        const Base::VmId home = dutyOf(group);
+        if (std::find(result.begin(), result.end(), home) == result.end()) {
+            result.push_back(home);
+        }
+    }
+    return result;
+}
+
 void RateSharing::configure(const Admission::TeamLimits &limits)
 {
     std::array<Admission::TeamLimits, groupCount> parts;
--- a/src/libs/proxy/ratesharing.h
+++ b/src/libs/proxy/ratesharing.h
@@ -37,6 +37,10 @@
     /// or one that it hears says so.
     bool isWithMost() const;
 
+    /// The daemons that give permits, each once, in the order of their groups; every daemon hears
+    /// from them twice a second.
+    std::vector<Base::VmId> homes() const;
+
     void onPoolStatement(const Base::VmId &sender, const PoolStatement &statement);
     void onPermitRequest(const Base::VmId &sender, const PermitRequest &request);
     void onPermitReturn(const PermitReturn &back);
--- a/tests/libs/proxy/tst_peers.cpp
+++ b/tests/libs/proxy/tst_peers.cpp
@@ -54,9 +54,13 @@
         ClaimRelayAnswer{number,
                          Programs::ClaimConflict{
                              {Programs::ClaimVersion(5), Base::Tokens(70), Base::WriteId("w-2")}}},
-        ClaimRelayAnswer{number, Programs::ClaimUnanswered{}}};
+        ClaimRelayAnswer{number, Programs::ClaimUnanswered{}},
+        Notice{}};
     for (const PeerBody &body : bodies) {
-        const PeerMessage message{Base::VmId("vm-1"), Base::ConfigVersion(3), body};
+        const PeerMessage message{Base::VmId("vm-1"),
+                                  Base::ConfigVersion(3),
+                                  body,
+                                  ListStatement{7, 9, std::chrono::milliseconds(250)}};
         const std::string bytes = encodePeerMessage(message);
         cr_assert(decodePeerMessage(bytes) == message);
         for (std::size_t size = 0; size < bytes.size(); ++size) {
--- a/tests/platform/tst_feeds.cpp
+++ b/tests/platform/tst_feeds.cpp
@@ -37,21 +37,22 @@
         : platform(context)
         , store(context, platform.endpoint(), log(), metrics)
         , documents(context, freeEndpoint(), log(), &Proxy::steadyNow)
-        , configuration(context,
-                        store,
-                        documents,
-                        log(),
-                        [this](const Contracts::RoutingDocument &document) {
-                            versions.push_back(document.version.value());
-                        })
-        , servers(
+        , configuration(
               context,
               store,
               documents,
-              [] { return std::optional<asio::ip::udp::endpoint>(); },
-              &Proxy::steadyNow,
+              [this] { return isReader; },
               log(),
-              [this](const auto &list) { listed = list; })
+              [this](const Contracts::RoutingDocument &document, DocumentSource) {
+                  versions.push_back(document.version.value());
+              })
+        , servers(context,
+                  store,
+                  documents,
+                  sharing(),
+                  &Proxy::steadyNow,
+                  log(),
+                  [this](const auto &list) { listed = list; })
     {}
 
     void runUntil(const std::function<bool()> &condition, const char *what)
@@ -63,6 +64,17 @@
         }
     }
 
+    ReadSharing sharing()
+    {
+        ReadSharing result;
+        result.rank
+            = [this] { return isReader ? Proxy::ReaderRank::First : Proxy::ReaderRank::Other; };
+        result.confirmConfiguration = [this](auto done) { configuration.confirm(std::move(done)); };
+        result.onRead = [this](bool) { ++reads; };
+        result.choosePeer = [] { return std::optional<asio::ip::udp::endpoint>(); };
+        return result;
+    }
+
     void awaitVersion(std::uint64_t version)
     {
         runUntil([&] { return !versions.empty() && versions.back() == version; }, "the version");
@@ -88,6 +100,8 @@
     PlatformStore platform;
     ObjectStore store;
     Proxy::PeerDocuments documents;
+    bool isReader = true;
+    int reads = 0;
     std::vector<std::uint64_t> versions;
     std::vector<Dispatch::ListedServer> listed;
     ConfigurationFeed configuration;
@@ -173,6 +187,49 @@
     fixture.runUntil([&] { return fixture.listed.empty(); }, "an entry that stays away is gone");
 }
 
+/// A daemon that no reader tells of the store reads both documents itself.
+Test(feeds, readsForItselfWhatNobodyConfirms)
+{
+    Fixture fixture;
+    fixture.isReader = false;
+    fixture.platform.put("config", "main", routing(3));
+    fixture.platform.put("servers", "i-1", server("ready"));
+    fixture.configuration.start();
+    fixture.servers.start();
+    fixture.awaitVersion(3);
+    fixture.runUntil([&] { return fixture.listed.size() == 1; }, "a server");
+    fixture.platform.put("config", "main", routing(5));
+    fixture.platform.put("servers", "i-2", server("ready"));
+    fixture.awaitVersion(5);
+    fixture.runUntil([&] { return fixture.listed.size() == 2; }, "the new server");
+}
+
+/// Word of the readers every 100 ms: 65 daemons that each read the list and watched the
+/// configuration were a tenth of the worth of quiet-1 of the grown wattlebird-prod.
+Test(feeds, readsNothingThatOthersConfirm)
+{
+    Fixture fixture;
+    fixture.isReader = false;
+    fixture.platform.put("config", "main", routing(3));
+    fixture.platform.put("servers", "i-1", server("ready"));
+    fixture.configuration.start();
+    fixture.servers.start();
+    fixture.runUntil([&] { return fixture.reads > 0; }, "the first read");
+    const int before = fixture.platform.calls();
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+    fixture.runUntil(
+        [&] {
+            Proxy::ListStatement word = *fixture.servers.statement();
+            word.age = Base::Duration::zero();
+            word.confirmedAt += 1;
+            fixture.servers.heard({}, word);
+            return std::chrono::steady_clock::now() >= end;
+        },
+        "three seconds");
+    cr_assert_eq(fixture.platform.calls(), before);
+    fixture.runUntil([&] { return fixture.platform.calls() > before; }, "a read without word");
+}
+
 Test(claimwriter, writesOnItsCondition)
 {
     Fixture fixture;
