Word of one read no longer grows younger as it goes round; a fault soak of our own

Each message takes some milliseconds that the age in it does not count, so word of one read became younger with each daemon that passed it on, as fast as time went by. Change: a read is named by the store's revision and its position among the reads at that revision; only word of a later read makes a list younger. Test: wordThatGoesRoundDoesNotGrowYounger, failing before; aSecondReadAtTheSameRevisionIsNews.

tests/soak: marjoram-node as processes before stand-ins, faults from a seed, promises checked from what callers and backend servers see.

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -12,6 +12,8 @@
   /** Revision at which it was last known to have it, and the time since that was read. */
   2: i64 confirmedAt
   3: i64 ageMs
+  /** Position of that read among those at the same revision. */
+  4: i64 reads
 }
 
 /** Says nothing but what every message does; not answered. */
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -55,6 +55,7 @@
     Wire::ListStatement part;
     part.changedAt = static_cast<std::int64_t>(statement.changedAt);
     part.confirmedAt = static_cast<std::int64_t>(statement.confirmedAt);
+    part.reads = static_cast<std::int64_t>(statement.reads);
     part.ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(statement.age).count();
     return part;
 }
@@ -63,6 +64,7 @@
 {
     return {static_cast<std::uint64_t>(statement.changedAt),
             static_cast<std::uint64_t>(statement.confirmedAt),
+            static_cast<std::uint64_t>(statement.reads),
             std::chrono::milliseconds(std::max<std::int64_t>(0, statement.ageMs))};
 }
 
--- a/src/libs/proxy/sharedlist.cpp
+++ b/src/libs/proxy/sharedlist.cpp
@@ -1,6 +1,7 @@
 #include "sharedlist.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Proxy {
 
@@ -32,23 +33,27 @@
     if (isChanged || changedAt_ == 0) {
         changedAt_ = revision;
     }
+    reads_ = revision > confirmedAt_ ? 1 : reads_ + 1;
     confirmedAt_ = std::max(confirmedAt_, revision);
     asOf_ = now;
 }
 
 /// Readers see one change at different revisions. Lists whose spans of revisions overlap are the
-/// same.
+/// same. Each message takes some time that its age does not count, so only word of a later read
+/// makes a list younger: word of the same read would with every daemon that passes it on.
 SharedList::News SharedList::heard(const ListStatement &statement, Base::Instant now)
 {
     if (statement.changedAt > confirmedAt_) {
         return News::Newer;
     }
-    const Base::Instant asOf = now - statement.age;
-    if (statement.confirmedAt < changedAt_ || asOf <= asOf_) {
+    const bool isLaterRead
+        = std::pair(statement.confirmedAt, statement.reads) > std::pair(confirmedAt_, reads_);
+    if (!isLaterRead) {
         return News::None;
     }
-    confirmedAt_ = std::max(confirmedAt_, statement.confirmedAt);
-    asOf_ = asOf;
+    confirmedAt_ = statement.confirmedAt;
+    reads_ = statement.reads;
+    asOf_ = std::max(asOf_, now - statement.age);
     return News::Confirmed;
 }
 
@@ -56,6 +61,7 @@
 {
     changedAt_ = statement.changedAt;
     confirmedAt_ = std::max(statement.changedAt, statement.confirmedAt);
+    reads_ = statement.reads;
     asOf_ = std::max(asOf_, now - statement.age);
 }
 
@@ -64,7 +70,8 @@
     if (changedAt_ == 0) {
         return std::nullopt;
     }
-    return ListStatement{changedAt_, confirmedAt_, std::max(Base::Duration::zero(), now - asOf_)};
+    return ListStatement{
+        changedAt_, confirmedAt_, reads_, std::max(Base::Duration::zero(), now - asOf_)};
 }
 
 Base::Instant SharedList::nextRead(ReaderRank rank) const
--- a/src/libs/proxy/sharedlist.h
+++ b/src/libs/proxy/sharedlist.h
@@ -14,6 +14,8 @@
     std::uint64_t changedAt = 0;
     /// Revision of the store at which it was last known to have it.
     std::uint64_t confirmedAt = 0;
+    /// Position among the reads at that revision; with it, names the read that confirmed the list.
+    std::uint64_t reads = 0;
     /// Time since that was read from the store, by whichever daemon.
     Base::Duration age{};
 
@@ -59,6 +61,7 @@
 private:
     std::uint64_t changedAt_ = 0;
     std::uint64_t confirmedAt_ = 0;
+    std::uint64_t reads_ = 0;
     Base::Instant asOf_;
 };
 
--- a/tests/libs/proxy/tst_peers.cpp
+++ b/tests/libs/proxy/tst_peers.cpp
@@ -60,7 +60,7 @@
         const PeerMessage message{Base::VmId("vm-1"),
                                   Base::ConfigVersion(3),
                                   body,
-                                  ListStatement{7, 9, std::chrono::milliseconds(250)}};
+                                  ListStatement{7, 9, 2, std::chrono::milliseconds(250)}};
         const std::string bytes = encodePeerMessage(message);
         cr_assert(decodePeerMessage(bytes) == message);
         for (std::size_t size = 0; size < bytes.size(); ++size) {
--- a/tests/libs/proxy/tst_sharedlist.cpp
+++ b/tests/libs/proxy/tst_sharedlist.cpp
@@ -15,7 +15,7 @@
 
 ListStatement stated(std::uint64_t changedAt, std::uint64_t confirmedAt, int age)
 {
-    return {changedAt, confirmedAt, std::chrono::milliseconds(age)};
+    return {changedAt, confirmedAt, 1, std::chrono::milliseconds(age)};
 }
 
 } // namespace
@@ -52,6 +52,36 @@
     cr_assert(list.heard(stated(140, 160, 0), at(30)) == News::Confirmed);
 }
 
+/// trouble-1 of the grown wattlebird-prod: word of one read went round between 65 daemons, each way
+/// made it younger by its delay, and nobody read the store for 6 s.
+Test(sharedlist, wordThatGoesRoundDoesNotGrowYounger)
+{
+    constexpr std::int64_t delay = 2;
+    SharedList first;
+    SharedList second;
+    first.read(10, true, at(0));
+    second.fetched(*first.statement(at(0)), at(0));
+    for (std::int64_t now = 0; now < 3000; now += 2 * delay) {
+        second.heard(*first.statement(at(now)), at(now + delay));
+        first.heard(*second.statement(at(now + delay)), at(now + 2 * delay));
+    }
+    const Base::Instant latest = at(1300 + 2 * delay);
+    cr_assert(first.nextRead(ReaderRank::Other) <= latest);
+    cr_assert(second.nextRead(ReaderRank::Other) <= latest);
+}
+
+/// The store's revision may stand still.
+Test(sharedlist, aSecondReadAtTheSameRevisionIsNews)
+{
+    SharedList reader;
+    SharedList other;
+    reader.read(10, true, at(0));
+    other.fetched(*reader.statement(at(0)), at(0));
+    reader.read(10, false, at(800));
+    cr_assert(other.heard(*reader.statement(at(800)), at(800)) == News::Confirmed);
+    cr_assert(other.nextRead(ReaderRank::Other) >= at(2000));
+}
+
 /// A daemon that nobody's word reaches reads within the bound of 2 s, whatever its rank.
 Test(sharedlist, everyRankReadsWithinTheBound)
 {
--- a/tests/platform/platformstore.cpp
+++ b/tests/platform/platformstore.cpp
@@ -20,7 +20,8 @@
 } // namespace
 
 PlatformStore::PlatformStore(asio::io_context &context)
-    : acceptor_(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    : context_(context)
+    , acceptor_(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
     , services_(std::make_shared<Proxy::CallerServices>())
 {
     services_->onRequest = [this](const Caller &caller, const Proxy::CallerRequest &request) {
@@ -98,14 +99,28 @@
 
 void PlatformStore::watch(const Caller &caller, const std::string &kind, const std::string &query)
 {
-    const Watch entry{caller, kind, std::stoull(parameter(query, "watch"))};
+    Watch entry{caller, kind, std::stoull(parameter(query, "watch")), nullptr};
     if (entry.after < oldest_) {
         answer(caller, 410, json::object());
     } else if (!answerWatch(entry)) {
+        const std::string wait = parameter(query, "wait_ms");
+        entry.timer = std::make_shared<asio::steady_timer>(
+            context_, std::chrono::milliseconds(wait.empty() ? 0 : std::stoi(wait)));
+        entry.timer->async_wait([this, caller](const std::error_code &error) {
+            if (!error) {
+                endWait(caller);
+            }
+        });
         watches_.push_back(entry);
     }
 }
 
+void PlatformStore::endWait(const Caller &caller)
+{
+    std::erase_if(watches_, [&](const Watch &watch) { return watch.caller == caller; });
+    answer(caller, 200, {{"events", json::array()}, {"current_rev", revision_}});
+}
+
 bool PlatformStore::answerWatch(const Watch &watch)
 {
     json events = json::array();
--- a/tests/platform/platformstore.h
+++ b/tests/platform/platformstore.h
@@ -2,6 +2,7 @@
 
 #include <proxy/callerconnection.h>
 
+#include <asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include <map>
@@ -42,6 +43,8 @@
         Caller caller;
         std::string kind;
         std::uint64_t after = 0;
+        /// Ends the wait with an empty answer.
+        std::shared_ptr<asio::steady_timer> timer;
     };
 
     void accept();
@@ -57,6 +60,9 @@
     void store(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     static void answer(const Caller &caller, int status, const nlohmann::json &body);
 
+    void endWait(const Caller &caller);
+
+    asio::io_context &context_;
     asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<Proxy::CallerServices> services_;
     std::map<std::string, Kind> kinds_;
--- /dev/null
+++ b/tests/soak/backendstub.cpp
@@ -0,0 +1,217 @@
+#include "backendstub.h"
+
+#include <charconv>
+
+namespace Soak {
+
+namespace {
+
+constexpr auto eventPause = std::chrono::milliseconds(4);
+
+std::string header(const Proxy::CallerRequest &request, const char *name)
+{
+    return std::string(request.head.headers.find(name).value_or(""));
+}
+
+asio::ip::tcp::endpoint anyPort()
+{
+    return {asio::ip::address_v4::loopback(), 0};
+}
+
+} // namespace
+
+std::string eventText(const std::string &session, int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + session + " " + std::to_string(number)
+           + "\n\n";
+}
+
+std::string plainAnswer(const std::string &id)
+{
+    std::string answer = "answer to " + id + "\n";
+    constexpr int lines = 20;
+    for (int i = 0; i < lines; ++i) {
+        answer += id + " " + std::to_string(i) + "\n";
+    }
+    return answer;
+}
+
+int eventsOf(const std::string &body)
+{
+    int events = 0;
+    std::from_chars(body.data(), body.data() + body.size(), events);
+    return events;
+}
+
+struct BackendStub::Stream
+{
+    Stream(asio::io_context &context, Caller connection)
+        : caller(std::move(connection))
+        , timer(context)
+    {}
+
+    Caller caller;
+    asio::steady_timer timer;
+    std::string session;
+    int next = 1;
+    int events = 0;
+    int cutAfter = 0;
+    bool isGone = false;
+};
+
+BackendStub::BackendStub(asio::io_context &context,
+                         std::string id,
+                         std::string service,
+                         Ledger &ledger,
+                         std::function<Base::Instant()> now,
+                         std::uint64_t seed)
+    : context_(context)
+    , id_(std::move(id))
+    , service_(std::move(service))
+    , ledger_(ledger)
+    , now_(std::move(now))
+    , random_(seed)
+    , acceptor_(context, anyPort())
+    , relay_(context, anyPort(), acceptor_.local_endpoint())
+    , services_(std::make_shared<Proxy::CallerServices>())
+{
+    services_->onRequest = [this](const Caller &caller, const Proxy::CallerRequest &request) {
+        onRequest(caller, request);
+    };
+    services_->onRejected = [this](int, const std::string &problem) {
+        ledger_.broken("changed", "server " + id_ + " got a malformed request: " + problem);
+    };
+    services_->limits = [] { return Contracts::CallerLimits{}; };
+    services_->now = now_;
+    services_->isStopping = [] { return false; };
+    services_->onClosed = [](const Caller &) {};
+    accept();
+}
+
+void BackendStub::accept()
+{
+    acceptor_.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
+        if (!error) {
+            std::make_shared<Proxy::CallerConnection>(std::move(socket), services_)->start();
+            accept();
+        }
+    });
+}
+
+nlohmann::json BackendStub::entry(bool isLeaving) const
+{
+    const auto endpoint = relay_.endpoint();
+    return {{"service", service_},
+            {"address", endpoint.address().to_string() + ":" + std::to_string(endpoint.port())},
+            {"zone", "zone-a"},
+            {"slots", 8},
+            {"state", isLeaving ? "draining" : "ready"},
+            {"born", 1}};
+}
+
+Proxy::ResponseHead BackendStub::head(int status, const std::string &id) const
+{
+    Proxy::ResponseHead result;
+    result.status = status;
+    result.reason = Proxy::reasonOf(status);
+    result.headers.add("X-Attempt-Id", id);
+    result.headers.add("X-Server-Stamp", id_);
+    return result;
+}
+
+void BackendStub::onRequest(const Caller &caller, const Proxy::CallerRequest &request)
+{
+    const std::string id = header(request, "X-Attempt-Id");
+    if (request.head.headers.contains("Authorization")) {
+        ledger_.broken("key", "server " + id_ + " got a caller's key");
+    }
+    if (header(request, "X-Target-Instance") != id_) {
+        constexpr int misdirected = 421;
+        caller->respond(head(misdirected, id), {});
+        return;
+    }
+    if (strikes(BackendFault::Refuses)) {
+        Proxy::ResponseHead refusal = head(503, id);
+        refusal.headers.add("X-Not-Executed", "1");
+        caller->respond(refusal, {});
+        return;
+    }
+    ledger_.ran(id, header(request, "X-Tenant"), request.head.target, request.body, now_());
+    if (strikes(BackendFault::LosesAnswers)) {
+        caller->abort();
+    } else if (request.head.method == "POST" && eventsOf(request.body) > 0) {
+        beginStream(caller, request);
+    } else {
+        answerPlain(caller, id);
+    }
+}
+
+void BackendStub::answerPlain(const Caller &caller, const std::string &id)
+{
+    const std::string body = plainAnswer(id);
+    if (strikes(BackendFault::CutsAnswers)) {
+        caller->beginResponse(head(200, id), {Proxy::BodyFraming::Length, body.size()});
+        caller->write(std::string_view(body).substr(0, body.size() / 2));
+        caller->onceDrained([caller] { caller->abort(); });
+        return;
+    }
+    if (strikes(BackendFault::RepeatsAnswers)) {
+        // The second answer stands where the next one is expected.
+        Proxy::ResponseHead first = head(200, id);
+        const Proxy::Framing framing{Proxy::BodyFraming::Length, body.size()};
+        const std::string again = Proxy::serializeResponse(first, framing, true) + body;
+        caller->beginResponse(first, {Proxy::BodyFraming::Length, body.size()});
+        caller->write(body + again);
+        caller->endResponse();
+        return;
+    }
+    caller->respond(head(200, id), body);
+}
+
+void BackendStub::beginStream(const Caller &caller, const Proxy::CallerRequest &request)
+{
+    const auto stream = std::make_shared<Stream>(context_, caller);
+    stream->session = header(request, "X-Session-Id");
+    stream->events = eventsOf(request.body);
+    const std::string last = header(request, "Last-Event-Id");
+    stream->next = last.empty() ? 1 : eventsOf(last) + 1;
+    if (strikes(BackendFault::CutsAnswers)) {
+        stream->cutAfter = stream->next
+                           + static_cast<int>(random_.below(static_cast<std::uint64_t>(
+                               std::max(1, stream->events - stream->next))));
+    }
+    caller->onceGone([stream] {
+        stream->isGone = true;
+        stream->timer.cancel();
+    });
+    Proxy::ResponseHead answer = head(200, header(request, "X-Attempt-Id"));
+    answer.headers.add("Content-Type", "text/event-stream");
+    caller->beginResponse(answer, {Proxy::BodyFraming::Chunked, std::nullopt});
+    continueStream(stream);
+}
+
+void BackendStub::continueStream(const std::shared_ptr<Stream> &stream)
+{
+    if (stream->isGone) {
+        return;
+    }
+    if (stream->cutAfter > 0 && stream->next > stream->cutAfter) {
+        // The break falls within an event.
+        stream->caller->write("id: " + std::to_string(stream->next) + "\nda");
+        stream->caller->onceDrained([stream] { stream->caller->abort(); });
+        return;
+    }
+    if (stream->next > stream->events) {
+        stream->caller->endResponse();
+        return;
+    }
+    stream->caller->write(eventText(stream->session, stream->next++));
+    stream->timer.expires_after(eventPause);
+    stream->timer.async_wait([this, stream](const std::error_code &error) {
+        if (!error) {
+            continueStream(stream);
+        }
+    });
+}
+
+} // namespace Soak
--- /dev/null
+++ b/tests/soak/daemonprocess.cpp
@@ -0,0 +1,68 @@
+#include "daemonprocess.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <array>
+#include <csignal>
+#include <system_error>
+
+namespace Soak {
+
+DaemonProcess::DaemonProcess(std::string program,
+                             std::filesystem::path settings,
+                             std::filesystem::path log)
+    : program_(std::move(program))
+    , settings_(std::move(settings))
+    , log_(std::move(log))
+{}
+
+DaemonProcess::~DaemonProcess()
+{
+    if (isRunning()) {
+        signal(SIGKILL);
+        waitpid(pid_, nullptr, 0);
+    }
+}
+
+void DaemonProcess::start()
+{
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    constexpr int logMode = 0644;
+    posix_spawn_file_actions_addopen(
+        &actions, STDOUT_FILENO, log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, logMode);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    std::string settings = settings_.string();
+    std::string option = "--settings";
+    std::string role = "front";
+    std::array<char *, 5> arguments{
+        program_.data(), option.data(), settings.data(), role.data(), nullptr};
+    const int error
+        = posix_spawn(&pid_, program_.c_str(), &actions, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0) {
+        pid_ = 0;
+        throw std::system_error(error, std::generic_category(), "start " + program_);
+    }
+}
+
+void DaemonProcess::signal(int number) const
+{
+    if (isRunning()) {
+        kill(pid_, number);
+    }
+}
+
+std::optional<int> DaemonProcess::poll()
+{
+    int status = 0;
+    if (!isRunning() || waitpid(pid_, &status, WNOHANG) != pid_) {
+        return std::nullopt;
+    }
+    pid_ = 0;
+    return status;
+}
+
+} // namespace Soak
--- /dev/null
+++ b/tests/soak/daemonprocess.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <filesystem>
+#include <optional>
+#include <string>
+
+namespace Soak {
+
+/// One marjoram-node process; killed at the end of the object's life.
+class DaemonProcess
+{
+public:
+    DaemonProcess(std::string program, std::filesystem::path settings, std::filesystem::path log);
+    ~DaemonProcess();
+
+    DaemonProcess(const DaemonProcess &) = delete;
+    DaemonProcess &operator=(const DaemonProcess &) = delete;
+
+    /// Throws std::system_error if the process can't be started.
+    void start();
+    void signal(int number) const;
+    /// Collects the end of the process. Returns its wait status once it has ended.
+    std::optional<int> poll();
+    bool isRunning() const { return pid_ > 0; }
+
+private:
+    std::string program_;
+    std::filesystem::path settings_;
+    std::filesystem::path log_;
+    pid_t pid_ = 0;
+};
+
+} // namespace Soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,76 @@
+#include "soakworld.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+/// Seeds of a file: the first number of each line; the rest says why it is there.
+std::vector<std::uint64_t> seedsOf(const std::string &file)
+{
+    std::vector<std::uint64_t> seeds;
+    std::ifstream input(file);
+    for (std::string line; std::getline(input, line);) {
+        std::uint64_t seed = 0;
+        if (std::istringstream(line) >> seed) {
+            seeds.push_back(seed);
+        }
+    }
+    return seeds;
+}
+
+bool runSeed(const std::string &program, std::uint64_t seed, int seconds)
+{
+    const auto folder
+        = std::filesystem::temp_directory_path()
+          / ("marjoram-soak-" + std::to_string(getpid()) + "-" + std::to_string(seed));
+    std::filesystem::create_directories(folder);
+    const Soak::SoakResult result
+        = Soak::SoakWorld({program, seed, std::chrono::seconds(seconds), folder}).run();
+    std::cout << "seed " << seed << ": " << result.faults << " faults, " << result.runs << " runs, "
+              << result.served << " served, " << result.refused << " refused, "
+              << result.violations.size() << " promises broken" << std::endl;
+    for (const std::string &violation : result.violations) {
+        std::cout << "  " << violation << '\n';
+    }
+    if (result.violations.empty()) {
+        std::filesystem::remove_all(folder);
+    } else {
+        std::cout << "  logs are kept in " << folder.string() << std::endl;
+    }
+    return result.violations.empty();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("marjoram-soak: daemons as processes under faults drawn from seeds");
+    std::string program;
+    std::string file;
+    std::uint64_t first = 1;
+    std::uint64_t count = 0;
+    int seconds = 20;
+    app.add_option("--program", program, "the marjoram-node program")->required();
+    app.add_option("--seeds-file", file, "a seed at the beginning of each line");
+    app.add_option("--seed", first, "the first seed");
+    app.add_option("--count", count, "seeds from the first one on");
+    app.add_option("--seconds", seconds, "length of the faults of each seed");
+    CLI11_PARSE(app, argc, argv);
+    std::signal(SIGPIPE, SIG_IGN);
+    std::vector<std::uint64_t> seeds = seedsOf(file);
+    for (std::uint64_t i = 0; i < count; ++i) {
+        seeds.push_back(first + i);
+    }
+    int failed = 0;
+    for (const std::uint64_t seed : seeds) {
+        failed += runSeed(program, seed, seconds) ? 0 : 1;
+    }
+    std::cout << seeds.size() - static_cast<std::size_t>(failed) << " passed, " << failed
+              << " failed" << std::endl;
+    return failed == 0 && !seeds.empty() ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soakcaller.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "backendstub.h"
+
+#include <proxy/clientconnection.h>
+
+#include <optional>
+
+namespace Soak {
+
+/// The daemons as the platform's entry point sees them.
+struct EntryPoint
+{
+    /// An address for a new connection.
+    std::function<asio::ip::tcp::endpoint()> choose;
+    /// A key of the team that is in force now.
+    std::function<std::string(const std::string &team)> keyOf;
+    std::function<Base::Instant()> now;
+};
+
+/// One caller that runs programs one after another: turns with a budget, lookups and orders. It
+/// keeps its connection open until the daemon closes it.
+class SoakCaller : public std::enable_shared_from_this<SoakCaller>
+{
+public:
+    SoakCaller(asio::io_context &context,
+               std::string name,
+               std::string team,
+               EntryPoint entry,
+               Ledger &ledger,
+               std::uint64_t seed);
+
+    void start();
+    /// Begins no further requests.
+    void stop() { isStopping_ = true; }
+
+private:
+    struct Running
+    {
+        std::string id;
+        RequestKind kind = RequestKind::Lookup;
+        std::string body;
+        std::string received;
+        int status = 0;
+        bool isWhole = false;
+    };
+
+    void nextProgram();
+    void nextRequest();
+    void send(RequestKind kind);
+    std::string serialize(const Running &request, const Attempt &attempt);
+    void onConnected(const std::string &problem, const std::string &bytes);
+    void transmit(const std::string &bytes);
+    void finish();
+    void judge(const Running &request);
+    void judgeStream(const Running &request);
+    void pause(std::chrono::milliseconds duration, std::function<void()> next);
+
+    asio::io_context &context_;
+    std::string name_;
+    std::string team_;
+    EntryPoint entry_;
+    Ledger &ledger_;
+    Base::Random random_;
+    asio::steady_timer timer_;
+    asio::steady_timer patience_;
+    std::shared_ptr<Proxy::ClientConnection> connection_;
+    std::optional<Running> running_;
+    std::string program_;
+    int requestsLeft_ = 0;
+    std::int64_t budget_ = 0;
+    int lastProgram_ = 0;
+    int lastRequest_ = 0;
+    bool isStopping_ = false;
+};
+
+} // namespace Soak
