--- a/src/libs/proxy/peerlink.cpp
+++ b/src/libs/proxy/peerlink.cpp
@@ -199,10 +199,30 @@
     }
     const Answered answered = std::move(entry->second.answered);
     questions_.erase(entry);
-    roster_.answered(sender);
+    noteAnswered(sender);
     answered(&body);
 }
 
+void PeerLink::noteUnanswered(const Base::VmId &peer, Base::Instant now)
+{
+    const bool wasSuspect = roster_.isSuspect(peer, now);
+    roster_.unanswered(peer, now);
+    if (!wasSuspect && roster_.isSuspect(peer, now) && silent_.insert(peer).second) {
+        log_.write(Telemetry::LogLevel::Warning,
+                   "peer does not answer",
+                   {.step = "peer", .peer = peer.text()});
+    }
+}
+
+void PeerLink::noteAnswered(const Base::VmId &peer)
+{
+    roster_.answered(peer);
+    if (silent_.erase(peer) > 0) {
+        log_.write(
+            Telemetry::LogLevel::Info, "peer answers again", {.step = "peer", .peer = peer.text()});
+    }
+}
+
 void PeerLink::armTimer()
 {
     if (isTimerArmed_ || questions_.empty()) {
@@ -236,7 +256,7 @@
             send(question.peer, question.bytes);
             ++entry;
         } else {
-            roster_.unanswered(question.peer, now);
+            noteUnanswered(question.peer, now);
             givenUp.push_back(std::move(question.answered));
             entry = questions_.erase(entry);
         }
--- a/src/libs/proxy/peerlink.h
+++ b/src/libs/proxy/peerlink.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace Proxy {
@@ -83,6 +84,8 @@
     void send(const Base::VmId &peer, const std::string &bytes);
     void extend(QuestionNumber number, const Base::VmId &sender);
     void settle(QuestionNumber number, const Base::VmId &sender, const PeerBody &body);
+    void noteUnanswered(const Base::VmId &peer, Base::Instant now);
+    void noteAnswered(const Base::VmId &peer);
     void armTimer();
     void onTimer();
 
@@ -99,6 +102,8 @@
     PeerRoster roster_;
     std::map<Base::VmId, asio::ip::udp::endpoint> endpoints_;
     std::unordered_map<QuestionNumber, Question> questions_;
+    /// Peers that were logged as lost.
+    std::set<Base::VmId> silent_;
     QuestionNumber lastNumber_;
     Base::ConfigVersion routingVersion_;
     Base::Instant lastHeardAt_;
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -271,7 +271,7 @@
 
 void SoakWorld::stopDaemon(Daemon &daemon)
 {
-    if (!daemon.process->isRunning() || daemon.stopBy) {
+    if (!daemon.process->isRunning() || daemon.mayEnd) {
         return;
     }
     daemon.mayEnd = true;
