Credit of a third of a budget; numbers of questions start anywhere

Change: credit is a third of a budget, one turn's most for the budgets of runaway programs seen, which the rule allows beyond a budget. Test: aHomeLostInAnOutageCostsNoMoreThanOneTurn, failing before. Besides: a daemon that starts again numbered its questions from 1, so that a late answer to its earlier process could answer another program's question; numbers now start at the process's seed.

--- a/src/libs/programs/tokenledger.h
+++ b/src/libs/programs/tokenledger.h
@@ -28,8 +28,9 @@
     /// finds something left for each.
     double transferShare = 0.25;
     /// Part of a budget that turns may use before the store has confirmed a claim, while it does
-    /// not answer. Budgets of the two deployments are 1.5 times the most of all turns.
-    double creditShare = 0.75;
+    /// not answer. It is lost with the daemon that gave it; programs that run away have budgets of
+    /// three turns' most, and one turn's most may be handed out beyond a budget.
+    double creditShare = 1.0 / 3;
     /// Pauses between claims while the store does not answer, first and longest. Calls to a store
     /// that is away are priced as well.
     Base::Duration firstProbe = std::chrono::milliseconds(200);
--- a/src/libs/proxy/peerlink.cpp
+++ b/src/libs/proxy/peerlink.cpp
@@ -37,6 +37,7 @@
                    const asio::ip::udp::endpoint &address,
                    Telemetry::Log &log,
                    Telemetry::Metrics &metrics,
+                   std::uint64_t seed,
                    std::function<Base::Instant()> now)
     : self_(self)
     , address_(address)
@@ -46,6 +47,8 @@
     , socket_(context)
     , timer_(context)
     , roster_(std::move(self))
+    // Numbers start anywhere: a late answer to an earlier process of this VM answers no question.
+    , lastNumber_(seed >> 2)
 {}
 
 void PeerLink::start(Asked asked)
--- a/src/libs/proxy/peerlink.h
+++ b/src/libs/proxy/peerlink.h
@@ -37,6 +37,7 @@
              const asio::ip::udp::endpoint &address,
              Telemetry::Log &log,
              Telemetry::Metrics &metrics,
+             std::uint64_t seed,
              std::function<Base::Instant()> now);
 
     /// Throws std::exception if the address cannot be bound.
