--- a/tests/soak/faultrelay.cpp
+++ b/tests/soak/faultrelay.cpp
@@ -99,28 +99,23 @@
 
 void FaultRelay::pass(const std::shared_ptr<Link> &link, bool isForward, std::size_t size)
 {
-    auto &timer = isForward ? link->forwardTimer : link->backTimer;
     const bool isDelayed = fault_ == LinkFault::Delay;
-    if (isHeld(isForward) || isDelayed) {
-        timer.expires_after(isDelayed ? delay_ : heldPause);
-        timer.async_wait([=, this](const std::error_code &error) {
-            if (error) {
-                return;
-            }
-            if (isHeld(isForward)) {
-                pass(link, isForward, size);
-                return;
-            }
-            auto &target = isForward ? link->server : link->client;
-            auto &buffer = isForward ? link->forward : link->back;
-            asio::async_write(target,
-                              asio::buffer(buffer.data(), size),
-                              [=, this](const std::error_code &problem, std::size_t) {
-                                  problem ? drop(link, true) : pump(link, isForward);
-                              });
-        });
+    if (!isDelayed && !isHeld(isForward)) {
+        forward(link, isForward, size);
         return;
     }
+    auto &timer = isForward ? link->forwardTimer : link->backTimer;
+    timer.expires_after(isDelayed ? delay_ : heldPause);
+    timer.async_wait([=, this](const std::error_code &error) {
+        if (error) {
+            return; // the link is dropped
+        }
+        isHeld(isForward) ? pass(link, isForward, size) : forward(link, isForward, size);
+    });
+}
+
+void FaultRelay::forward(const std::shared_ptr<Link> &link, bool isForward, std::size_t size)
+{
     auto &target = isForward ? link->server : link->client;
     auto &buffer = isForward ? link->forward : link->back;
     asio::async_write(target,
--- a/tests/soak/faultrelay.h
+++ b/tests/soak/faultrelay.h
@@ -40,6 +40,7 @@
     void accept();
     void pump(const std::shared_ptr<Link> &link, bool isForward);
     void pass(const std::shared_ptr<Link> &link, bool isForward, std::size_t size);
+    void forward(const std::shared_ptr<Link> &link, bool isForward, std::size_t size);
     void drop(const std::shared_ptr<Link> &link, bool isReset);
     bool isHeld(bool isForward) const;
 
