Keep turns on the disks of the store role: thin path

Change: libraries turnhistory (ranking of holders, index, format, replication plan, chain search, cache) and turnstore (disk, service, keeper); the exchange collects the chain beside rate and budget, and holds the end of a response until the turn is on tolerate + 1 disks. A server that announces that it is leaving gets nothing new. A retirement says completed only after the turns are handed over.

--- a/src/libs/contracts/route.h
+++ b/src/libs/contracts/route.h
@@ -51,6 +51,9 @@
     bool isResumable = false;
     /// Set if requests are turns of programs: maximum idle time of a program between turns.
     std::optional<Base::Duration> programRetention;
+    /// Whether a turn carries only its new input, and the server has to receive the inputs and
+    /// outputs of the turns that it continues as well.
+    bool isHistoryKept = false;
 
     bool operator==(const Route &) const = default;
 };
--- a/src/libs/dispatch/requestplacer.cpp
+++ b/src/libs/dispatch/requestplacer.cpp
@@ -16,6 +16,7 @@
     double meanLatencyMs = -1;
     std::uint32_t failures = 0;
     std::optional<Base::Instant> ejectedUntil;
+    bool hasAnnouncedLeaving = false;
     Base::Duration nextEjection{};
     /// Parts of prompts that this daemon sent to the server, most recent first.
     std::list<std::uint64_t> recentParts;
@@ -82,7 +83,8 @@
 {
     return std::any_of(servers_.begin(), servers_.end(), [&](const auto &entry) {
         const Contracts::BackendServer &server = entry.second->listed.server;
-        return server.service == service && !server.isLeaving;
+        return server.service == service && !server.isLeaving
+               && !entry.second->hasAnnouncedLeaving;
     });
 }
 
@@ -140,7 +142,8 @@
     for (auto &[id, server] : servers_) {
         const Contracts::BackendServer &config = server->listed.server;
         const bool isExcluded = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
-        if (config.service != service || config.isLeaving || isExcluded) {
+        const bool isLeaving = config.isLeaving || server->hasAnnouncedLeaving;
+        if (config.service != service || isLeaving || isExcluded) {
             continue;
         }
         const bool isEjected = server->ejectedUntil && now < *server->ejectedUntil;
@@ -215,6 +218,13 @@
     server->failures = 0;
 }
 
+void RequestPlacer::leavingAnnounced(const ServerInstance &instance)
+{
+    if (Server *server = find(instance)) {
+        server->hasAnnouncedLeaving = true;
+    }
+}
+
 void RequestPlacer::loadReported(const ServerInstance &instance,
                                  std::uint32_t running,
                                  std::uint32_t waiting,
--- a/src/libs/dispatch/requestplacer.h
+++ b/src/libs/dispatch/requestplacer.h
@@ -104,6 +104,9 @@
                       std::uint32_t waiting,
                       Base::Instant now);
 
+    /// The server has announced that it is about to stop; this instance gets no new requests.
+    void leavingAnnounced(const ServerInstance &instance);
+
     bool isListed(const ServerInstance &instance) const;
     /// Whether the service has a server that is not leaving.
     bool hasServer(const Base::ServiceId &service) const;
--- a/src/libs/proxy/eventsplitter.cpp
+++ b/src/libs/proxy/eventsplitter.cpp
@@ -72,7 +72,12 @@
         if (const auto id = fieldValue(line, "id")) {
             lastEventId_ = std::string(*id);
         }
-        hasData = hasData || fieldValue(line, "data").has_value();
+        if (const auto data = fieldValue(line, "data")) {
+            hasData = true;
+            if (isDataCollected_) {
+                data_.append(*data).append("\n");
+            }
+        }
     }
     events_ += hasData ? 1 : 0;
 }
--- a/src/libs/proxy/eventsplitter.h
+++ b/src/libs/proxy/eventsplitter.h
@@ -21,6 +21,10 @@
 
     /// Number of complete events with data.
     std::uint64_t eventCount() const { return events_; }
+    /// The data of each complete event, each followed by a line feed; empty unless
+    /// setDataCollected() was called before.
+    const std::string &data() const { return data_; }
+    void setDataCollected() { isDataCollected_ = true; }
     /// The id to send as Last-Event-Id to resume the stream.
     const std::optional<std::string> &lastEventId() const { return lastEventId_; }
 
@@ -28,6 +32,8 @@
     void parseEvent(std::string_view event);
 
     std::string partial_;
+    std::string data_;
+    bool isDataCollected_ = false;
     std::uint64_t events_ = 0;
     std::optional<std::string> lastEventId_;
 };
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -77,13 +77,14 @@
         respondWithError(503, "no_configuration", "no routing document is loaded");
         return;
     }
-    if (!findRoute() || !checkKey()) {
+    if (!findRoute() || !checkKey() || !checkHistoryFields()) {
         return;
     }
     const Base::Duration timeout
         = std::min(route_->timeout, traits_.callerTimeout.value_or(route_->timeout));
     deadline_ = request_.arrivedAt + timeout;
     armDeadline();
+    findHistory();
     checkRate();
 }
 
@@ -118,6 +119,90 @@
     return true;
 }
 
+/// Rejects what no history can make valid, and turns that could not be kept after they ran.
+bool Exchange::checkHistoryFields()
+{
+    if (!route_->isHistoryKept) {
+        return true;
+    }
+    if (traits_.id.empty() || traits_.isPreviousTurnMalformed) {
+        respondWithError(400, "bad_turn", "the id of the turn or of the previous one is malformed");
+        return false;
+    }
+    if (!owner_.history_.isAvailable || !owner_.history_.isAvailable()) {
+        respondWithError(503,
+                         "history_unavailable",
+                         "too few daemons that keep turns are known",
+                         owner_.settings_.retryAfterBusy);
+        return false;
+    }
+    return true;
+}
+
+/// Looks for the previous turns while the rate and the budget are checked.
+void Exchange::findHistory()
+{
+    placementKey_ = traits_.program.isEmpty() ? traits_.id : traits_.program.text();
+    if (!route_->isHistoryKept || traits_.previousTurn.empty()) {
+        history_ = TurnHistory::LookupResult::Found;
+        return;
+    }
+    auto self = shared_from_this();
+    owner_.history_.find(TurnHistory::TurnId(traits_.previousTurn),
+                         placementKey_,
+                         [self](TurnHistory::LookupResult result, const TurnHistory::Chain &chain) {
+                             self->onHistory(result, chain);
+                         });
+}
+
+void Exchange::onHistory(TurnHistory::LookupResult result, const TurnHistory::Chain &chain)
+{
+    if (isEnded_) {
+        return;
+    }
+    history_ = result;
+    if (result == TurnHistory::LookupResult::Found) {
+        const Base::TeamId team = team_ ? team_->team.id : Base::TeamId{};
+        if (chain.team != team) {
+            history_ = TurnHistory::LookupResult::Absent;
+        } else {
+            prefix_ = chain.joined();
+            placementKey_ = chain.placementKey;
+            chainTurns_ = chain.contents.size();
+        }
+    }
+    if (isAdmitted_) {
+        onAdmitted();
+    }
+}
+
+/// Makes the first attempt once the request is admitted and its history is known.
+void Exchange::onAdmitted()
+{
+    isAdmitted_ = true;
+    if (!history_) {
+        return;
+    }
+    switch (*history_) {
+    case TurnHistory::LookupResult::Found:
+        break;
+    case TurnHistory::LookupResult::Absent:
+        respondWithError(404, "no_turn", "the previous turn does not exist");
+        return;
+    case TurnHistory::LookupResult::Unavailable:
+        respondWithError(503,
+                         "history_unavailable",
+                         "the previous turn cannot be read now",
+                         owner_.settings_.retryAfterBusy);
+        return;
+    }
+    if (prefix_.size() + request_.body.size() > table_->document().limits.bodyBytes) {
+        respondWithError(413, "history_too_large", "the turn and its predecessors are too large");
+        return;
+    }
+    startAttempt();
+}
+
 /// Turns carry a token budget; all other requests of a program are tool calls.
 bool Exchange::isTurn() const
 {
@@ -183,7 +268,7 @@
 void Exchange::checkBudget()
 {
     if (!isTurn()) {
-        startAttempt();
+        onAdmitted();
         return;
     }
     auto self = shared_from_this();
@@ -202,7 +287,7 @@
     }
     switch (verdict) {
     case BudgetVerdict::Admitted:
-        startAttempt();
+        onAdmitted();
         break;
     case BudgetVerdict::Exhausted:
         respondWithError(402, "over_budget", "token budget of the program is exhausted");
@@ -327,7 +412,9 @@
     forward.timeLeft = timeLeft();
     forward.resumeAfter = events_.lastEventId();
     owner_.translator_.prepareForward(head.headers, forward);
-    return serializeRequest(head, request_.body.size()) + request_.body;
+    std::string bytes = serializeRequest(head, prefix_.size() + request_.body.size());
+    bytes.reserve(bytes.size() + prefix_.size() + request_.body.size());
+    return bytes.append(prefix_).append(request_.body);
 }
 
 HeadVerdict Exchange::onHead(const ResponseHead &head, const Framing &framing)
@@ -341,6 +428,9 @@
             placement_->instance, traits.load->running, traits.load->waiting, now());
     }
     owner_.placer_.responseReceived(placement_->instance, now() - sentAt_);
+    if (traits.isServerLeaving) {
+        owner_.placer_.leavingAnnounced(placement_->instance);
+    }
     head_ = head;
     framing_ = framing;
     if (traits.isNotRun || traits.isWrongServer) {
@@ -362,6 +452,9 @@
     const auto type = head.headers.find("Content-Type");
     isEventStream_ = route_->kind == RouteKind::Stream && isSuccess && type
                      && type->starts_with("text/event-stream");
+    if (isEventStream_ && route_->isHistoryKept) {
+        events_.setDataCollected();
+    }
     if (isHeadForwarded_ && !isEventStream_) {
         releaseServer(false);
         abortResponse("not_resumed",
@@ -419,7 +512,49 @@
         return;
     }
     releaseServer(true);
-    forwardEnd();
+    if (isEventStream_ && route_->isHistoryKept) {
+        keepTurn();
+    } else {
+        forwardEnd();
+    }
+}
+
+TurnHistory::Turn Exchange::completedTurn() const
+{
+    TurnHistory::Turn turn;
+    turn.id = TurnHistory::TurnId(traits_.id);
+    turn.previous = TurnHistory::TurnId(traits_.previousTurn);
+    turn.team = team_ ? team_->team.id : Base::TeamId{};
+    turn.placementKey = placementKey_;
+    turn.retention = route_->programRetention.value_or(Base::Duration::zero());
+    const auto time = std::chrono::system_clock::now().time_since_epoch();
+    turn.endedAt = TurnHistory::UnixTime(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+    turn.content.reserve(request_.body.size() + events_.data().size());
+    turn.content.append(request_.body).append(events_.data());
+    return turn;
+}
+
+/// Holds back the end of the response until the turn is durable, as the caller may continue it as
+/// soon as the response ends.
+void Exchange::keepTurn()
+{
+    keepingSince_ = now();
+    auto self = shared_from_this();
+    owner_.history_.keep(completedTurn(), [self](bool isKept) { self->onTurnKept(isKept); });
+}
+
+void Exchange::onTurnKept(bool isKept)
+{
+    if (isEnded_) {
+        return;
+    }
+    keepingTime_ = now() - keepingSince_;
+    if (isKept) {
+        forwardEnd();
+    } else {
+        abortResponse("not_kept", "the turn could not be kept");
+    }
 }
 
 /// The request was not executed on this server, so it is safe to try another one.
@@ -620,6 +755,12 @@
         fields.details.push_back({"program_budget", traits_.programBudget->value()});
         fields.details.push_back({"max_output", traits_.maxOutput.value()});
     }
+    if (route_ && route_->isHistoryKept) {
+        fields.details.push_back({"previous_turn", traits_.previousTurn});
+        fields.details.push_back({"chain_turns", static_cast<std::int64_t>(chainTurns_)});
+        fields.details.push_back({"chain_bytes", static_cast<std::int64_t>(prefix_.size())});
+        fields.details.push_back({"keep_milliseconds", milliseconds(keepingTime_)});
+    }
     if (placement_) {
         fields.peer = placement_->instance.id.text();
         fields.details.push_back({"load", placement_->load});
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -29,6 +29,13 @@
     bool findRoute();
     bool checkKey();
     bool isTurn() const;
+    bool checkHistoryFields();
+    void findHistory();
+    void onHistory(TurnHistory::LookupResult result, const TurnHistory::Chain &chain);
+    void onAdmitted();
+    void keepTurn();
+    void onTurnKept(bool isKept);
+    TurnHistory::Turn completedTurn() const;
     Admission::Urgency urgency() const;
     void checkRate();
     void onPermitVerdict(const Admission::PermitVerdict &verdict);
@@ -100,6 +107,18 @@
     /// A permit was granted, and no attempt has been made yet.
     bool hasPermit_ = false;
     bool isEnded_ = false;
+
+    /// The turns that this one continues; unset until they are found.
+    std::optional<TurnHistory::LookupResult> history_;
+    /// Contents of those turns, sent before the body of the request.
+    std::string prefix_;
+    /// Selects the holders of this turn.
+    std::string placementKey_;
+    std::size_t chainTurns_ = 0;
+    /// The rate and the budget allow the request.
+    bool isAdmitted_ = false;
+    Base::Instant keepingSince_;
+    Base::Duration keepingTime_{};
 };
 
 } // namespace Proxy
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -12,6 +12,8 @@
 #include <programs/tokenledger.h>
 #include <telemetry/log.h>
 #include <telemetry/metrics.h>
+#include <turnhistory/chainsearch.h>
+#include <turnhistory/turncache.h>
 
 #include <asio/io_context.hpp>
 
@@ -66,6 +68,21 @@
     std::function<void(Programs::ReservationId, Base::Tokens used)> settleTokens;
 };
 
+/// Access to the completed turns that requests continue.
+struct HistoryControls
+{
+    using FindCallback
+        = std::function<void(TurnHistory::LookupResult, const TurnHistory::Chain &)>;
+
+    /// Whether a turn could be kept now.
+    std::function<bool()> isAvailable;
+    /// Finds the chain that ends with the given turn. Calls back once, immediately or later.
+    std::function<void(const TurnHistory::TurnId &, const std::string &placementKey, FindCallback)>
+        find;
+    /// Calls back once the turn is durable, or with false if it cannot be kept.
+    std::function<void(TurnHistory::Turn, std::function<void(bool)>)> keep;
+};
+
 /// Forwards requests of callers to backend servers: finds the route, checks the key, the rate and
 /// the budget, chooses the server, and relays the response. Runs on one event loop; not
 /// thread-safe.
@@ -81,6 +98,8 @@
                 std::uint64_t seed);
     ~PassThrough();
 
+    /// Must be called before the first request on a route whose history is kept.
+    void setHistory(HistoryControls history) { history_ = std::move(history); }
     /// Applies the document if its version is newer. Returns whether it was applied.
     bool configure(Contracts::RoutingDocument document);
     void serversChanged(const std::vector<Dispatch::ListedServer> &servers);
@@ -112,6 +131,7 @@
     PassThroughSettings settings_;
     HeaderTranslator translator_;
     AdmissionControls controls_;
+    HistoryControls history_;
     Telemetry::Log &log_;
     Telemetry::Metrics &metrics_;
     Dispatch::RequestPlacer placer_;
--- a/src/libs/proxy/requesttraits.h
+++ b/src/libs/proxy/requesttraits.h
@@ -34,6 +34,10 @@
     std::vector<Dispatch::PromptPart> prompt;
     /// The last event that the caller received of a stream to resume.
     std::optional<std::string> lastEventId;
+    /// The attempt that ran the turn that this request continues; empty if it starts a chain.
+    std::string previousTurn;
+    /// The previous turn is named more than once, or by a text that is no id.
+    bool isPreviousTurnMalformed = false;
 };
 
 /// Load of a server as reported in a response.
@@ -56,6 +60,8 @@
     /// The response carries the proof that it comes from the named server.
     bool isAuthentic = false;
     std::optional<ReportedLoad> load;
+    /// The server is about to stop and must get no new requests.
+    bool isServerLeaving = false;
 };
 
 /// Properties that the proxy adds to a request for the chosen server.
--- /dev/null
+++ b/src/libs/turnhistory/replicationplan.cpp
@@ -0,0 +1,178 @@
+#include "replicationplan.h"
+
+#include <algorithm>
+
+namespace TurnHistory {
+
+namespace {
+
+/// Limit on the turns examined for one offer, so that a tick stays short.
+constexpr std::size_t examinedPerOffer = 5000;
+
+} // namespace
+
+ReplicationPlan::ReplicationPlan(
+    Holder self, DiskId disk, bool isSynchronized, Settings settings, const TurnIndex &index)
+    : self_(std::move(self))
+    , disk_(std::move(disk))
+    , isSynchronized_(isSynchronized)
+    , settings_(settings)
+    , index_(index)
+{}
+
+void ReplicationPlan::setPeers(const std::vector<Holder> &peers, Base::Instant now)
+{
+    std::map<Base::VmId, Peer> next;
+    for (const Holder &holder : peers) {
+        const auto known = peers_.find(holder.vm);
+        if (known != peers_.end()) {
+            next.emplace(holder.vm, std::move(known->second));
+            continue;
+        }
+        Peer peer;
+        peer.holder = holder;
+        peer.reachedAt = now; // counts as reachable until it has had time to respond
+        restart(peer);
+        next.emplace(holder.vm, std::move(peer));
+    }
+    peers_ = std::move(next);
+    std::erase_if(completedBy_, [&](const auto &vm) { return !peers_.contains(vm); });
+    updateRing(now);
+}
+
+void ReplicationPlan::setLeaving()
+{
+    isLeaving_ = true;
+}
+
+void ReplicationPlan::restart(Peer &peer)
+{
+    peer.confirmedUpTo = 0;
+    peer.round = ++lastRound_;
+}
+
+/// Recomputes the reachable holders. If they change, other holders rank first for some turns, so
+/// every turn is examined again.
+void ReplicationPlan::updateRing(Base::Instant now)
+{
+    std::vector<Holder> ring;
+    if (!isLeaving_) {
+        ring.push_back(self_);
+    }
+    for (const auto &[vm, peer] : peers_) {
+        if (!peer.isLeaving && now - peer.reachedAt < settings_.reachableTimeout) {
+            ring.push_back(peer.holder);
+        }
+    }
+    if (ring == ring_) {
+        return;
+    }
+    ring_ = std::move(ring);
+    for (auto &[vm, peer] : peers_) {
+        restart(peer);
+    }
+}
+
+bool ReplicationPlan::isAssigned(const IndexedTurn &turn, const Base::VmId &peer) const
+{
+    const std::vector<Base::VmId> ranked = rankHolders(turn.placementKey, ring_);
+    const std::size_t count = std::min(settings_.copies, ranked.size());
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(count);
+    return std::find(ranked.begin(), end, peer) != end;
+}
+
+PlannedOffer ReplicationPlan::nextOffer(const Base::VmId &peer, Base::Instant now)
+{
+    updateRing(now);
+    PlannedOffer offer;
+    offer.peer = peer;
+    offer.request.sender = self_.vm;
+    const auto entry = peers_.find(peer);
+    if (entry == peers_.end()) {
+        return offer;
+    }
+    const Peer &state = entry->second;
+    offer.round = state.round;
+    offer.request.receiverDisk = state.disk;
+    offer.upTo = state.confirmedUpTo;
+    std::size_t examined = 0;
+    const IndexedTurn *turn = index_.next(offer.upTo);
+    while (turn && examined < examinedPerOffer
+           && offer.request.turns.size() < settings_.turnsPerOffer) {
+        ++examined;
+        offer.upTo = turn->sequence;
+        if (isAssigned(*turn, peer)) {
+            offer.request.turns.push_back(turn->id);
+        }
+        turn = index_.next(offer.upTo);
+    }
+    offer.request.isComplete = isSynchronized_ && offer.request.turns.empty() && !turn;
+    return offer;
+}
+
+void ReplicationPlan::offerAnswered(const Base::VmId &peer,
+                                    const OfferResponse &response,
+                                    Base::Instant now)
+{
+    const auto entry = peers_.find(peer);
+    if (entry == peers_.end()) {
+        return;
+    }
+    Peer &state = entry->second;
+    state.reachedAt = now;
+    state.isLeaving = response.isLeaving;
+    if (state.disk != response.disk) {
+        state.disk = response.disk;
+        restart(state);
+    }
+    updateRing(now);
+}
+
+void ReplicationPlan::offerConfirmed(const PlannedOffer &offer)
+{
+    const auto entry = peers_.find(offer.peer);
+    if (entry != peers_.end() && entry->second.round == offer.round) {
+        entry->second.confirmedUpTo = offer.upTo;
+    }
+}
+
+bool ReplicationPlan::isBehind(const Base::VmId &peer) const
+{
+    const auto entry = peers_.find(peer);
+    return entry != peers_.end() && index_.next(entry->second.confirmedUpTo) != nullptr;
+}
+
+/// A turn that this disk lost is on at least copies - 1 other disks. At most copies - 2 of them are
+/// lost too, so one of the peers that have completed their offers has the turn if all but
+/// copies - 2 have.
+void ReplicationPlan::offerReceived(const OfferRequest &offer)
+{
+    if (isSynchronized_ || !offer.isComplete || offer.receiverDisk != disk_
+        || !peers_.contains(offer.sender)) {
+        return;
+    }
+    completedBy_.insert(offer.sender);
+    const std::size_t tolerated = settings_.copies >= 2 ? settings_.copies - 2 : 0;
+    isSynchronized_ = completedBy_.size() + tolerated >= peers_.size();
+}
+
+bool ReplicationPlan::isReplicated(Base::Instant now)
+{
+    updateRing(now);
+    return std::none_of(ring_.begin(), ring_.end(), [&](const Holder &holder) {
+        return isBehind(holder.vm);
+    });
+}
+
+bool ReplicationPlan::isHandedOver(Base::Instant now)
+{
+    return isLeaving_ && isReplicated(now) && ring_.size() >= settings_.copies;
+}
+
+std::optional<Base::Instant> ReplicationPlan::lastReached(const Base::VmId &peer) const
+{
+    const auto entry = peers_.find(peer);
+    return entry == peers_.end() ? std::nullopt : std::optional(entry->second.reachedAt);
+}
+
+} // namespace TurnHistory
--- /dev/null
+++ b/src/libs/turnstore/turnkeeper.cpp
@@ -0,0 +1,503 @@
+#include "turnkeeper.h"
+
+#include <turnhistory/turncodec.h>
+
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace TurnStore {
+
+namespace {
+
+using Telemetry::LogLevel;
+using TurnHistory::Chain;
+using TurnHistory::ChainOutcome;
+using TurnHistory::ChainSearch;
+using TurnHistory::LookupResult;
+using TurnHistory::SearchState;
+using TurnHistory::TurnId;
+
+/// A request to a holder may have been executed after this time, but is not waited for.
+constexpr Base::Duration callTimeout = std::chrono::milliseconds(600);
+
+/// A write waits for up to two syncs of 5 ms; then one more holder is asked.
+constexpr Base::Duration slowWrite = std::chrono::milliseconds(40);
+constexpr Base::Duration slowRead = std::chrono::milliseconds(25);
+
+constexpr Base::Duration slowBackoff = std::chrono::milliseconds(300);
+constexpr Base::Duration firstBackoff = std::chrono::milliseconds(500);
+constexpr Base::Duration longestBackoff = std::chrono::seconds(4);
+
+/// A lookup whose outcome is unknown is repeated for this time, as holders may just be starting.
+constexpr Base::Duration lookupTime = std::chrono::milliseconds(350);
+constexpr Base::Duration lookupInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+/// Writes one turn. The holders that rank first are asked at once, others as those fail or are slow.
+class TurnKeeper::KeepCall : public std::enable_shared_from_this<KeepCall>
+{
+public:
+    KeepCall(TurnKeeper &owner, TurnHistory::Turn turn, std::function<void(bool)> done)
+        : owner_(owner)
+        , turn_(std::move(turn))
+        , body_(TurnHistory::encodeKeepRequest({turn_}))
+        , candidates_(owner.ranked(turn_.placementKey))
+        , timer_(owner.context_)
+        , done_(std::move(done))
+        , begin_(owner.now_())
+    {
+        std::stable_partition(candidates_.begin(), candidates_.end(), [&](const auto &vm) {
+            return !owner_.isSuspect(vm);
+        });
+    }
+
+    void start()
+    {
+        for (std::size_t i = 0; i < owner_.settings_.copies; ++i) {
+            askNext();
+        }
+        if (awaited_.empty()) {
+            finish(false);
+            return;
+        }
+        armTimer();
+    }
+
+private:
+    void askNext()
+    {
+        if (asked_ >= candidates_.size()) {
+            return;
+        }
+        const Base::VmId vm = candidates_[asked_++];
+        awaited_.insert(vm);
+        owner_.call(vm,
+                    keepPath,
+                    body_,
+                    [self = shared_from_this(), vm](const Proxy::CallResult &result) {
+                        self->onAnswer(vm, result);
+                    });
+    }
+
+    void onAnswer(const Base::VmId &vm, const Proxy::CallResult &result)
+    {
+        awaited_.erase(vm);
+        const bool isKept = result.status == 200;
+        if (isKept) {
+            owner_.recordSuccess(vm);
+            ++kept_;
+        } else {
+            owner_.recordFailure(vm);
+            failed_ += " " + vm.text() + ":"
+                       + (result.status == 0 ? result.problem : std::to_string(result.status));
+        }
+        if (!done_) {
+            return;
+        }
+        if (kept_ >= owner_.settings_.copies) {
+            finish(true);
+        } else if (!isKept) {
+            askNext();
+        }
+        if (awaited_.empty()) {
+            finish(false);
+        }
+    }
+
+    void armTimer()
+    {
+        timer_.expires_after(slowWrite);
+        timer_.async_wait([self = shared_from_this()](const std::error_code &error) {
+            if (!error && self->done_) {
+                self->onSlow();
+            }
+        });
+    }
+
+    void onSlow()
+    {
+        const std::set<Base::VmId> slow = awaited_;
+        for (const Base::VmId &vm : slow) {
+            owner_.recordSlow(vm);
+            askNext();
+        }
+        armTimer();
+    }
+
+    void finish(bool isKept)
+    {
+        if (!done_) {
+            return;
+        }
+        timer_.cancel();
+        const Base::Duration duration = owner_.now_() - begin_;
+        owner_.metrics_
+            .counter("marjoram_turn_commits_total",
+                     "Turns to keep by outcome",
+                     {{"kept", isKept ? "1" : "0"}})
+            .add();
+        owner_.metrics_.distribution("marjoram_turn_commit_seconds", "Time to keep a turn")
+            .add(Base::toSeconds(duration));
+        if (isKept) {
+            owner_.cache_.add(TurnHistory::cachedTurn(std::move(turn_)));
+        } else {
+            owner_.log_.write(
+                LogLevel::Warning,
+                "turn cannot be kept:" + failed_,
+                {.request = turn_.id.text(),
+                 .step = "keep",
+                 .details = {{"copies", static_cast<std::int64_t>(kept_)},
+                             {"holders", static_cast<std::int64_t>(candidates_.size())},
+                             {"milliseconds", static_cast<std::int64_t>(duration.count() / 1000)}}});
+        }
+        std::exchange(done_, nullptr)(isKept);
+    }
+
+    TurnKeeper &owner_;
+    TurnHistory::Turn turn_;
+    std::string body_;
+    std::vector<Base::VmId> candidates_;
+    std::size_t asked_ = 0;
+    std::size_t kept_ = 0;
+    std::set<Base::VmId> awaited_;
+    /// The holders that failed, with the reasons, for the log.
+    std::string failed_;
+    asio::steady_timer timer_;
+    std::function<void(bool)> done_;
+    Base::Instant begin_;
+};
+
+/// Collects one chain, from the cache and from the holders.
+class TurnKeeper::FindCall : public std::enable_shared_from_this<FindCall>
+{
+public:
+    FindCall(TurnKeeper &owner, const TurnId &id, std::string placementKey, LookupDone done)
+        : owner_(owner)
+        , id_(id)
+        , placementKey_(std::move(placementKey))
+        , timer_(owner.context_)
+        , done_(std::move(done))
+        , begin_(owner.now_())
+    {
+        chain_.next = id;
+    }
+
+    void start()
+    {
+        owner_.cache_.extend(chain_);
+        if (chain_.isComplete()) {
+            finish(LookupResult::Found);
+            return;
+        }
+        search();
+    }
+
+private:
+    /// Starts to look for the next turn of the chain.
+    void search()
+    {
+        std::vector<Base::VmId> holders = owner_.ranked(placementKey_);
+        const std::size_t count = std::min(owner_.settings_.copies, holders.size());
+        std::stable_sort(holders.begin(),
+                         holders.begin() + static_cast<std::ptrdiff_t>(count),
+                         [&](const auto &a, const auto &b) { return cost(a) < cost(b); });
+        search_.emplace(std::move(holders), owner_.settings_.copies);
+        isRegistrationRead_ = false;
+        ++searchNumber_;
+        ask(search_->start());
+        proceed();
+    }
+
+    int cost(const Base::VmId &vm) const
+    {
+        return (owner_.isSuspect(vm) ? 2 : 0) + (owner_.isInOwnZone(vm) ? 0 : 1);
+    }
+
+    void ask(const std::vector<Base::VmId> &holders)
+    {
+        const std::string body = TurnHistory::encodeChainRequest(chain_.next);
+        for (const Base::VmId &vm : holders) {
+            awaited_.insert(vm);
+            owner_.call(vm,
+                        chainPath,
+                        body,
+                        [self = shared_from_this(), vm, number = searchNumber_](
+                            const Proxy::CallResult &result) {
+                            self->onAnswer(vm, number, result);
+                        });
+        }
+        if (!holders.empty()) {
+            armTimer(slowRead, &FindCall::onSlow);
+        }
+    }
+
+    void onAnswer(const Base::VmId &vm, std::uint32_t number, const Proxy::CallResult &result)
+    {
+        TurnHistory::ChainResponse response;
+        if (result.status == 200) {
+            owner_.recordSuccess(vm);
+            response = TurnHistory::decodeChainResponse(result.body);
+        } else {
+            owner_.recordFailure(vm);
+        }
+        if (!done_ || number != searchNumber_) {
+            return;
+        }
+        awaited_.erase(vm);
+        if (response.outcome == ChainOutcome::Found && !response.turns.empty()
+            && response.turns.front().id == chain_.next) {
+            onFound(std::move(response.turns));
+            return;
+        }
+        ask(response.outcome == ChainOutcome::Absent
+                ? search_->onAbsent(vm, response.isSynchronized)
+                : search_->onFailed(vm));
+        proceed();
+    }
+
+    void onFound(std::vector<TurnHistory::Turn> turns)
+    {
+        for (TurnHistory::Turn &turn : turns) {
+            if (turn.id != chain_.next || chain_.contents.size() >= TurnHistory::maxChainTurns) {
+                break;
+            }
+            ++fetched_;
+            const TurnHistory::CachedTurn cached = TurnHistory::cachedTurn(std::move(turn));
+            chain_.append(cached);
+            owner_.cache_.add(cached);
+        }
+        owner_.cache_.extend(chain_);
+        if (chain_.isComplete()) {
+            finish(LookupResult::Found);
+        } else if (chain_.contents.size() >= TurnHistory::maxChainTurns) {
+            finish(LookupResult::Unavailable);
+        } else {
+            search();
+        }
+    }
+
+    void proceed()
+    {
+        switch (search_->state()) {
+        case SearchState::Pending:
+        case SearchState::Found:
+            return;
+        case SearchState::Absent:
+            onAbsent();
+            return;
+        case SearchState::Unknown:
+            retryOrGiveUp();
+            return;
+        }
+    }
+
+    /// The turn is certain not to exist if no holder was registered meanwhile that was not asked.
+    void onAbsent()
+    {
+        if (!chain_.contents.empty()) {
+            retryOrGiveUp(); // a kept turn whose predecessor cannot be found
+            return;
+        }
+        if (isRegistrationRead_) {
+            finish(LookupResult::Absent);
+            return;
+        }
+        isRegistrationRead_ = true;
+        owner_.readHolders_([self = shared_from_this(), number = searchNumber_](
+                                const std::optional<Holders> &holders) {
+            if (!self->done_ || number != self->searchNumber_) {
+                return;
+            }
+            if (!holders) {
+                self->finish(LookupResult::Unavailable);
+                return;
+            }
+            self->owner_.setHolders(*holders);
+            self->ask(self->search_->onRegistered(self->owner_.ranked(self->placementKey_)));
+            self->proceed();
+        });
+    }
+
+    void retryOrGiveUp()
+    {
+        if (owner_.now_() - begin_ >= lookupTime) {
+            finish(LookupResult::Unavailable);
+            return;
+        }
+        armTimer(lookupInterval, &FindCall::search);
+    }
+
+    void onSlow()
+    {
+        for (const Base::VmId &vm : awaited_) {
+            owner_.recordSlow(vm);
+        }
+        ask(search_->onSlow());
+    }
+
+    void armTimer(Base::Duration delay, void (FindCall::*action)())
+    {
+        timer_.expires_after(delay);
+        timer_.async_wait([self = shared_from_this(), action](const std::error_code &error) {
+            if (!error && self->done_) {
+                (self.get()->*action)();
+            }
+        });
+    }
+
+    void finish(LookupResult result)
+    {
+        timer_.cancel();
+        const char *name = result == LookupResult::Found    ? (fetched_ > 0 ? "holder" : "memory")
+                           : result == LookupResult::Absent ? "absent"
+                                                            : "unavailable";
+        owner_.metrics_
+            .counter("marjoram_chain_lookups_total",
+                     "Lookups of chains by where they were found",
+                     {{"source", name}})
+            .add();
+        const Base::Duration duration = owner_.now_() - begin_;
+        owner_.metrics_.distribution("marjoram_chain_lookup_seconds", "Time to find a chain")
+            .add(Base::toSeconds(duration));
+        if (result != LookupResult::Found) {
+            owner_.log_.write(
+                LogLevel::Info,
+                "chain not found",
+                {.step = "history",
+                 .details = {{"turn", id_.text()},
+                             {"outcome", name},
+                             {"missing", chain_.next.text()},
+                             {"holders", static_cast<std::int64_t>(owner_.holders_.size())},
+                             {"milliseconds", static_cast<std::int64_t>(duration.count() / 1000)}}});
+        }
+        std::exchange(done_, nullptr)(result, chain_);
+    }
+
+    TurnKeeper &owner_;
+    TurnId id_;
+    std::string placementKey_;
+    Chain chain_;
+    std::optional<ChainSearch> search_;
+    /// Distinguishes the answers to the current search from late ones to an earlier search.
+    std::uint32_t searchNumber_ = 0;
+    std::set<Base::VmId> awaited_;
+    /// The registered holders were read after all known ones had answered.
+    bool isRegistrationRead_ = false;
+    std::size_t fetched_ = 0;
+    asio::steady_timer timer_;
+    LookupDone done_;
+    Base::Instant begin_;
+};
+
+TurnKeeper::TurnKeeper(asio::io_context &context,
+                       TurnKeeperSettings settings,
+                       ReadHolders readHolders,
+                       std::function<Base::Instant()> now,
+                       Telemetry::Log &log,
+                       Telemetry::Metrics &metrics)
+    : context_(context)
+    , settings_(std::move(settings))
+    , readHolders_(std::move(readHolders))
+    , now_(std::move(now))
+    , log_(log)
+    , metrics_(metrics)
+    , cache_(settings_.cacheBytes)
+{}
+
+void TurnKeeper::setHolders(const Holders &holders)
+{
+    std::map<Base::VmId, HolderState> next;
+    for (const HolderAddress &address : holders) {
+        const auto known = holders_.find(address.holder.vm);
+        if (known != holders_.end() && known->second.address == address) {
+            next.emplace(address.holder.vm, std::move(known->second));
+            continue;
+        }
+        HolderState state;
+        state.address = address;
+        state.caller = std::make_shared<Proxy::HttpCaller>(
+            context_, address.endpoint, address.endpoint.address().to_string());
+        state.nextBackoff = firstBackoff;
+        next.emplace(address.holder.vm, std::move(state));
+    }
+    holders_ = std::move(next);
+}
+
+std::vector<Base::VmId> TurnKeeper::ranked(const std::string &placementKey) const
+{
+    std::vector<TurnHistory::Holder> holders;
+    for (const auto &[vm, state] : holders_) {
+        holders.push_back(state.address.holder);
+    }
+    return TurnHistory::rankHolders(placementKey, holders);
+}
+
+bool TurnKeeper::isSuspect(const Base::VmId &vm) const
+{
+    const auto entry = holders_.find(vm);
+    return entry != holders_.end() && now_() < entry->second.suspectUntil;
+}
+
+bool TurnKeeper::isInOwnZone(const Base::VmId &vm) const
+{
+    const auto entry = holders_.find(vm);
+    return entry != holders_.end() && entry->second.address.holder.zone == settings_.zone;
+}
+
+void TurnKeeper::recordSuccess(const Base::VmId &vm)
+{
+    if (const auto entry = holders_.find(vm); entry != holders_.end()) {
+        entry->second.suspectUntil = {};
+        entry->second.nextBackoff = firstBackoff;
+    }
+}
+
+void TurnKeeper::recordFailure(const Base::VmId &vm)
+{
+    const auto entry = holders_.find(vm);
+    if (entry == holders_.end()) {
+        return;
+    }
+    HolderState &state = entry->second;
+    if (now_() >= state.suspectUntil) {
+        state.suspectUntil = now_() + state.nextBackoff;
+        state.nextBackoff = std::min(longestBackoff, 2 * state.nextBackoff);
+    }
+}
+
+void TurnKeeper::recordSlow(const Base::VmId &vm)
+{
+    if (const auto entry = holders_.find(vm); entry != holders_.end()) {
+        entry->second.suspectUntil = std::max(entry->second.suspectUntil, now_() + slowBackoff);
+    }
+}
+
+void TurnKeeper::call(const Base::VmId &vm,
+                      const char *path,
+                      const std::string &body,
+                      std::function<void(const Proxy::CallResult &)> done)
+{
+    const auto entry = holders_.find(vm);
+    if (entry == holders_.end()) {
+        Proxy::CallResult result;
+        result.problem = "holder is no longer registered";
+        done(result);
+        return;
+    }
+    entry->second.caller->call("POST", path, body, callTimeout, std::move(done));
+}
+
+void TurnKeeper::find(const TurnId &id, const std::string &placementKey, LookupDone done)
+{
+    std::make_shared<FindCall>(*this, id, placementKey, std::move(done))->start();
+}
+
+void TurnKeeper::keep(TurnHistory::Turn turn, std::function<void(bool)> done)
+{
+    std::make_shared<KeepCall>(*this, std::move(turn), std::move(done))->start();
+}
+
+} // namespace TurnStore
--- /dev/null
+++ b/src/libs/turnstore/turnkeeper.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "holderaddress.h"
+
+#include <proxy/httpcaller.h>
+#include <telemetry/log.h>
+#include <telemetry/metrics.h>
+#include <turnhistory/chainsearch.h>
+#include <turnhistory/turncache.h>
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace TurnStore {
+
+struct TurnKeeperSettings
+{
+    /// Turns are read from a holder in this zone if there is one.
+    Base::ZoneId zone;
+    /// Disks that each turn is written to.
+    std::size_t copies = 2;
+    /// Recent turns in memory.
+    std::size_t cacheBytes = 12 * 1024 * 1024;
+};
+
+/// Writes completed turns to the daemons that keep them, and reads the chains that requests
+/// continue. Not thread-safe.
+class TurnKeeper
+{
+public:
+    using LookupDone = std::function<void(TurnHistory::LookupResult, const TurnHistory::Chain &)>;
+    using Holders = std::vector<HolderAddress>;
+    /// Reads the registered holders; calls back with nothing if they cannot be read now.
+    using ReadHolders = std::function<void(std::function<void(std::optional<Holders>)>)>;
+
+    TurnKeeper(asio::io_context &context,
+               TurnKeeperSettings settings,
+               ReadHolders readHolders,
+               std::function<Base::Instant()> now,
+               Telemetry::Log &log,
+               Telemetry::Metrics &metrics);
+
+    void setHolders(const Holders &holders);
+    /// Whether enough holders are known to keep a turn.
+    bool isAvailable() const { return holders_.size() >= settings_.copies; }
+
+    /// Finds the chain that ends with the turn \a id. Calls back once, immediately or later.
+    void find(const TurnHistory::TurnId &id, const std::string &placementKey, LookupDone done);
+    /// Calls back with true once the turn is on the required number of disks, and with false if
+    /// that failed.
+    void keep(TurnHistory::Turn turn, std::function<void(bool)> done);
+
+private:
+    class KeepCall;
+    class FindCall;
+
+    struct HolderState
+    {
+        HolderAddress address;
+        std::shared_ptr<Proxy::HttpCaller> caller;
+        /// Until then, other holders are asked first.
+        Base::Instant suspectUntil;
+        Base::Duration nextBackoff{};
+    };
+
+    /// All holders for the key in the order of their rank.
+    std::vector<Base::VmId> ranked(const std::string &placementKey) const;
+    bool isSuspect(const Base::VmId &vm) const;
+    bool isInOwnZone(const Base::VmId &vm) const;
+    void recordSuccess(const Base::VmId &vm);
+    void recordFailure(const Base::VmId &vm);
+    /// The holder has not answered yet, though it usually would have.
+    void recordSlow(const Base::VmId &vm);
+    void call(const Base::VmId &vm,
+              const char *path,
+              const std::string &body,
+              std::function<void(const Proxy::CallResult &)> done);
+
+    asio::io_context &context_;
+    TurnKeeperSettings settings_;
+    ReadHolders readHolders_;
+    std::function<Base::Instant()> now_;
+    Telemetry::Log &log_;
+    Telemetry::Metrics &metrics_;
+    TurnHistory::TurnCache cache_;
+    std::map<Base::VmId, HolderState> holders_;
+};
+
+} // namespace TurnStore
--- /dev/null
+++ b/src/libs/turnstore/turnstoreservice.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "holderaddress.h"
+#include "turndisk.h"
+
+#include <proxy/callerconnection.h>
+#include <proxy/httpcaller.h>
+#include <turnhistory/replicationplan.h>
+
+#include <asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+
+namespace TurnStore {
+
+/// Serves the turns on this daemon's disk to all daemons, and copies them to the other holders that
+/// have to keep them.
+class TurnStoreService
+{
+public:
+    TurnStoreService(asio::io_context &context,
+                     const HolderAddress &self,
+                     TurnDisk &disk,
+                     TurnHistory::ReplicationPlan::Settings replication,
+                     std::function<Base::Instant()> now,
+                     Telemetry::Log &log,
+                     Telemetry::Metrics &metrics);
+
+    /// Throws std::exception if the address cannot be bound.
+    void start();
+    /// Sets all registered holders.
+    void setHolders(const std::vector<HolderAddress> &holders);
+    /// This holder was not registered before, so no acknowledged turn was ever on its disk.
+    void setFirstRegistration();
+    /// Stops keeping turns; \a onHandedOver is called once the other holders have all of them.
+    void leave(std::function<void()> onHandedOver);
+    /// Peers that were not reached for the given time, while all others have what they must keep.
+    std::vector<Base::VmId> lostPeers(Base::Duration unreachedFor);
+
+private:
+    struct Peer
+    {
+        std::shared_ptr<Proxy::HttpCaller> caller;
+        asio::ip::tcp::endpoint endpoint;
+        bool isBusy = false;
+    };
+
+    using CallerPtr = std::shared_ptr<Proxy::CallerConnection>;
+
+    void accept();
+    void onRequest(const CallerPtr &caller, const Proxy::CallerRequest &request);
+    void keep(const CallerPtr &caller, const std::string &body);
+    void sendChain(const CallerPtr &caller, const std::string &body);
+    void answerOffer(const CallerPtr &caller, const std::string &body);
+    TurnHistory::ChainResponse readChain(const TurnHistory::TurnId &id);
+    void scheduleTick();
+    void tick();
+    void offerTo(const Base::VmId &vm);
+    void onOfferAnswer(const TurnHistory::PlannedOffer &offer, const Proxy::CallResult &result);
+    void sendMissing(const TurnHistory::PlannedOffer &offer,
+                     std::vector<TurnHistory::TurnId> missing);
+    void onSynchronized();
+    void logPeerChange(const Base::VmId &vm, bool isReachable, const std::string &problem);
+
+    asio::io_context &context_;
+    HolderAddress self_;
+    TurnDisk &disk_;
+    std::function<Base::Instant()> now_;
+    Telemetry::Log &log_;
+    Telemetry::Metrics &metrics_;
+    TurnHistory::TurnIndex index_;
+    TurnHistory::ReplicationPlan plan_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::shared_ptr<Proxy::CallerHandlers> handlers_;
+    asio::steady_timer timer_;
+    std::map<Base::VmId, Peer> peers_;
+    std::set<Base::VmId> unreachable_;
+    /// Writes that are accepted but not indexed yet.
+    std::size_t pendingWrites_ = 0;
+    std::function<void()> onHandedOver_;
+};
+
+} // namespace TurnStore
