--- a/schema/turnstore.thrift
+++ b/schema/turnstore.thrift
@@ -60,4 +60,10 @@
   2: bool isLeaving
   /** The offered turns that the receiver does not have. */
   3: list<string> missing
+  /** Every reachable holder has what it has to keep of the receiver's turns. */
+  4: bool isReplicated
+  /** As in ChainResponse. */
+  5: bool isSynchronized
+  /** Holders that the receiver has not reached for a long time. */
+  6: list<string> lostHolders
 }
--- a/src/libs/turnhistory/replicationplan.cpp
+++ b/src/libs/turnhistory/replicationplan.cpp
@@ -60,7 +60,7 @@
         ring.push_back(self_);
     }
     for (const auto &[vm, peer] : peers_) {
-        if (!peer.isLeaving && now - peer.reachedAt < settings_.reachableTimeout) {
+        if (!peer.answer.isLeaving && now - peer.reachedAt < settings_.reachableTimeout) {
             ring.push_back(peer.holder);
         }
     }
@@ -120,7 +120,8 @@
     }
     Peer &state = entry->second;
     state.reachedAt = now;
-    state.isLeaving = response.isLeaving;
+    state.answer = response;
+    state.answer.missing.clear();
     if (state.disk != response.disk) {
         state.disk = response.disk;
         restart(state);
@@ -145,15 +146,51 @@
 /// A turn that this disk lost is on at least copies - 1 other disks. At most copies - 2 of them are
 /// lost too, so one of the peers that have completed their offers has the turn if all but
 /// copies - 2 have.
-void ReplicationPlan::offerReceived(const OfferRequest &offer)
+OfferResponse ReplicationPlan::offerReceived(const OfferRequest &offer, Base::Instant now)
 {
-    if (isSynchronized_ || !offer.isComplete || offer.receiverDisk != disk_
-        || !peers_.contains(offer.sender)) {
-        return;
+    const bool isUseful = !isSynchronized_ && offer.isComplete && offer.receiverDisk == disk_
+                          && peers_.contains(offer.sender);
+    if (isUseful) {
+        completedBy_.insert(offer.sender);
+        const std::size_t tolerated = settings_.copies >= 2 ? settings_.copies - 2 : 0;
+        isSynchronized_ = completedBy_.size() + tolerated >= peers_.size();
+    }
+    OfferResponse response;
+    response.disk = disk_;
+    response.isLeaving = isLeaving_;
+    response.isReplicated = isReplicated(now);
+    response.isSynchronized = isSynchronized_;
+    response.lostHolders = lostPeers(now);
+    return response;
+}
+
+std::set<Base::VmId> ReplicationPlan::lostPeers(Base::Instant now) const
+{
+    std::set<Base::VmId> result;
+    for (const auto &[vm, peer] : peers_) {
+        if (now - peer.reachedAt >= settings_.lostTimeout) {
+            result.insert(vm);
+        }
+    }
+    return result;
+}
+
+std::vector<Base::VmId> ReplicationPlan::removablePeers(Base::Instant now)
+{
+    const std::set<Base::VmId> lost = lostPeers(now);
+    if (lost.empty() || !isSynchronized_ || !isReplicated(now)) {
+        return {};
+    }
+    for (const auto &[vm, peer] : peers_) {
+        const bool isLost = lost.contains(vm);
+        const bool agrees = now - peer.reachedAt < settings_.reachableTimeout
+                            && peer.answer.isSynchronized && peer.answer.isReplicated
+                            && peer.answer.lostHolders == lost;
+        if (!isLost && !agrees) {
+            return {};
+        }
     }
-    completedBy_.insert(offer.sender);
-    const std::size_t tolerated = settings_.copies >= 2 ? settings_.copies - 2 : 0;
-    isSynchronized_ = completedBy_.size() + tolerated >= peers_.size();
+    return {lost.begin(), lost.end()};
 }
 
 bool ReplicationPlan::isReplicated(Base::Instant now)
@@ -164,15 +201,11 @@
     });
 }
 
+/// A holder whose disk was lost stays until it is synchronized: without its registration the turns
+/// that it lacks would be taken for absent while their last copies cannot be reached.
 bool ReplicationPlan::isHandedOver(Base::Instant now)
 {
-    return isLeaving_ && isReplicated(now) && ring_.size() >= settings_.copies;
-}
-
-std::optional<Base::Instant> ReplicationPlan::lastReached(const Base::VmId &peer) const
-{
-    const auto entry = peers_.find(peer);
-    return entry == peers_.end() ? std::nullopt : std::optional(entry->second.reachedAt);
+    return isLeaving_ && isSynchronized_ && isReplicated(now) && ring_.size() >= settings_.copies;
 }
 
 } // namespace TurnHistory
--- a/src/libs/turnhistory/replicationplan.h
+++ b/src/libs/turnhistory/replicationplan.h
@@ -35,6 +35,8 @@
         std::size_t copies = 2;
         /// A holder that was not reached for this time is replaced by the next in rank.
         Base::Duration reachableTimeout = std::chrono::milliseconds(1500);
+        /// A holder that no other has reached for this time may be removed from the registered ones.
+        Base::Duration lostTimeout = std::chrono::seconds(10);
         std::size_t turnsPerOffer = 1000;
     };
 
@@ -57,8 +59,8 @@
     /// Whether the peer has yet to confirm turns.
     bool isBehind(const Base::VmId &peer) const;
 
-    /// Handles the offer of a peer to this holder.
-    void offerReceived(const OfferRequest &offer);
+    /// Handles the offer of a peer to this holder. The caller adds the missing turns to the response.
+    OfferResponse offerReceived(const OfferRequest &offer, Base::Instant now);
     /// Whether this disk has all turns that it has to keep, unless more disks were lost than
     /// tolerated.
     bool isSynchronized() const { return isSynchronized_; }
@@ -68,21 +70,24 @@
     bool isHandedOver(Base::Instant now);
     /// Whether all reachable peers have what they have to keep of this holder's turns.
     bool isReplicated(Base::Instant now);
-    /// When the peer was last reached; nothing for an unknown peer.
-    std::optional<Base::Instant> lastReached(const Base::VmId &peer) const;
+    /// Peers without which no turn is lost and none is taken for absent: no other holder reaches
+    /// them, and all of those are synchronized and have copied their turns to each other.
+    std::vector<Base::VmId> removablePeers(Base::Instant now);
 
 private:
     struct Peer
     {
         Holder holder;
         DiskId disk;
-        bool isLeaving = false;
         Base::Instant reachedAt;
+        /// The last answer to an offer.
+        OfferResponse answer;
         std::uint64_t confirmedUpTo = 0;
         std::uint64_t round = 0;
     };
 
     void updateRing(Base::Instant now);
+    std::set<Base::VmId> lostPeers(Base::Instant now) const;
     void restart(Peer &peer);
     bool isAssigned(const IndexedTurn &turn, const Base::VmId &peer) const;
 
--- a/src/libs/turnhistory/turncodec.cpp
+++ b/src/libs/turnhistory/turncodec.cpp
@@ -211,6 +211,11 @@
     Wire::OfferResponse wire;
     wire.disk = response.disk.text();
     wire.isLeaving = response.isLeaving;
+    wire.isReplicated = response.isReplicated;
+    wire.isSynchronized = response.isSynchronized;
+    for (const Base::VmId &vm : response.lostHolders) {
+        wire.lostHolders.push_back(vm.text());
+    }
     wire.missing = toWire(response.missing);
     return encode(wire);
 }
@@ -221,8 +226,16 @@
     if (!wire) {
         return std::nullopt;
     }
-    return OfferResponse{
-        DiskId(std::move(wire->disk)), wire->isLeaving, idsFromWire(std::move(wire->missing))};
+    OfferResponse response;
+    response.disk = DiskId(std::move(wire->disk));
+    response.isLeaving = wire->isLeaving;
+    response.isReplicated = wire->isReplicated;
+    response.isSynchronized = wire->isSynchronized;
+    for (std::string &vm : wire->lostHolders) {
+        response.lostHolders.emplace(std::move(vm));
+    }
+    response.missing = idsFromWire(std::move(wire->missing));
+    return response;
 }
 
 } // namespace TurnHistory
--- a/src/libs/turnhistory/turncodec.h
+++ b/src/libs/turnhistory/turncodec.h
@@ -3,6 +3,7 @@
 #include "turn.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,13 @@
 {
     DiskId disk;
     bool isLeaving = false;
+    /// Every reachable holder has what it has to keep of the responder's turns.
+    bool isReplicated = false;
+    /// As in ChainResponse.
+    bool isSynchronized = false;
+    /// Holders that the responder has not reached for a long time.
+    std::set<Base::VmId> lostHolders;
+    /// The offered turns that the responder does not have.
     std::vector<TurnId> missing;
 };
 
--- a/src/libs/turnstore/turnstoreservice.cpp
+++ b/src/libs/turnstore/turnstoreservice.cpp
@@ -82,7 +82,7 @@
     };
     handlers_->now = now_;
     handlers_->isStopping = [] { return false; };
-    handlers_->onClosed = [](const auto &) {};
+    handlers_->onClosed = [this](const auto &connection) { connections_.erase(connection); };
 }
 
 void TurnStoreService::start()
@@ -96,6 +96,18 @@
     scheduleTick();
 }
 
+void TurnStoreService::stop()
+{
+    std::error_code ignored; // the listener is gone either way
+    acceptor_.close(ignored);
+    timer_.cancel();
+    peers_.clear();
+    const std::set<std::shared_ptr<Proxy::CallerConnection>> open = std::exchange(connections_, {});
+    for (const auto &connection : open) {
+        connection->abort();
+    }
+}
+
 void TurnStoreService::accept()
 {
     acceptor_.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
@@ -107,7 +119,10 @@
                        "cannot accept a connection: " + error.message(),
                        {.step = "accept"});
         } else {
-            std::make_shared<Proxy::CallerConnection>(std::move(socket), handlers_)->start();
+            const auto connection
+                = std::make_shared<Proxy::CallerConnection>(std::move(socket), handlers_);
+            connections_.insert(connection);
+            connection->start();
         }
         accept();
     });
@@ -150,21 +165,6 @@
     scheduleTick();
 }
 
-std::vector<Base::VmId> TurnStoreService::lostPeers(Base::Duration unreachedFor)
-{
-    std::vector<Base::VmId> result;
-    const Base::Instant now = now_();
-    if (!plan_.isSynchronized() || !plan_.isReplicated(now)) {
-        return result;
-    }
-    for (const auto &[vm, peer] : peers_) {
-        if (now - plan_.lastReached(vm).value_or(now) >= unreachedFor) {
-            result.push_back(vm);
-        }
-    }
-    return result;
-}
-
 void TurnStoreService::onRequest(const CallerPtr &caller, const Proxy::CallerRequest &request)
 {
     const std::string_view path = request.head.path();
@@ -258,13 +258,10 @@
         return;
     }
     const bool wasSynchronized = plan_.isSynchronized();
-    plan_.offerReceived(*offer);
+    TurnHistory::OfferResponse response = plan_.offerReceived(*offer, now_());
     if (!wasSynchronized && plan_.isSynchronized()) {
         onSynchronized();
     }
-    TurnHistory::OfferResponse response;
-    response.disk = disk_.id();
-    response.isLeaving = plan_.isLeaving();
     for (const TurnId &id : offer->turns) {
         if (!index_.find(id)) {
             response.missing.push_back(id);
--- a/src/libs/turnstore/turnstoreservice.h
+++ b/src/libs/turnstore/turnstoreservice.h
@@ -29,14 +29,16 @@
 
     /// Throws std::exception if the address cannot be bound.
     void start();
+    /// Closes the listener and ends the exchange with other holders.
+    void stop();
     /// Sets all registered holders.
     void setHolders(const std::vector<HolderAddress> &holders);
     /// This holder was not registered before, so no acknowledged turn was ever on its disk.
     void setFirstRegistration();
     /// Stops keeping turns; \a onHandedOver is called once the other holders have all of them.
     void leave(std::function<void()> onHandedOver);
-    /// Peers that were not reached for the given time, while all others have what they must keep.
-    std::vector<Base::VmId> lostPeers(Base::Duration unreachedFor);
+    /// Registered holders that are gone and without which no turn is lost.
+    std::vector<Base::VmId> removablePeers() { return plan_.removablePeers(now_()); }
 
 private:
     struct Peer
@@ -74,6 +76,7 @@
     asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<Proxy::CallerHandlers> handlers_;
     asio::steady_timer timer_;
+    std::set<std::shared_ptr<Proxy::CallerConnection>> connections_;
     std::map<Base::VmId, Peer> peers_;
     std::set<Base::VmId> unreachable_;
     /// Writes that are accepted but not indexed yet.
--- /dev/null
+++ b/tests/libs/turnstore/tst_turnkeeper.cpp
@@ -0,0 +1,98 @@
+#include "storefixture.h"
+
+#include <libs/turnhistory/turns.h>
+
+#include <criterion/criterion.h>
+
+using namespace TurnStore;
+using TurnHistory::LookupResult;
+
+Test(turnkeeper, findsAChainFromMemoryAndFromHolders)
+{
+    StoreFixture fixture(3, 2);
+    cr_assert(fixture.keep(makeTurn("a")));
+    cr_assert(fixture.keep(makeTurn("b", "a")));
+    cr_assert(fixture.keep(makeTurn("c", "b")));
+    for (int i = 0; i < 2; ++i) {
+        std::string chain;
+        cr_assert_eq(fixture.find("c", &chain), LookupResult::Found);
+        cr_assert_eq(chain, "input of aoutput\ninput of boutput\ninput of coutput\n");
+        fixture.restartKeeper();
+    }
+}
+
+Test(turnkeeper, findsTurnsWhoseProgramIsNotKnown)
+{
+    StoreFixture fixture(5, 2);
+    cr_assert(fixture.keep(makeTurn("a", "", "another program")));
+    fixture.restartKeeper();
+    cr_assert_eq(fixture.find("a"), LookupResult::Found);
+}
+
+Test(turnkeeper, collectsAChainFromSeveralHolders)
+{
+    StoreFixture fixture(5, 1);
+    std::string previous;
+    std::string expected;
+    for (int i = 0; i < 8; ++i) {
+        const std::string id = "t" + std::to_string(i);
+        cr_assert(fixture.keep(makeTurn(id, previous, "key" + std::to_string(i))));
+        expected += makeTurn(id).content;
+        previous = id;
+    }
+    fixture.restartKeeper();
+    std::string chain;
+    cr_assert_eq(fixture.find(previous, &chain), LookupResult::Found);
+    cr_assert_eq(chain, expected);
+}
+
+Test(turnkeeper, keepsTurnsWhileAHolderIsDown)
+{
+    StoreFixture fixture(3, 2);
+    fixture.stop(0);
+    for (int i = 0; i < 5; ++i) {
+        cr_assert(fixture.keep(makeTurn("t" + std::to_string(i), "", std::to_string(i))));
+    }
+    fixture.stop(1);
+    cr_assert(!fixture.keep(makeTurn("x")), "one copy is not enough");
+}
+
+Test(turnkeeper, callsATurnAbsentOnlyIfItIsCertain)
+{
+    StoreFixture fixture(4, 2);
+    cr_assert(fixture.keep(makeTurn("a")));
+    cr_assert_eq(fixture.find("x"), LookupResult::Absent);
+    fixture.isRegistryAvailable = false;
+    cr_assert_eq(fixture.find("x"),
+                 LookupResult::Unavailable,
+                 "another holder may have registered meanwhile");
+    fixture.isRegistryAvailable = true;
+    fixture.stop(0);
+    cr_assert_eq(fixture.find("x"), LookupResult::Absent, "one disk may be lost");
+    fixture.stop(1);
+    cr_assert_eq(fixture.find("x"), LookupResult::Unavailable);
+}
+
+Test(turnkeeper, doesNotCallATurnAbsentBecauseOfAnEmptiedDisk)
+{
+    StoreFixture fixture(2, 2);
+    cr_assert(fixture.keep(makeTurn("a")));
+    fixture.stop(0);
+    fixture.stop(1);
+    fixture.emptyDisk(0);
+    fixture.start(0, false);
+    fixture.restartKeeper();
+    cr_assert_eq(fixture.find("a"), LookupResult::Unavailable);
+    fixture.start(1, false);
+    cr_assert_eq(fixture.find("a"), LookupResult::Found);
+}
+
+Test(turnkeeper, isNotAvailableWithoutEnoughHolders)
+{
+    StoreFixture fixture(2, 2);
+    cr_assert(fixture.keeper->isAvailable());
+    fixture.keeper->setHolders({});
+    cr_assert(!fixture.keeper->isAvailable());
+    cr_assert(!fixture.keep(makeTurn("a")));
+    cr_assert_eq(fixture.find("a"), LookupResult::Unavailable);
+}
--- /dev/null
+++ b/tests/libs/turnstore/tst_turnstoreservice.cpp
@@ -0,0 +1,100 @@
+#include "storefixture.h"
+
+#include <libs/turnhistory/turns.h>
+#include <turnhistory/turncodec.h>
+
+#include <criterion/criterion.h>
+
+using namespace TurnStore;
+using TurnHistory::LookupResult;
+using TurnHistory::Turn;
+
+namespace {
+
+constexpr int turns = 20;
+
+void keepTurns(StoreFixture &fixture)
+{
+    for (int i = 0; i < turns; ++i) {
+        cr_assert(fixture.keep(makeTurn("t" + std::to_string(i), "", std::to_string(i))));
+    }
+}
+
+Proxy::CallResult post(StoreFixture &fixture,
+                       std::size_t holder,
+                       const char *path,
+                       const std::string &body)
+{
+    const auto endpoint = fixture.addresses()[holder].endpoint;
+    Proxy::HttpCaller caller(fixture.context, endpoint, "test");
+    std::optional<Proxy::CallResult> result;
+    caller.call("POST", path, body, std::chrono::seconds(5), [&](Proxy::CallResult answer) {
+        result = std::move(answer);
+    });
+    runUntil(fixture.context, [&] { return result.has_value(); }, "the call ends");
+    return *result;
+}
+
+bool has(StoreFixture &fixture, std::size_t holder, const std::string &id)
+{
+    const auto result
+        = post(fixture, holder, chainPath, TurnHistory::encodeChainRequest(TurnHistory::TurnId(id)));
+    return TurnHistory::decodeChainResponse(result.body).outcome == TurnHistory::ChainOutcome::Found;
+}
+
+} // namespace
+
+Test(turnstoreservice, copiesTurnsToAnEmptiedDisk)
+{
+    StoreFixture fixture(2, 2);
+    keepTurns(fixture);
+    fixture.stop(0);
+    fixture.emptyDisk(0);
+    fixture.start(0, false);
+    runUntil(fixture.context, [&] { return fixture.disk(0).isSynchronized(); }, "synchronized");
+    for (int i = 0; i < turns; ++i) {
+        cr_assert(has(fixture, 0, "t" + std::to_string(i)));
+    }
+}
+
+Test(turnstoreservice, handsItsTurnsOverBeforeItLeaves)
+{
+    StoreFixture fixture(3, 2);
+    keepTurns(fixture);
+    bool isHandedOver = false;
+    fixture.service(0).leave([&] { isHandedOver = true; });
+    cr_assert_eq(
+        post(fixture, 0, keepPath, TurnHistory::encodeKeepRequest({makeTurn("late")})).status, 503);
+    runUntil(fixture.context, [&] { return isHandedOver; }, "handed over");
+    for (int i = 0; i < turns; ++i) {
+        const std::string id = "t" + std::to_string(i);
+        cr_assert(has(fixture, 1, id) && has(fixture, 2, id));
+    }
+}
+
+Test(turnstoreservice, neverChangesATurn)
+{
+    StoreFixture fixture(1, 1);
+    cr_assert(fixture.keep(makeTurn("a")));
+    Turn other = makeTurn("a");
+    other.content = "other";
+    cr_assert(fixture.keep(other));
+    fixture.restartKeeper();
+    std::string chain;
+    cr_assert_eq(fixture.find("a", &chain), LookupResult::Found);
+    cr_assert_eq(chain, makeTurn("a").content);
+}
+
+Test(turnstoreservice, rejectsWhatItCannotDecode)
+{
+    StoreFixture fixture(1, 1);
+    for (const char *path : {keepPath, chainPath, offerPath}) {
+        cr_assert_eq(post(fixture, 0, path, "garbage").status, 400);
+    }
+    cr_assert_eq(post(fixture, 0, "/elsewhere", "garbage").status, 404);
+    const std::string valid = TurnHistory::encodeKeepRequest({makeTurn("a")});
+    for (std::size_t size = 0; size < valid.size(); ++size) {
+        cr_assert(!TurnHistory::decodeKeepRequest(valid.substr(0, size)));
+    }
+    cr_assert(!TurnHistory::decodeKeepRequest(valid + "x"));
+}
