--- a/src/libs/turnhistory/replicationplan.cpp
+++ b/src/libs/turnhistory/replicationplan.cpp
@@ -175,10 +175,14 @@
     return result;
 }
 
+/// If no more holders are lost than one turn has copies but one, each turn is on one of the others,
+/// and so, as they have all copied their turns to each other, on enough of them.
 std::vector<Base::VmId> ReplicationPlan::removablePeers(Base::Instant now)
 {
     const std::set<Base::VmId> lost = lostPeers(now);
-    if (lost.empty() || !isSynchronized_ || !isReplicated(now)) {
+    const bool isSafeNumber = !lost.empty() && lost.size() < settings_.copies;
+    if (!isSafeNumber || !isSynchronized_ || !isReplicated(now)
+        || ring_.size() < settings_.copies) {
         return {};
     }
     for (const auto &[vm, peer] : peers_) {
--- /dev/null
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -0,0 +1,244 @@
+#pragma once
+
+#include "scriptedserver.h"
+
+#include <proxy/passthrough.h>
+
+#include <asio/write.hpp>
+#include <criterion/criterion.h>
+
+#include <array>
+
+using namespace Proxy;
+using Contracts::RouteKind;
+
+inline constexpr auto guardTime = std::chrono::seconds(10);
+
+inline RequestTraits readRequest(const RequestHead &head)
+{
+    RequestTraits traits;
+    traits.id = std::string(head.headers.find("Request-Id").value_or(""));
+    if (const auto previous = head.headers.find("Previous")) {
+        traits.previousTurn = std::string(*previous);
+        traits.isPreviousTurnMalformed = previous->empty();
+    }
+    if (const auto timeout = head.headers.find("Timeout-Ms")) {
+        traits.callerTimeout = std::chrono::milliseconds(std::stoi(std::string(*timeout)));
+    }
+    return traits;
+}
+
+inline ResponseTraits readResponse(const ResponseHead &head)
+{
+    ResponseTraits traits;
+    traits.id = std::string(head.headers.find("Request-Id").value_or(""));
+    traits.isNotRun = head.headers.contains("Not-Run");
+    traits.isWrongServer = head.status == 421;
+    traits.isAuthentic = head.headers.contains("Proof");
+    traits.isServerLeaving = head.headers.contains("Leaving");
+    return traits;
+}
+
+inline void prepareForward(HeaderFields &headers, const ForwardTraits &forward)
+{
+    headers.remove("Authorization");
+    headers.set("Team", forward.team.text());
+    headers.set("Server", forward.server.text());
+    if (forward.resumeAfter) {
+        headers.set("Last-Event-Id", *forward.resumeAfter);
+    }
+}
+
+inline const std::string okResponse
+    = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nContent-Length: 5\r\n\r\nhello";
+inline const std::string notRunResponse
+    = "HTTP/1.1 503 Busy\r\nRequest-Id: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+inline const std::string streamHead
+    = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nContent-Type: text/event-stream\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+
+inline std::string chunk(const std::string &text)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return size.data() + text + "\r\n";
+}
+
+inline std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
+}
+
+inline Contracts::Route route(const std::string &prefix, RouteKind kind, std::uint32_t attempts)
+{
+    Contracts::Route result;
+    result.id = Contracts::RouteId(prefix);
+    result.host = "x.example";
+    result.pathPrefix = prefix;
+    result.kind = kind;
+    result.isResumable = prefix == "/resumable/";
+    result.isHistoryKept = prefix == "/kept/";
+    result.services = {{Base::ServiceId("s"), 1}};
+    result.attempts = attempts;
+    return result;
+}
+
+inline Contracts::RoutingDocument routing()
+{
+    Contracts::RoutingDocument document;
+    document.version = Base::ConfigVersion(1);
+    document.services = {{Base::ServiceId("s")}};
+    document.routes = {route("/safe/", RouteKind::Idempotent, 2),
+                       route("/once/", RouteKind::NonIdempotent, 2),
+                       route("/stream/", RouteKind::Stream, 1),
+                       route("/resumable/", RouteKind::Stream, 2),
+                       route("/kept/", RouteKind::Stream, 1)};
+    document.limits.bodyBytes = 1000;
+    Contracts::RoutedTeam team;
+    team.team.id = Base::TeamId("club");
+    Contracts::Key key;
+    key.hash = Contracts::hashSecret("secret");
+    team.team.keys = {key};
+    document.teams = {team};
+    return document;
+}
+
+/// A caller, the proxy and two servers on one event loop.
+class Fixture
+{
+public:
+    Fixture()
+        : passThrough_(context_,
+                       {},
+                       {&readRequest, &readResponse, &prepareForward},
+                       controls(),
+                       silentLog(),
+                       metrics_,
+                       1)
+        , acceptor_(context_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , caller_(context_)
+        , first(context_)
+        , second(context_)
+    {
+        accept();
+        caller_.connect(acceptor_.local_endpoint());
+        readCaller();
+    }
+
+    void configure() { passThrough_.configure(routing()); }
+
+    void listServers(bool hasSecond)
+    {
+        std::vector<Dispatch::ListedServer> servers{listed("one", first)};
+        if (hasSecond) {
+            servers.push_back(listed("two", second));
+        }
+        passThrough_.serversChanged(servers);
+    }
+
+    void send(const std::string &bytes) { asio::write(caller_, asio::buffer(bytes)); }
+
+    void request(const std::string &path, const std::string &id, const std::string &more = "")
+    {
+        send("POST " + path
+             + " HTTP/1.1\r\nHost: x.example\r\nAuthorization: Bearer secret\r\nRequest-Id: " + id
+             + "\r\nContent-Length: 4\r\n" + more + "\r\nbody");
+    }
+
+    /// Runs the loop until the condition holds; fails the test after guardTime.
+    void runUntil(const std::function<bool()> &condition, const char *what)
+    {
+        const auto end = std::chrono::steady_clock::now() + guardTime;
+        while (!condition()) {
+            cr_assert(std::chrono::steady_clock::now() < end,
+                      "timed out: %s; received: %s",
+                      what,
+                      received.c_str());
+            context_.run_one_for(std::chrono::milliseconds(20));
+        }
+    }
+
+    void awaitResponse(const std::string &text)
+    {
+        runUntil([&] { return received.find(text) != std::string::npos; }, text.c_str());
+    }
+
+    void awaitClose()
+    {
+        runUntil([&] { return isClosed; }, "the caller's connection is closed");
+    }
+
+    void disconnect() { caller_.close(); }
+    PassThrough &passThrough() { return passThrough_; }
+
+private:
+    /// Shared by all fixtures, as the log library can be started only once per process.
+    static Telemetry::Log &silentLog()
+    {
+        static Telemetry::Log log(
+            {.file = {}, .level = Telemetry::LogLevel::Error, .daemon = {}, .keyPrefixes = {}});
+        return log;
+    }
+
+    static AdmissionControls controls()
+    {
+        AdmissionControls result;
+        result.takePermit = [](const auto &, auto, const auto &callback) { callback({}); };
+        result.returnPermit = [](const auto &) {};
+        return result;
+    }
+
+    static Dispatch::ListedServer listed(const std::string &id, const ScriptedServer &server)
+    {
+        Dispatch::ListedServer result;
+        result.server.id = Base::ServerId(id);
+        result.server.service = Base::ServiceId("s");
+        result.server.address = server.address();
+        result.server.slots = 4;
+        return result;
+    }
+
+    void accept()
+    {
+        acceptor_.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
+            if (!error) {
+                const auto connection = std::make_shared<CallerConnection>(
+                    std::move(socket), passThrough_.callerHandlers());
+                passThrough_.addConnection(connection);
+                connection->start();
+                accept();
+            }
+        });
+    }
+
+    void readCaller()
+    {
+        caller_.async_read_some(asio::buffer(buffer_),
+                                [this](const std::error_code &error, std::size_t size) {
+                                    if (error) {
+                                        isClosed = true;
+                                        return;
+                                    }
+                                    received.append(buffer_.data(), size);
+                                    readCaller();
+                                });
+    }
+
+    asio::io_context context_;
+    Telemetry::Metrics metrics_;
+    PassThrough passThrough_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::ip::tcp::socket caller_;
+    std::array<char, 4096> buffer_{};
+
+public:
+    ScriptedServer first;
+    ScriptedServer second;
+    std::string received;
+    bool isClosed = false;
+};
+
+inline std::size_t requestCount(const Fixture &fixture)
+{
+    return fixture.first.requests().size() + fixture.second.requests().size();
+}
--- a/tests/libs/proxy/tst_eventsplitter.cpp
+++ b/tests/libs/proxy/tst_eventsplitter.cpp
@@ -27,3 +27,13 @@
     cr_assert_eq(events.eventCount(), 0);
     cr_assert(!events.lastEventId());
 }
+
+Test(eventsplitter, collectsTheDataOfCompleteEvents)
+{
+    EventSplitter events;
+    events.setDataCollected();
+    events.feed("id: 1\ndata: a b\n\nx-version: 7\nid: 2\r\ndata:c\r\n\r\n: note\n\n");
+    events.feed("data: d\ndata\n\nid: 3\ndata: part");
+    events.dropPartialEvent();
+    cr_assert_eq(events.data(), "a b\nc\nd\n\n");
+}
--- a/tests/platform/tst_feeds.cpp
+++ b/tests/platform/tst_feeds.cpp
@@ -290,16 +290,67 @@
     cr_assert_eq(fixture.platform.spec("daemons", "a")["address"], "10.0.0.1:7");
 }
 
-Test(retirementfeed, completesItsOwnRetirementOnly)
+Test(daemondirectory, tellsDaemonsThatKeepTurnsFromOthers)
+{
+    Fixture fixture;
+    fixture.platform.put(
+        "daemons", "b", {{"address", "10.0.0.2:7"}, {"zone", "z"}, {"role", "turn-store"}});
+    DaemonDirectory directory(
+        fixture.context,
+        fixture.store,
+        {Base::VmId("a"), "10.0.0.1:7", Base::ZoneId("z"), DaemonRole::TurnStore},
+        Fixture::log(),
+        [](const auto &) {});
+    std::optional<bool> isFirst;
+    directory.onRegistration([&](bool first) { isFirst = first; });
+    directory.start();
+    fixture.runUntil([&] { return directory.daemons().size() == 2; }, "both daemons");
+    cr_assert(isFirst == true);
+    cr_assert_eq(turnHolders(directory.daemons()).size(), 2);
+    cr_assert_eq(fixture.platform.spec("daemons", "a")["role"], "turn-store");
+    std::optional<bool> isRemoved;
+    directory.unregister(Base::VmId("b"), [&](bool removed) { isRemoved = removed; });
+    fixture.runUntil([&] { return isRemoved.has_value(); }, "the removal");
+    cr_assert(fixture.platform.spec("daemons", "b").is_null());
+}
+
+Test(daemondirectory, knowsThatItWasRegisteredBefore)
+{
+    Fixture fixture;
+    fixture.platform.put("daemons", "a", {{"address", "10.0.0.1:7"}, {"zone", "z"}});
+    DaemonDirectory directory(fixture.context,
+                              fixture.store,
+                              {Base::VmId("a"), "10.0.0.1:7", Base::ZoneId("z")},
+                              Fixture::log(),
+                              [](const auto &) {});
+    std::optional<bool> isFirst;
+    directory.onRegistration([&](bool first) { isFirst = first; });
+    directory.start();
+    fixture.runUntil([&] { return isFirst.has_value(); }, "the registration");
+    cr_assert(isFirst == false);
+}
+
+/// The disk is removed as soon as the retirement is completed, so what it holds comes first.
+Test(retirementfeed, completesItsOwnRetirementOnceAllIsHandedOver)
 {
     Fixture fixture;
     fixture.platform.put("retirements", "other", {{"duration_s", 10}});
-    RetirementFeed feed(fixture.context, fixture.store, Base::VmId("mine"), Fixture::log());
+    std::function<void()> onHandedOver;
+    RetirementFeed feed(fixture.context,
+                        fixture.store,
+                        Base::VmId("mine"),
+                        Fixture::log(),
+                        [&](auto done) { onHandedOver = done; });
     feed.start();
     fixture.runUntil([&] { return fixture.platform.calls() >= 2; }, "a watch");
     fixture.platform.put("retirements", "mine", {{"duration_s", 10}});
     fixture.runUntil([&] { return !fixture.platform.status("retirements", "mine").is_null(); },
                      "a status");
-    cr_assert_eq(fixture.platform.status("retirements", "mine")["state"], "completed");
+    cr_assert_eq(fixture.platform.status("retirements", "mine")["state"], "running");
+    fixture.platform.dropNextResponse();
+    onHandedOver();
+    fixture.runUntil(
+        [&] { return fixture.platform.status("retirements", "mine")["state"] == "completed"; },
+        "the completion");
     cr_assert(fixture.platform.status("retirements", "other").is_null());
 }
--- a/tests/platform/tst_platformadapter.cpp
+++ b/tests/platform/tst_platformadapter.cpp
@@ -78,6 +78,28 @@
     cr_assert_eq(parsed.settings.stopGrace, std::chrono::seconds(8));
 }
 
+Test(nodesettings, readsWhatADaemonThatKeepsTurnsNeeds)
+{
+    json file = nodeFile();
+    file["listen"] = json::object();
+    file["data_dir"] = "/data/store";
+    file["port_range"] = {7780, 7795};
+    file["tolerate"] = {{"machines", 2}, {"zones", 1}, {"regions", 0}};
+    file["limits"] = {{"disk_mb", 440}};
+    const ParsedNodeSettings parsed = parseNodeSettings(file.dump());
+    cr_assert(parsed.problems.empty());
+    cr_assert(!parsed.settings.callers);
+    cr_assert_eq(parsed.settings.turnStore->port(), 7780);
+    cr_assert_eq(parsed.settings.toleratedLosses, 2);
+    cr_assert_eq(parsed.settings.diskBytes, 440'000'000);
+    cr_assert_eq(parsed.settings.dataFolder, "/data/store");
+    file["port_range"] = json::array();
+    file["tolerate"]["machines"] = -1;
+    const ParsedNodeSettings invalid = parseNodeSettings(file.dump());
+    cr_assert(!invalid.settings.turnStore);
+    cr_assert_eq(invalid.problems.size(), 1);
+}
+
 Test(nodesettings, reportsProblems)
 {
     json file = nodeFile();
@@ -100,6 +122,10 @@
     cr_assert_eq(route.timeout, std::chrono::seconds(3));
     cr_assert_eq(route.attempts, 2);
     cr_assert(route.isResumable);
+    cr_assert(!route.isHistoryKept);
+    json kept = routing();
+    kept["routes"][0]["retained"] = true;
+    cr_assert(decodeRouting(kept)->document.routes.at(0).isHistoryKept);
     cr_assert_eq(*route.programRetention, std::chrono::seconds(60));
     cr_assert_eq(document.services.at(0).tokensPerEvent.value(), 29);
     cr_assert_eq(document.limits.headTimeout, std::chrono::milliseconds(300));
@@ -202,6 +228,33 @@
     cr_assert_neq(headerTranslator().readRequest(head).prompt[0].key, traits.prompt[0].key);
 }
 
+Test(headers, readsThePreviousTurn)
+{
+    const auto read = [](const std::vector<std::string> &values) {
+        Proxy::RequestHead head;
+        for (const std::string &value : values) {
+            head.headers.add("X-Previous-Turn", value);
+        }
+        return headerTranslator().readRequest(head);
+    };
+    cr_assert_eq(read({"40c8f1a7b3e9265d"}).previousTurn, "40c8f1a7b3e9265d");
+    cr_assert(!read({"40c8f1a7b3e9265d"}).isPreviousTurnMalformed);
+    cr_assert(!read({}).isPreviousTurnMalformed);
+    const std::vector<std::vector<std::string>> malformed{
+        {""}, {"a b"}, {"../a"}, {std::string(65, 'a')}, {"a", "b"}, {"a", "a"}, {"a\x80"}};
+    for (const auto &values : malformed) {
+        cr_assert(read(values).isPreviousTurnMalformed, "%s", values.front().c_str());
+    }
+}
+
+Test(headers, readsTheAnnouncementOfAServerThatLeaves)
+{
+    Proxy::ResponseHead head;
+    cr_assert(!headerTranslator().readResponse(head).isServerLeaving);
+    head.headers.add("Server-Leaving", "1");
+    cr_assert(headerTranslator().readResponse(head).isServerLeaving);
+}
+
 Test(headers, ignoresInvalidNumbers)
 {
     Proxy::RequestHead head;
