--- a/tests/platform/platformstore.cpp
+++ b/tests/platform/platformstore.cpp
@@ -154,6 +154,12 @@
                           const std::string &kind,
                           std::string name)
 {
+    if (request.head.method == "DELETE") {
+        const std::size_t erased = kinds_[kind].erase(name);
+        ++revision_;
+        respond(caller, erased > 0 ? 200 : 404, json::object());
+        return;
+    }
     const json body = json::parse(request.body);
     if (name.empty()) {
         name = body["meta"]["name"].get<std::string>();
@@ -161,7 +167,11 @@
     if (const std::size_t part = name.find("/status"); part != std::string::npos) {
         name.resize(part);
         kinds_[kind][name]["status"] = body["status"];
-        respond(caller, 200, kinds_[kind][name]);
+        if (std::exchange(dropsNextResponse_, false)) {
+            caller->abort();
+        } else {
+            respond(caller, 200, kinds_[kind][name]);
+        }
         return;
     }
     const auto found = kinds_[kind].find(name);
