--- a/tests/platform/tst_feeds.cpp
+++ b/tests/platform/tst_feeds.cpp
@@ -314,6 +314,35 @@
     cr_assert(fixture.platform.spec("daemons", "b").is_null());
 }
 
+/// A daemon that the store rejects after its start learns the others from them.
+Test(daemondirectory, usesTheListOfAnotherDaemonUntilItCanReadItsOwn)
+{
+    Fixture fixture;
+    fixture.platform.put("daemons", "b", {{"address", "10.0.0.2:7"}, {"zone", "z"}});
+    const ListedDaemon self{Base::VmId("a"), "10.0.0.1:7", Base::ZoneId("z")};
+    DaemonDirectory first(
+        fixture.context, fixture.store, self, Fixture::log(), [](const auto &) {});
+    cr_assert(!first.document());
+    first.start();
+    fixture.runUntil([&] { return first.isRead(); }, "the list");
+    fixture.platform.refuseWith(503);
+    DaemonDirectory second(
+        fixture.context, fixture.store, self, Fixture::log(), [](const auto &) {});
+    second.start();
+    for (const char *useless : {"", "5", "[]", "{\"c\": 5}"}) {
+        second.applyDocument(useless);
+        cr_assert_leq(second.daemons().size(), 1);
+    }
+    second.applyDocument(first.document()->body);
+    cr_assert(second.daemons() == first.daemons());
+    cr_assert(!second.isRead());
+    fixture.platform.refuseWith(0);
+    fixture.platform.put("daemons", "c", {{"address", "10.0.0.3:7"}, {"zone", "z"}});
+    fixture.runUntil([&] { return second.daemons().size() == 3; }, "the store's list");
+    second.applyDocument("{}");
+    cr_assert_eq(second.daemons().size(), 3);
+}
+
 Test(daemondirectory, knowsThatItWasRegisteredBefore)
 {
     Fixture fixture;
