A leaving holder that lost its disk waits until the others have replaced its copies

Change: a leaving holder does not become synchronized; it waits until every other holder has left it out and copied its turns.

--- a/schema/turnstore.thrift
+++ b/schema/turnstore.thrift
@@ -66,4 +66,6 @@
   5: bool isSynchronized
   /** Holders that the receiver has not reached for a long time. */
   6: list<string> lostHolders
+  /** The receiver copies turns to the sender, rather than to others in its place. */
+  7: bool isSenderInRing
 }
--- a/src/libs/turnhistory/replicationplan.cpp
+++ b/src/libs/turnhistory/replicationplan.cpp
@@ -148,7 +148,7 @@
 /// copies - 2 have.
 OfferResponse ReplicationPlan::offerReceived(const OfferRequest &offer, Base::Instant now)
 {
-    const bool isUseful = !isSynchronized_ && offer.isComplete && offer.receiverDisk == disk_
+    const bool isUseful = !isSynchronized_ && !isLeaving_ && offer.isComplete && offer.receiverDisk == disk_
                           && peers_.contains(offer.sender);
     if (isUseful) {
         completedBy_.insert(offer.sender);
@@ -161,6 +161,9 @@
     response.isReplicated = isReplicated(now);
     response.isSynchronized = isSynchronized_;
     response.lostHolders = lostPeers(now);
+    response.isSenderInRing = std::any_of(ring_.begin(), ring_.end(), [&](const Holder &holder) {
+        return holder.vm == offer.sender;
+    });
     return response;
 }
 
@@ -205,11 +208,24 @@
     });
 }
 
-/// A holder whose disk was lost stays until it is synchronized: without its registration the turns
-/// that it lacks would be taken for absent while their last copies cannot be reached.
+/// Whether every other holder has replaced the copies that were on this disk.
+bool ReplicationPlan::arePeersSettled(Base::Instant now) const
+{
+    return std::all_of(peers_.begin(), peers_.end(), [&](const auto &entry) {
+        const Peer &peer = entry.second;
+        const OfferResponse &answer = peer.answer;
+        return now - peer.reachedAt < settings_.reachableTimeout && answer.isSynchronized
+               && answer.isReplicated && !answer.isSenderInRing;
+    });
+}
+
+/// A holder whose disk was lost cannot hand over what was on it, so it stays until the others have:
+/// without its registration the turns that it lacks would be taken for absent while few of their
+/// copies cannot be reached.
 bool ReplicationPlan::isHandedOver(Base::Instant now)
 {
-    return isLeaving_ && isSynchronized_ && isReplicated(now) && ring_.size() >= settings_.copies;
+    return isLeaving_ && isReplicated(now) && ring_.size() >= settings_.copies
+           && (isSynchronized_ || arePeersSettled(now));
 }
 
 } // namespace TurnHistory
--- a/src/libs/turnhistory/replicationplan.h
+++ b/src/libs/turnhistory/replicationplan.h
@@ -88,6 +88,7 @@
 
     void updateRing(Base::Instant now);
     std::set<Base::VmId> lostPeers(Base::Instant now) const;
+    bool arePeersSettled(Base::Instant now) const;
     void restart(Peer &peer);
     bool isAssigned(const IndexedTurn &turn, const Base::VmId &peer) const;
 
--- a/src/libs/turnhistory/turncodec.cpp
+++ b/src/libs/turnhistory/turncodec.cpp
@@ -213,6 +213,7 @@
     wire.isLeaving = response.isLeaving;
     wire.isReplicated = response.isReplicated;
     wire.isSynchronized = response.isSynchronized;
+    wire.isSenderInRing = response.isSenderInRing;
     for (const Base::VmId &vm : response.lostHolders) {
         wire.lostHolders.push_back(vm.text());
     }
@@ -231,6 +232,7 @@
     response.isLeaving = wire->isLeaving;
     response.isReplicated = wire->isReplicated;
     response.isSynchronized = wire->isSynchronized;
+    response.isSenderInRing = wire->isSenderInRing;
     for (std::string &vm : wire->lostHolders) {
         response.lostHolders.emplace(std::move(vm));
     }
--- a/src/libs/turnhistory/turncodec.h
+++ b/src/libs/turnhistory/turncodec.h
@@ -48,6 +48,8 @@
     bool isSynchronized = false;
     /// Holders that the responder has not reached for a long time.
     std::set<Base::VmId> lostHolders;
+    /// The responder copies turns to the sender, rather than to others in its place.
+    bool isSenderInRing = false;
     /// The offered turns that the responder does not have.
     std::vector<TurnId> missing;
 };
