Errors of a server count against it in the choice

A rejection (not run) counted as fast too. Change: a 5xx but 504 is a failure; a server's recent failure rate, which decays, adds to its expected cost; rejections change no latency. Ruled out: ejection alone (three failures in a row for half a second: each of 68 daemons would send three more every half second to four seconds).

--- a/tests/libs/dispatch/tst_requestplacer.cpp
+++ b/tests/libs/dispatch/tst_requestplacer.cpp
@@ -163,7 +163,9 @@
 
 Test(requestplacer, ejectsAFailingServerForALimitedTime)
 {
-    RequestPlacer placer(here, withoutJitter(), 1);
+    PlacementSettings settings = withoutJitter();
+    settings.failureCostMs = 0; // only the ejection keeps requests away
+    RequestPlacer placer(here, settings, 1);
     placer.serversChanged({server("s1"), server("s2", there)});
     for (int i = 0; i < 3; ++i) {
         placer.requestFailed({Base::ServerId("s1"), 1}, at(0));
