--- a/src/tools/marjoramctl/main.cpp
+++ b/src/tools/marjoramctl/main.cpp
@@ -1,4 +1,5 @@
 #include "commands.h"
+#include "historycommands.h"
 
 #include <rpc/tlsfactory.h>
 
@@ -27,6 +28,9 @@
 
 Profile loadProfile(const std::string &file)
 {
+    if (file.empty()) {
+        throw ProfileError("--profile is required");
+    }
     const std::ifstream input(file);
     if (!input) {
         throw ProfileError(file + ": cannot be read");
@@ -59,8 +63,7 @@
     CommandContext context;
     std::string profileFile;
     app.add_option("--profile", profileFile, "JSON file: address, certificates, operator, token")
-        ->envname("MARJORAM_PROFILE")
-        ->required();
+        ->envname("MARJORAM_PROFILE");
     app.add_flag("--json", context.isJson, "machine-readable output");
     app.add_flag("--dry-run", context.isDryRun, "check a change without making it");
     app.add_option(
@@ -74,6 +77,7 @@
         return *client;
     };
     addCommands(app, context);
+    addHistoryCommands(app, context);
     try {
         app.parse(argc, argv);
         return Success;
@@ -98,5 +102,7 @@
         return fail(NoAnswer, error.message + " (" + error.ran + ")");
     } catch (const apache::thrift::TException &error) {
         return fail(NoAnswer, std::string("no answer from the daemon: ") + error.what());
+    } catch (const std::runtime_error &error) {
+        return fail(Failed, error.what());
     }
 }
--- a/tests/libs/turnstore/tst_turndisk.cpp
+++ b/tests/libs/turnstore/tst_turndisk.cpp
@@ -1,6 +1,7 @@
 #include "storefixture.h"
 
 #include <libs/turnhistory/turns.h>
+#include <turnstore/diskscan.h>
 #include <turnstore/turndisk.h>
 
 #include <criterion/criterion.h>
@@ -116,6 +117,29 @@
     cr_assert(fixture.read("t5") == numberedTurn(5));
 }
 
+Test(turndisk, isScannedWithoutADaemon)
+{
+    DiskFixture fixture;
+    for (int i = 0; i < 6; ++i) {
+        fixture.append(numberedTurn(i));
+    }
+    const std::string folder = fixture.folder.path() + "/turns";
+    DiskScan scan = scanFolder(folder);
+    cr_assert_eq(scan.turns.size(), 6);
+    cr_assert(scan.damage.empty() && scan.problems.empty());
+    cr_assert_eq(scan.turns.front().contentBytes, 200);
+    {
+        std::fstream file(fixture.segments().front(), std::ios::in | std::ios::out);
+        file.seekp(100);
+        file << "damage";
+    }
+    scan = scanFolder(folder);
+    cr_assert_eq(scan.turns.size(), 5);
+    cr_assert_eq(scan.damage.size(), 1);
+    cr_assert_eq(scan.damage.front().offset, 0);
+    cr_assert_eq(scanFolder(folder + "/nowhere").problems.size(), 1);
+}
+
 Test(turndisk, reportsRecordsThatWereDamagedAfterTheStart)
 {
     DiskFixture fixture;
