--- a/src/libs/turnstore/holderaddress.h
+++ b/src/libs/turnstore/holderaddress.h
@@ -15,6 +15,9 @@
     bool operator==(const HolderAddress &) const = default;
 };
 
+/// Response status of a holder whose disk has no room.
+constexpr int diskFullStatus = 507;
+
 /// Paths of the requests between daemons that schema/turnstore.thrift describes.
 constexpr const char *keepPath = "/turns/keep";
 constexpr const char *chainPath = "/turns/chain";
--- a/src/libs/turnstore/turnkeeper.cpp
+++ b/src/libs/turnstore/turnkeeper.cpp
@@ -30,6 +30,9 @@
 constexpr Base::Duration firstBackoff = std::chrono::milliseconds(500);
 constexpr Base::Duration longestBackoff = std::chrono::seconds(4);
 
+/// Turns are refused before they run for this time after too few holders had room for one.
+constexpr Base::Duration fullPeriod = std::chrono::seconds(5);
+
 /// A lookup whose outcome is unknown is repeated for this time, as holders may just be starting.
 constexpr Base::Duration lookupTime = std::chrono::milliseconds(350);
 constexpr Base::Duration lookupInterval = std::chrono::milliseconds(100);
@@ -91,6 +94,9 @@
             ++kept_;
         } else {
             owner_.recordFailure(vm);
+            if (result.status == diskFullStatus) {
+                owner_.recordFull(vm);
+            }
             failed_ += " " + vm.text() + ":"
                        + (result.status == 0 ? result.problem : std::to_string(result.status));
         }
@@ -426,6 +432,22 @@
     holders_ = std::move(next);
 }
 
+bool TurnKeeper::isAvailable() const
+{
+    const Base::Instant now = now_();
+    const auto usable = std::count_if(holders_.begin(), holders_.end(), [&](const auto &entry) {
+        return now >= entry.second.fullUntil;
+    });
+    return static_cast<std::size_t>(usable) >= settings_.copies;
+}
+
+void TurnKeeper::recordFull(const Base::VmId &vm)
+{
+    if (const auto entry = holders_.find(vm); entry != holders_.end()) {
+        entry->second.fullUntil = now_() + fullPeriod;
+    }
+}
+
 std::vector<Base::VmId> TurnKeeper::ranked(const std::string &placementKey) const
 {
     std::vector<TurnHistory::Holder> holders;
--- a/src/libs/turnstore/turnkeeper.h
+++ b/src/libs/turnstore/turnkeeper.h
@@ -45,8 +45,8 @@
                Telemetry::Metrics &metrics);
 
     void setHolders(const Holders &holders);
-    /// Whether enough holders are known to keep a turn.
-    bool isAvailable() const { return holders_.size() >= settings_.copies; }
+    /// Whether enough holders with room on their disks are known to keep a turn.
+    bool isAvailable() const;
 
     /// Finds the chain that ends with the turn \a id. Calls back once, immediately or later.
     void find(const TurnHistory::TurnId &id, const std::string &placementKey, LookupDone done);
@@ -65,6 +65,8 @@
         /// Until then, other holders are asked first.
         Base::Instant suspectUntil;
         Base::Duration nextBackoff{};
+        /// Until then, the disk is taken to be full.
+        Base::Instant fullUntil;
     };
 
     /// All holders for the key in the order of their rank.
@@ -73,6 +75,7 @@
     bool isInOwnZone(const Base::VmId &vm) const;
     void recordSuccess(const Base::VmId &vm);
     void recordFailure(const Base::VmId &vm);
+    void recordFull(const Base::VmId &vm);
     /// The holder has not answered yet, though it usually would have.
     void recordSlow(const Base::VmId &vm);
     void call(const Base::VmId &vm,
--- a/src/libs/turnstore/turnstoreservice.cpp
+++ b/src/libs/turnstore/turnstoreservice.cpp
@@ -33,6 +33,8 @@
 /// Limit on a request: a copy batch, or one turn of the largest size that callers may send.
 constexpr std::size_t maxRequestBytes = 16 * 1024 * 1024;
 
+constexpr const char *metricsPath = "/metrics";
+
 TurnHistory::UnixTime unixNow()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -174,12 +176,30 @@
         sendChain(caller, request.body);
     } else if (path == offerPath) {
         answerOffer(caller, request.body);
+    } else if (path == metricsPath) {
+        updateGauges();
+        respond(caller, 200, metrics_.prometheusText());
     } else {
         respond(caller, 404);
     }
 }
 
-/// Responds once the turns are durable: 200, or 503 if they are not and may not be later.
+void TurnStoreService::updateGauges()
+{
+    metrics_.gauge("marjoram_turns", "Turns on the disk").set(static_cast<double>(index_.size()));
+    metrics_.gauge("marjoram_turn_bytes", "Bytes of the segments on the disk")
+        .set(static_cast<double>(disk_.usedBytes()));
+    metrics_.gauge("marjoram_turn_synchronized", "1 if the disk holds all turns that it has to")
+        .set(plan_.isSynchronized() ? 1 : 0);
+    double behind = 0;
+    for (const auto &[vm, peer] : peers_) {
+        behind += plan_.isBehind(vm) ? 1 : 0;
+    }
+    metrics_.gauge("marjoram_turn_peers_behind", "Holders that have yet to confirm turns")
+        .set(behind);
+}
+
+/// Responds once the turns are durable; another status tells that they may not be.
 void TurnStoreService::keep(const CallerPtr &caller, const std::string &body)
 {
     auto turns = TurnHistory::decodeKeepRequest(body);
@@ -208,7 +228,7 @@
                        {.request = shared->front().id.text(),
                         .step = "keep",
                         .details = {{"used_bytes", static_cast<std::int64_t>(disk_.usedBytes())}}});
-            respond(caller, result == WriteResult::Full ? 507 : 503);
+            respond(caller, result == WriteResult::Full ? diskFullStatus : 503);
             return;
         }
         for (std::size_t i = 0; i < positions.size(); ++i) {
--- a/src/libs/turnstore/turnstoreservice.h
+++ b/src/libs/turnstore/turnstoreservice.h
@@ -52,6 +52,7 @@
 
     void accept();
     void onRequest(const CallerPtr &caller, const Proxy::CallerRequest &request);
+    void updateGauges();
     void keep(const CallerPtr &caller, const std::string &body);
     void sendChain(const CallerPtr &caller, const std::string &body);
     void answerOffer(const CallerPtr &caller, const std::string &body);
--- a/tests/libs/turnstore/storefixture.cpp
+++ b/tests/libs/turnstore/storefixture.cpp
@@ -97,7 +97,7 @@
     Node &node = nodes_[holder];
     TurnDiskSettings settings;
     settings.folder = folder(holder);
-    settings.capacityBytes = 1'000'000;
+    settings.capacityBytes = capacityBytes;
     settings.segmentBytes = 2000;
     node.disk = std::make_unique<TurnDisk>(context, settings, silentLog(), metrics);
     node.service = std::make_unique<TurnStoreService>(context,
--- a/tests/libs/turnstore/storefixture.h
+++ b/tests/libs/turnstore/storefixture.h
@@ -46,6 +46,9 @@
     /// Holders that are registered in the platform's store.
     std::vector<TurnStore::HolderAddress> addresses() const;
 
+    /// Bytes that each disk may take; applies from the next start() on.
+    std::uint64_t capacityBytes = 1'000'000;
+
     bool keep(const TurnHistory::Turn &turn);
     TurnHistory::LookupResult find(const std::string &id, std::string *joined = nullptr);
     /// A daemon that has nothing in memory.
--- a/tests/libs/turnstore/tst_turnkeeper.cpp
+++ b/tests/libs/turnstore/tst_turnkeeper.cpp
@@ -6,6 +6,7 @@
 
 using namespace TurnStore;
 using TurnHistory::LookupResult;
+using TurnHistory::Turn;
 
 Test(turnkeeper, findsAChainFromMemoryAndFromHolders)
 {
@@ -96,3 +97,22 @@
     cr_assert(!fixture.keep(makeTurn("a")));
     cr_assert_eq(fixture.find("a"), LookupResult::Unavailable);
 }
+
+/// A turn that no disk has room for is refused before it runs, not after.
+Test(turnkeeper, isNotAvailableWhileTheDisksAreFull)
+{
+    StoreFixture fixture(3, 2);
+    cr_assert(fixture.keep(makeTurn("a")));
+    fixture.capacityBytes = 500;
+    for (std::size_t i = 0; i < 3; ++i) {
+        fixture.stop(i);
+        fixture.start(i, false);
+    }
+    fixture.restartKeeper();
+    Turn large = makeTurn("b");
+    large.content = std::string(1000, 'x');
+    cr_assert(!fixture.keep(large));
+    cr_assert(!fixture.keeper->isAvailable());
+    fixture.restartKeeper();
+    cr_assert_eq(fixture.find("a"), LookupResult::Found, "kept turns stay");
+}
--- a/tests/libs/turnstore/tst_turnstoreservice.cpp
+++ b/tests/libs/turnstore/tst_turnstoreservice.cpp
@@ -98,3 +98,12 @@
     }
     cr_assert(!TurnHistory::decodeKeepRequest(valid + "x"));
 }
+
+Test(turnstoreservice, reportsWhatItHolds)
+{
+    StoreFixture fixture(1, 1);
+    cr_assert(fixture.keep(makeTurn("a")));
+    const std::string metrics = post(fixture, 0, "/metrics", "").body;
+    cr_assert(metrics.find("marjoram_turns 1") != std::string::npos, "%s", metrics.c_str());
+    cr_assert(metrics.find("marjoram_turn_synchronized 1") != std::string::npos);
+}
