A disk counts as synchronized only once all turns have their copies again

Cause (replication schedules): a peer's offer counted as complete when it had nothing more for the receiver; it had assigned the turn to a new holder instead, which left before it got it, so an emptied disk claimed to lack nothing while the only copy was on a silent holder. Change: an offer is complete only if every reachable holder has confirmed what it has to keep of the sender's turns.

--- a/schema/turnstore.thrift
+++ b/schema/turnstore.thrift
@@ -50,7 +50,7 @@
   /** The receiver's disk to which the sender's progress refers; empty if unknown. */
   2: string receiverDisk
   3: list<string> turns
-  /** The receiver has confirmed every turn of the sender that it has to keep. */
+  /** Every reachable holder has confirmed what it has to keep of the sender's turns. */
   4: bool isComplete
 }
 
--- a/src/libs/turnhistory/replicationplan.cpp
+++ b/src/libs/turnhistory/replicationplan.cpp
@@ -106,7 +106,8 @@
         }
         turn = index_.next(offer.upTo);
     }
-    offer.request.isComplete = isSynchronized_ && offer.request.turns.empty() && !turn;
+    offer.request.isComplete = isSynchronized_ && isReplicated(now)
+                               && ring_.size() >= settings_.copies;
     return offer;
 }
 
@@ -144,8 +145,8 @@
 }
 
 /// A turn that this disk lost is on at least copies - 1 other disks. At most copies - 2 of them are
-/// lost too, so one of the peers that have completed their offers has the turn if all but
-/// copies - 2 have.
+/// lost too, so if all peers but copies - 2 have copied their turns to all that have to keep them,
+/// the turn has all of its copies again.
 OfferResponse ReplicationPlan::offerReceived(const OfferRequest &offer, Base::Instant now)
 {
     const bool isUseful = !isSynchronized_ && !isLeaving_ && offer.isComplete && offer.receiverDisk == disk_
--- a/src/libs/turnhistory/turncodec.h
+++ b/src/libs/turnhistory/turncodec.h
@@ -34,7 +34,7 @@
     /// The receiver's disk to which the sender's progress refers; empty if unknown.
     DiskId receiverDisk;
     std::vector<TurnId> turns;
-    /// The receiver has confirmed every turn of the sender that it has to keep.
+    /// Every reachable holder has confirmed what it has to keep of the sender's turns.
     bool isComplete = false;
 };
 
