Soak: kept chains, continued by other daemons and programs, and daemons with disks that are killed, paused, cut off from the store and emptied

What the backend servers receive is compared byte for byte; 404 for a kept turn is a violation. Ids of attempts have no dot, as the platform's have none.

--- a/tests/soak/backendstub.cpp
+++ b/tests/soak/backendstub.cpp
@@ -20,10 +20,14 @@
 
 } // namespace
 
+std::string eventData(const std::string &session, int number)
+{
+    return session + " " + std::to_string(number) + "\n";
+}
+
 std::string eventText(const std::string &session, int number)
 {
-    return "id: " + std::to_string(number) + "\ndata: " + session + " " + std::to_string(number)
-           + "\n\n";
+    return "id: " + std::to_string(number) + "\ndata: " + eventData(session, number) + "\n";
 }
 
 std::string plainResponse(const std::string &id)
@@ -39,7 +43,9 @@
 int eventCount(const std::string &body)
 {
     int events = 0;
-    std::from_chars(body.data(), body.data() + body.size(), events);
+    const std::size_t lineEnd = body.rfind('\n');
+    const std::size_t begin = lineEnd == std::string::npos ? 0 : lineEnd + 1;
+    std::from_chars(body.data() + begin, body.data() + body.size(), events);
     return events;
 }
 
--- a/tests/soak/backendstub.h
+++ b/tests/soak/backendstub.h
@@ -74,10 +74,13 @@
 /// Returns the event with that number of a turn, as a server sends it.
 std::string eventText(const std::string &session, int number);
 
+/// Returns the data of that event, followed by a line feed.
+std::string eventData(const std::string &session, int number);
+
 /// Returns the complete body of the response to a plain request.
 std::string plainResponse(const std::string &id);
 
-/// Returns the number of events that the body of a turn requests.
+/// Returns the number of events that the body of a turn requests in its last line.
 int eventCount(const std::string &body);
 
 constexpr int tokensPerEvent = 20;
--- a/tests/soak/daemonprocess.cpp
+++ b/tests/soak/daemonprocess.cpp
@@ -11,9 +11,11 @@
 namespace Soak {
 
 DaemonProcess::DaemonProcess(std::string program,
+                             std::string role,
                              std::filesystem::path settings,
                              std::filesystem::path log)
     : program_(std::move(program))
+    , role_(std::move(role))
     , settings_(std::move(settings))
     , log_(std::move(log))
 {}
@@ -36,7 +38,7 @@
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     std::string settings = settings_.string();
     std::string option = "--settings";
-    std::string role = "front";
+    std::string role = role_;
     std::array<char *, 5> arguments{
         program_.data(), option.data(), settings.data(), role.data(), nullptr};
     const int error
--- a/tests/soak/daemonprocess.h
+++ b/tests/soak/daemonprocess.h
@@ -12,7 +12,10 @@
 class DaemonProcess
 {
 public:
-    DaemonProcess(std::string program, std::filesystem::path settings, std::filesystem::path log);
+    DaemonProcess(std::string program,
+                  std::string role,
+                  std::filesystem::path settings,
+                  std::filesystem::path log);
     ~DaemonProcess();
 
     DaemonProcess(const DaemonProcess &) = delete;
@@ -27,6 +30,7 @@
 
 private:
     std::string program_;
+    std::string role_;
     std::filesystem::path settings_;
     std::filesystem::path log_;
     pid_t pid_ = 0;
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -47,8 +47,10 @@
         recordViolation("changed",
                         "request " + id + " was modified before it reached a server, team " + team);
     }
-    if (attempt.kind == RequestKind::Order && attempt.runs > 1) {
-        recordViolation("twice", "order " + id + " ran " + std::to_string(attempt.runs) + " times");
+    const bool mayRunOnce
+        = attempt.kind == RequestKind::Order || attempt.kind == RequestKind::KeptTurn;
+    if (mayRunOnce && attempt.runs > 1) {
+        recordViolation("twice", "request " + id + " ran " + std::to_string(attempt.runs) + " times");
     }
     if (guaranteesNotRun(attempt.status) && attempt.kind != RequestKind::Lookup) {
         recordViolation("refused", id + " ran after status " + std::to_string(attempt.status));
@@ -84,10 +86,19 @@
     }
 }
 
+void Ledger::turnKept(const std::string &team, KeptChain chain)
+{
+    chains_[team].push_back(std::move(chain));
+}
+
 void Ledger::attemptFinished(const std::string &id, int status)
 {
     Attempt &attempt = attempts_.at(id);
     attempt.status = status;
+    if (attempt.kind == RequestKind::KeptTurn && (status == 404 || status == 410)) {
+        recordViolation("lost", "request " + id + " continues a kept turn and was answered "
+                                    + std::to_string(status));
+    }
     const bool isServed = status >= 200 && status < 300;
     served_ += isServed ? 1 : 0;
     refused_ += guaranteesNotRun(status) ? 1 : 0;
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -13,6 +13,8 @@
 
 enum class RequestKind {
     Turn,
+    /// A turn that continues kept ones.
+    KeptTurn,
     Lookup,
     Order
 };
@@ -32,6 +34,13 @@
     int status = 0;
 };
 
+/// A kept turn with everything before it, as a server has to receive it before the next input.
+struct KeptChain
+{
+    std::string turn;
+    std::string content;
+};
+
 /// Rate limit of a team: requests per second, and burst.
 struct TeamLimit
 {
@@ -50,6 +59,10 @@
                     const std::string &target,
                     const std::string &body,
                     Base::Instant now);
+    /// The response to a kept turn has ended, so any caller of the team may continue it.
+    void turnKept(const std::string &team, KeptChain chain);
+    /// Kept turns of a team.
+    const std::vector<KeptChain> &keptChains(const std::string &team) { return chains_[team]; }
     void attemptFinished(const std::string &id, int status);
     void tokensDelivered(const std::string &program,
                          std::int64_t tokens,
@@ -78,6 +91,7 @@
     void checkRate(const std::string &team, Base::Instant now);
 
     std::map<std::string, Attempt> attempts_;
+    std::map<std::string, std::vector<KeptChain>> chains_;
     std::map<std::string, std::int64_t> deliveredTokens_;
     std::map<std::string, TeamLimit> limits_;
     std::map<std::string, std::deque<Base::Instant>> runsOf_;
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -1,5 +1,7 @@
 #include "soakcaller.h"
 
+#include <array>
+
 namespace Soak {
 
 namespace {
@@ -13,6 +15,8 @@
     switch (kind) {
     case RequestKind::Turn:
         return "/turns/x";
+    case RequestKind::KeptTurn:
+        return "/kept/x";
     case RequestKind::Order:
         return "/orders/x?y=1";
     case RequestKind::Lookup:
@@ -62,6 +66,12 @@
     requestsLeft_ = 1 + static_cast<int>(random_.below(maxRequests));
     const std::int64_t maxProgramTokens = std::int64_t(maxRequests) * maxEvents * tokensPerEvent;
     budget_ = random_.chance(0.2) ? maxProgramTokens / 4 : 3 * maxProgramTokens / 2;
+    // Half of the programs continue a turn that any program of the team has run before.
+    const std::vector<KeptChain> &chains = ledger_.keptChains(team_);
+    chain_ = {};
+    if (!chains.empty() && random_.chance(0.5)) {
+        chain_ = chains[random_.below(chains.size())];
+    }
     startRequest();
 }
 
@@ -71,26 +81,41 @@
         runAfter(std::chrono::milliseconds(random_.below(60)), [this] { startProgram(); });
         return;
     }
-    const std::uint64_t draw = random_.below(4);
-    send(draw < 2 ? RequestKind::Turn : draw == 2 ? RequestKind::Lookup : RequestKind::Order);
+    constexpr std::array<RequestKind, 5> kinds{RequestKind::Turn,
+                                               RequestKind::KeptTurn,
+                                               RequestKind::KeptTurn,
+                                               RequestKind::Lookup,
+                                               RequestKind::Order};
+    send(kinds[random_.below(kinds.size())]);
 }
 
-void SoakCaller::send(RequestKind kind)
+SoakCaller::ActiveRequest SoakCaller::makeRequest(RequestKind kind)
 {
     ActiveRequest request;
-    request.id = name_ + "." + std::to_string(++lastRequest_);
+    request.id = name_ + "-" + std::to_string(++lastRequest_);
     request.kind = kind;
+    const std::string events = std::to_string(1 + random_.below(maxEvents)) + " events";
     if (kind == RequestKind::Turn) {
-        request.body = std::to_string(1 + random_.below(maxEvents)) + " events";
+        request.body = events;
+    } else if (kind == RequestKind::KeptTurn) {
+        constexpr std::size_t maxChainBytes = 100'000;
+        request.previous = chain_.content.size() > maxChainBytes ? KeptChain{} : chain_;
+        request.body = events + " after " + request.previous.turn;
     } else if (kind == RequestKind::Order) {
         request.body = "order " + request.id;
     }
+    return request;
+}
+
+void SoakCaller::send(RequestKind kind)
+{
+    ActiveRequest request = makeRequest(kind);
     Attempt attempt;
     attempt.kind = kind;
     attempt.team = team_;
     attempt.key = entry_.currentKey(team_);
     attempt.target = pathOf(kind);
-    attempt.body = request.body;
+    attempt.body = request.previous.content + request.body;
     attempt.sentAt = entry_.now();
     ledger_.attemptSent(request.id, attempt);
     const std::string bytes = serialize(request, attempt);
@@ -124,7 +149,10 @@
     head.headers.add("X-Deadline-Ms", std::to_string(requestTimeout.count()));
     head.headers.add("Authorization", "Bearer " + attempt.key);
     head.headers.add("X-Tenant", "forged");
-    if (request.kind == RequestKind::Turn) {
+    if (!request.previous.turn.empty()) {
+        head.headers.add("X-Previous-Turn", request.previous.turn);
+    }
+    if (request.kind == RequestKind::Turn || request.kind == RequestKind::KeptTurn) {
         head.headers.add("X-Token-Budget", std::to_string(budget_));
         head.headers.add("X-Token-Count",
                          "100," + std::to_string(eventCount(request.body) * tokensPerEvent));
@@ -193,8 +221,11 @@
 
 void SoakCaller::checkResponse(const ActiveRequest &request)
 {
-    if (request.kind == RequestKind::Turn && request.status == 200) {
+    const bool isStream
+        = request.kind == RequestKind::Turn || request.kind == RequestKind::KeptTurn;
+    if (isStream && request.status == 200) {
         checkStream(request);
+        recordKeptTurn(request);
     } else if (request.status == 200 && request.isComplete
                && request.received != plainResponse(request.id)) {
         ledger_.recordViolation("mixed",
@@ -203,6 +234,21 @@
     ledger_.attemptFinished(request.id, request.isComplete ? request.status : 0);
 }
 
+/// A turn counts once its response has ended.
+void SoakCaller::recordKeptTurn(const ActiveRequest &request)
+{
+    if (request.kind != RequestKind::KeptTurn || !request.isComplete) {
+        return;
+    }
+    chain_.turn = request.id;
+    chain_.content = request.previous.content + request.body;
+    const int events = eventCount(request.body);
+    for (int i = 1; i <= events; ++i) {
+        chain_.content += eventData(program_ + "/s", i);
+    }
+    ledger_.turnKept(team_, chain_);
+}
+
 /// Checks that each event arrives once and in order, and that a stream that ended normally is
 /// complete.
 void SoakCaller::checkStream(const ActiveRequest &request)
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -40,6 +40,8 @@
         std::string id;
         RequestKind kind = RequestKind::Lookup;
         std::string body;
+        /// The chain that a kept turn continues; empty at the start of one.
+        KeptChain previous;
         std::string received;
         int status = 0;
         bool isComplete = false;
@@ -54,6 +56,8 @@
     void finish();
     void checkResponse(const ActiveRequest &request);
     void checkStream(const ActiveRequest &request);
+    ActiveRequest makeRequest(RequestKind kind);
+    void recordKeptTurn(const ActiveRequest &request);
     void runAfter(std::chrono::milliseconds duration, std::function<void()> next);
 
     asio::io_context &context_;
@@ -69,6 +73,8 @@
     std::string program_;
     int requestsLeft_ = 0;
     std::int64_t budget_ = 0;
+    /// The last kept turn of the program, or one of an earlier program to continue.
+    KeptChain chain_;
     int lastProgram_ = 0;
     int lastRequest_ = 0;
     bool isStopping_ = false;
--- a/tests/soak/soakenvironment.cpp
+++ b/tests/soak/soakenvironment.cpp
@@ -2,6 +2,7 @@
 
 #include <proxy/steadyclock.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 
@@ -17,6 +18,11 @@
 constexpr std::uint16_t callerPort = 7080;
 constexpr std::uint16_t statusPort = 7081;
 constexpr std::uint16_t peerPort = 7082;
+constexpr std::uint16_t turnPort = 7083;
+
+/// Disks that may be lost at once, and the time after which a lost one must be recovered.
+constexpr int toleratedLosses = 1;
+constexpr auto catchUpTime = Milliseconds(4600);
 
 /// Time limits that the deployments specify.
 constexpr int configurationBoundMs = 2000;
@@ -74,6 +80,7 @@
     teams_[0].limit = {15, 10};
     ledger_.setLimit(teams_[0].name, teams_[0].limit);
     writeConfiguration();
+    setUpHolders();
     setUpDaemons();
     setUpCallers();
 }
@@ -95,6 +102,7 @@
     for (Daemon &daemon : daemons_) {
         writeSettings(daemon, true);
         daemon.process = std::make_unique<DaemonProcess>(settings_.program,
+                                                         "front",
                                                          settings_.folder / (daemon.name + ".json"),
                                                          settings_.folder / (daemon.name + ".log"));
         daemon.process->start();
@@ -102,6 +110,49 @@
     }
 }
 
+void SoakEnvironment::setUpHolders()
+{
+    const auto second = static_cast<int>(64 + getpid() % 128);
+    const auto third = static_cast<int>(settings_.seed % 250);
+    for (std::size_t i = 0; i < holders_.size(); ++i) {
+        Holder &holder = holders_[i];
+        holder.name = "store-" + std::to_string(i);
+        holder.ip = "127." + std::to_string(second) + "." + std::to_string(third) + "."
+                    + std::to_string(i + 50);
+        holder.dataFolder = settings_.folder / (holder.name + "-data");
+        std::filesystem::create_directories(holder.dataFolder);
+        holder.store = std::make_unique<FaultRelay>(context_, anyPort(), store_.endpoint());
+        writeSettings(holder, true);
+        holder.process = std::make_unique<DaemonProcess>(settings_.program,
+                                                         "store",
+                                                         settings_.folder / (holder.name + ".json"),
+                                                         settings_.folder / (holder.name + ".log"));
+        holder.process->start();
+    }
+    runFor(Milliseconds(300)); // the settings of the first start are read
+    for (const Holder &holder : holders_) {
+        writeSettings(holder, false);
+    }
+    holdersCalmSince_ = Proxy::steadyNow();
+}
+
+void SoakEnvironment::writeSettings(const Holder &holder, bool isFirstStart) const
+{
+    constexpr int diskMegabytes = 400;
+    const json settings = {{"node_name", holder.name},
+                           {"zone", "zone-" + holder.name},
+                           {"ip", holder.ip},
+                           {"listen", json::object()},
+                           {"port_range", {turnPort, turnPort + 10}},
+                           {"data_dir", holder.dataFolder.string()},
+                           {"limits", {{"disk_mb", diskMegabytes}}},
+                           {"bootstrap", isFirstStart},
+                           {"tolerate", {{"machines", toleratedLosses}}},
+                           {"bounds", {{"grace_s", graceSeconds}}},
+                           {"platform", {{"address", text(holder.store->endpoint())}}}};
+    std::ofstream(settings_.folder / (holder.name + ".json")) << settings.dump(2);
+}
+
 void SoakEnvironment::writeSettings(const Daemon &daemon, bool isFirstStart) const
 {
     json seeds = json::array();
@@ -119,6 +170,7 @@
              {"control", text(endpoint(daemon.ip, peerPort))}}},
            {"seeds", seeds},
            {"bootstrap", isFirstStart},
+           {"tolerate", {{"machines", toleratedLosses}}},
            {"bounds", {{"config_apply_ms", configurationBoundMs}, {"grace_s", graceSeconds}}},
            {"platform", {{"address", text(daemon.store->endpoint())}}}};
     const std::filesystem::path file = settings_.folder / (daemon.name + ".json");
@@ -161,6 +213,9 @@
     json turns = route("turns", "stream", "engine");
     turns["resumable"] = true;
     turns["retain_s"] = 60;
+    json kept = route("kept", "stream", "engine");
+    kept["retained"] = true;
+    kept["retain_s"] = 60;
     json tenants = json::array();
     for (const Team &team : teams_) {
         json tenant = {{"name", team.name}, {"api_keys", team.keys}};
@@ -176,7 +231,7 @@
         "main",
         {{"version", version_},
          {"routes",
-          {turns, route("lookups", "idempotent", "app"), route("orders", "non_idempotent", "app")}},
+          {turns, kept, route("lookups", "idempotent", "app"), route("orders", "non_idempotent", "app")}},
          {"services",
           {{{"name", "engine"}, {"engine", {{"stride", tokensPerEvent}}}}, {{"name", "app"}}}},
          {"tenants", tenants},
@@ -229,6 +284,7 @@
 void SoakEnvironment::pollProcesses()
 {
     checkProcesses();
+    checkHolders();
     schedule(pollInterval, [this] { pollProcesses(); });
 }
 
@@ -332,11 +388,15 @@
 
 void SoakEnvironment::injectFault()
 {
-    switch (random_.below(6)) {
+    switch (random_.below(8)) {
     case 0:
     case 1:
         injectDaemonFault();
         break;
+    case 6:
+    case 7:
+        injectHolderFault();
+        break;
     case 2:
         injectStoreFault();
         break;
@@ -379,6 +439,92 @@
     extendFaultPeriod(std::chrono::seconds(4));
 }
 
+bool SoakEnvironment::areHoldersRunning() const
+{
+    return std::all_of(holders_.begin(), holders_.end(), [](const Holder &holder) {
+        return holder.process->isRunning() && !holder.isPaused && !holder.isExitExpected;
+    });
+}
+
+/// Any number of holders may be stopped at once. A disk is lost only after the last fault of any
+/// holder has been over for the time in which a lost disk must be recovered.
+void SoakEnvironment::injectHolderFault()
+{
+    Holder &holder = holders_[random_.below(holders_.size())];
+    const bool mayLoseDisk
+        = areHoldersRunning() && Proxy::steadyNow() - holdersCalmSince_ > catchUpTime;
+    switch (random_.below(6)) {
+    case 0:
+    case 1:
+        pauseHolder(holder);
+        break;
+    case 2:
+        for (Holder &each : holders_) {
+            killHolder(each, false);
+        }
+        break;
+    case 3:
+        killHolder(holder, false);
+        break;
+    case 4:
+        injectLinkFault(*holder.store);
+        break;
+    default:
+        killHolder(holder, mayLoseDisk);
+        break;
+    }
+    extendFaultPeriod(std::chrono::seconds(4));
+}
+
+void SoakEnvironment::killHolder(Holder &holder, bool losesDisk)
+{
+    if (!holder.process->isRunning() || holder.isExitExpected) {
+        return;
+    }
+    holder.isExitExpected = true;
+    holder.process->signal(SIGKILL);
+    if (losesDisk) {
+        std::filesystem::remove_all(holder.dataFolder);
+        std::filesystem::create_directories(holder.dataFolder);
+    }
+}
+
+void SoakEnvironment::pauseHolder(Holder &holder)
+{
+    if (!holder.process->isRunning() || holder.isPaused) {
+        return;
+    }
+    holder.isPaused = true;
+    holder.process->signal(SIGSTOP);
+    schedule(randomDuration(100, 2500), [&holder] {
+        holder.isPaused = false;
+        holder.process->signal(SIGCONT);
+    });
+}
+
+void SoakEnvironment::checkHolders()
+{
+    for (Holder &holder : holders_) {
+        const std::optional<int> status = holder.process->poll();
+        if (!status) {
+            continue;
+        }
+        if (!holder.isExitExpected) {
+            ledger_.recordViolation("process",
+                                    holder.name + " exited unexpectedly, wait status "
+                                        + std::to_string(*status));
+        }
+        schedule(randomDuration(100, 1200), [&holder] {
+            holder.isExitExpected = false;
+            holder.isPaused = false;
+            holder.process->start();
+        });
+    }
+    if (!areHoldersRunning()) {
+        holdersCalmSince_ = Proxy::steadyNow();
+    }
+}
+
 void SoakEnvironment::injectLinkFault(FaultRelay &relay)
 {
     switch (random_.below(4)) {
@@ -484,6 +630,9 @@
         daemon.callers->setFault(LinkFault::None);
         daemon.store->setFault(LinkFault::None);
     }
+    for (Holder &holder : holders_) {
+        holder.store->setFault(LinkFault::None);
+    }
     for (const auto &backend : backends_) {
         backend->setFault(BackendFault::None);
         backend->link().setFault(LinkFault::None);
@@ -531,6 +680,10 @@
     for (Daemon &daemon : daemons_) {
         stopDaemon(daemon);
     }
+    for (Holder &holder : holders_) {
+        holder.isExitExpected = true;
+        holder.process->signal(SIGTERM);
+    }
     runFor(Milliseconds(500)); // requests in transit still reach the servers
     ledger_.checkAtEnd();
     return {ledger_.violations(),
--- a/tests/soak/soakenvironment.h
+++ b/tests/soak/soakenvironment.h
@@ -42,6 +42,7 @@
 
 private:
     static constexpr std::size_t daemonCount = 4;
+    static constexpr std::size_t holderCount = 4;
 
     /// One daemon and the relays to and from it.
     struct Daemon
@@ -56,6 +57,17 @@
         bool isExitExpected = false;
         bool isPaused = false;
     };
+    /// One daemon that keeps turns, and the relay from it to the platform's store.
+    struct Holder
+    {
+        std::string name;
+        std::string ip;
+        std::filesystem::path dataFolder;
+        std::unique_ptr<FaultRelay> store;
+        std::unique_ptr<DaemonProcess> process;
+        bool isExitExpected = false;
+        bool isPaused = false;
+    };
     struct Team
     {
         std::string name;
@@ -64,6 +76,8 @@
     };
 
     void setUpDaemons();
+    void setUpHolders();
+    void writeSettings(const Holder &holder, bool isFirstStart) const;
     void setUpBackends();
     void setUpCallers();
     void writeSettings(const Daemon &daemon, bool isFirstStart) const;
@@ -81,6 +95,11 @@
     void scheduleFault();
     void injectFault();
     void injectDaemonFault();
+    void injectHolderFault();
+    void killHolder(Holder &holder, bool losesDisk);
+    void pauseHolder(Holder &holder);
+    void checkHolders();
+    bool areHoldersRunning() const;
     void injectStoreFault();
     void injectBackendFault();
     void injectCallerFault();
@@ -101,6 +120,9 @@
     PlatformStore store_;
     Ledger ledger_;
     std::array<Daemon, daemonCount> daemons_;
+    std::array<Holder, holderCount> holders_;
+    /// All holders have been running without a fault since then.
+    Base::Instant holdersCalmSince_;
     std::vector<std::unique_ptr<BackendStub>> backends_;
     std::vector<std::shared_ptr<SoakCaller>> callers_;
     std::vector<Team> teams_;
