--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -161,6 +161,7 @@
         return;
     }
     history_ = result;
+    historyTime_ = now() - request_.arrivedAt;
     if (result == TurnHistory::LookupResult::Found) {
         const Base::TeamId team = team_ ? team_->team.id : Base::TeamId{};
         if (chain.team != team) {
@@ -770,6 +771,7 @@
         fields.details.push_back({"previous_turn", traits_.previousTurn});
         fields.details.push_back({"chain_turns", static_cast<std::int64_t>(chainTurns_)});
         fields.details.push_back({"chain_bytes", static_cast<std::int64_t>(prefix_.size())});
+        fields.details.push_back({"history_milliseconds", milliseconds(historyTime_)});
         fields.details.push_back({"keep_milliseconds", milliseconds(keepingTime_)});
     }
     if (placement_) {
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -118,6 +118,8 @@
     std::size_t chainTurns_ = 0;
     /// The rate and the budget allow the request.
     bool isAdmitted_ = false;
+    /// Time until the history was known.
+    Base::Duration historyTime_{};
     Base::Instant keepingSince_;
     Base::Duration keepingTime_{};
 };
