--- a/src/libs/dispatch/requestplacer.cpp
+++ b/src/libs/dispatch/requestplacer.cpp
@@ -86,8 +86,7 @@
 {
     return std::any_of(servers_.begin(), servers_.end(), [&](const auto &entry) {
         const Contracts::BackendServer &server = entry.second->listed.server;
-        return server.service == service && !server.isLeaving
-               && !entry.second->hasAnnouncedLeaving;
+        return server.service == service && !server.isLeaving && !entry.second->hasAnnouncedLeaving;
     });
 }
 
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -71,8 +71,7 @@
 /// Access to the completed turns that requests continue.
 struct HistoryControls
 {
-    using FindCallback
-        = std::function<void(TurnHistory::LookupResult, const TurnHistory::Chain &)>;
+    using FindCallback = std::function<void(TurnHistory::LookupResult, const TurnHistory::Chain &)>;
 
     /// Whether a turn could be kept now.
     std::function<bool()> isAvailable;
--- a/src/libs/proxy/turnadmission.cpp
+++ b/src/libs/proxy/turnadmission.cpp
@@ -222,19 +222,18 @@
     }
     const TokenRequest request{
         number, ask.program, ask.budget, ask.needed, ask.retention, ask.used};
-    peers_.sendRequest(
-        coordinator, number, request, [=, this](const PeerBody *body) {
-            const auto *response = body ? std::get_if<TokenResponse>(body) : nullptr;
-            if (!response) {
-                askCoordinator(ask, number, attempt + 1);
-                runActions();
-                return;
-            }
-            respondedBy_[ask.id] = coordinator;
-            tokenGrants_.answered(ask.id, response->verdict, response->amount, now_());
+    peers_.sendRequest(coordinator, number, request, [=, this](const PeerBody *body) {
+        const auto *response = body ? std::get_if<TokenResponse>(body) : nullptr;
+        if (!response) {
+            askCoordinator(ask, number, attempt + 1);
             runActions();
-            respondedBy_.erase(ask.id);
-        });
+            return;
+        }
+        respondedBy_[ask.id] = coordinator;
+        tokenGrants_.answered(ask.id, response->verdict, response->amount, now_());
+        runActions();
+        respondedBy_.erase(ask.id);
+    });
 }
 
 /// Calls back from the event loop, as reserve() has not yet returned the id to its caller.
--- a/src/libs/turnhistory/replicationplan.cpp
+++ b/src/libs/turnhistory/replicationplan.cpp
@@ -106,8 +106,8 @@
         }
         turn = index_.next(offer.upTo);
     }
-    offer.request.isComplete = isSynchronized_ && isReplicated(now)
-                               && ring_.size() >= settings_.copies;
+    offer.request.isComplete
+        = isSynchronized_ && isReplicated(now) && ring_.size() >= settings_.copies;
     return offer;
 }
 
@@ -149,8 +149,8 @@
 /// the turn has all of its copies again.
 OfferResponse ReplicationPlan::offerReceived(const OfferRequest &offer, Base::Instant now)
 {
-    const bool isUseful = !isSynchronized_ && !isLeaving_ && offer.isComplete && offer.receiverDisk == disk_
-                          && peers_.contains(offer.sender);
+    const bool isUseful = !isSynchronized_ && !isLeaving_ && offer.isComplete
+                          && offer.receiverDisk == disk_ && peers_.contains(offer.sender);
     if (isUseful) {
         completedBy_.insert(offer.sender);
         const std::size_t tolerated = settings_.copies >= 2 ? settings_.copies - 2 : 0;
@@ -204,9 +204,8 @@
 bool ReplicationPlan::isReplicated(Base::Instant now)
 {
     updateRing(now);
-    return std::none_of(ring_.begin(), ring_.end(), [&](const Holder &holder) {
-        return isBehind(holder.vm);
-    });
+    return std::none_of(
+        ring_.begin(), ring_.end(), [&](const Holder &holder) { return isBehind(holder.vm); });
 }
 
 /// Whether every other holder has replaced the copies that were on this disk.
--- a/src/libs/turnhistory/replicationplan.h
+++ b/src/libs/turnhistory/replicationplan.h
@@ -35,7 +35,8 @@
         std::size_t copies = 2;
         /// A holder that was not reached for this time is replaced by the next in rank.
         Base::Duration reachableTimeout = std::chrono::milliseconds(1500);
-        /// A holder that no other has reached for this time may be removed from the registered ones.
+        /// A holder that no other has reached for this time may be removed from the registered
+        /// ones.
         Base::Duration lostTimeout = std::chrono::seconds(10);
         std::size_t turnsPerOffer = 1000;
     };
@@ -59,7 +60,8 @@
     /// Whether the peer has yet to confirm turns.
     bool isBehind(const Base::VmId &peer) const;
 
-    /// Handles the offer of a peer to this holder. The caller adds the missing turns to the response.
+    /// Handles the offer of a peer to this holder. The caller adds the missing turns to the
+    /// response.
     OfferResponse offerReceived(const OfferRequest &offer, Base::Instant now);
     /// Whether this disk has all turns that it has to keep, unless more disks were lost than
     /// tolerated.
--- a/src/libs/turnhistory/segmentformat.h
+++ b/src/libs/turnhistory/segmentformat.h
@@ -25,8 +25,8 @@
     std::function<void(std::uint64_t offset, std::uint64_t bytes)> onDamage;
 };
 
-/// Finds all valid records of a segment. After damaged bytes the scan goes on at the next record, as
-/// any write after the last sync may be missing or torn after a power loss.
+/// Finds all valid records of a segment. After damaged bytes the scan goes on at the next record,
+/// as any write after the last sync may be missing or torn after a power loss.
 void scanSegment(std::string_view bytes, const SegmentVisitor &visitor);
 
 } // namespace TurnHistory
--- a/src/libs/turnhistory/turncodec.h
+++ b/src/libs/turnhistory/turncodec.h
@@ -21,7 +21,8 @@
 struct ChainResponse
 {
     ChainOutcome outcome = ChainOutcome::Unreadable;
-    /// Whether the responder has copied all turns that it has to keep since its disk was last empty.
+    /// Whether the responder has copied all turns that it has to keep since its disk was last
+    /// empty.
     bool isSynchronized = false;
     /// Newest first, up to the first turn that the responder lacks.
     std::vector<Turn> turns;
--- a/src/libs/turnhistory/turnindex.h
+++ b/src/libs/turnhistory/turnindex.h
@@ -37,7 +37,8 @@
 class TurnIndex
 {
 public:
-    /// Ignores a turn that is already indexed. Extends the retention of the turns that it continues.
+    /// Ignores a turn that is already indexed. Extends the retention of the turns that it
+    /// continues.
     void add(const Turn &turn, const TurnPosition &position);
 
     const IndexedTurn *find(const TurnId &id) const;
--- a/src/libs/turnstore/turndisk.cpp
+++ b/src/libs/turnstore/turndisk.cpp
@@ -87,8 +87,7 @@
 bool writeFileDurably(const std::string &folder, const std::string &name, const std::string &text)
 {
     const std::string temporary = folder + "/" + name + ".new";
-    const int file
-        = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    const int file = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     if (file < 0) {
         return false;
     }
@@ -276,8 +275,9 @@
                     batch = std::move(batch),
                     positions = std::move(positions)] {
                        segmentSizes_[segment] = size;
-                       metrics_.distribution("marjoram_turn_sync_seconds",
-                                             "Time to write and sync a batch of turns")
+                       metrics_
+                           .distribution("marjoram_turn_sync_seconds",
+                                         "Time to write and sync a batch of turns")
                            .add(std::chrono::duration<double>(duration).count());
                        for (std::size_t i = 0; i < batch.size(); ++i) {
                            if (result != WriteResult::Durable) {
@@ -324,9 +324,8 @@
 {
     ++segment_;
     segmentSize_ = 0;
-    file_ = ::open(pathOf(segment_).c_str(),
-                   O_WRONLY | O_CREAT | O_EXCL | O_APPEND | O_CLOEXEC,
-                   0600);
+    file_ = ::open(
+        pathOf(segment_).c_str(), O_WRONLY | O_CREAT | O_EXCL | O_APPEND | O_CLOEXEC, 0600);
     return file_ >= 0 && syncFolder(settings_.folder);
 }
 
--- a/src/libs/turnstore/turndisk.h
+++ b/src/libs/turnstore/turndisk.h
@@ -32,8 +32,8 @@
     Failed
 };
 
-/// Segment files in one folder. A thread writes and syncs them, many turns with each sync; all other
-/// functions are for the thread of the event loop.
+/// Segment files in one folder. A thread writes and syncs them, many turns with each sync; all
+/// other functions are for the thread of the event loop.
 class TurnDisk
 {
 public:
--- a/src/libs/turnstore/turnkeeper.cpp
+++ b/src/libs/turnstore/turnkeeper.cpp
@@ -39,7 +39,8 @@
 
 } // namespace
 
-/// Writes one turn. The holders that rank first are asked at once, others as those fail or are slow.
+/// Writes one turn. The holders that rank first are asked at once, others as those fail or are
+/// slow.
 class TurnKeeper::KeepCall : public std::enable_shared_from_this<KeepCall>
 {
 public:
@@ -77,12 +78,10 @@
         }
         const Base::VmId vm = candidates_[asked_++];
         awaited_.insert(vm);
-        owner_.call(vm,
-                    keepPath,
-                    body_,
-                    [self = shared_from_this(), vm](const Proxy::CallResult &result) {
-                        self->onAnswer(vm, result);
-                    });
+        owner_.call(
+            vm, keepPath, body_, [self = shared_from_this(), vm](const Proxy::CallResult &result) {
+                self->onAnswer(vm, result);
+            });
     }
 
     void onAnswer(const Base::VmId &vm, const Proxy::CallResult &result)
@@ -155,9 +154,10 @@
                 "turn cannot be kept:" + failed_,
                 {.request = turn_.id.text(),
                  .step = "keep",
-                 .details = {{"copies", static_cast<std::int64_t>(kept_)},
-                             {"holders", static_cast<std::int64_t>(candidates_.size())},
-                             {"milliseconds", static_cast<std::int64_t>(duration.count() / 1000)}}});
+                 .details
+                 = {{"copies", static_cast<std::int64_t>(kept_)},
+                    {"holders", static_cast<std::int64_t>(candidates_.size())},
+                    {"milliseconds", static_cast<std::int64_t>(duration.count() / 1000)}}});
         }
         std::exchange(done_, nullptr)(isKept);
     }
@@ -227,13 +227,12 @@
         const std::string body = TurnHistory::encodeChainRequest(chain_.next);
         for (const Base::VmId &vm : holders) {
             awaited_.insert(vm);
-            owner_.call(vm,
-                        chainPath,
-                        body,
-                        [self = shared_from_this(), vm, number = searchNumber_](
-                            const Proxy::CallResult &result) {
-                            self->onAnswer(vm, number, result);
-                        });
+            owner_.call(
+                vm,
+                chainPath,
+                body,
+                [self = shared_from_this(), vm, number = searchNumber_](
+                    const Proxy::CallResult &result) { self->onAnswer(vm, number, result); });
         }
         if (!holders.empty()) {
             armTimer(slowRead, &FindCall::onSlow);
@@ -312,8 +311,8 @@
             return;
         }
         isRegistrationRead_ = true;
-        owner_.readHolders_([self = shared_from_this(), number = searchNumber_](
-                                const std::optional<Holders> &holders) {
+        owner_.readHolders_([self = shared_from_this(),
+                             number = searchNumber_](const std::optional<Holders> &holders) {
             if (!self->done_ || number != self->searchNumber_) {
                 return;
             }
@@ -373,11 +372,12 @@
                 LogLevel::Info,
                 "chain not found",
                 {.step = "history",
-                 .details = {{"turn", id_.text()},
-                             {"outcome", name},
-                             {"missing", chain_.next.text()},
-                             {"holders", static_cast<std::int64_t>(owner_.holders_.size())},
-                             {"milliseconds", static_cast<std::int64_t>(duration.count() / 1000)}}});
+                 .details
+                 = {{"turn", id_.text()},
+                    {"outcome", name},
+                    {"missing", chain_.next.text()},
+                    {"holders", static_cast<std::int64_t>(owner_.holders_.size())},
+                    {"milliseconds", static_cast<std::int64_t>(duration.count() / 1000)}}});
         }
         std::exchange(done_, nullptr)(result, chain_);
     }
--- a/src/libs/turnstore/turnstoreservice.cpp
+++ b/src/libs/turnstore/turnstoreservice.cpp
@@ -292,10 +292,10 @@
 
 void TurnStoreService::onSynchronized()
 {
-    log_.write(LogLevel::Info,
-               "disk holds all turns that it has to",
-               {.step = "replicate",
-                .details = {{"turns", static_cast<std::int64_t>(index_.size())}}});
+    log_.write(
+        LogLevel::Info,
+        "disk holds all turns that it has to",
+        {.step = "replicate", .details = {{"turns", static_cast<std::int64_t>(index_.size())}}});
     disk_.markSynchronized();
 }
 
@@ -317,10 +317,10 @@
         offerTo(vm);
     }
     if (onHandedOver_ && pendingWrites_ == 0 && plan_.isHandedOver(now_())) {
-        log_.write(LogLevel::Info,
-                   "all turns are held by others",
-                   {.step = "retire",
-                    .details = {{"turns", static_cast<std::int64_t>(index_.size())}}});
+        log_.write(
+            LogLevel::Info,
+            "all turns are held by others",
+            {.step = "retire", .details = {{"turns", static_cast<std::int64_t>(index_.size())}}});
         std::exchange(onHandedOver_, nullptr)();
     }
     scheduleTick();
@@ -334,13 +334,12 @@
     }
     peer->second.isBusy = true;
     const PlannedOffer offer = plan_.nextOffer(vm, now_());
-    peer->second.caller->call("POST",
-                              offerPath,
-                              TurnHistory::encodeOfferRequest(offer.request),
-                              offerTimeout,
-                              [this, offer](const Proxy::CallResult &result) {
-                                  onOfferAnswer(offer, result);
-                              });
+    peer->second.caller->call(
+        "POST",
+        offerPath,
+        TurnHistory::encodeOfferRequest(offer.request),
+        offerTimeout,
+        [this, offer](const Proxy::CallResult &result) { onOfferAnswer(offer, result); });
 }
 
 void TurnStoreService::onOfferAnswer(const PlannedOffer &offer, const Proxy::CallResult &result)
--- a/tests/libs/dispatch/tst_requestplacer.cpp
+++ b/tests/libs/dispatch/tst_requestplacer.cpp
@@ -60,8 +60,8 @@
 
 } // namespace
 
-/// Seen in scenario scale-1 of ldmca-field-grown: three servers of 44 answered every request with an
-/// error after 1 ms and got 4,876 of 27,646 requests.
+/// Seen in scenario scale-1 of ldmca-field-grown: three servers of 44 answered every request with
+/// an error after 1 ms and got 4,876 of 27,646 requests.
 Test(requestplacer, avoidsAServerThatFailsFast)
 {
     RequestPlacer placer(here, {}, 1);
@@ -78,8 +78,7 @@
             ++failed;
             placer.requestFailed(placement->instance, now);
         } else {
-            placer.responseReceived(
-                placement->instance, std::chrono::milliseconds(workMs), now);
+            placer.responseReceived(placement->instance, std::chrono::milliseconds(workMs), now);
         }
         placer.requestEnded(placement->instance);
     }
--- a/tests/libs/proxy/tst_keptturns.cpp
+++ b/tests/libs/proxy/tst_keptturns.cpp
@@ -163,9 +163,8 @@
     Fixture fixture;
     fixture.configure();
     fixture.listServers(true);
-    const std::string leaving
-        = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nLeaving: 1\r\n"
-          "Content-Length: 5\r\n\r\nhello";
+    const std::string leaving = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nLeaving: 1\r\n"
+                                "Content-Length: 5\r\n\r\nhello";
     fixture.first.add({{leaving, leaving, leaving}});
     fixture.second.add({{leaving, leaving, leaving}});
     for (int i = 1; i <= 2; ++i) {
--- a/tests/libs/turnhistory/replicationfleet.cpp
+++ b/tests/libs/turnhistory/replicationfleet.cpp
@@ -120,10 +120,9 @@
     return kept == settings_.copies;
 }
 
-SearchState ReplicationFleet::search(
-    const TurnId &id,
-    const std::string &placementKey,
-    const std::function<bool(const Base::VmId &)> &isSkipped) const
+SearchState ReplicationFleet::search(const TurnId &id,
+                                     const std::string &placementKey,
+                                     const std::function<bool(const Base::VmId &)> &isSkipped) const
 {
     ChainSearch search(ranked(placementKey), settings_.copies);
     std::vector<Base::VmId> toAsk = search.start();
@@ -177,8 +176,9 @@
             return;
         }
         for (const TurnId &id : response.missing) {
-            const auto turn = std::find_if(
-                from.turns.begin(), from.turns.end(), [&](const auto &each) { return each.id == id; });
+            const auto turn = std::find_if(from.turns.begin(),
+                                           from.turns.end(),
+                                           [&](const auto &each) { return each.id == id; });
             keep(to, *turn);
         }
         from.plan->offerConfirmed(planned);
--- a/tests/libs/turnhistory/replicationfleet.h
+++ b/tests/libs/turnhistory/replicationfleet.h
@@ -19,8 +19,8 @@
     ReplicationFleet(std::size_t holders, std::size_t zones, std::size_t copies);
 
     /// Writes the turn as a caller's daemon does: to the registered holders in the order of their
-    /// rank, except those for which \a isSkipped, until enough have it. Returns whether it counts as
-    /// kept. Some may have it even if not.
+    /// rank, except those for which \a isSkipped, until enough have it. Returns whether it counts
+    /// as kept. Some may have it even if not.
     bool write(const TurnHistory::Turn &turn,
                const std::function<bool(const Base::VmId &)> &isSkipped);
     /// Looks for the turn; holders for which \a isSkipped do not answer.
--- a/tests/libs/turnhistory/tst_replicationschedules.cpp
+++ b/tests/libs/turnhistory/tst_replicationschedules.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-/// Ticks without any holder stopped or cut off after which a disk that was lost counts as recovered.
+/// Ticks without any holder stopped or cut off after which a disk that was lost counts as
+/// recovered.
 constexpr int catchUpTicks = 8;
 constexpr std::uint64_t defaultSchedules = 10'000;
 
@@ -64,9 +65,8 @@
 
     SearchState searchFor(const Turn &turn, const std::set<Base::VmId> &silent)
     {
-        return fleet_.search(turn.id, turn.placementKey, [&](const auto &vm) {
-            return silent.contains(vm);
-        });
+        return fleet_.search(
+            turn.id, turn.placementKey, [&](const auto &vm) { return silent.contains(vm); });
     }
 
     std::set<Base::VmId> someHolders(double chance)
@@ -97,10 +97,8 @@
             return;
         }
         const Turn &turn = kept_[random_.below(kept_.size())];
-        cr_assert_neq(searchFor(turn, someHolders(0.3)),
-                      SearchState::Absent,
-                      "%s",
-                      describe(turn).c_str());
+        cr_assert_neq(
+            searchFor(turn, someHolders(0.3)), SearchState::Absent, "%s", describe(turn).c_str());
     }
 
     std::size_t stoppedHolders() const
--- a/tests/libs/turnhistory/tst_segmentformat.cpp
+++ b/tests/libs/turnhistory/tst_segmentformat.cpp
@@ -31,8 +31,7 @@
         result.turns.push_back(turn);
         result.validBytes += length;
     };
-    visitor.onDamage
-        = [&](std::uint64_t, std::uint64_t length) { result.damagedBytes += length; };
+    visitor.onDamage = [&](std::uint64_t, std::uint64_t length) { result.damagedBytes += length; };
     scanSegment(bytes, visitor);
     cr_assert_eq(result.validBytes + result.damagedBytes, bytes.size());
     return result;
--- a/tests/libs/turnstore/storefixture.cpp
+++ b/tests/libs/turnstore/storefixture.cpp
@@ -17,8 +17,8 @@
 /// A port that no process uses, as told by the system.
 asio::ip::tcp::endpoint freeEndpoint(asio::io_context &context)
 {
-    asio::ip::tcp::acceptor acceptor(
-        context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    asio::ip::tcp::acceptor acceptor(context,
+                                     asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     return acceptor.local_endpoint();
 }
 
@@ -39,8 +39,10 @@
 
 Telemetry::Log &silentLog()
 {
-    static Telemetry::Log log(
-        {.file = "/dev/null", .level = Telemetry::LogLevel::Error, .daemon = {}, .keyPrefixes = {}});
+    static Telemetry::Log log({.file = "/dev/null",
+                               .level = Telemetry::LogLevel::Error,
+                               .daemon = {},
+                               .keyPrefixes = {}});
     return log;
 }
 
@@ -61,7 +63,8 @@
 {
     for (std::size_t i = 0; i < holders; ++i) {
         Node node;
-        node.address.holder = {Base::VmId("vm" + std::to_string(i)), Base::ZoneId(std::to_string(i))};
+        node.address.holder
+            = {Base::VmId("vm" + std::to_string(i)), Base::ZoneId(std::to_string(i))};
         node.address.endpoint = freeEndpoint(context);
         nodes_.push_back(std::move(node));
     }
@@ -100,14 +103,14 @@
     settings.capacityBytes = capacityBytes;
     settings.segmentBytes = 2000;
     node.disk = std::make_unique<TurnDisk>(context, settings, silentLog(), metrics);
-    node.service = std::make_unique<TurnStoreService>(context,
-                                                      node.address,
-                                                      *node.disk,
-                                                      TurnHistory::ReplicationPlan::Settings{
-                                                          .copies = copies_},
-                                                      &Proxy::steadyNow,
-                                                      silentLog(),
-                                                      metrics);
+    node.service = std::make_unique<TurnStoreService>(
+        context,
+        node.address,
+        *node.disk,
+        TurnHistory::ReplicationPlan::Settings{.copies = copies_},
+        &Proxy::steadyNow,
+        silentLog(),
+        metrics);
     node.service->start();
     node.service->setHolders(addresses());
     if (isFirst) {
@@ -150,7 +153,8 @@
 {
     std::optional<bool> result;
     keeper->keep(turn, [&](bool isKept) { result = isKept; });
-    runUntil(context, [&] { return result.has_value(); }, "the turn is kept or not");
+    runUntil(
+        context, [&] { return result.has_value(); }, "the turn is kept or not");
     return *result;
 }
 
@@ -163,6 +167,7 @@
             *joined = chain.joined();
         }
     });
-    runUntil(context, [&] { return result.has_value(); }, "the chain is found or not");
+    runUntil(
+        context, [&] { return result.has_value(); }, "the chain is found or not");
     return *result;
 }
--- a/tests/libs/turnstore/tst_turndisk.cpp
+++ b/tests/libs/turnstore/tst_turndisk.cpp
@@ -44,7 +44,8 @@
                 index.add(turn, positions.front());
             }
         });
-        runUntil(context, [&] { return result.has_value(); }, "the write ends");
+        runUntil(
+            context, [&] { return result.has_value(); }, "the write ends");
         return *result;
     }
 
--- a/tests/libs/turnstore/tst_turnstoreservice.cpp
+++ b/tests/libs/turnstore/tst_turnstoreservice.cpp
@@ -31,15 +31,17 @@
     caller.call("POST", path, body, std::chrono::seconds(5), [&](Proxy::CallResult answer) {
         result = std::move(answer);
     });
-    runUntil(fixture.context, [&] { return result.has_value(); }, "the call ends");
+    runUntil(
+        fixture.context, [&] { return result.has_value(); }, "the call ends");
     return *result;
 }
 
 bool has(StoreFixture &fixture, std::size_t holder, const std::string &id)
 {
-    const auto result
-        = post(fixture, holder, chainPath, TurnHistory::encodeChainRequest(TurnHistory::TurnId(id)));
-    return TurnHistory::decodeChainResponse(result.body).outcome == TurnHistory::ChainOutcome::Found;
+    const auto result = post(
+        fixture, holder, chainPath, TurnHistory::encodeChainRequest(TurnHistory::TurnId(id)));
+    return TurnHistory::decodeChainResponse(result.body).outcome
+           == TurnHistory::ChainOutcome::Found;
 }
 
 } // namespace
@@ -51,7 +53,8 @@
     fixture.stop(0);
     fixture.emptyDisk(0);
     fixture.start(0, false);
-    runUntil(fixture.context, [&] { return fixture.disk(0).isSynchronized(); }, "synchronized");
+    runUntil(
+        fixture.context, [&] { return fixture.disk(0).isSynchronized(); }, "synchronized");
     for (int i = 0; i < turns; ++i) {
         cr_assert(has(fixture, 0, "t" + std::to_string(i)));
     }
@@ -65,7 +68,8 @@
     fixture.service(0).leave([&] { isHandedOver = true; });
     cr_assert_eq(
         post(fixture, 0, keepPath, TurnHistory::encodeKeepRequest({makeTurn("late")})).status, 503);
-    runUntil(fixture.context, [&] { return isHandedOver; }, "handed over");
+    runUntil(
+        fixture.context, [&] { return isHandedOver; }, "handed over");
     for (int i = 0; i < turns; ++i) {
         const std::string id = "t" + std::to_string(i);
         cr_assert(has(fixture, 1, id) && has(fixture, 2, id));
--- a/tests/platform/tst_feeds.cpp
+++ b/tests/platform/tst_feeds.cpp
@@ -365,11 +365,10 @@
     Fixture fixture;
     fixture.platform.put("retirements", "other", {{"duration_s", 10}});
     std::function<void()> onHandedOver;
-    RetirementFeed feed(fixture.context,
-                        fixture.store,
-                        Base::VmId("mine"),
-                        Fixture::log(),
-                        [&](auto done) { onHandedOver = done; });
+    RetirementFeed feed(
+        fixture.context, fixture.store, Base::VmId("mine"), Fixture::log(), [&](auto done) {
+            onHandedOver = done;
+        });
     feed.start();
     fixture.runUntil([&] { return fixture.platform.calls() >= 2; }, "a watch");
     fixture.platform.put("retirements", "mine", {{"duration_s", 10}});
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -50,7 +50,8 @@
     const bool mayRunOnce
         = attempt.kind == RequestKind::Order || attempt.kind == RequestKind::KeptTurn;
     if (mayRunOnce && attempt.runs > 1) {
-        recordViolation("twice", "request " + id + " ran " + std::to_string(attempt.runs) + " times");
+        recordViolation("twice",
+                        "request " + id + " ran " + std::to_string(attempt.runs) + " times");
     }
     if (guaranteesNotRun(attempt.status) && attempt.kind != RequestKind::Lookup) {
         recordViolation("refused", id + " ran after status " + std::to_string(attempt.status));
@@ -96,8 +97,9 @@
     Attempt &attempt = attempts_.at(id);
     attempt.status = status;
     if (attempt.kind == RequestKind::KeptTurn && (status == 404 || status == 410)) {
-        recordViolation("lost", "request " + id + " continues a kept turn and was answered "
-                                    + std::to_string(status));
+        recordViolation("lost",
+                        "request " + id + " continues a kept turn and was answered "
+                            + std::to_string(status));
     }
     const bool isServed = status >= 200 && status < 300;
     served_ += isServed ? 1 : 0;
