--- a/src/libs/turnstore/turnstoreservice.cpp
+++ b/src/libs/turnstore/turnstoreservice.cpp
@@ -156,8 +156,10 @@
 
 void TurnStoreService::setFirstRegistration()
 {
-    plan_.setSynchronized();
-    onSynchronized();
+    if (!plan_.isSynchronized()) {
+        plan_.setSynchronized();
+        onSynchronized();
+    }
 }
 
 void TurnStoreService::leave(std::function<void()> onHandedOver)
