An emptied disk becomes synchronized also while turns are written

Cause: an offer counted as complete only if every peer had confirmed all turns of the sender; while turns are written, some are always new, so an emptied disk stayed unsynchronized, and what only it could prove absent was answered 503. Change: what counts are the turns from before the reachable holders or their disks last changed; later ones were written to enough disks.

--- a/schema/turnstore.thrift
+++ b/schema/turnstore.thrift
@@ -50,7 +50,10 @@
   /** The receiver's disk to which the sender's progress refers; empty if unknown. */
   2: string receiverDisk
   3: list<string> turns
-  /** Every reachable holder has confirmed what it has to keep of the sender's turns. */
+  /**
+   * Every reachable holder has confirmed what it has to keep of the turns that the sender had when
+   * the reachable holders or their disks last changed.
+   */
   4: bool isComplete
 }
 
@@ -68,4 +71,6 @@
   6: list<string> lostHolders
   /** The receiver copies turns to the sender, rather than to others in its place. */
   7: bool isSenderInRing
+  /** As isReplicated, for the turns from before the reachable holders or their disks last changed. */
+  8: bool isSettled
 }
--- a/src/libs/turnhistory/replicationplan.cpp
+++ b/src/libs/turnhistory/replicationplan.cpp
@@ -68,6 +68,7 @@
         return;
     }
     ring_ = std::move(ring);
+    lastBeforeChange_ = index_.lastSequence();
     for (auto &[vm, peer] : peers_) {
         restart(peer);
     }
@@ -107,7 +108,7 @@
         turn = index_.next(offer.upTo);
     }
     offer.request.isComplete
-        = isSynchronized_ && isReplicated(now) && ring_.size() >= settings_.copies;
+        = isSynchronized_ && isSettled(now) && ring_.size() >= settings_.copies;
     return offer;
 }
 
@@ -125,6 +126,7 @@
     state.answer.missing.clear();
     if (state.disk != response.disk) {
         state.disk = response.disk;
+        lastBeforeChange_ = index_.lastSequence();
         restart(state);
     }
     updateRing(now);
@@ -160,6 +162,7 @@
     response.disk = disk_;
     response.isLeaving = isLeaving_;
     response.isReplicated = isReplicated(now);
+    response.isSettled = isSettled(now);
     response.isSynchronized = isSynchronized_;
     response.lostHolders = lostPeers(now);
     response.isSenderInRing = std::any_of(ring_.begin(), ring_.end(), [&](const Holder &holder) {
@@ -201,11 +204,25 @@
     return {lost.begin(), lost.end()};
 }
 
+/// Whether every reachable peer has confirmed the turns up to the sequence number.
+bool ReplicationPlan::areConfirmed(std::uint64_t sequence) const
+{
+    return std::all_of(ring_.begin(), ring_.end(), [&](const Holder &holder) {
+        const auto peer = peers_.find(holder.vm);
+        return peer == peers_.end() || peer->second.confirmedUpTo >= sequence;
+    });
+}
+
 bool ReplicationPlan::isReplicated(Base::Instant now)
 {
     updateRing(now);
-    return std::none_of(
-        ring_.begin(), ring_.end(), [&](const Holder &holder) { return isBehind(holder.vm); });
+    return areConfirmed(index_.lastSequence());
+}
+
+bool ReplicationPlan::isSettled(Base::Instant now)
+{
+    updateRing(now);
+    return areConfirmed(lastBeforeChange_);
 }
 
 /// Whether every other holder has replaced the copies that were on this disk.
@@ -215,7 +232,7 @@
         const Peer &peer = entry.second;
         const OfferResponse &answer = peer.answer;
         return now - peer.reachedAt < settings_.reachableTimeout && answer.isSynchronized
-               && answer.isReplicated && !answer.isSenderInRing;
+               && answer.isSettled && !answer.isSenderInRing;
     });
 }
 
--- a/src/libs/turnhistory/replicationplan.h
+++ b/src/libs/turnhistory/replicationplan.h
@@ -72,6 +72,9 @@
     bool isHandedOver(Base::Instant now);
     /// Whether all reachable peers have what they have to keep of this holder's turns.
     bool isReplicated(Base::Instant now);
+    /// The same for the turns from before the reachable holders or their disks last changed. Later
+    /// turns were written to the required number of disks.
+    bool isSettled(Base::Instant now);
     /// Peers without which no turn is lost and none is taken for absent: no other holder reaches
     /// them, and all of those are synchronized and have copied their turns to each other.
     std::vector<Base::VmId> removablePeers(Base::Instant now);
@@ -90,6 +93,7 @@
 
     void updateRing(Base::Instant now);
     std::set<Base::VmId> lostPeers(Base::Instant now) const;
+    bool areConfirmed(std::uint64_t sequence) const;
     bool arePeersSettled(Base::Instant now) const;
     void restart(Peer &peer);
     bool isAssigned(const IndexedTurn &turn, const Base::VmId &peer) const;
@@ -106,6 +110,8 @@
     /// Peers that have completed their offers to this disk.
     std::set<Base::VmId> completedBy_;
     std::uint64_t lastRound_ = 0;
+    /// Last turn of this holder when the reachable holders or their disks last changed.
+    std::uint64_t lastBeforeChange_ = 0;
 };
 
 } // namespace TurnHistory
--- a/src/libs/turnhistory/turncodec.cpp
+++ b/src/libs/turnhistory/turncodec.cpp
@@ -212,6 +212,7 @@
     wire.disk = response.disk.text();
     wire.isLeaving = response.isLeaving;
     wire.isReplicated = response.isReplicated;
+    wire.isSettled = response.isSettled;
     wire.isSynchronized = response.isSynchronized;
     wire.isSenderInRing = response.isSenderInRing;
     for (const Base::VmId &vm : response.lostHolders) {
@@ -231,6 +232,7 @@
     response.disk = DiskId(std::move(wire->disk));
     response.isLeaving = wire->isLeaving;
     response.isReplicated = wire->isReplicated;
+    response.isSettled = wire->isSettled;
     response.isSynchronized = wire->isSynchronized;
     response.isSenderInRing = wire->isSenderInRing;
     for (std::string &vm : wire->lostHolders) {
--- a/src/libs/turnhistory/turncodec.h
+++ b/src/libs/turnhistory/turncodec.h
@@ -35,7 +35,8 @@
     /// The receiver's disk to which the sender's progress refers; empty if unknown.
     DiskId receiverDisk;
     std::vector<TurnId> turns;
-    /// Every reachable holder has confirmed what it has to keep of the sender's turns.
+    /// Every reachable holder has confirmed what it has to keep of the turns that the sender had
+    /// when the reachable holders or their disks last changed.
     bool isComplete = false;
 };
 
@@ -45,6 +46,8 @@
     bool isLeaving = false;
     /// Every reachable holder has what it has to keep of the responder's turns.
     bool isReplicated = false;
+    /// The same for the turns from before the reachable holders or their disks last changed.
+    bool isSettled = false;
     /// As in ChainResponse.
     bool isSynchronized = false;
     /// Holders that the responder has not reached for a long time.
--- a/src/libs/turnhistory/turnindex.h
+++ b/src/libs/turnhistory/turnindex.h
@@ -48,6 +48,8 @@
     /// Returns the next turn after the given sequence number; nullptr if there is none.
     const IndexedTurn *next(std::uint64_t sequence) const;
 
+    /// Sequence number of the turn that was added last; 0 before the first.
+    std::uint64_t lastSequence() const { return lastSequence_; }
     std::size_t size() const { return turns_.size(); }
 
     bool hasSegment(std::uint64_t segment) const { return segments_.contains(segment); }
--- a/tests/libs/turnhistory/tst_replicationplan.cpp
+++ b/tests/libs/turnhistory/tst_replicationplan.cpp
@@ -58,6 +58,26 @@
     }
 }
 
+Test(replicationplan, synchronizesWhileTurnsAreWritten)
+{
+    ReplicationFleet fleet(4, 4, 2);
+    writeTurns(fleet);
+    const Base::VmId vm = fleet.registered().front();
+    fleet.stop(vm);
+    fleet.emptyDisk(vm);
+    fleet.start(vm);
+    constexpr int ticks = 4;
+    constexpr int turnsPerTick = 60; // so that every holder has new turns for every other
+    for (int i = 0; i < ticks; ++i) {
+        for (int j = 0; j < turnsPerTick; ++j) {
+            const std::string name = std::to_string(i) + "-" + std::to_string(j);
+            cr_assert(fleet.write(makeTurn(name, {}, name), &none));
+        }
+        fleet.tick();
+    }
+    cr_assert(fleet.isSynchronized(vm));
+}
+
 Test(replicationplan, emptiedDisksOneAfterAnotherLoseNothing)
 {
     ReplicationFleet fleet(4, 4, 2);
