--- a/src/tools/marjoramctl/historycommands.cpp
+++ b/src/tools/marjoramctl/historycommands.cpp
@@ -54,10 +54,11 @@
         return;
     }
     for (const json &turn : turns) {
+        const std::string previous = turn["previous"].get<std::string>();
         std::cout << turn["turn"].get<std::string>() << "  after "
-                  << (turn["previous"] == "" ? "-" : turn["previous"].get<std::string>()) << "  "
-                  << turn["team"].get<std::string>() << "  " << turn["bytes"] << " bytes  "
-                  << turn["folder"].get<std::string>() << '\n';
+                  << (previous.empty() ? "-" : previous) << "  " << turn["team"].get<std::string>()
+                  << "  " << turn["bytes"] << " bytes  " << turn["folder"].get<std::string>()
+                  << '\n';
     }
 }
 
