--- a/tests/libs/turnhistory/tst_turnindex.cpp
+++ b/tests/libs/turnhistory/tst_turnindex.cpp
@@ -18,6 +18,7 @@
 std::vector<std::string> ids(const std::vector<const IndexedTurn *> &chain)
 {
     std::vector<std::string> result;
+    result.reserve(chain.size());
     for (const IndexedTurn *turn : chain) {
         result.push_back(turn->id.text());
     }
