Log the limit that a server states in its responses

The adapter reads the field (a plain decimal number; anything else, or two of them, is malformed), and the line of a request that ended carries server_limit. Nothing depends on it yet.

Test: readsTheRequestLimitOfAServer, ten malformed values and a repeated field.

--- a/src/libs/base/types.h
+++ b/src/libs/base/types.h
@@ -39,6 +39,9 @@
 using Tokens = StrongNumber<struct TokensTag, std::int64_t>;
 using Bytes = StrongNumber<struct BytesTag, std::int64_t>;
 
+/// Requests per second.
+using RequestRate = StrongNumber<struct RequestRateTag, double>;
+
 /// 64-bit hash of a request body; distinguishes a repeated request from a conflicting one.
 using BodyHash = StrongNumber<struct BodyHashTag, std::uint64_t>;
 
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -431,6 +431,7 @@
     if (traits.isServerLeaving) {
         owner_.placer_.leavingAnnounced(placement_->instance);
     }
+    requestLimit_ = traits.requestLimit;
     head_ = head;
     framing_ = framing;
     if (traits.isNotRun || traits.isWrongServer) {
@@ -780,6 +781,9 @@
         fields.details.push_back({"slots", std::int64_t(placement_->slots)});
         fields.details.push_back({"cached_tokens", placement_->cachedTokens.value()});
     }
+    if (requestLimit_) {
+        fields.details.push_back({"server_limit", requestLimit_->value()});
+    }
     owner_.log_.write(level, "request ended", fields);
 }
 
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -96,6 +96,9 @@
     std::uint32_t executions_ = 0;
     bool mayHaveRun_ = false;
 
+    /// The limit that the server of the last response states.
+    std::optional<Base::RequestRate> requestLimit_;
+
     ResponseHead head_;
     Framing framing_;
     std::string bufferedBody_;
--- a/src/libs/proxy/requesttraits.h
+++ b/src/libs/proxy/requesttraits.h
@@ -62,6 +62,10 @@
     std::optional<ReportedLoad> load;
     /// The server is about to stop and must get no new requests.
     bool isServerLeaving = false;
+    /// Requests that the server takes from all daemons together; unset if it states no limit.
+    std::optional<Base::RequestRate> requestLimit;
+    /// The server states a limit that cannot be read.
+    bool isRequestLimitMalformed = false;
 };
 
 /// Properties that the proxy adds to a request for the chosen server.
--- a/tests/platform/tst_platformadapter.cpp
+++ b/tests/platform/tst_platformadapter.cpp
@@ -255,6 +255,28 @@
     cr_assert(headerTranslator().readResponse(head).isServerLeaving);
 }
 
+Test(headers, readsTheRequestLimitOfAServer)
+{
+    const auto read = [](std::initializer_list<const char *> values) {
+        Proxy::ResponseHead head;
+        for (const char *value : values) {
+            head.headers.add("Server-Limit", value);
+        }
+        return headerTranslator().readResponse(head);
+    };
+    cr_assert(!read({}).requestLimit);
+    cr_assert(!read({}).isRequestLimitMalformed);
+    cr_assert_eq(read({"6.5"}).requestLimit->value(), 6.5);
+    cr_assert_eq(read({" 12 "}).requestLimit->value(), 12);
+    cr_assert_eq(read({"0"}).requestLimit->value(), 0);
+    for (const char *text : {"", "-1", "nan", "inf", "1e3", "5/s", "0x10", "1.2.3", ".", "+4"}) {
+        cr_assert(!read({text}).requestLimit, "%s", text);
+        cr_assert(read({text}).isRequestLimitMalformed, "%s", text);
+    }
+    cr_assert(read({"5", "6"}).isRequestLimitMalformed);
+    cr_assert(!read({"5", "6"}).requestLimit);
+}
+
 Test(headers, ignoresInvalidNumbers)
 {
     Proxy::RequestHead head;
