--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -36,6 +36,9 @@
     traits.isWrongServer = head.status == 421;
     traits.isAuthentic = head.headers.contains("Proof");
     traits.isServerLeaving = head.headers.contains("Leaving");
+    if (const auto limit = head.headers.find("Limit")) {
+        traits.requestLimit = Base::RequestRate(std::stod(std::string(*limit)));
+    }
     return traits;
 }
 
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -258,3 +258,30 @@
     }
     cr_assert_leq(fixture.first.requests().size(), 1);
 }
+
+/// Guards against servers that get more requests than the limit that they state (LIMIT).
+Test(passthrough, aServerGetsNoMoreThanTheLimitThatItStates)
+{
+    constexpr int requestTotal = 80;
+    constexpr double limit = 1;
+    const std::string limited = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nLimit: 1\r\n"
+                                "Content-Length: 5\r\n\r\nhello";
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(true);
+    fixture.first.add({std::vector<std::string>(requestTotal, limited)});
+    fixture.second.add({std::vector<std::string>(requestTotal, okResponse)});
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < requestTotal; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        fixture.request("/safe/", id);
+        fixture.awaitResponse("Request-Id: " + id + "\r\n");
+        fixture.runUntil([&] { return fixture.passThrough().activeRequests() == 0; },
+                         "the request ends");
+    }
+    const double seconds
+        = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
+    const double bound = 1.5 * limit * (seconds + 4) + 5;
+    cr_assert_leq(static_cast<double>(fixture.first.requests().size()), bound);
+    cr_assert_eq(requestCount(fixture), requestTotal, "no request is lost");
+}
