New programs are admitted from a bucket of one permit

Callers saw: new programs of a team with a burst of one, or at a daemon that is cut off and holds a seventh of a burst of eight, were refused until the coordinator was back, although permits were there. Cause: a new program must leave a quarter of the bucket to programs in progress, so it needed 1.25 permits of a bucket that holds 1. The reserve now ends where the bucket does.

Test: newProgramsFitABucketOfOnePermit, failed before. Found while the same pool was read for the limits of servers.

--- a/src/libs/admission/permitpool.cpp
+++ b/src/libs/admission/permitpool.cpp
@@ -130,7 +130,8 @@
     Bucket &bucket = entry->second;
     refill(bucket, now);
     const bool isNew = urgency == Urgency::NewProgram;
-    const double needed = 1 + (isNew ? newProgramReserve * capacityOf(bucket) : 0);
+    const double reserve = isNew ? newProgramReserve * capacityOf(bucket) : 0;
+    const double needed = std::min(1 + reserve, capacityOf(bucket));
     const double missing = std::max(0.0, needed - bucket.level);
     const double rate = bucket.limit.perSecond * share();
     const Base::Duration wait = missing > 0 ? refillTime(missing, rate) : Base::Duration::zero();
--- a/tests/libs/admission/tst_permitpool.cpp
+++ b/tests/libs/admission/tst_permitpool.cpp
@@ -138,6 +138,15 @@
     cr_assert_eq(admittedAtOnce(pool, Urgency::Started, 0), 5);
 }
 
+/// Guards against a reserve that exceeds a small bucket, so that no new program is ever admitted.
+Test(permitpool, newProgramsFitABucketOfOnePermit)
+{
+    PermitPool pool = fullPool(1, 1);
+    cr_assert_eq(admittedAtOnce(pool, Urgency::NewProgram, 0), 1);
+    cr_assert_eq(admittedAtOnce(pool, Urgency::NewProgram, 500), 0);
+    cr_assert_eq(admittedAtOnce(pool, Urgency::NewProgram, 1000), 1);
+}
+
 Test(permitpool, urgentRequestsWaitForTheirPermit)
 {
     PermitPool pool = fullPool(10, 1);
