The limit that a backend server states holds over all daemons

Cause: nothing read the field, so the choice of a server did not depend on it (hypothesis 1: the rate at the servers did not change when they began to state limits; of the other two hypotheses, no daemon kept a limit for itself, and attempts per request were 1). Class: a bound on all daemons together that no daemon knows, or that each would apply alone.

The newest statement of a server holds (RequestLimits): a response with a limit counts from its arrival, one without from the time its request was sent, so an answer that was under way does not lift a limit. A changed limit is reported to the coordinator of the server's group, which passes it on with the join responses that every daemon gets twice a second. Each request to a limited server needs a permit of that coordinator, from the pools that already share the teams' rates: their shares keep the sum below the limit when the fleet is split, coordinators change or the store is away. A denied request tries other servers, waits for the server whose permits return first (programs in progress only, at most 200 or 400 ms), or is refused at once with a Retry-After. A server that states 0 gets one request in 4 s, as only a response can lift the limit. A response of another server at the address (421) states nothing about this one.

Ruled out: an equal part of the limit for each daemon (1.5 a second over 75 daemons is one request in 50 s); a permit from a pool of its own for each server (a second set of joins).

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -28,11 +28,24 @@
   2: list<i32> groups
 }
 
+/** Limit that a backend server stated in a response, as known to the sender. Has no response. */
+struct LimitReport {
+  1: string server
+  /** Start time of the server in milliseconds since the Unix epoch. */
+  2: i64 startedAt
+  /** Requests per second from all daemons together; unset if the server states no limit. */
+  3: optional double perSecond
+  /** Time since the statement was valid. */
+  4: i64 ageUs
+}
+
 /** Response to PoolStatement. */
 struct PoolAnswer {
   1: i64 number
   /** The sender receives the PoolStatement messages of more than half of the fleet. */
   2: bool hearsMost
+  /** Recent changes of the limits of servers in the groups of the request. */
+  3: list<LimitReport> limits
 }
 
 enum RequestUrgency {
@@ -61,6 +74,20 @@
   1: string team
 }
 
+/** Requests the permit of one request to a backend server; PermitAnswer is the response. */
+struct ServerPermitRequest {
+  1: i64 number
+  2: LimitReport report
+  3: RequestUrgency urgency
+  /** The sender accepts a permit that becomes valid later. */
+  4: bool mayWait
+}
+
+/** Returns a permit for a server that was not used. Has no response. */
+struct ServerPermitReturn {
+  1: string server
+}
+
 /** Requests a token grant from the coordinator of a program. */
 struct TokenRequest {
   1: i64 number
@@ -131,6 +158,9 @@
   9: PermitAnswer permitAnswer
   10: PermitReturn permitReturn
   11: Notice notice
+  12: LimitReport limitReport
+  13: ServerPermitRequest serverPermitRequest
+  14: ServerPermitReturn serverPermitReturn
 }
 
 struct PeerMessage {
--- a/src/libs/admission/permitpool.cpp
+++ b/src/libs/admission/permitpool.cpp
@@ -1,6 +1,7 @@
 #include "permitpool.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Admission {
 
@@ -17,6 +18,13 @@
 constexpr Base::Duration longestStartedWait = std::chrono::milliseconds(200);
 constexpr Base::Duration longestToolWait = std::chrono::milliseconds(400);
 
+/// A server that takes no requests gets this rate, as only a response can lift its limit.
+constexpr Base::RequestRate minServerRate(0.25);
+
+/// Burst of a server's bucket, as the time in which its rate fills it.
+constexpr double serverBurstSeconds = 1;
+constexpr double maxServerBurst = 1e6;
+
 Base::Duration longestWait(Urgency urgency)
 {
     switch (urgency) {
@@ -67,6 +75,9 @@
     for (auto &[team, bucket] : buckets_) {
         refill(bucket, now);
     }
+    for (auto &[server, bucket] : serverBuckets_) {
+        refill(bucket, now);
+    }
 }
 
 void PermitPool::removeExpiredMembers(Base::Instant now)
@@ -120,14 +131,30 @@
     renewedAt_[member] = now;
 }
 
-PermitVerdict PermitPool::admit(const Base::TeamId &team, Urgency urgency, Base::Instant now)
+/// A server's bucket starts empty, because the requests that led to the limit are still running.
+void PermitPool::limitServer(const Base::ServerId &server,
+                             std::optional<Base::RequestRate> rate,
+                             Base::Instant now)
 {
-    const auto entry = buckets_.find(team);
-    if (entry == buckets_.end()) {
-        return {};
+    if (!rate) {
+        serverBuckets_.erase(server);
+        return;
     }
     removeExpiredMembers(now);
-    Bucket &bucket = entry->second;
+    Bucket &bucket = serverBuckets_.try_emplace(server, Bucket{{}, 0, now}).first->second;
+    refill(bucket, now);
+    const double perSecond = std::max(*rate, minServerRate).value();
+    const double burst = std::min(std::ceil(serverBurstSeconds * perSecond), maxServerBurst);
+    bucket.limit = {perSecond, Permits(static_cast<std::int64_t>(burst))};
+    refill(bucket, now); // caps the level
+}
+
+PermitVerdict PermitPool::admit(Bucket &bucket,
+                                Urgency urgency,
+                                Base::Duration longestWait,
+                                Base::Instant now)
+{
+    removeExpiredMembers(now);
     refill(bucket, now);
     const bool isNew = urgency == Urgency::NewProgram;
     const double reserve = isNew ? newProgramReserve * capacityOf(bucket) : 0;
@@ -135,22 +162,52 @@
     const double missing = std::max(0.0, needed - bucket.level);
     const double rate = bucket.limit.perSecond * share();
     const Base::Duration wait = missing > 0 ? refillTime(missing, rate) : Base::Duration::zero();
-    if (wait <= longestWait(urgency)) {
+    if (wait <= longestWait) {
         bucket.level -= 1;
         return {true, wait, {}};
     }
     return {false, {}, std::min(wait, maxRetryAfter)};
 }
 
-void PermitPool::refund(const Base::TeamId &team, Base::Instant now)
+PermitVerdict PermitPool::admit(const Base::TeamId &team, Urgency urgency, Base::Instant now)
 {
     const auto entry = buckets_.find(team);
-    if (entry == buckets_.end()) {
-        return;
+    return entry == buckets_.end() ? PermitVerdict{}
+                                   : admit(entry->second, urgency, longestWait(urgency), now);
+}
+
+PermitVerdict PermitPool::admitToServer(const Base::ServerId &server,
+                                        const ServerPermitTerms &terms,
+                                        Base::Instant now)
+{
+    const auto entry = serverBuckets_.find(server);
+    if (entry == serverBuckets_.end()) {
+        return {};
     }
+    const Base::Duration longest
+        = terms.mayWait ? longestWait(terms.urgency) : Base::Duration::zero();
+    return admit(entry->second, terms.urgency, longest, now);
+}
+
+void PermitPool::refund(Bucket &bucket, Base::Instant now)
+{
     removeExpiredMembers(now);
-    refill(entry->second, now);
-    entry->second.level = std::min(entry->second.level + 1, capacityOf(entry->second));
+    refill(bucket, now);
+    bucket.level = std::min(bucket.level + 1, capacityOf(bucket));
+}
+
+void PermitPool::refund(const Base::TeamId &team, Base::Instant now)
+{
+    if (const auto entry = buckets_.find(team); entry != buckets_.end()) {
+        refund(entry->second, now);
+    }
+}
+
+void PermitPool::refundToServer(const Base::ServerId &server, Base::Instant now)
+{
+    if (const auto entry = serverBuckets_.find(server); entry != serverBuckets_.end()) {
+        refund(entry->second, now);
+    }
 }
 
 bool PermitPool::hasMajoritySince(Base::Instant since) const
--- a/src/libs/admission/permitpool.h
+++ b/src/libs/admission/permitpool.h
@@ -6,6 +6,7 @@
 #include <base/types.h>
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -33,13 +34,24 @@
     bool operator==(const PermitVerdict &) const = default;
 };
 
+/// What a request to a backend server with a limit accepts.
+struct ServerPermitTerms
+{
+    Urgency urgency = Urgency::Started;
+    /// The request accepts a permit that becomes valid later; otherwise it needs one now.
+    bool mayWait = false;
+
+    bool operator==(const ServerPermitTerms &) const = default;
+};
+
 using TeamLimits = std::vector<std::pair<Base::TeamId, RateLimit>>;
 
-/// Permits of teams for the daemons that use this daemon as their coordinator. Every daemon is
-/// entitled to an equal share of each rate and burst, and contributes it to this pool while it is a
-/// member. A membership expires after a short time unless it is renewed. Pools with different
-/// members never hold more than the whole limit together, so a fleet that is split by network
-/// failures stays within its limits without agreeing on a coordinator.
+/// Permits of teams, and of backend servers that limit the requests of all daemons together, for
+/// the daemons that use this daemon as their coordinator. Every daemon is entitled to an equal
+/// share of each rate and burst, and contributes it to this pool while it is a member. A membership
+/// expires after a short time unless it is renewed. Pools with different members never hold more
+/// than the whole limit together, so a fleet that is split by network failures stays within its
+/// limits without agreeing on a coordinator.
 class PermitPool
 {
 public:
@@ -52,6 +64,11 @@
     /// Sets the number of daemons in the fleet, whether they are members or not.
     void setDaemonCount(std::size_t count, Base::Instant now);
 
+    /// Sets or changes the limit of a backend server; without a rate it has none.
+    void limitServer(const Base::ServerId &server,
+                     std::optional<Base::RequestRate> rate,
+                     Base::Instant now);
+
     /// Adds the member's share to this pool, or extends its membership.
     void renewMembership(const Base::VmId &member, Base::Instant now);
 
@@ -61,6 +78,12 @@
     /// Returns the permit of an admitted request that was not sent to any server.
     void refund(const Base::TeamId &team, Base::Instant now);
 
+    /// Servers without a limit always admit.
+    PermitVerdict admitToServer(const Base::ServerId &server,
+                                const ServerPermitTerms &terms,
+                                Base::Instant now);
+    void refundToServer(const Base::ServerId &server, Base::Instant now);
+
     /// Whether more than half of the daemons have renewed their membership since the given time.
     bool hasMajoritySince(Base::Instant since) const;
 
@@ -75,6 +98,11 @@
     double share() const;
     double capacityOf(const Bucket &bucket) const;
     void refill(Bucket &bucket, Base::Instant now) const;
+    PermitVerdict admit(Bucket &bucket,
+                        Urgency urgency,
+                        Base::Duration longestWait,
+                        Base::Instant now);
+    void refund(Bucket &bucket, Base::Instant now);
     void refillAll(Base::Instant now);
     void removeExpiredMembers(Base::Instant now);
 
@@ -83,6 +111,7 @@
     bool isConfigured_ = false;
     std::map<Base::VmId, Base::Instant> renewedAt_;
     std::unordered_map<Base::TeamId, Bucket> buckets_;
+    std::unordered_map<Base::ServerId, Bucket> serverBuckets_;
 };
 
 } // namespace Admission
--- a/src/libs/dispatch/requestplacer.cpp
+++ b/src/libs/dispatch/requestplacer.cpp
@@ -20,12 +20,15 @@
     Base::Instant ratedAt;
     std::optional<Base::Instant> ejectedUntil;
     bool hasAnnouncedLeaving = false;
+    /// End of the last period without permits of the server's request limit.
+    Base::Instant exhaustedUntil;
     Base::Duration nextEjection{};
     /// Parts of prompts that this daemon sent to the server, most recent first.
     std::list<std::uint64_t> recentParts;
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> cachedParts;
 
     void addCachedPart(std::uint64_t part, std::size_t limit);
+    bool isLeaving() const { return listed.server.isLeaving || hasAnnouncedLeaving; }
 };
 
 void RequestPlacer::Server::addCachedPart(std::uint64_t part, std::size_t limit)
@@ -82,11 +85,15 @@
     return server != servers_.end() && server->second->listed.startedAt == instance.startedAt;
 }
 
+bool RequestPlacer::isAvailable(const ServerInstance &instance) const
+{
+    return isListed(instance) && !servers_.at(instance.id)->isLeaving();
+}
+
 bool RequestPlacer::hasServer(const Base::ServiceId &service) const
 {
     return std::any_of(servers_.begin(), servers_.end(), [&](const auto &entry) {
-        const Contracts::BackendServer &server = entry.second->listed.server;
-        return server.service == service && !server.isLeaving && !entry.second->hasAnnouncedLeaving;
+        return entry.second->listed.server.service == service && !entry.second->isLeaving();
     });
 }
 
@@ -154,23 +161,16 @@
                                                Base::Instant now)
 {
     Server *best = nullptr;
-    double bestCost = 0;
-    bool isBestEjected = false;
+    Rank bestRank;
     for (auto &[id, server] : servers_) {
-        const Contracts::BackendServer &config = server->listed.server;
         const bool isExcluded = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
-        const bool isLeaving = config.isLeaving || server->hasAnnouncedLeaving;
-        if (config.service != service || isLeaving || isExcluded) {
+        if (server->listed.server.service != service || server->isLeaving() || isExcluded) {
             continue;
         }
-        const bool isEjected = server->ejectedUntil && now < *server->ejectedUntil;
-        const double cost = costOf(*server, prompt, now);
-        const bool isBetter
-            = !best || (isEjected != isBestEjected ? isBestEjected : cost < bestCost);
-        if (isBetter) {
+        const Rank rank = rankOf(*server, prompt, now);
+        if (!best || rank < bestRank) {
             best = server.get();
-            bestCost = cost;
-            isBestEjected = isEjected;
+            bestRank = rank;
         }
     }
     if (!best) {
@@ -180,7 +180,20 @@
                      best->listed.server.address,
                      loadOf(*best, now),
                      best->listed.server.slots,
-                     cachedAt(*best, prompt)};
+                     cachedAt(*best, prompt),
+                     bestRank.isExhausted};
+}
+
+RequestPlacer::Rank RequestPlacer::rankOf(Server &server,
+                                          const std::vector<PromptPart> &prompt,
+                                          Base::Instant now)
+{
+    Rank rank;
+    rank.isEjected = server.ejectedUntil && now < *server.ejectedUntil;
+    rank.isExhausted = now < server.exhaustedUntil;
+    rank.cost = rank.isExhausted ? Base::toSeconds(server.exhaustedUntil - now)
+                                 : costOf(server, prompt, now);
+    return rank;
 }
 
 void RequestPlacer::requestSent(const ServerInstance &instance,
@@ -239,6 +252,13 @@
     server->failures = 0;
 }
 
+void RequestPlacer::permitDenied(const ServerInstance &instance, Base::Instant until)
+{
+    if (Server *server = find(instance)) {
+        server->exhaustedUntil = until;
+    }
+}
+
 void RequestPlacer::leavingAnnounced(const ServerInstance &instance)
 {
     if (Server *server = find(instance)) {
--- a/src/libs/dispatch/requestplacer.h
+++ b/src/libs/dispatch/requestplacer.h
@@ -50,6 +50,8 @@
     double load = 0;
     std::uint32_t slots = 0;
     Base::Tokens cachedTokens;
+    /// The request limit of every available server is exhausted; this one's permits return first.
+    bool isExhausted = false;
 };
 
 struct PlacementSettings
@@ -112,16 +114,33 @@
                       std::uint32_t waiting,
                       Base::Instant now);
 
+    /// The server's request limit is exhausted until the given time.
+    void permitDenied(const ServerInstance &instance, Base::Instant until);
+
     /// The server has announced that it is about to stop; this instance gets no new requests.
     void leavingAnnounced(const ServerInstance &instance);
 
     bool isListed(const ServerInstance &instance) const;
+    /// Whether the instance may get new requests.
+    bool isAvailable(const ServerInstance &instance) const;
     /// Whether the service has a server that is not leaving.
     bool hasServer(const Base::ServiceId &service) const;
 
 private:
     struct Server;
 
+    /// Order of the servers; the least one is chosen.
+    struct Rank
+    {
+        bool isEjected = false;
+        bool isExhausted = false;
+        /// Expected cost, or the time until permits return if the server is exhausted.
+        double cost = 0;
+
+        auto operator<=>(const Rank &) const = default;
+    };
+
+    Rank rankOf(Server &server, const std::vector<PromptPart> &prompt, Base::Instant now);
     Server *find(const ServerInstance &instance);
     double loadOf(const Server &server, Base::Instant now) const;
     double failureRateOf(const Server &server, Base::Instant now) const;
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -17,6 +17,9 @@
 /// Minimum time that a server needs; no attempt is made if less is left.
 constexpr Base::Duration minAttemptTime = std::chrono::milliseconds(5);
 
+/// Denied permits of servers after which a request waits for one.
+constexpr std::uint32_t maxDeniedPermits = 3;
+
 std::string secondsText(Base::Duration duration)
 {
     std::array<char, 32> text{};
@@ -343,21 +346,88 @@
     }
     placement_ = owner_.placer_.choose(service_->id, traits_.prompt, excludedServers_, now());
     if (!placement_ || attempts_ >= owner_.settings_.maxAttempts) {
-        placement_.reset();
-        const std::string detail
-            = attempts_ == 0 ? "service has no available server" : "no server accepted the request";
-        if (mayHaveRun_) {
-            respondWithError(502, "broken_answer", detail);
+        refuseAttempt("no_server",
+                      attempts_ == 0 ? "service has no available server"
+                                     : "no server accepted the request",
+                      owner_.settings_.retryAfterBusy);
+        return;
+    }
+    if (owner_.limits_.isLimited(placement_->instance)) {
+        requestServerPermit();
+    } else {
+        offer();
+    }
+}
+
+/// Requests that find the limit of one server exhausted try others first and wait only then.
+void Exchange::requestServerPermit()
+{
+    const bool mayWait = placement_->isExhausted || deniedPermits_ >= maxDeniedPermits;
+    auto self = shared_from_this();
+    owner_.limits_.takePermit(placement_->instance,
+                              {urgency_, mayWait},
+                              [self, mayWait](const Admission::PermitVerdict &verdict) {
+                                  self->onServerPermit(verdict, mayWait);
+                              });
+}
+
+void Exchange::onServerPermit(const Admission::PermitVerdict &verdict, bool mayWait)
+{
+    const Dispatch::ServerInstance instance = placement_->instance;
+    if (isEnded_) {
+        if (verdict.isAdmitted) {
+            owner_.limits_.returnPermit(instance);
+        }
+        return;
+    }
+    if (!verdict.isAdmitted) {
+        ++deniedPermits_;
+        owner_.placer_.permitDenied(instance, now() + verdict.retryAfter);
+        if (mayWait) {
+            refuseAttempt(
+                "server_limit", "the servers take no more requests per second", verdict.retryAfter);
         } else {
-            respondWithError(503, "no_server", detail, owner_.settings_.retryAfterBusy);
+            startAttempt();
         }
         return;
     }
+    if (verdict.wait == Base::Duration::zero()) {
+        offer();
+        return;
+    }
+    auto self = shared_from_this();
+    rateTimer_.emplace(owner_.context_, verdict.wait);
+    rateTimer_->async_wait([self, instance](const std::error_code &error) {
+        if (!error && !self->isEnded_ && self->owner_.placer_.isAvailable(instance)) {
+            self->offer();
+            return;
+        }
+        self->owner_.limits_.returnPermit(instance);
+        if (!self->isEnded_) {
+            self->startAttempt();
+        }
+    });
+}
+
+/// Sends the request to the chosen server.
+void Exchange::offer()
+{
     ++attempts_;
     hasPermit_ = false; // the first attempt uses the permit
     connect(*placement_);
 }
 
+/// Ends the request because no server can get it now.
+void Exchange::refuseAttempt(const char *outcome, std::string detail, Base::Duration retryAfter)
+{
+    placement_.reset();
+    if (mayHaveRun_) {
+        respondWithError(502, "broken_answer", std::move(detail));
+    } else {
+        respondWithError(503, outcome, std::move(detail), retryAfter);
+    }
+}
+
 void Exchange::connect(const Dispatch::Placement &placement)
 {
     owner_.placer_.requestSent(placement.instance, traits_.prompt);
@@ -431,7 +501,7 @@
     if (traits.isServerLeaving) {
         owner_.placer_.leavingAnnounced(placement_->instance);
     }
-    requestLimit_ = traits.requestLimit;
+    recordLimit(traits);
     head_ = head;
     framing_ = framing;
     if (traits.isNotRun || traits.isWrongServer) {
@@ -470,6 +540,24 @@
     return HeadVerdict::Accept;
 }
 
+/// A response without a limit is as old as its request: it may have been on its way when another
+/// one stated a limit.
+void Exchange::recordLimit(const ResponseTraits &traits)
+{
+    requestLimit_ = traits.requestLimit;
+    if (traits.isRequestLimitMalformed) {
+        owner_.metrics_
+            .counter("marjoram_malformed_limits_total",
+                     "Responses whose request limit cannot be read")
+            .add();
+        return;
+    }
+    if (!traits.isWrongServer) {
+        owner_.limits_.stated(
+            {placement_->instance, traits.requestLimit, traits.requestLimit ? now() : sentAt_});
+    }
+}
+
 /// A server that fails answers sooner than others, so its latency must not attract requests.
 void Exchange::recordResponse(int status)
 {
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -46,10 +46,15 @@
     void onCallerDisconnected();
 
     void startAttempt();
+    void requestServerPermit();
+    void onServerPermit(const Admission::PermitVerdict &verdict, bool mayWait);
+    void offer();
+    void refuseAttempt(const char *outcome, std::string detail, Base::Duration retryAfter);
     void connect(const Dispatch::Placement &placement);
     void sendTo(std::shared_ptr<ClientConnection> connection);
     std::string serializeForServer() const;
     HeadVerdict onHead(const ResponseHead &head, const Framing &framing);
+    void recordLimit(const ResponseTraits &traits);
     void recordResponse(int status);
     void onBody(const std::string &bytes);
     void onEnd(ResponseEnd end, const std::string &problem);
@@ -92,6 +97,8 @@
     Base::Instant sentAt_;
     std::vector<Base::ServerId> excludedServers_;
     std::uint32_t attempts_ = 0;
+    /// Permits of servers with a request limit that were denied.
+    std::uint32_t deniedPermits_ = 0;
     /// Attempts in which the request was or may have been executed.
     std::uint32_t executions_ = 0;
     bool mayHaveRun_ = false;
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -8,6 +8,7 @@
 
 #include <admission/permitpool.h>
 #include <contracts/routingtable.h>
+#include <dispatch/requestlimits.h>
 #include <dispatch/requestplacer.h>
 #include <programs/tokenledger.h>
 #include <telemetry/log.h>
@@ -82,6 +83,22 @@
     std::function<void(TurnHistory::Turn, std::function<void(bool)>)> keep;
 };
 
+/// Access to the limits that servers state on the requests of all daemons together.
+struct LimitControls
+{
+    using PermitCallback = std::function<void(const Admission::PermitVerdict &)>;
+
+    /// A server stated its limit, or none, in a response.
+    std::function<void(const Dispatch::LimitStatement &)> stated;
+    std::function<bool(const Dispatch::ServerInstance &)> isLimited;
+    /// Takes the permit of one request to a limited server; calls back once, immediately or later.
+    std::function<void(
+        const Dispatch::ServerInstance &, const Admission::ServerPermitTerms &, PermitCallback)>
+        takePermit;
+    /// Returns a permit whose request was not sent.
+    std::function<void(const Dispatch::ServerInstance &)> returnPermit;
+};
+
 /// Forwards requests of callers to backend servers: finds the route, checks the key, the rate and
 /// the budget, chooses the server, and relays the response. Runs on one event loop; not
 /// thread-safe.
@@ -99,6 +116,8 @@
 
     /// Must be called before the first request on a route whose history is kept.
     void setHistory(HistoryControls history) { history_ = std::move(history); }
+    /// Must be called before the first request.
+    void setLimits(LimitControls limits) { limits_ = std::move(limits); }
     /// Applies the document if its version is newer. Returns whether it was applied.
     bool configure(Contracts::RoutingDocument document);
     void serversChanged(const std::vector<Dispatch::ListedServer> &servers);
@@ -131,6 +150,7 @@
     HeaderTranslator translator_;
     AdmissionControls controls_;
     HistoryControls history_;
+    LimitControls limits_;
     Telemetry::Log &log_;
     Telemetry::Metrics &metrics_;
     Dispatch::RequestPlacer placer_;
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -6,6 +6,8 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <cmath>
+
 namespace Proxy {
 
 namespace {
@@ -94,6 +96,33 @@
     return Admission::Urgency::Started;
 }
 
+Wire::LimitReport toWire(const LimitReport &report)
+{
+    Wire::LimitReport part;
+    part.server = report.instance.id.text();
+    part.startedAt = static_cast<std::int64_t>(report.instance.startedAt);
+    if (report.limit) {
+        part.__set_perSecond(report.limit->value());
+    }
+    part.ageUs = std::chrono::duration_cast<std::chrono::microseconds>(report.age).count();
+    return part;
+}
+
+/// Returns nothing if the limit is not a rate.
+std::optional<LimitReport> reportFromWire(const Wire::LimitReport &report)
+{
+    if (report.__isset.perSecond && !(std::isfinite(report.perSecond) && report.perSecond >= 0)) {
+        return std::nullopt;
+    }
+    LimitReport result;
+    result.instance = {Base::ServerId(report.server), static_cast<std::uint64_t>(report.startedAt)};
+    if (report.__isset.perSecond) {
+        result.limit = Base::RequestRate(report.perSecond);
+    }
+    result.age = std::chrono::microseconds(std::max<std::int64_t>(0, report.ageUs));
+    return result;
+}
+
 Wire::PermitAnswer toWire(const PermitResponse &response)
 {
     const Admission::PermitVerdict &verdict = response.verdict;
@@ -165,6 +194,9 @@
                 Wire::PoolAnswer part;
                 part.number = toWire(response.number);
                 part.hearsMost = response.hasMajority;
+                for (const LimitReport &report : response.limits) {
+                    part.limits.push_back(toWire(report));
+                }
                 wire.__set_poolAnswer(part);
             },
             [&](const PermitRequest &request) {
@@ -219,7 +251,21 @@
             [&](const AllocationRelayResponse &response) {
                 wire.__set_claimRelayAnswer(toWire(response));
             },
-            [&](const Notice &) { wire.__set_notice({}); }},
+            [&](const Notice &) { wire.__set_notice({}); },
+            [&](const LimitReport &report) { wire.__set_limitReport(toWire(report)); },
+            [&](const ServerPermitRequest &request) {
+                Wire::ServerPermitRequest part;
+                part.number = toWire(request.number);
+                part.report = toWire(request.report);
+                part.urgency = toWire(request.terms.urgency);
+                part.mayWait = request.terms.mayWait;
+                wire.__set_serverPermitRequest(part);
+            },
+            [&](const ServerPermitReturn &permit) {
+                Wire::ServerPermitReturn part;
+                part.server = permit.server.text();
+                wire.__set_serverPermitReturn(part);
+            }},
         body);
     return wire;
 }
@@ -234,8 +280,14 @@
         return request;
     }
     if (wire.__isset.poolAnswer) {
-        return PoolJoinResponse{requestNumberFromWire(wire.poolAnswer.number),
-                                wire.poolAnswer.hearsMost};
+        PoolJoinResponse response{
+            requestNumberFromWire(wire.poolAnswer.number), wire.poolAnswer.hearsMost, {}};
+        for (const Wire::LimitReport &report : wire.poolAnswer.limits) {
+            if (auto limit = reportFromWire(report)) {
+                response.limits.push_back(std::move(*limit));
+            }
+        }
+        return response;
     }
     if (wire.__isset.permitRequest) {
         return PermitRequest{requestNumberFromWire(wire.permitRequest.number),
@@ -281,6 +333,23 @@
     if (wire.__isset.notice) {
         return Notice{};
     }
+    if (wire.__isset.limitReport) {
+        const auto report = reportFromWire(wire.limitReport);
+        return report ? std::optional<PeerBody>(*report) : std::nullopt;
+    }
+    if (wire.__isset.serverPermitRequest) {
+        const Wire::ServerPermitRequest &request = wire.serverPermitRequest;
+        const auto report = reportFromWire(request.report);
+        if (!report) {
+            return std::nullopt;
+        }
+        return ServerPermitRequest{requestNumberFromWire(request.number),
+                                   *report,
+                                   {urgencyFromWire(request.urgency), request.mayWait}};
+    }
+    if (wire.__isset.serverPermitReturn) {
+        return ServerPermitReturn{Base::ServerId(wire.serverPermitReturn.server)};
+    }
     if (wire.__isset.stillWorking) {
         return RequestInProgress{requestNumberFromWire(wire.stillWorking.number)};
     }
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -4,6 +4,7 @@
 
 #include <admission/permitpool.h>
 #include <base/types.h>
+#include <dispatch/requestplacer.h>
 #include <programs/tokenledger.h>
 
 #include <optional>
@@ -17,7 +18,7 @@
 /// Identifies a request among those of one daemon.
 using RequestNumber = Base::StrongNumber<struct RequestNumberTag, std::uint64_t>;
 
-/// A group of teams whose permits are granted by one daemon.
+/// A group of teams and backend servers whose permits are granted by one daemon.
 using TeamGroup = Base::StrongNumber<struct TeamGroupTag, std::int32_t>;
 
 /// Adds the sender's share of the groups' rates to the receiver's pools.
@@ -29,11 +30,25 @@
     bool operator==(const PoolJoinRequest &) const = default;
 };
 
+/// Limit that a backend server stated in a response, as known to the sender. Has no response.
+struct LimitReport
+{
+    Dispatch::ServerInstance instance;
+    /// Unset if the server states no limit.
+    std::optional<Base::RequestRate> limit;
+    /// Time since the statement was valid.
+    Base::Duration age{};
+
+    bool operator==(const LimitReport &) const = default;
+};
+
 struct PoolJoinResponse
 {
     RequestNumber number;
     /// The sender receives the join requests of more than half of the fleet.
     bool hasMajority = false;
+    /// Recent changes of the limits of servers in the groups of the request.
+    std::vector<LimitReport> limits;
 
     bool operator==(const PoolJoinResponse &) const = default;
 };
@@ -64,6 +79,24 @@
     bool operator==(const PermitReturn &) const = default;
 };
 
+/// Requests the permit of one request to a backend server; PermitResponse is the response.
+struct ServerPermitRequest
+{
+    RequestNumber number;
+    LimitReport report;
+    Admission::ServerPermitTerms terms;
+
+    bool operator==(const ServerPermitRequest &) const = default;
+};
+
+/// Returns a permit for a server that was not used. Has no response.
+struct ServerPermitReturn
+{
+    Base::ServerId server;
+
+    bool operator==(const ServerPermitReturn &) const = default;
+};
+
 /// Requests a token grant from the coordinator of a program.
 struct TokenRequest
 {
@@ -129,7 +162,10 @@
                               RequestInProgress,
                               AllocationRelayRequest,
                               AllocationRelayResponse,
-                              Notice>;
+                              Notice,
+                              LimitReport,
+                              ServerPermitRequest,
+                              ServerPermitReturn>;
 
 /// One datagram between daemons.
 struct PeerMessage
--- a/src/libs/proxy/ratesharing.cpp
+++ b/src/libs/proxy/ratesharing.cpp
@@ -46,9 +46,9 @@
              Admission::PermitPool(membership)}
 {}
 
-std::size_t RateSharing::groupOf(const Base::TeamId &team)
+std::size_t RateSharing::groupOf(std::string_view name)
 {
-    return Base::hash64(team.text()) % groupCount;
+    return Base::hash64(name) % groupCount;
 }
 
 Base::VmId RateSharing::rosterCoordinator(std::size_t group) const
@@ -80,7 +80,7 @@
     limited_.clear();
     for (const auto &[team, limit] : limits) {
         limited_.insert(team);
-        parts[groupOf(team)].emplace_back(team, limit);
+        parts[groupOf(team.text())].emplace_back(team, limit);
     }
     for (std::size_t group = 0; group < groupCount; ++group) {
         pools_[group].configure(parts[group], now_());
@@ -106,39 +106,48 @@
         callback({});
         return;
     }
-    requestPermit(team, urgency, std::move(callback), 1);
+    acquire({groupOf(team.text()),
+             [team, urgency](RequestNumber number) {
+                 return PermitRequest{number, team, urgency};
+             },
+             [team, urgency](Admission::PermitPool &pool, Base::Instant now) {
+                 return pool.admit(team, urgency, now);
+             },
+             std::move(callback)});
 }
 
-void RateSharing::requestPermit(const Base::TeamId &team,
-                                Admission::Urgency urgency,
-                                PermitCallback callback,
-                                int attempt)
+void RateSharing::acquire(PermitTask task)
+{
+    requestPermit(std::make_shared<const PermitTask>(std::move(task)), 1);
+}
+
+void RateSharing::requestPermit(std::shared_ptr<const PermitTask> task, int attempt)
 {
-    const std::size_t index = groupOf(team);
     const Base::Instant now = now_();
-    const Base::VmId coordinator = coordinatorOf(index);
+    const Base::VmId coordinator = coordinatorOf(task->group);
     if (coordinator == self_ || attempt > maxPermitAttempts) {
-        Admission::PermitPool &pool = pools_[index];
+        Admission::PermitPool &pool = pools_[task->group];
         pool.renewMembership(self_, now);
-        callback(pool.admit(team, urgency, now));
+        task->callback(task->decide(pool, now));
         return;
     }
     const RequestNumber number = peers_.nextRequestNumber();
-    auto onResponse
-        = [this, team, urgency, callback = std::move(callback), attempt](const PeerBody *body) {
-              if (const auto *response = body ? std::get_if<PermitResponse>(body) : nullptr) {
-                  callback(response->verdict);
-              } else {
-                  requestPermit(team, urgency, callback, attempt + 1);
-              }
-          };
-    peers_.sendRequest(
-        coordinator, number, PermitRequest{number, team, urgency}, std::move(onResponse));
+    peers_.sendRequest(coordinator,
+                       number,
+                       task->makeRequest(number),
+                       [this, task, attempt](const PeerBody *body) {
+                           if (const auto *response
+                               = body ? std::get_if<PermitResponse>(body) : nullptr) {
+                               task->callback(response->verdict);
+                           } else {
+                               requestPermit(task, attempt + 1);
+                           }
+                       });
 }
 
 void RateSharing::refund(const Base::TeamId &team)
 {
-    const Base::VmId coordinator = coordinatorOf(groupOf(team));
+    const Base::VmId coordinator = coordinatorOf(groupOf(team.text()));
     if (coordinator == self_) {
         onPermitReturn({team});
     } else {
@@ -148,10 +157,24 @@
 
 void RateSharing::onPermitReturn(const PermitReturn &permit)
 {
-    pools_[groupOf(permit.team)].refund(permit.team, now_());
+    pools_[groupOf(permit.team.text())].refund(permit.team, now_());
 }
 
 void RateSharing::onPermitRequest(const Base::VmId &sender, const PermitRequest &request)
+{
+    respond(sender,
+            request.number,
+            groupOf(request.team.text()),
+            [&request](Admission::PermitPool &pool, Base::Instant now) {
+                return pool.admit(request.team, request.urgency, now);
+            });
+}
+
+void RateSharing::respond(
+    const Base::VmId &sender,
+    RequestNumber number,
+    std::size_t group,
+    const std::function<Admission::PermitVerdict(Admission::PermitPool &, Base::Instant)> &decide)
 {
     const Base::Instant now = now_();
     while (!recentResponses_.empty()
@@ -159,14 +182,14 @@
         recentResponses_.pop_front();
     }
     for (const SentResponse &sent : recentResponses_) {
-        if (sent.sender == sender && sent.response.number == request.number) {
+        if (sent.sender == sender && sent.response.number == number) {
             peers_.send(sender, sent.response);
             return;
         }
     }
-    Admission::PermitPool &pool = pools_[groupOf(request.team)];
+    Admission::PermitPool &pool = pools_[group];
     pool.renewMembership(sender, now);
-    const PermitResponse response{request.number, pool.admit(request.team, request.urgency, now)};
+    const PermitResponse response{number, decide(pool, now)};
     recentResponses_.push_back({sender, response, now});
     peers_.send(sender, response);
 }
@@ -178,7 +201,11 @@
             pools_[static_cast<std::size_t>(group.value())].renewMembership(sender, now_());
         }
     }
-    peers_.send(sender, PoolJoinResponse{request.number, hasLocalMajority()});
+    PoolJoinResponse response{request.number, hasLocalMajority(), {}};
+    if (limitExchange_.recentReports) {
+        response.limits = limitExchange_.recentReports(request.groups);
+    }
+    peers_.send(sender, std::move(response));
 }
 
 bool RateSharing::hasLocalMajority() const
@@ -221,14 +248,25 @@
                        number,
                        PoolJoinRequest{number, std::move(groups)},
                        [this, sentAt = now_()](const PeerBody *body) {
-                           const auto *response
-                               = body ? std::get_if<PoolJoinResponse>(body) : nullptr;
-                           if (response && response->hasMajority) {
-                               lastMajorityAt_ = sentAt;
+                           if (const auto *response
+                               = body ? std::get_if<PoolJoinResponse>(body) : nullptr) {
+                               onPoolJoinResponse(*response, sentAt);
                            }
                        });
 }
 
+void RateSharing::onPoolJoinResponse(const PoolJoinResponse &response, Base::Instant sentAt)
+{
+    if (response.hasMajority) {
+        lastMajorityAt_ = sentAt;
+    }
+    if (limitExchange_.onReport) {
+        for (const LimitReport &report : response.limits) {
+            limitExchange_.onReport(report);
+        }
+    }
+}
+
 void RateSharing::scheduleJoin()
 {
     timer_.expires_after(joinInterval);
--- a/src/libs/proxy/ratesharing.h
+++ b/src/libs/proxy/ratesharing.h
@@ -8,13 +8,34 @@
 
 #include <array>
 #include <deque>
+#include <functional>
+#include <memory>
 #include <set>
+#include <string_view>
 
 namespace Proxy {
 
+/// One permit to be granted by the coordinator of a group.
+struct PermitTask
+{
+    std::size_t group = 0;
+    std::function<PeerBody(RequestNumber)> makeRequest;
+    /// Grants the permit from a pool of this daemon.
+    std::function<Admission::PermitVerdict(Admission::PermitPool &, Base::Instant)> decide;
+    std::function<void(const Admission::PermitVerdict &)> callback;
+};
+
+/// Reports of the limits of servers that travel with the join requests of the pools.
+struct LimitExchange
+{
+    std::function<std::vector<LimitReport>(const std::vector<TeamGroup> &)> recentReports;
+    std::function<void(const LimitReport &)> onReport;
+};
+
 /// Enforces the rates of teams over the whole fleet. Teams are divided into groups; the group's
 /// coordinator by the roster grants the permits of its teams, one for each request. This class
-/// requests permits and grants those of the groups that this daemon coordinates.
+/// requests permits and grants those of the groups that this daemon coordinates. Backend servers
+/// with a limit belong to the same groups and pools, see RequestLimitSharing.
 class RateSharing
 {
 public:
@@ -33,6 +54,23 @@
     void acquire(const Base::TeamId &team, Admission::Urgency urgency, PermitCallback callback);
     /// Returns a permit that was not used.
     void refund(const Base::TeamId &team);
+    /// Has the task's permit granted by the coordinator of its group, or from this daemon's own
+    /// share if no coordinator responds. Calls back once.
+    void acquire(PermitTask task);
+    /// Answers a peer's request for a permit; a retransmission gets the earlier answer again.
+    void respond(const Base::VmId &sender,
+                 RequestNumber number,
+                 std::size_t group,
+                 const std::function<Admission::PermitVerdict(Admission::PermitPool &,
+                                                              Base::Instant)> &decide);
+    static std::size_t groupOf(std::string_view name);
+    /// The coordinator of the group by the roster.
+    Base::VmId rosterCoordinator(std::size_t group) const;
+    /// The daemon that grants this one its permits: the coordinator, or itself if it is isolated.
+    Base::VmId coordinatorOf(std::size_t group) const;
+    Admission::PermitPool &pool(std::size_t group) { return pools_[group]; }
+    void setLimitExchange(LimitExchange exchange) { limitExchange_ = std::move(exchange); }
+
     /// Whether this daemon is connected to the majority of the fleet: it receives the join requests
     /// of a majority itself, or a coordinator that it reaches does.
     bool hasMajority() const;
@@ -56,15 +94,10 @@
         Base::Instant sentAt;
     };
 
-    static std::size_t groupOf(const Base::TeamId &team);
-    Base::VmId rosterCoordinator(std::size_t group) const;
-    Base::VmId coordinatorOf(std::size_t group) const;
-    void requestPermit(const Base::TeamId &team,
-                       Admission::Urgency urgency,
-                       PermitCallback callback,
-                       int attempt);
+    void requestPermit(std::shared_ptr<const PermitTask> task, int attempt);
     void joinPools();
     void sendJoinRequest(const Base::VmId &coordinator, std::vector<TeamGroup> groups);
+    void onPoolJoinResponse(const PoolJoinResponse &response, Base::Instant sentAt);
     void scheduleJoin();
     bool hasLocalMajority() const;
 
@@ -77,6 +110,7 @@
     /// Teams that have a limit.
     std::set<Base::TeamId> limited_;
     std::deque<SentResponse> recentResponses_;
+    LimitExchange limitExchange_;
     /// When the last join request was sent whose response confirmed a majority.
     std::optional<Base::Instant> lastMajorityAt_;
     bool isStarted_ = false;
--- a/tests/libs/admission/tst_permitpool.cpp
+++ b/tests/libs/admission/tst_permitpool.cpp
@@ -4,12 +4,14 @@
 #include <criterion/criterion.h>
 
 #include <deque>
+#include <functional>
 
 using namespace Admission;
 
 namespace {
 
 const Base::TeamId team("club");
+const Base::ServerId server("engine-1");
 constexpr Base::Duration membershipLength = std::chrono::seconds(1);
 
 Base::Instant at(std::int64_t milliseconds)
@@ -67,8 +69,35 @@
         }
     }
 
+    void limitServer(double perSecond, std::int64_t now)
+    {
+        for (PermitPool &pool : pools_) {
+            pool.limitServer(server, Base::RequestRate(perSecond), at(now));
+        }
+    }
+
     /// Simulates ten milliseconds of arrivals; returns the number of admitted requests.
     int step(std::int64_t now, double arrivalsPerSecond)
+    {
+        return step(now, arrivalsPerSecond, [&](PermitPool &pool, Urgency urgency) {
+            return pool.admit(team, urgency, at(now));
+        });
+    }
+
+    /// Like step(), for requests to the server.
+    int stepToServer(std::int64_t now, double arrivalsPerSecond)
+    {
+        return step(now, arrivalsPerSecond, [&](PermitPool &pool, Urgency urgency) {
+            return pool.admitToServer(server, {urgency, random_.chance(0.5)}, at(now));
+        });
+    }
+
+    const RateLimit &limit() const { return limit_; }
+
+private:
+    int step(std::int64_t now,
+             double arrivalsPerSecond,
+             const std::function<PermitVerdict(PermitPool &, Urgency)> &admit)
     {
         if (now % 1500 == 0) {
             const std::size_t groupCount = 1 + random_.below(3);
@@ -86,15 +115,12 @@
             if (random_.unit() < each) {
                 coordinator.renewMembership(vm(daemon), at(now));
                 const auto urgency = static_cast<Urgency>(random_.below(3));
-                admitted += coordinator.admit(team, urgency, at(now)).isAdmitted ? 1 : 0;
+                admitted += admit(coordinator, urgency).isAdmitted ? 1 : 0;
             }
         }
         return admitted;
     }
 
-    const RateLimit &limit() const { return limit_; }
-
-private:
     /// The first daemon of the group.
     std::size_t coordinatorOf(std::size_t daemon) const
     {
@@ -268,3 +294,95 @@
         }
     }
 }
+
+Test(permitpool, serversWithoutALimitAdmitAllRequests)
+{
+    PermitPool pool = fullPool(10, 10);
+    cr_assert(pool.admitToServer(server, {}, at(0)).isAdmitted);
+    pool.limitServer(server, Base::RequestRate(2), at(0));
+    cr_assert(!pool.admitToServer(server, {}, at(0)).isAdmitted, "the bucket starts empty");
+    pool.limitServer(server, {}, at(0));
+    cr_assert(pool.admitToServer(server, {}, at(0)).isAdmitted);
+}
+
+Test(permitpool, requestsToALimitedServerWaitOnlyIfTheyMay)
+{
+    PermitPool pool = fullPool(10, 10);
+    pool.limitServer(server, Base::RequestRate(5), at(0));
+    const PermitVerdict denied = pool.admitToServer(server, {Urgency::Started, false}, at(0));
+    cr_assert(!denied.isAdmitted);
+    cr_assert_eq(denied.retryAfter, std::chrono::milliseconds(200));
+    const PermitVerdict waiting = pool.admitToServer(server, {Urgency::Started, true}, at(0));
+    cr_assert(waiting.isAdmitted);
+    cr_assert_eq(waiting.wait, std::chrono::milliseconds(200));
+    cr_assert(!pool.admitToServer(server, {Urgency::NewProgram, true}, at(0)).isAdmitted,
+              "new programs do not wait");
+    pool.refundToServer(server, at(0));
+    cr_assert(pool.admitToServer(server, {Urgency::Started, true}, at(0)).isAdmitted);
+}
+
+/// Only a response can lift a limit, so a server that states 0 gets a request from time to time.
+Test(permitpool, aServerThatTakesNoRequestsIsStillTried)
+{
+    PermitPool pool = fullPool(10, 10);
+    pool.limitServer(server, Base::RequestRate(0), at(0));
+    int admitted = 0;
+    for (std::int64_t now = 0; now < 40'000; now += 10) {
+        pool.renewMembership(vm(0), at(now));
+        admitted += pool.admitToServer(server, {}, at(now)).isAdmitted ? 1 : 0;
+    }
+    cr_assert(admitted >= 8 && admitted <= 10, "%d in 40 s", admitted);
+}
+
+/// The specified bound is 1.5 times the limit in every window of 4 s, plus 5 requests, also while
+/// the fleet is split and joined again.
+Test(permitpool, noWindowOfAServerIsAboveItsLimit)
+{
+    constexpr std::int64_t windowMs = 4000;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        const double limit = std::vector<double>{0.1, 1.3, 2.1, 4.8, 9.2}[seed % 5];
+        PoolFleet fleet(seed % 2 == 0 ? 7 : 75, seed);
+        fleet.limitServer(limit, 0);
+        std::deque<std::pair<std::int64_t, int>> window;
+        int inWindow = 0;
+        for (std::int64_t now = 0; now < 40'000; now += 10) {
+            const int admitted = fleet.stepToServer(now, 150);
+            window.emplace_back(now, admitted);
+            inWindow += admitted;
+            while (window.front().first <= now - windowMs) {
+                inWindow -= window.front().second;
+                window.pop_front();
+            }
+            cr_assert(inWindow <= 1.5 * limit * 4 + 5,
+                      "seed %lu: %d in 4 s before %ld at a limit of %.1f",
+                      seed,
+                      inWindow,
+                      now,
+                      limit);
+        }
+    }
+}
+
+/// At least 95% of what a limited server takes is used if there is demand.
+Test(permitpool, theLimitOfAServerIsUsed)
+{
+    constexpr std::size_t daemons = 75;
+    for (const double limit : {1.3, 4.8, 9.2}) {
+        Base::Random random(3);
+        PermitPool pool(membershipLength);
+        pool.setDaemonCount(daemons, at(0));
+        pool.limitServer(server, Base::RequestRate(limit), at(0));
+        int admitted = 0;
+        for (std::int64_t now = 0; now < 60'000; now += 10) {
+            if (now % 500 == 0) {
+                for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
+                    pool.renewMembership(vm(daemon), at(now));
+                }
+            }
+            if (random.chance(0.2)) { // 20 a second
+                admitted += pool.admitToServer(server, {}, at(now)).isAdmitted ? 1 : 0;
+            }
+        }
+        cr_assert_geq(admitted, 0.95 * limit * 60, "%d in 60 s at %.1f", admitted, limit);
+    }
+}
--- a/tests/libs/dispatch/tst_requestplacer.cpp
+++ b/tests/libs/dispatch/tst_requestplacer.cpp
@@ -253,3 +253,19 @@
     directory.applyList({other}, at(5000));
     cr_assert_eq(names(directory), Names({"s3"}));
 }
+
+/// An exhausted server is chosen only if all others are exhausted for longer or excluded.
+Test(requestplacer, avoidsServersWhoseLimitIsExhausted)
+{
+    RequestPlacer placer(here, withoutJitter(), 1);
+    placer.serversChanged({server("a"), server("b"), server("c", there)});
+    placer.permitDenied(server("a").instance(), at(300));
+    placer.permitDenied(server("b").instance(), at(200));
+    cr_assert_eq(chosen(placer), "c");
+    cr_assert(!placer.choose(service, {}, {}, at(0))->isExhausted);
+    placer.permitDenied(server("c").instance(), at(400));
+    cr_assert_eq(chosen(placer), "b", "its permits return first");
+    cr_assert(placer.choose(service, {}, {}, at(0))->isExhausted);
+    cr_assert_eq(chosen(placer, {}, 250), "b");
+    cr_assert(!placer.choose(service, {}, {}, at(250))->isExhausted);
+}
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -3,6 +3,8 @@
 #include "scriptedserver.h"
 
 #include <proxy/passthrough.h>
+#include <proxy/requestlimitsharing.h>
+#include <proxy/steadyclock.h>
 
 #include <asio/write.hpp>
 #include <criterion/criterion.h>
@@ -118,11 +120,15 @@
                        silentLog(),
                        metrics_,
                        1)
+        , peers_(context_, vm(), {}, silentLog(), metrics_, 1, &steadyNow)
+        , rates_(context_, vm(), peers_, &steadyNow)
+        , limits_(vm(), rates_, peers_, silentLog(), metrics_, &steadyNow)
         , acceptor_(context_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
         , caller_(context_)
         , first(context_)
         , second(context_)
     {
+        passThrough_.setLimits(limitControls());
         accept();
         caller_.connect(acceptor_.local_endpoint());
         readCaller();
@@ -191,6 +197,20 @@
         return result;
     }
 
+    static Base::VmId vm() { return Base::VmId("vm-1"); }
+
+    LimitControls limitControls()
+    {
+        LimitControls result;
+        result.stated = [this](const auto &statement) { limits_.stated(statement); };
+        result.isLimited = [this](const auto &instance) { return limits_.isLimited(instance); };
+        result.takePermit = [this](const auto &instance, const auto &terms, auto callback) {
+            limits_.acquire(instance, terms, std::move(callback));
+        };
+        result.returnPermit = [this](const auto &instance) { limits_.refund(instance.id); };
+        return result;
+    }
+
     static Dispatch::ListedServer listed(const std::string &id, const ScriptedServer &server)
     {
         Dispatch::ListedServer result;
@@ -230,6 +250,9 @@
     asio::io_context context_;
     Telemetry::Metrics metrics_;
     PassThrough passThrough_;
+    PeerLink peers_;
+    RateSharing rates_;
+    RequestLimitSharing limits_;
     asio::ip::tcp::acceptor acceptor_;
     asio::ip::tcp::socket caller_;
     std::array<char, 4096> buffer_{};
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -285,3 +285,36 @@
     cr_assert_leq(static_cast<double>(fixture.first.requests().size()), bound);
     cr_assert_eq(requestCount(fixture), requestTotal, "no request is lost");
 }
+
+Test(passthrough, refusesWithRetryAfterIfAllServersAreLimited)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nLimit: 0.5\r\n"
+                        "Content-Length: 5\r\n\r\nhello"}});
+    fixture.request("/safe/", "r1");
+    fixture.awaitResponse("hello");
+    fixture.request("/safe/", "r2");
+    fixture.awaitResponse("HTTP/1.1 503");
+    fixture.awaitResponse("Retry-After: ");
+    cr_assert_eq(requestCount(fixture), 1);
+}
+
+/// The limit belongs to the server that now uses the address.
+Test(passthrough, ignoresTheLimitOfAnotherServerAtTheAddress)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{"HTTP/1.1 421 Misdirected\r\nRequest-Id: {id}\r\nLimit: 0.5\r\n"
+                        "Content-Length: 0\r\n\r\n"},
+                       true});
+    fixture.first.add({{okResponse, okResponse}});
+    fixture.request("/safe/", "r1");
+    fixture.awaitResponse("HTTP/1.1 503");
+    for (const char *id : {"r2", "r3"}) {
+        fixture.request("/safe/", id);
+        fixture.awaitResponse("Request-Id: " + std::string(id) + "\r\n");
+    }
+}
--- a/tests/libs/proxy/tst_peers.cpp
+++ b/tests/libs/proxy/tst_peers.cpp
@@ -31,7 +31,16 @@
     const RequestNumber number(7);
     const std::vector<PeerBody> bodies{
         PoolJoinRequest{number, {TeamGroup(0), TeamGroup(3)}},
-        PoolJoinResponse{number, true},
+        PoolJoinResponse{number, true, {}},
+        PoolJoinResponse{number,
+                         false,
+                         {{{Base::ServerId("s-1"), 1700}, Base::RequestRate(6.5), {}},
+                          {{Base::ServerId("s-2"), 0}, {}, std::chrono::microseconds(900)}}},
+        LimitReport{{Base::ServerId("s-1"), 1700}, Base::RequestRate(0.1), {}},
+        ServerPermitRequest{number,
+                            {{Base::ServerId("s-1"), 1700}, Base::RequestRate(3), {}},
+                            {Admission::Urgency::NewProgram, true}},
+        ServerPermitReturn{Base::ServerId("s-1")},
         PermitRequest{number, Base::TeamId("a"), Admission::Urgency::ToolCall},
         PermitResponse{number, {true, std::chrono::milliseconds(30), {}}},
         PermitResponse{number, {false, {}, std::chrono::milliseconds(300)}},
