What another server at the address states is not recorded for the listed one

Callers saw: a server that was never used again by a daemon, because the server that has taken over its address answered a request with 421 and announced that it leaves; its load was recorded for the listed server as well. Test: ignoresTheLeavingOfAnotherServerAtTheAddress, failed before (503, no server).

--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -494,14 +494,9 @@
     if (!traits.id.empty() && traits.id != traits_.id) {
         return HeadVerdict::Discard;
     }
-    if (traits.load) {
-        owner_.placer_.loadReported(
-            placement_->instance, traits.load->running, traits.load->waiting, now());
-    }
-    if (traits.isServerLeaving) {
-        owner_.placer_.leavingAnnounced(placement_->instance);
+    if (!traits.isWrongServer) {
+        recordStatements(traits);
     }
-    recordLimit(traits);
     head_ = head;
     framing_ = framing;
     if (traits.isNotRun || traits.isWrongServer) {
@@ -540,6 +535,19 @@
     return HeadVerdict::Accept;
 }
 
+/// Records what the server says about itself.
+void Exchange::recordStatements(const ResponseTraits &traits)
+{
+    if (traits.load) {
+        owner_.placer_.loadReported(
+            placement_->instance, traits.load->running, traits.load->waiting, now());
+    }
+    if (traits.isServerLeaving) {
+        owner_.placer_.leavingAnnounced(placement_->instance);
+    }
+    recordLimit(traits);
+}
+
 /// A response without a limit is as old as its request: it may have been on its way when another
 /// one stated a limit.
 void Exchange::recordLimit(const ResponseTraits &traits)
@@ -552,10 +560,8 @@
             .add();
         return;
     }
-    if (!traits.isWrongServer) {
-        owner_.limits_.stated(
-            {placement_->instance, traits.requestLimit, traits.requestLimit ? now() : sentAt_});
-    }
+    owner_.limits_.stated(
+        {placement_->instance, traits.requestLimit, traits.requestLimit ? now() : sentAt_});
 }
 
 /// A server that fails answers sooner than others, so its latency must not attract requests.
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -54,6 +54,7 @@
     void sendTo(std::shared_ptr<ClientConnection> connection);
     std::string serializeForServer() const;
     HeadVerdict onHead(const ResponseHead &head, const Framing &framing);
+    void recordStatements(const ResponseTraits &traits);
     void recordLimit(const ResponseTraits &traits);
     void recordResponse(int status);
     void onBody(const std::string &bytes);
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -318,3 +318,19 @@
         fixture.awaitResponse("Request-Id: " + std::string(id) + "\r\n");
     }
 }
+
+/// Guards against statements of the server that now uses the address of a listed one.
+Test(passthrough, ignoresTheLeavingOfAnotherServerAtTheAddress)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{"HTTP/1.1 421 Misdirected\r\nRequest-Id: {id}\r\nLeaving: 1\r\n"
+                        "Content-Length: 0\r\n\r\n"},
+                       true});
+    fixture.first.add({{okResponse}});
+    fixture.request("/safe/", "r1");
+    fixture.awaitResponse("HTTP/1.1 503");
+    fixture.request("/safe/", "r2");
+    fixture.awaitResponse("Request-Id: r2\r\n");
+}
