A stream that cannot be resumed is cut off, not followed by an error response

Callers saw: the bytes of a 502 response within an open stream, when a resumable stream broke and no other server was left. Cause: the error was written without a look at whether the head had been forwarded. The response is now cut off, so it does not look complete. Test: aStreamThatCannotBeResumedIsCutOff, failed before (a second head).

--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -779,6 +779,10 @@
                                 std::string detail,
                                 std::optional<Base::Duration> retryAfter)
 {
+    if (isHeadForwarded_) {
+        abortResponse(outcome, std::move(detail));
+        return;
+    }
     ResponseHead head;
     head.status = status;
     head.reason = reasonOf(status);
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -70,6 +70,7 @@
     void applyBackpressure();
     void releaseServer(bool isConnectionReusable);
 
+    /// Cuts the response off if its head has been forwarded.
     void respondWithError(int status,
                           const char *outcome,
                           std::string detail,
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -334,3 +334,17 @@
     fixture.request("/safe/", "r2");
     fixture.awaitResponse("Request-Id: r2\r\n");
 }
+
+/// Guards against an error response within a stream that has begun.
+Test(passthrough, aStreamThatCannotBeResumedIsCutOff)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{streamHead + chunk(event(1))}, true});
+    fixture.request("/resumable/", "r1");
+    fixture.awaitClose();
+    cr_assert(fixture.received.find("data: d1") != std::string::npos);
+    cr_assert_eq(fixture.received.rfind("HTTP/1.1"), 0, "a second response head was sent");
+    cr_assert(!fixture.received.ends_with("0\r\n\r\n"), "the stream must not look complete");
+}
