Log the software version of a server and the stream that a request resumes

A server's entry now keeps the version of its software (an entry without one, like one without any other field of the page, names no server to use), the line of a request that ended carries server_version, and resumes and last_event for a request that resumes a stream; the line of a broken response carries the version and how many events had come. Nothing depends on them yet.

Tests: readsTheStreamThatARequestResumes; entries without a version, or with one that is no text, are rejected.

--- a/src/libs/dispatch/requestplacer.cpp
+++ b/src/libs/dispatch/requestplacer.cpp
@@ -181,6 +181,7 @@
                      loadOf(*best, now),
                      best->listed.server.slots,
                      cachedAt(*best, prompt),
+                     best->listed.version,
                      bestRank.isExhausted};
 }
 
--- a/src/libs/dispatch/requestplacer.h
+++ b/src/libs/dispatch/requestplacer.h
@@ -36,6 +36,7 @@
 {
     Contracts::BackendServer server;
     std::uint64_t startedAt = 0;
+    Base::SoftwareVersion version;
 
     ServerInstance instance() const { return {server.id, startedAt}; }
     bool operator==(const ListedServer &) const = default;
@@ -50,6 +51,7 @@
     double load = 0;
     std::uint32_t slots = 0;
     Base::Tokens cachedTokens;
+    Base::SoftwareVersion version;
     /// The request limit of every available server is exhausted; this one's permits return first.
     bool isExhausted = false;
 };
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -703,7 +703,11 @@
     owner_.log_.write(
         LogLevel::Info,
         "answer broken: " + problem,
-        {.request = traits_.id, .step = "backend", .peer = placement_->instance.id.text()});
+        {.request = traits_.id,
+         .step = "backend",
+         .peer = placement_->instance.id.text(),
+         .details = {{"server_version", placement_->version.text()},
+                     {"events", static_cast<std::int64_t>(events_.eventCount())}}});
     if (mayRetry()) {
         excludedServers_.push_back(placement_->instance.id);
         startAttempt();
@@ -878,6 +882,11 @@
         fields.details.push_back({"load", placement_->load});
         fields.details.push_back({"slots", std::int64_t(placement_->slots)});
         fields.details.push_back({"cached_tokens", placement_->cachedTokens.value()});
+        fields.details.push_back({"server_version", placement_->version.text()});
+    }
+    if (traits_.lastEventId) {
+        fields.details.push_back({"resumes", traits_.resumedAttempt});
+        fields.details.push_back({"last_event", *traits_.lastEventId});
     }
     if (requestLimit_) {
         fields.details.push_back({"server_limit", requestLimit_->value()});
--- a/src/libs/proxy/requesttraits.h
+++ b/src/libs/proxy/requesttraits.h
@@ -34,6 +34,8 @@
     std::vector<Dispatch::PromptPart> prompt;
     /// The last event that the caller received of a stream to resume.
     std::optional<std::string> lastEventId;
+    /// The attempt that brought the first event of that stream; empty if the caller names none.
+    std::string resumedAttempt;
     /// The attempt that ran the turn that this request continues; empty if it starts a chain.
     std::string previousTurn;
     /// The previous turn is named more than once, or by a text that is no id.
--- a/tests/platform/tst_feeds.cpp
+++ b/tests/platform/tst_feeds.cpp
@@ -26,6 +26,7 @@
             {"address", "10.0.0.9:80"},
             {"zone", "a"},
             {"slots", 4},
+            {"version", "v1"},
             {"state", state}};
 }
 
--- a/tests/platform/tst_platformadapter.cpp
+++ b/tests/platform/tst_platformadapter.cpp
@@ -179,6 +179,7 @@
     json leaving = serverEntry();
     leaving["state"] = "draining";
     cr_assert(server(leaving)->server.isLeaving);
+    cr_assert_eq(server(leaving)->version.text(), "v1");
 }
 
 Test(documents, rejectsInvalidServerEntries)
@@ -190,13 +191,15 @@
                                                         {"slots", "16"},
                                                         {"slots", -1},
                                                         {"state", "happy"},
+                                                        {"version", 2},
+                                                        {"version", ""},
                                                         {"born", "x"}};
     for (const auto &[field, value] : bad) {
         json entry = serverEntry();
         entry[field] = value;
         cr_assert(!server(entry), "%s = %s", field.c_str(), value.dump().c_str());
     }
-    for (const char *field : {"service", "address", "zone", "state", "slots"}) {
+    for (const char *field : {"service", "address", "zone", "state", "slots", "version"}) {
         json entry = serverEntry();
         entry.erase(field);
         cr_assert(!server(entry), "without %s", field);
@@ -255,6 +258,18 @@
     cr_assert(headerTranslator().readResponse(head).isServerLeaving);
 }
 
+Test(headers, readsTheStreamThatARequestResumes)
+{
+    Proxy::RequestHead head;
+    head.headers.add("X-Attempt-Id", "9c42");
+    cr_assert(headerTranslator().readRequest(head).resumedAttempt.empty());
+    head.headers.add("Last-Event-Id", "12");
+    head.headers.add("Resumes", "9c41");
+    const Proxy::RequestTraits traits = headerTranslator().readRequest(head);
+    cr_assert_eq(traits.resumedAttempt, "9c41");
+    cr_assert_eq(*traits.lastEventId, "12");
+}
+
 Test(headers, readsTheRequestLimitOfAServer)
 {
     const auto read = [](std::initializer_list<const char *> values) {
--- a/tests/soak/backendstub.cpp
+++ b/tests/soak/backendstub.cpp
@@ -112,6 +112,7 @@
             {"address", endpoint.address().to_string() + ":" + std::to_string(endpoint.port())},
             {"zone", "zone-a"},
             {"slots", 8},
+            {"version", "v1"},
             {"state", isLeaving ? "draining" : "ready"},
             {"born", 1}};
 }
