--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -24,6 +24,10 @@
         traits.previousTurn = std::string(*previous);
         traits.isPreviousTurnMalformed = previous->empty();
     }
+    if (const auto last = head.headers.find("Last-Event-Id")) {
+        traits.lastEventId = std::string(*last);
+    }
+    traits.resumedAttempt = std::string(head.headers.find("Resumes").value_or(""));
     if (const auto timeout = head.headers.find("Timeout-Ms")) {
         traits.callerTimeout = std::chrono::milliseconds(std::stoi(std::string(*timeout)));
     }
@@ -145,6 +149,21 @@
         passThrough_.serversChanged(servers);
     }
 
+    /// Lists both servers with the given software versions; a server without one is not listed.
+    void listVersions(const std::string &versionOfFirst, const std::string &versionOfSecond)
+    {
+        std::vector<Dispatch::ListedServer> servers;
+        if (!versionOfFirst.empty()) {
+            servers.push_back(listed("one", first));
+            servers.back().version = Base::SoftwareVersion(versionOfFirst);
+        }
+        if (!versionOfSecond.empty()) {
+            servers.push_back(listed("two", second));
+            servers.back().version = Base::SoftwareVersion(versionOfSecond);
+        }
+        passThrough_.serversChanged(servers);
+    }
+
     void send(const std::string &bytes) { asio::write(caller_, asio::buffer(bytes)); }
 
     void request(const std::string &path, const std::string &id, const std::string &more = "")
--- a/tests/libs/proxy/scriptedserver.cpp
+++ b/tests/libs/proxy/scriptedserver.cpp
@@ -110,6 +110,11 @@
 }
 
 ScriptedServer::~ScriptedServer()
+{
+    closeConnections();
+}
+
+void ScriptedServer::closeConnections()
 {
     for (const auto &connection : connections_) {
         connection->close();
--- a/tests/libs/proxy/scriptedserver.h
+++ b/tests/libs/proxy/scriptedserver.h
@@ -26,6 +26,7 @@
 
     void add(Script script) { scripts_.push_back(std::move(script)); }
     std::string address() const;
+    void closeConnections();
 
     /// Complete requests in the order of their arrival.
     const std::vector<std::string> &requests() const { return requests_; }
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -348,3 +348,56 @@
     cr_assert_eq(fixture.received.rfind("HTTP/1.1"), 0, "a second response head was sent");
     cr_assert(!fixture.received.ends_with("0\r\n\r\n"), "the stream must not look complete");
 }
+
+/// Guards against a stream whose events come from two software versions (ORDER), in one response.
+Test(passthrough, aBrokenStreamGoesOnOnlyAtTheVersionThatBeganIt)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listVersions("v1", "");
+    fixture.first.add({{streamHead + chunk(event(1))}, false});
+    fixture.request("/resumable/", "r1");
+    fixture.awaitResponse("data: d1");
+    fixture.listVersions("v1", "v2");
+    fixture.second.add({{streamHead + chunk(event(2)) + "0\r\n\r\n"}});
+    fixture.first.closeConnections();
+    fixture.awaitClose();
+    cr_assert(fixture.received.find("data: d2") == std::string::npos);
+    cr_assert_eq(fixture.second.requests().size(), 0);
+}
+
+/// Guards against the same over two attempts of a caller.
+Test(passthrough, aCallerResumesAStreamOnlyAtTheVersionThatBeganIt)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listVersions("v1", "");
+    fixture.first.add({{streamHead + chunk(event(1)) + "0\r\n\r\n"}, true});
+    fixture.request("/resumable/", "r1");
+    fixture.awaitResponse("0\r\n\r\n");
+    fixture.listVersions("v1", "v2");
+    for (const char *id : {"r2", "r3", "r4", "r5", "r6", "r7", "r8", "r9"}) {
+        fixture.first.add({{streamHead + chunk(event(2)) + "0\r\n\r\n"}, true});
+        fixture.second.add({{streamHead + chunk(event(2)) + "0\r\n\r\n"}, true});
+        fixture.request("/resumable/", id, "Last-Event-Id: 1\r\nResumes: r1\r\n");
+        fixture.awaitResponse("Request-Id: " + std::string(id) + "\r\n");
+        fixture.runUntil([&] { return fixture.passThrough().activeRequests() == 0; },
+                         "the request ends");
+    }
+    cr_assert_eq(fixture.second.requests().size(), 0);
+    fixture.listVersions("", "v2");
+    fixture.request("/resumable/", "r10", "Last-Event-Id: 1\r\nResumes: r1\r\n");
+    fixture.awaitResponse("HTTP/1.1 503");
+    cr_assert_eq(fixture.second.requests().size(), 0, "no server of the version is left");
+}
+
+/// Guards against a guess where nobody knows which version began the stream.
+Test(passthrough, aStreamOfUnknownOriginIsNotResumedAmongTwoVersions)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listVersions("v1", "v2");
+    fixture.request("/resumable/", "r2", "Last-Event-Id: 1\r\nResumes: r1\r\n");
+    fixture.awaitResponse("HTTP/1.1 503");
+    cr_assert_eq(requestCount(fixture), 0);
+}
