A stream goes on only at the software version that began it

Cause: the list of servers was read without their versions, so a resumed stream was placed like a new request, and with two versions in service about half of them changed. The reported cases are callers that resume at another daemon (hypothesis 1): their routes allow one attempt, so no daemon continued a stream by itself; the own continuation has the same fault where a route allows more, and the test shows it (hypothesis 2). Hypothesis 3, a restart with another version under one id, was seen in no case and stays open: only the list tells a daemon the version, and it may be 1.3 s old. Class: servers of one service are taken for alike.

The placement chooses among the servers of the version that wrote the first event. The daemon that forwards the first event tells the three daemons that rank first for the attempt's id, before the event goes to the caller; a daemon where the caller resumes asks them, so the version is known unless all of them and the first daemon are lost. What nobody knows goes on if there has been one version for 60 s, else it is refused at once with 503 and has not run. Where no server of the version is left, the same; a response that has begun is cut off.

Weighed: asking all daemons (340 datagrams for a resumed stream), the disks of kept turns (only routes with history), the platform's store (a write for each stream, and none during an outage). Cost of the notices: up to three datagrams of some 100 bytes a stream.

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -146,6 +146,24 @@
   5: string lastWrite
 }
 
+/** The software version of the server that began the stream of an attempt. Has no response. */
+struct StreamNotice {
+  1: string attempt
+  2: string version
+}
+
+/** Requests the software version of the server that began a stream. */
+struct StreamVersionRequest {
+  1: i64 number
+  2: string attempt
+}
+
+/** Response to StreamVersionRequest; without a version the sender does not know the stream. */
+struct StreamVersionAnswer {
+  1: i64 number
+  2: optional string version
+}
+
 union PeerBody {
   1: PoolStatement poolStatement
   2: PoolAnswer poolAnswer
@@ -161,6 +179,9 @@
   12: LimitReport limitReport
   13: ServerPermitRequest serverPermitRequest
   14: ServerPermitReturn serverPermitReturn
+  15: StreamNotice streamNotice
+  16: StreamVersionRequest streamVersionRequest
+  17: StreamVersionAnswer streamVersionAnswer
 }
 
 struct PeerMessage {
--- a/src/libs/base/types.h
+++ b/src/libs/base/types.h
@@ -16,8 +16,8 @@
 /// One backend server: a model engine or a plain service's server.
 using ServerId = StrongText<struct ServerIdTag>;
 
-/// Version of a backend server's software; not ordered. Versions of weights and of the configuration
-/// are other things.
+/// Version of a backend server's software; not ordered. Versions of weights and of the
+/// configuration are other things.
 using SoftwareVersion = StrongText<struct SoftwareVersionTag>;
 
 /// One process run of a daemon: "<vm>.<start counter or random part>". A restart creates a new one.
--- a/src/libs/dispatch/requestplacer.cpp
+++ b/src/libs/dispatch/requestplacer.cpp
@@ -158,13 +158,16 @@
 std::optional<Placement> RequestPlacer::choose(const Base::ServiceId &service,
                                                const std::vector<PromptPart> &prompt,
                                                const std::vector<Base::ServerId> &excluded,
-                                               Base::Instant now)
+                                               Base::Instant now,
+                                               const std::optional<Base::SoftwareVersion> &version)
 {
     Server *best = nullptr;
     Rank bestRank;
     for (auto &[id, server] : servers_) {
         const bool isExcluded = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
-        if (server->listed.server.service != service || server->isLeaving() || isExcluded) {
+        const bool isOtherVersion = version && server->listed.version != *version;
+        if (server->listed.server.service != service || server->isLeaving() || isExcluded
+            || isOtherVersion) {
             continue;
         }
         const Rank rank = rankOf(*server, prompt, now);
--- a/src/libs/dispatch/requestplacer.h
+++ b/src/libs/dispatch/requestplacer.h
@@ -95,11 +95,13 @@
     /// Sets the complete list of servers.
     void serversChanged(const std::vector<ListedServer> &servers);
 
-    /// Returns the server with the least expected cost; nullopt if no server is available.
+    /// Returns the server with the least expected cost among those of the given version, if one is
+    /// given; nullopt if no server is available.
     std::optional<Placement> choose(const Base::ServiceId &service,
                                     const std::vector<PromptPart> &prompt,
                                     const std::vector<Base::ServerId> &excluded,
-                                    Base::Instant now);
+                                    Base::Instant now,
+                                    const std::optional<Base::SoftwareVersion> &version = {});
 
     /// Every requestSent() must be followed by one requestEnded().
     void requestSent(const ServerInstance &instance, const std::vector<PromptPart> &prompt);
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -17,6 +17,9 @@
 /// Minimum time that a server needs; no attempt is made if less is left.
 constexpr Base::Duration minAttemptTime = std::chrono::milliseconds(5);
 
+/// A stream that callers may still resume began within this time.
+constexpr Base::Duration soleVersionPeriod = std::chrono::seconds(60);
+
 /// Denied permits of servers after which a request waits for one.
 constexpr std::uint32_t maxDeniedPermits = 3;
 
@@ -88,7 +91,10 @@
     deadline_ = request_.arrivedAt + timeout;
     armDeadline();
     findHistory();
-    checkRate();
+    findStreamVersion();
+    if (!isEnded_) {
+        checkRate();
+    }
 }
 
 bool Exchange::findRoute()
@@ -180,11 +186,52 @@
     }
 }
 
-/// Makes the first attempt once the request is admitted and its history is known.
+/// Finds the software version that a resumed stream has to be continued by. Servers do not check
+/// it, and what two versions write does not fit together.
+void Exchange::findStreamVersion()
+{
+    if (route_->kind != RouteKind::Stream || !route_->isResumable || !traits_.lastEventId) {
+        return;
+    }
+    isStreamVersionKnown_ = false;
+    if (traits_.resumedAttempt.empty()) {
+        onStreamVersion({});
+        return;
+    }
+    auto self = shared_from_this();
+    owner_.streams_.find(traits_.resumedAttempt,
+                         [self](const std::optional<Base::SoftwareVersion> &version) {
+                             if (!self->isEnded_) {
+                                 self->onStreamVersion(version);
+                             }
+                         });
+}
+
+/// A stream that no daemon knows can still be continued if there has been only one version.
+void Exchange::onStreamVersion(const std::optional<Base::SoftwareVersion> &version)
+{
+    const Base::Duration period
+        = traits_.resumedAttempt.empty() ? Base::Duration::zero() : soleVersionPeriod;
+    streamVersion_
+        = version ? version : owner_.serviceVersions_.soleVersion(service_->id, period, now());
+    if (!streamVersion_) {
+        respondWithError(503,
+                         "stream_unknown",
+                         "the software version that began the stream is not known",
+                         owner_.settings_.retryAfterBusy);
+        return;
+    }
+    isStreamVersionKnown_ = true;
+    if (isAdmitted_) {
+        onAdmitted();
+    }
+}
+
+/// Makes the first attempt once the request is admitted and what it continues is known.
 void Exchange::onAdmitted()
 {
     isAdmitted_ = true;
-    if (!history_) {
+    if (!history_ || !isStreamVersionKnown_) {
         return;
     }
     switch (*history_) {
@@ -344,7 +391,8 @@
         onDeadline();
         return;
     }
-    placement_ = owner_.placer_.choose(service_->id, traits_.prompt, excludedServers_, now());
+    placement_ = owner_.placer_.choose(
+        service_->id, traits_.prompt, excludedServers_, now(), streamVersion_);
     if (!placement_ || attempts_ >= owner_.settings_.maxAttempts) {
         refuseAttempt("no_server",
                       attempts_ == 0 ? "service has no available server"
@@ -588,7 +636,7 @@
 void Exchange::onBody(const std::string &bytes)
 {
     if (isEventStream_) {
-        forwardBody(events_.feed(bytes));
+        onEvents(events_.feed(bytes));
         return;
     }
     if (isHeadForwarded_) {
@@ -602,6 +650,18 @@
     }
 }
 
+/// The first event determines the software version of the stream.
+void Exchange::onEvents(const std::string &bytes)
+{
+    if (!streamVersion_ && events_.eventCount() > 0) {
+        streamVersion_ = placement_->version;
+        if (route_->isResumable) {
+            owner_.streams_.began(traits_.id, *streamVersion_);
+        }
+    }
+    forwardBody(bytes);
+}
+
 void Exchange::onEnd(ResponseEnd end, const std::string &problem)
 {
     if (isEnded_) {
@@ -700,14 +760,13 @@
     }
     mayHaveRun_ = true;
     ++executions_;
-    owner_.log_.write(
-        LogLevel::Info,
-        "answer broken: " + problem,
-        {.request = traits_.id,
-         .step = "backend",
-         .peer = placement_->instance.id.text(),
-         .details = {{"server_version", placement_->version.text()},
-                     {"events", static_cast<std::int64_t>(events_.eventCount())}}});
+    owner_.log_.write(LogLevel::Info,
+                      "answer broken: " + problem,
+                      {.request = traits_.id,
+                       .step = "backend",
+                       .peer = placement_->instance.id.text(),
+                       .details = {{"server_version", placement_->version.text()},
+                                   {"events", static_cast<std::int64_t>(events_.eventCount())}}});
     if (mayRetry()) {
         excludedServers_.push_back(placement_->instance.id);
         startAttempt();
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -32,6 +32,8 @@
     bool checkHistoryFields();
     void findHistory();
     void onHistory(TurnHistory::LookupResult result, const TurnHistory::Chain &chain);
+    void findStreamVersion();
+    void onStreamVersion(const std::optional<Base::SoftwareVersion> &version);
     void onAdmitted();
     void keepTurn();
     void onTurnKept(bool isKept);
@@ -58,6 +60,7 @@
     void recordLimit(const ResponseTraits &traits);
     void recordResponse(int status);
     void onBody(const std::string &bytes);
+    void onEvents(const std::string &bytes);
     void onEnd(ResponseEnd end, const std::string &problem);
     void onNotRun(const std::string &detail);
     void onBroken(const std::string &problem);
@@ -128,6 +131,10 @@
     /// Selects the holders of this turn.
     std::string placementKey_;
     std::size_t chainTurns_ = 0;
+    /// The version that began the stream; the rest of it comes from servers of this version only.
+    std::optional<Base::SoftwareVersion> streamVersion_;
+    /// The request continues no stream, or its version was found.
+    bool isStreamVersionKnown_ = true;
     /// The rate and the budget allow the request.
     bool isAdmitted_ = false;
     /// Time until the history was known.
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -59,6 +59,7 @@
 void PassThrough::serversChanged(const std::vector<Dispatch::ListedServer> &servers)
 {
     placer_.serversChanged(servers);
+    serviceVersions_.serversChanged(servers, now());
     pool_.retain(
         [this](const Dispatch::ServerInstance &instance) { return placer_.isListed(instance); });
 }
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -10,6 +10,7 @@
 #include <contracts/routingtable.h>
 #include <dispatch/requestlimits.h>
 #include <dispatch/requestplacer.h>
+#include <dispatch/serviceversions.h>
 #include <programs/tokenledger.h>
 #include <telemetry/log.h>
 #include <telemetry/metrics.h>
@@ -99,6 +100,17 @@
     std::function<void(const Dispatch::ServerInstance &)> returnPermit;
 };
 
+/// Access to the software versions of the servers that began recent streams.
+struct StreamControls
+{
+    using FindCallback = std::function<void(const std::optional<Base::SoftwareVersion> &)>;
+
+    /// The first event of the attempt's stream is about to be sent to the caller.
+    std::function<void(const std::string &attempt, const Base::SoftwareVersion &)> began;
+    /// Calls back once, immediately or later, without a version if the stream is not known.
+    std::function<void(const std::string &attempt, FindCallback)> find;
+};
+
 /// Forwards requests of callers to backend servers: finds the route, checks the key, the rate and
 /// the budget, chooses the server, and relays the response. Runs on one event loop; not
 /// thread-safe.
@@ -118,6 +130,8 @@
     void setHistory(HistoryControls history) { history_ = std::move(history); }
     /// Must be called before the first request.
     void setLimits(LimitControls limits) { limits_ = std::move(limits); }
+    /// Must be called before the first request.
+    void setStreams(StreamControls streams) { streams_ = std::move(streams); }
     /// Applies the document if its version is newer. Returns whether it was applied.
     bool configure(Contracts::RoutingDocument document);
     void serversChanged(const std::vector<Dispatch::ListedServer> &servers);
@@ -151,6 +165,8 @@
     AdmissionControls controls_;
     HistoryControls history_;
     LimitControls limits_;
+    StreamControls streams_;
+    Dispatch::ServiceVersions serviceVersions_;
     Telemetry::Log &log_;
     Telemetry::Metrics &metrics_;
     Dispatch::RequestPlacer placer_;
--- a/src/libs/proxy/peerlink.cpp
+++ b/src/libs/proxy/peerlink.cpp
@@ -28,6 +28,7 @@
             [](const PermitResponse &response) { return Result(response.number); },
             [](const TokenResponse &response) { return Result(response.number); },
             [](const AllocationRelayResponse &response) { return Result(response.number); },
+            [](const StreamVersionResponse &response) { return Result(response.number); },
             [](const auto &) { return Result(); }},
         body);
 }
--- a/src/libs/proxy/peerlink.h
+++ b/src/libs/proxy/peerlink.h
@@ -71,6 +71,7 @@
     bool isIsolated() const;
 
     PeerRoster &roster() { return roster_; }
+    const PeerRoster &roster() const { return roster_; }
     std::optional<asio::ip::udp::endpoint> endpointOf(const Base::VmId &peer) const;
 
 private:
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -265,6 +265,26 @@
                 Wire::ServerPermitReturn part;
                 part.server = permit.server.text();
                 wire.__set_serverPermitReturn(part);
+            },
+            [&](const StreamNotice &notice) {
+                Wire::StreamNotice part;
+                part.attempt = notice.attempt;
+                part.version = notice.version.text();
+                wire.__set_streamNotice(part);
+            },
+            [&](const StreamVersionRequest &request) {
+                Wire::StreamVersionRequest part;
+                part.number = toWire(request.number);
+                part.attempt = request.attempt;
+                wire.__set_streamVersionRequest(part);
+            },
+            [&](const StreamVersionResponse &response) {
+                Wire::StreamVersionAnswer part;
+                part.number = toWire(response.number);
+                if (response.version) {
+                    part.__set_version(response.version->text());
+                }
+                wire.__set_streamVersionAnswer(part);
             }},
         body);
     return wire;
@@ -350,6 +370,22 @@
     if (wire.__isset.serverPermitReturn) {
         return ServerPermitReturn{Base::ServerId(wire.serverPermitReturn.server)};
     }
+    if (wire.__isset.streamNotice) {
+        return StreamNotice{wire.streamNotice.attempt,
+                            Base::SoftwareVersion(wire.streamNotice.version)};
+    }
+    if (wire.__isset.streamVersionRequest) {
+        return StreamVersionRequest{requestNumberFromWire(wire.streamVersionRequest.number),
+                                    wire.streamVersionRequest.attempt};
+    }
+    if (wire.__isset.streamVersionAnswer) {
+        const Wire::StreamVersionAnswer &answer = wire.streamVersionAnswer;
+        StreamVersionResponse response{requestNumberFromWire(answer.number), {}};
+        if (answer.__isset.version) {
+            response.version = Base::SoftwareVersion(answer.version);
+        }
+        return response;
+    }
     if (wire.__isset.stillWorking) {
         return RequestInProgress{requestNumberFromWire(wire.stillWorking.number)};
     }
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -97,6 +97,32 @@
     bool operator==(const ServerPermitReturn &) const = default;
 };
 
+/// The software version of the server that began the stream of an attempt. Has no response.
+struct StreamNotice
+{
+    std::string attempt;
+    Base::SoftwareVersion version;
+
+    bool operator==(const StreamNotice &) const = default;
+};
+
+struct StreamVersionRequest
+{
+    RequestNumber number;
+    std::string attempt;
+
+    bool operator==(const StreamVersionRequest &) const = default;
+};
+
+struct StreamVersionResponse
+{
+    RequestNumber number;
+    /// Unset if the sender does not know the stream.
+    std::optional<Base::SoftwareVersion> version;
+
+    bool operator==(const StreamVersionResponse &) const = default;
+};
+
 /// Requests a token grant from the coordinator of a program.
 struct TokenRequest
 {
@@ -165,7 +191,10 @@
                               Notice,
                               LimitReport,
                               ServerPermitRequest,
-                              ServerPermitReturn>;
+                              ServerPermitReturn,
+                              StreamNotice,
+                              StreamVersionRequest,
+                              StreamVersionResponse>;
 
 /// One datagram between daemons.
 struct PeerMessage
--- a/src/libs/proxy/peerroster.cpp
+++ b/src/libs/proxy/peerroster.cpp
@@ -55,6 +55,25 @@
     return *best;
 }
 
+std::vector<Base::VmId> PeerRoster::firstByRank(std::string_view key, std::size_t count) const
+{
+    std::vector<std::pair<std::uint64_t, const Base::VmId *>> ranks;
+    ranks.reserve(peers_.size());
+    for (const auto &[vm, peer] : peers_) {
+        ranks.emplace_back(Base::hash64(key, peer.hash), &vm);
+    }
+    const std::size_t size = std::min(count, ranks.size());
+    std::partial_sort(ranks.begin(),
+                      ranks.begin() + static_cast<std::ptrdiff_t>(size),
+                      ranks.end(),
+                      [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::vector<Base::VmId> first;
+    for (std::size_t i = 0; i < size; ++i) {
+        first.push_back(*ranks[i].second);
+    }
+    return first;
+}
+
 void PeerRoster::recordResponse(const Base::VmId &peer)
 {
     if (const auto entry = peers_.find(peer); entry != peers_.end()) {
--- a/src/libs/proxy/peerroster.h
+++ b/src/libs/proxy/peerroster.h
@@ -40,6 +40,9 @@
     /// The coordinator of the key among all daemons that were ever listed, lost ones included.
     Base::VmId preferredCoordinator(std::string_view key) const;
 
+    /// The first daemons by rank for the key, whether they respond or not.
+    std::vector<Base::VmId> firstByRank(std::string_view key, std::size_t count) const;
+
     void recordResponse(const Base::VmId &peer);
     void recordTimeout(const Base::VmId &peer, Base::Instant now);
     bool isSuspect(const Base::VmId &peer, Base::Instant now) const;
--- /dev/null
+++ b/src/libs/proxy/streamversionsharing.cpp
@@ -0,0 +1,86 @@
+#include "streamversionsharing.h"
+
+namespace Proxy {
+
+namespace {
+
+/// Daemons that keep the version of a stream, besides the one that forwards it. The loss of two
+/// daemons at once leaves at least one that knows it.
+constexpr std::size_t keeperCount = 3;
+
+/// One search; ends with the first daemon that knows the stream, or with the last response.
+struct Search
+{
+    std::size_t pending = 0;
+    StreamVersionSharing::FindCallback callback;
+
+    void end(const std::optional<Base::SoftwareVersion> &version)
+    {
+        if (auto done = std::exchange(callback, nullptr)) {
+            done(version);
+        }
+    }
+};
+
+} // namespace
+
+StreamVersionSharing::StreamVersionSharing(Base::VmId self,
+                                           PeerLink &peers,
+                                           std::function<Base::Instant()> now)
+    : self_(std::move(self))
+    , peers_(peers)
+    , now_(std::move(now))
+    , streams_({})
+{}
+
+std::vector<Base::VmId> StreamVersionSharing::keepersOf(const std::string &attempt) const
+{
+    std::vector<Base::VmId> keepers = peers_.roster().firstByRank(attempt, keeperCount);
+    std::erase(keepers, self_);
+    return keepers;
+}
+
+void StreamVersionSharing::streamBegan(const std::string &attempt,
+                                       const Base::SoftwareVersion &version)
+{
+    streams_.add(attempt, version, now_());
+    for (const Base::VmId &keeper : keepersOf(attempt)) {
+        peers_.send(keeper, StreamNotice{attempt, version});
+    }
+}
+
+void StreamVersionSharing::onNotice(const StreamNotice &notice)
+{
+    streams_.add(notice.attempt, notice.version, now_());
+}
+
+void StreamVersionSharing::onRequest(const Base::VmId &sender, const StreamVersionRequest &request)
+{
+    peers_.send(sender, StreamVersionResponse{request.number, streams_.find(request.attempt)});
+}
+
+void StreamVersionSharing::find(const std::string &attempt, FindCallback callback)
+{
+    const auto known = streams_.find(attempt);
+    const std::vector<Base::VmId> keepers = keepersOf(attempt);
+    if (known || keepers.empty()) {
+        callback(known);
+        return;
+    }
+    const auto search = std::make_shared<Search>(Search{keepers.size(), std::move(callback)});
+    for (const Base::VmId &keeper : keepers) {
+        const RequestNumber number = peers_.nextRequestNumber();
+        peers_.sendRequest(
+            keeper, number, StreamVersionRequest{number, attempt}, [search](const PeerBody *body) {
+                --search->pending;
+                const auto *response = body ? std::get_if<StreamVersionResponse>(body) : nullptr;
+                if (response && response->version) {
+                    search->end(response->version);
+                } else if (search->pending == 0) {
+                    search->end({});
+                }
+            });
+    }
+}
+
+} // namespace Proxy
--- a/tests/libs/dispatch/tst_requestplacer.cpp
+++ b/tests/libs/dispatch/tst_requestplacer.cpp
@@ -269,3 +269,20 @@
     cr_assert_eq(chosen(placer, {}, 250), "b");
     cr_assert(!placer.choose(service, {}, {}, at(250))->isExhausted);
 }
+
+Test(requestplacer, choosesAmongTheServersOfAVersion)
+{
+    RequestPlacer placer(here, withoutJitter(), 1);
+    ListedServer newer = server("a");
+    newer.version = Base::SoftwareVersion("v2");
+    ListedServer older = server("b", there);
+    older.version = Base::SoftwareVersion("v1");
+    placer.serversChanged({newer, older});
+    cr_assert_eq(chosen(placer), "a");
+    const auto placement = placer.choose(service, {}, {}, at(0), older.version);
+    cr_assert(placement->version == older.version);
+    cr_assert(placement->instance == older.instance());
+    older.server.isLeaving = true;
+    placer.serversChanged({newer, older});
+    cr_assert(!placer.choose(service, {}, {}, at(0), older.version));
+}
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -5,6 +5,7 @@
 #include <proxy/passthrough.h>
 #include <proxy/requestlimitsharing.h>
 #include <proxy/steadyclock.h>
+#include <proxy/streamversionsharing.h>
 
 #include <asio/write.hpp>
 #include <criterion/criterion.h>
@@ -127,12 +128,14 @@
         , peers_(context_, vm(), {}, silentLog(), metrics_, 1, &steadyNow)
         , rates_(context_, vm(), peers_, &steadyNow)
         , limits_(vm(), rates_, peers_, silentLog(), metrics_, &steadyNow)
+        , streams_(vm(), peers_, &steadyNow)
         , acceptor_(context_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
         , caller_(context_)
         , first(context_)
         , second(context_)
     {
         passThrough_.setLimits(limitControls());
+        passThrough_.setStreams(streamControls());
         accept();
         caller_.connect(acceptor_.local_endpoint());
         readCaller();
@@ -230,6 +233,18 @@
         return result;
     }
 
+    StreamControls streamControls()
+    {
+        StreamControls result;
+        result.began = [this](const auto &attempt, const Base::SoftwareVersion &version) {
+            streams_.streamBegan(attempt, version);
+        };
+        result.find = [this](const auto &attempt, auto callback) {
+            streams_.find(attempt, std::move(callback));
+        };
+        return result;
+    }
+
     static Dispatch::ListedServer listed(const std::string &id, const ScriptedServer &server)
     {
         Dispatch::ListedServer result;
@@ -272,6 +287,7 @@
     PeerLink peers_;
     RateSharing rates_;
     RequestLimitSharing limits_;
+    StreamVersionSharing streams_;
     asio::ip::tcp::acceptor acceptor_;
     asio::ip::tcp::socket caller_;
     std::array<char, 4096> buffer_{};
--- /dev/null
+++ b/tests/libs/proxy/peerfleet.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <proxy/requestlimitsharing.h>
+#include <proxy/steadyclock.h>
+#include <proxy/streamversionsharing.h>
+
+#include <criterion/criterion.h>
+
+#include <memory>
+
+namespace Proxy {
+
+inline constexpr auto peerGuardTime = std::chrono::seconds(10);
+
+/// Daemons that exchange datagrams on loopback addresses.
+class PeerFleet
+{
+public:
+    explicit PeerFleet(int size)
+        : log_({.file = {}, .level = Telemetry::LogLevel::Error, .daemon = {}, .keyPrefixes = {}})
+    {
+        std::vector<PeerAddress> addresses;
+        for (int i = 0; i < size; ++i) {
+            addresses.push_back({Base::VmId("vm-" + std::to_string(i)), freeEndpoint()});
+        }
+        for (const PeerAddress &address : addresses) {
+            daemons_.push_back(std::make_unique<Daemon>(*this, address));
+            daemons_.back()->peers.setDaemons(addresses);
+        }
+        for (const auto &daemon : daemons_) {
+            daemon->rates.setDaemonCount(addresses.size());
+        }
+    }
+
+    RequestLimitSharing &limits(std::size_t daemon) { return daemons_[daemon]->limits; }
+    StreamVersionSharing &streams(std::size_t daemon) { return daemons_[daemon]->streams; }
+    /// From now on, the daemon ignores all requests.
+    void lose(std::size_t daemon) { daemons_[daemon]->isLost = true; }
+    std::size_t size() const { return daemons_.size(); }
+
+    void runUntil(const std::function<bool()> &condition, const char *what)
+    {
+        const auto end = std::chrono::steady_clock::now() + peerGuardTime;
+        while (!condition()) {
+            cr_assert(std::chrono::steady_clock::now() < end, "timed out: %s", what);
+            context_.run_one_for(std::chrono::milliseconds(20));
+        }
+    }
+
+private:
+    struct Daemon
+    {
+        Daemon(PeerFleet &fleet, const PeerAddress &address)
+            : peers(fleet.context_,
+                    address.vm,
+                    address.endpoint,
+                    fleet.log_,
+                    fleet.metrics_,
+                    7,
+                    &steadyNow)
+            , rates(fleet.context_, address.vm, peers, &steadyNow)
+            , limits(address.vm, rates, peers, fleet.log_, fleet.metrics_, &steadyNow)
+            , streams(address.vm, peers, &steadyNow)
+        {
+            peers.start([this](const Base::VmId &sender, const PeerBody &body) {
+                if (isLost) {
+                    return;
+                }
+                if (const auto *join = std::get_if<PoolJoinRequest>(&body)) {
+                    rates.onPoolJoin(sender, *join);
+                } else if (const auto *report = std::get_if<LimitReport>(&body)) {
+                    limits.onReport(*report);
+                } else if (const auto *request = std::get_if<ServerPermitRequest>(&body)) {
+                    limits.onPermitRequest(sender, *request);
+                } else if (const auto *permit = std::get_if<ServerPermitReturn>(&body)) {
+                    limits.onPermitReturn(*permit);
+                } else if (const auto *notice = std::get_if<StreamNotice>(&body)) {
+                    streams.onNotice(*notice);
+                } else if (const auto *stream = std::get_if<StreamVersionRequest>(&body)) {
+                    streams.onRequest(sender, *stream);
+                }
+            });
+        }
+
+        PeerLink peers;
+        RateSharing rates;
+        RequestLimitSharing limits;
+        StreamVersionSharing streams;
+        bool isLost = false;
+    };
+
+    asio::ip::udp::endpoint freeEndpoint()
+    {
+        asio::ip::udp::socket socket(context_,
+                                     asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
+        return socket.local_endpoint();
+    }
+
+    asio::io_context context_;
+    Telemetry::Log log_;
+    Telemetry::Metrics metrics_;
+    std::vector<std::unique_ptr<Daemon>> daemons_;
+};
+
+} // namespace Proxy
--- a/tests/libs/proxy/tst_peers.cpp
+++ b/tests/libs/proxy/tst_peers.cpp
@@ -41,6 +41,10 @@
                             {{Base::ServerId("s-1"), 1700}, Base::RequestRate(3), {}},
                             {Admission::Urgency::NewProgram, true}},
         ServerPermitReturn{Base::ServerId("s-1")},
+        StreamNotice{"9c41", Base::SoftwareVersion("v1.1")},
+        StreamVersionRequest{number, "9c41"},
+        StreamVersionResponse{number, Base::SoftwareVersion("v1.1")},
+        StreamVersionResponse{number, {}},
         PermitRequest{number, Base::TeamId("a"), Admission::Urgency::ToolCall},
         PermitResponse{number, {true, std::chrono::milliseconds(30), {}}},
         PermitResponse{number, {false, {}, std::chrono::milliseconds(300)}},
@@ -103,6 +107,22 @@
     }
 }
 
+Test(peerroster, theFirstByRankAreTheSameEverywhere)
+{
+    const auto daemons = vms(9);
+    std::set<std::vector<Base::VmId>> seen;
+    for (const Base::VmId &self : daemons) {
+        PeerRoster roster(self);
+        roster.setDaemons(daemons);
+        const auto first = roster.firstByRank("9c41", 3);
+        cr_assert_eq(first.size(), 3);
+        cr_assert(first.front() == roster.coordinatorFor("9c41", at(0)));
+        seen.insert(first);
+    }
+    cr_assert_eq(seen.size(), 1);
+    cr_assert_eq(PeerRoster(daemons[0]).firstByRank("9c41", 3).size(), 1);
+}
+
 Test(peerroster, lostDaemonsRemainPreferredCoordinators)
 {
     const auto daemons = vms(3);
