Soak: server limits, two software versions, callers that resume streams

Engines of two versions whose events show them, servers that state limits of 1 to 4 requests a second for some seconds, and callers that resume a broken stream at any daemon, naming the attempt of its first event. Checked: no more than 1.5 times the limit in 4 s and 5 requests, from 3 s on, without excuse for daemons that restart; one version a stream, over all attempts.

--- a/tests/soak/backendstub.cpp
+++ b/tests/soak/backendstub.cpp
@@ -25,9 +25,10 @@
     return session + " " + std::to_string(number) + "\n";
 }
 
-std::string eventText(const std::string &session, int number)
+std::string eventText(const std::string &session, int number, const std::string &version)
 {
-    return "id: " + std::to_string(number) + "\ndata: " + eventData(session, number) + "\n";
+    return "id: " + std::to_string(number) + "\ndata: " + version + eventData(session, number)
+           + "\n";
 }
 
 std::string plainResponse(const std::string &id)
@@ -59,6 +60,8 @@
     Caller caller;
     asio::steady_timer timer;
     std::string session;
+    /// The software version that the events show.
+    std::string version;
     int next = 1;
     int events = 0;
     int truncateAfter = 0;
@@ -68,12 +71,14 @@
 BackendStub::BackendStub(asio::io_context &context,
                          std::string id,
                          std::string service,
+                         std::string version,
                          Ledger &ledger,
                          std::function<Base::Instant()> now,
                          std::uint64_t seed)
     : context_(context)
     , id_(std::move(id))
     , service_(std::move(service))
+    , version_(std::move(version))
     , ledger_(ledger)
     , now_(std::move(now))
     , random_(seed)
@@ -112,7 +117,7 @@
             {"address", endpoint.address().to_string() + ":" + std::to_string(endpoint.port())},
             {"zone", "zone-a"},
             {"slots", 8},
-            {"version", "v1"},
+            {"version", version_},
             {"state", isLeaving ? "draining" : "ready"},
             {"born", 1}};
 }
@@ -124,9 +129,18 @@
     result.reason = Proxy::reasonOf(status);
     result.headers.add("X-Attempt-Id", id);
     result.headers.add("X-Server-Stamp", id_);
+    if (limit_ > 0) {
+        result.headers.add("Server-Limit", std::to_string(limit_));
+    }
     return result;
 }
 
+void BackendStub::setLimit(double perSecond)
+{
+    limit_ = perSecond;
+    ledger_.serverLimited(id_, perSecond, now_());
+}
+
 void BackendStub::onRequest(const Caller &caller, const Proxy::CallerRequest &request)
 {
     const std::string id = header(request, "X-Attempt-Id");
@@ -138,6 +152,7 @@
         caller->respond(head(misdirected, id), {});
         return;
     }
+    ledger_.requestArrived(id_, now_());
     if (shouldInject(BackendFault::RefusesRequests)) {
         Proxy::ResponseHead refusal = head(503, id);
         refusal.headers.add("X-Not-Executed", "1");
@@ -180,6 +195,7 @@
 {
     const auto stream = std::make_shared<Stream>(context_, caller);
     stream->session = header(request, "X-Session-Id");
+    stream->version = request.head.target.starts_with("/turns/") ? version_ : "";
     stream->events = eventCount(request.body);
     const std::string last = header(request, "Last-Event-Id");
     stream->next = last.empty() ? 1 : eventCount(last) + 1;
@@ -213,7 +229,7 @@
         stream->caller->endResponse();
         return;
     }
-    stream->caller->write(eventText(stream->session, stream->next++));
+    stream->caller->write(eventText(stream->session, stream->next++, stream->version));
     stream->timer.expires_after(eventInterval);
     stream->timer.async_wait([this, stream](const std::error_code &error) {
         if (!error) {
--- a/tests/soak/backendstub.h
+++ b/tests/soak/backendstub.h
@@ -32,6 +32,7 @@
     BackendStub(asio::io_context &context,
                 std::string id,
                 std::string service,
+                std::string version,
                 Ledger &ledger,
                 std::function<Base::Instant()> now,
                 std::uint64_t seed);
@@ -39,6 +40,8 @@
     const std::string &id() const { return id_; }
     FaultRelay &link() { return relay_; }
     void setFault(BackendFault fault) { fault_ = fault; }
+    /// States the limit in all responses from now on; no limit if it is 0.
+    void setLimit(double perSecond);
     /// Returns the server's entry in the platform's store.
     nlohmann::json entry(bool isLeaving) const;
 
@@ -62,6 +65,8 @@
     asio::io_context &context_;
     std::string id_;
     std::string service_;
+    std::string version_;
+    double limit_ = 0;
     Ledger &ledger_;
     std::function<Base::Instant()> now_;
     Base::Random random_;
@@ -71,8 +76,9 @@
     BackendFault fault_ = BackendFault::None;
 };
 
-/// Returns the event with that number of a turn, as a server sends it.
-std::string eventText(const std::string &session, int number);
+/// Returns the event with that number of a turn, as a server of the software version sends it.
+/// Events of kept turns are the same in all versions and have none.
+std::string eventText(const std::string &session, int number, const std::string &version = {});
 
 /// Returns the data of that event, followed by a line feed.
 std::string eventData(const std::string &session, int number);
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -12,6 +12,13 @@
 /// Specified time without faults after which time bounds apply again.
 constexpr Base::Duration recoveryTime = std::chrono::seconds(3);
 
+/// Specified bound of the requests to a server that states a limit: window, factor and slack, and
+/// the time after which it applies.
+constexpr Base::Duration serverWindow = std::chrono::seconds(4);
+constexpr double serverExcess = 1.5;
+constexpr double serverSlack = 5;
+constexpr Base::Duration serverLimitDelay = std::chrono::seconds(3);
+
 bool guaranteesNotRun(int status)
 {
     return status == 429 || status == 503 || status == 402 || status == 401 || status == 404;
@@ -87,6 +94,34 @@
     }
 }
 
+void Ledger::serverLimited(const std::string &server, double perSecond, Base::Instant now)
+{
+    serverLimits_[server] = {perSecond, now, {}};
+}
+
+void Ledger::requestArrived(const std::string &server, Base::Instant now)
+{
+    const auto entry = serverLimits_.find(server);
+    const bool isBound = entry != serverLimits_.end() && entry->second.perSecond > 0
+                         && now - entry->second.since >= serverLimitDelay;
+    if (!isBound) {
+        return;
+    }
+    ServerLimit &limit = entry->second;
+    limit.arrivals.push_back(now);
+    while (limit.arrivals.front() <= now - serverWindow) {
+        limit.arrivals.pop_front();
+    }
+    const double bound
+        = serverExcess * limit.perSecond * Base::toSeconds(serverWindow) + serverSlack;
+    if (static_cast<double>(limit.arrivals.size()) > bound) {
+        recordViolation("limit",
+                        std::to_string(limit.arrivals.size()) + " requests to " + server
+                            + " in 4 s, limit " + std::to_string(limit.perSecond));
+        limit.arrivals.clear(); // report each excess once
+    }
+}
+
 void Ledger::turnKept(const std::string &team, KeptChain chain)
 {
     chains_[team].push_back(std::move(chain));
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -59,6 +59,10 @@
                     const std::string &target,
                     const std::string &body,
                     Base::Instant now);
+    /// A server states a limit of requests per second from now on; 0 if it has none.
+    void serverLimited(const std::string &server, double perSecond, Base::Instant now);
+    /// A request has arrived at a server, which may refuse it.
+    void requestArrived(const std::string &server, Base::Instant now);
     /// The response to a kept turn has ended, so any caller of the team may continue it.
     void turnKept(const std::string &team, KeptChain chain);
     /// Kept turns of a team.
@@ -88,8 +92,17 @@
     int runCount() const { return runs_; }
 
 private:
+    /// The limit that a server states, and the requests that have arrived since.
+    struct ServerLimit
+    {
+        double perSecond = 0;
+        Base::Instant since;
+        std::deque<Base::Instant> arrivals;
+    };
+
     void checkRate(const std::string &team, Base::Instant now);
 
+    std::map<std::string, ServerLimit> serverLimits_;
     std::map<std::string, Attempt> attempts_;
     std::map<std::string, std::vector<KeptChain>> chains_;
     std::map<std::string, std::int64_t> deliveredTokens_;
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -86,7 +86,7 @@
                                                RequestKind::KeptTurn,
                                                RequestKind::Lookup,
                                                RequestKind::Order};
-    send(kinds[random_.below(kinds.size())]);
+    send(makeRequest(kinds[random_.below(kinds.size())]));
 }
 
 SoakCaller::ActiveRequest SoakCaller::makeRequest(RequestKind kind)
@@ -107,14 +107,13 @@
     return request;
 }
 
-void SoakCaller::send(RequestKind kind)
+void SoakCaller::send(ActiveRequest request)
 {
-    ActiveRequest request = makeRequest(kind);
     Attempt attempt;
-    attempt.kind = kind;
+    attempt.kind = request.kind;
     attempt.team = team_;
     attempt.key = entry_.currentKey(team_);
-    attempt.target = pathOf(kind);
+    attempt.target = pathOf(request.kind);
     attempt.body = request.previous.content + request.body;
     attempt.sentAt = entry_.now();
     ledger_.attemptSent(request.id, attempt);
@@ -152,6 +151,10 @@
     if (!request.previous.turn.empty()) {
         head.headers.add("X-Previous-Turn", request.previous.turn);
     }
+    if (!request.resumedAttempt.empty()) {
+        head.headers.add("Resumes", request.resumedAttempt);
+        head.headers.add("Last-Event-Id", std::to_string(request.earlierEvents));
+    }
     if (request.kind == RequestKind::Turn || request.kind == RequestKind::KeptTurn) {
         head.headers.add("X-Token-Budget", std::to_string(budget_));
         head.headers.add("X-Token-Count",
@@ -197,8 +200,8 @@
 void SoakCaller::finish()
 {
     timeoutTimer_.cancel();
-    const ActiveRequest request = *std::exchange(active_, std::nullopt);
-    checkResponse(request);
+    ActiveRequest request = *std::exchange(active_, std::nullopt);
+    const int events = checkResponse(request);
     const bool isReused = request.isComplete && connection_->isReusable();
     if (!isReused) {
         connection_->close();
@@ -213,18 +216,41 @@
     if (request.status == 402) {
         requestsLeft_ = 0;
     }
+    const bool isBrokenOff = request.kind == RequestKind::Turn && request.status == 200
+                             && !request.isComplete && events > 0
+                             && events < eventCount(request.body);
+    if (isBrokenOff) {
+        constexpr std::uint64_t maxResumeDelayMs = 200;
+        runAfter(std::chrono::milliseconds(1 + random_.below(maxResumeDelayMs)),
+                 [this, request, events] { resume(request, events); });
+        return;
+    }
     const bool isRefused = request.status == 429 || request.status == 503 || request.status == 0;
     const int maxDelayMs = isRefused ? 300 : 30;
     runAfter(std::chrono::milliseconds(1 + random_.below(static_cast<std::uint64_t>(maxDelayMs))),
              [this] { startRequest(); });
 }
 
-void SoakCaller::checkResponse(const ActiveRequest &request)
+/// Each attempt to resume names the attempt that brought the first event.
+void SoakCaller::resume(ActiveRequest broken, int events)
+{
+    ActiveRequest request;
+    request.id = name_ + "-" + std::to_string(++lastRequest_);
+    request.kind = broken.kind;
+    request.body = broken.body;
+    request.resumedAttempt = broken.resumedAttempt.empty() ? broken.id : broken.resumedAttempt;
+    request.earlierEvents = events;
+    request.version = broken.version;
+    send(std::move(request));
+}
+
+int SoakCaller::checkResponse(ActiveRequest &request)
 {
+    int events = 0;
     const bool isStream
         = request.kind == RequestKind::Turn || request.kind == RequestKind::KeptTurn;
     if (isStream && request.status == 200) {
-        checkStream(request);
+        events = checkStream(request);
         recordKeptTurn(request);
     } else if (request.status == 200 && request.isComplete
                && request.received != plainResponse(request.id)) {
@@ -232,6 +258,7 @@
                                 request.id + " received a wrong response: " + request.received);
     }
     ledger_.attemptFinished(request.id, request.isComplete ? request.status : 0);
+    return events;
 }
 
 /// A turn counts once its response has ended.
@@ -249,34 +276,42 @@
     ledger_.turnKept(team_, chain_);
 }
 
-/// Checks that each event arrives once and in order, and that a stream that ended normally is
-/// complete.
-void SoakCaller::checkStream(const ActiveRequest &request)
+/// Checks that each event arrives once, in order and from one software version, and that a stream
+/// that ended normally is complete.
+int SoakCaller::checkStream(ActiveRequest &request)
 {
     const std::string session = program_ + "/s";
+    int events = request.earlierEvents;
+    if (request.kind == RequestKind::Turn && request.version.empty()) {
+        for (const char *version : {"v1", "v2"}) {
+            const std::string first = eventText(session, events + 1, version);
+            request.version = request.received.starts_with(first) ? version : request.version;
+        }
+    }
     std::size_t offset = 0;
-    int events = 0;
-    for (std::string next = eventText(session, 1);
+    for (std::string next = eventText(session, events + 1, request.version);
          request.received.compare(offset, next.size(), next) == 0;
-         next = eventText(session, events + 1)) {
+         next = eventText(session, events + 1, request.version)) {
         offset += next.size();
         ++events;
     }
     const int expected = eventCount(request.body);
     ledger_.tokensDelivered(program_,
-                            std::int64_t(events) * tokensPerEvent,
+                            std::int64_t(events - request.earlierEvents) * tokensPerEvent,
                             budget_,
                             std::int64_t(maxEvents) * tokensPerEvent);
     if (offset != request.received.size()) {
         ledger_.recordViolation("order",
                                 request.id + " received after event " + std::to_string(events)
-                                    + ": " + request.received.substr(offset));
+                                    + " of version " + request.version + ": "
+                                    + request.received.substr(offset));
     }
     if (request.isComplete && events != expected) {
         ledger_.recordViolation("order",
                                 request.id + " ended normally after " + std::to_string(events)
                                     + " of " + std::to_string(expected));
     }
+    return events;
 }
 
 } // namespace Soak
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -42,6 +42,11 @@
         std::string body;
         /// The chain that a kept turn continues; empty at the start of one.
         KeptChain previous;
+        /// The attempt that brought the first event of the stream, if this one resumes it.
+        std::string resumedAttempt;
+        /// Events that the caller had before this attempt, and the software version of them.
+        int earlierEvents = 0;
+        std::string version;
         std::string received;
         int status = 0;
         bool isComplete = false;
@@ -49,13 +54,16 @@
 
     void startProgram();
     void startRequest();
-    void send(RequestKind kind);
+    void send(ActiveRequest request);
+    void resume(ActiveRequest broken, int events);
     std::string serialize(const ActiveRequest &request, const Attempt &attempt);
     void onConnected(const std::string &problem, const std::string &bytes);
     void transmit(const std::string &bytes);
     void finish();
-    void checkResponse(const ActiveRequest &request);
-    void checkStream(const ActiveRequest &request);
+    /// Returns the number of events that the caller has of the stream, if it is one.
+    int checkResponse(ActiveRequest &request);
+    /// Returns the number of events that the caller has of the stream.
+    int checkStream(ActiveRequest &request);
     ActiveRequest makeRequest(RequestKind kind);
     void recordKeptTurn(const ActiveRequest &request);
     void runAfter(std::chrono::milliseconds duration, std::function<void()> next);
--- a/tests/soak/soakenvironment.cpp
+++ b/tests/soak/soakenvironment.cpp
@@ -186,6 +186,7 @@
         backends_.push_back(std::make_unique<BackendStub>(context_,
                                                           "i-" + std::to_string(i),
                                                           isEngine ? "engine" : "app",
+                                                          i < 2 ? "v1" : "v2",
                                                           ledger_,
                                                           &Proxy::steadyNow,
                                                           random_.next()));
@@ -579,13 +580,18 @@
 {
     const std::size_t index = random_.below(backends_.size());
     BackendStub &backend = *backends_[index];
-    switch (random_.below(4)) {
+    switch (random_.below(6)) {
     case 0:
         injectLinkFault(backend.link());
         break;
     case 1:
         drain(index);
         break;
+    case 2:
+    case 3:
+        backend.setLimit(static_cast<double>(1 + random_.below(4)));
+        schedule(randomDuration(4000, 9000), [&backend] { backend.setLimit(0); });
+        break;
     default:
         backend.setFault(static_cast<BackendFault>(1 + random_.below(4)));
         schedule(randomDuration(300, 2000), [&backend] { backend.setFault(BackendFault::None); });
@@ -638,6 +644,7 @@
     }
     for (const auto &backend : backends_) {
         backend->setFault(BackendFault::None);
+        backend->setLimit(0);
         backend->link().setFault(LinkFault::None);
     }
 }
