An event or a kept output without end is a broken response

Operators would see: a daemon beyond its memory, or busy with nothing else, because of one server that sends a stream event that never ends; each read scanned the whole event again, and it was kept until the deadline. The same for the output of a kept turn, which is collected until its end.

Tests: anEventWithoutEndIsABrokenResponse and aKeptTurnWithoutEndIsBrokenOff failed before (the server was not released in 10 s); every split of a stream in three parts gives the same events.

--- a/src/libs/proxy/eventsplitter.cpp
+++ b/src/libs/proxy/eventsplitter.cpp
@@ -6,11 +6,12 @@
 
 namespace {
 
-/// Returns the position after the first blank line, or nothing if there is none.
-std::optional<std::size_t> endOfEvent(std::string_view text)
+/// Returns the position after the first blank line that begins at or after `from`, the beginning
+/// of a line, or nothing if there is none.
+std::optional<std::size_t> endOfEvent(std::string_view text, std::size_t from)
 {
     bool isLineEmpty = true;
-    for (std::size_t i = 0; i < text.size(); ++i) {
+    for (std::size_t i = from; i < text.size(); ++i) {
         if (text[i] == '\n') {
             if (isLineEmpty && i > 0) {
                 return i + 1;
@@ -50,15 +51,24 @@
     partial_.append(bytes);
     std::string complete;
     std::string_view rest = partial_;
-    while (const std::optional<std::size_t> end = endOfEvent(rest)) {
+    while (const std::optional<std::size_t> end = endOfEvent(rest, scanned_)) {
         parseEvent(rest.substr(0, *end));
         complete.append(rest.substr(0, *end));
         rest.remove_prefix(*end);
+        scanned_ = 0;
     }
     partial_.erase(0, partial_.size() - rest.size());
+    const std::size_t lastLine = partial_.rfind('\n');
+    scanned_ = lastLine == std::string::npos ? 0 : lastLine + 1;
     return complete;
 }
 
+void EventSplitter::dropPartialEvent()
+{
+    partial_.clear();
+    scanned_ = 0;
+}
+
 void EventSplitter::parseEvent(std::string_view event)
 {
     bool hasData = false;
--- a/src/libs/proxy/eventsplitter.h
+++ b/src/libs/proxy/eventsplitter.h
@@ -12,12 +12,16 @@
 class EventSplitter
 {
 public:
+    /// A server may never end an event.
+    static constexpr std::size_t maxEventBytes = 256 * 1024;
+
     /// Returns the bytes of the events that are complete; the rest is kept.
     std::string feed(std::string_view bytes);
 
     /// Whether bytes of an incomplete event are kept.
     bool hasPartialEvent() const { return !partial_.empty(); }
-    void dropPartialEvent() { partial_.clear(); }
+    void dropPartialEvent();
+    bool isEventTooLong() const { return partial_.size() > maxEventBytes; }
 
     /// Number of complete events with data.
     std::uint64_t eventCount() const { return events_; }
@@ -32,6 +36,8 @@
     void parseEvent(std::string_view event);
 
     std::string partial_;
+    /// Bytes at the start of partial_ in which no event ends.
+    std::size_t scanned_ = 0;
     std::string data_;
     bool isDataCollected_ = false;
     std::uint64_t events_ = 0;
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -660,6 +660,14 @@
         }
     }
     forwardBody(bytes);
+    const bool isOutputTooLong
+        = route_->isHistoryKept && events_.data().size() > table_->document().limits.bodyBytes;
+    if (events_.isEventTooLong() || isOutputTooLong) {
+        releaseServer(false);
+        owner_.placer_.requestFailed(placement_->instance, now());
+        onBroken(events_.isEventTooLong() ? "event does not end"
+                                          : "output of the turn does not end");
+    }
 }
 
 void Exchange::onEnd(ResponseEnd end, const std::string &problem)
--- a/tests/libs/proxy/tst_eventsplitter.cpp
+++ b/tests/libs/proxy/tst_eventsplitter.cpp
@@ -37,3 +37,31 @@
     events.dropPartialEvent();
     cr_assert_eq(events.data(), "a b\nc\nd\n\n");
 }
+
+Test(eventsplitter, anEventOfAnySplitIsTheSame)
+{
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n\ndata: c\n\nid: 4\nda";
+    EventSplitter whole;
+    const std::string expected = whole.feed(stream);
+    for (std::size_t first = 0; first <= stream.size(); ++first) {
+        for (std::size_t second = first; second <= stream.size(); ++second) {
+            EventSplitter splitter;
+            std::string parts = splitter.feed(stream.substr(0, first));
+            parts += splitter.feed(stream.substr(first, second - first));
+            parts += splitter.feed(stream.substr(second));
+            cr_assert_eq(parts, expected);
+            cr_assert(splitter.lastEventId() == whole.lastEventId());
+            cr_assert_eq(splitter.eventCount(), whole.eventCount());
+        }
+    }
+}
+
+Test(eventsplitter, reportsAnEventThatIsTooLong)
+{
+    EventSplitter splitter;
+    splitter.feed("data: " + std::string(EventSplitter::maxEventBytes, 'x'));
+    cr_assert(splitter.isEventTooLong());
+    splitter.dropPartialEvent();
+    cr_assert(!splitter.isEventTooLong());
+    cr_assert_eq(splitter.feed("data: d\n\n"), "data: d\n\n");
+}
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -401,3 +401,34 @@
     fixture.awaitResponse("HTTP/1.1 503");
     cr_assert_eq(requestCount(fixture), 0);
 }
+
+/// Guards against an event without end, which filled the memory until the deadline.
+Test(passthrough, anEventWithoutEndIsABrokenResponse)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listVersions("v1", "");
+    const std::string endless = "data: " + std::string(1'000'000, 'x');
+    fixture.first.add({{streamHead + chunk(event(1)) + chunk(endless)}});
+    fixture.request("/resumable/", "r1");
+    fixture.awaitClose();
+    fixture.runUntil([&] { return fixture.first.closedByPeer() == 1; }, "the server is released");
+    cr_assert_eq(fixture.received.find("xxx"), std::string::npos);
+}
+
+/// Guards against the output of a kept turn without end.
+Test(passthrough, aKeptTurnWithoutEndIsBrokenOff)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.passThrough().setHistory({[] { return true; }, {}, {}});
+    std::string events;
+    for (int i = 1; i <= 400; ++i) { // more data than a body may have
+        events += event(i);
+    }
+    fixture.first.add({{streamHead + chunk(events)}});
+    fixture.request("/kept/", "r1");
+    fixture.awaitClose();
+    fixture.runUntil([&] { return fixture.first.closedByPeer() == 1; }, "the server is released");
+}
