Bytes without end before a response break the connection

Callers saw: a request held until its deadline, and a daemon that reads all the while, when a server sends interim responses, or the late response to another request, without end. More than 256 KiB before the response to the current request break the connection now; the request is retried where it may be, else it gets 502.

Test: bytesWithoutEndBeforeTheResponseBreakTheConnection, failed before (no answer in 10 s).

--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -11,6 +11,10 @@
 /// Events of a response are small; a larger buffer would cost memory on each connection.
 constexpr std::size_t readBufferBytes = 8 * 1024;
 
+/// Bytes before the response to the current request, of interim responses and of late responses to
+/// other requests. A server may never end them.
+constexpr std::size_t maxSkippedBytes = 256 * 1024;
+
 /// Parses a Keep-Alive value: "timeout=15, max=100" gives 15 s.
 std::optional<Base::Duration> parseKeepAlive(std::string_view value)
 {
@@ -86,6 +90,7 @@
     isAwaitingResponse_ = true;
     isHeadSeen_ = false;
     isDiscarding_ = false;
+    skippedBytes_ = 0;
     isReusable_ = false;
     isWriting_ = true;
     hasSent_ = true;
@@ -185,7 +190,8 @@
 bool ClientConnection::consume(std::string_view bytes)
 {
     while (!bytes.empty() && isAwaitingResponse_) {
-        bytes.remove_prefix(parser_.feed(bytes));
+        const std::size_t parsed = parser_.feed(bytes);
+        bytes.remove_prefix(parsed);
         if (parser_.state() == ParseState::Failed) {
             fail(parser_.problem());
             return false;
@@ -195,6 +201,11 @@
         if (hasHead && !isHeadSeen_ && !onHeadParsed()) {
             return false;
         }
+        skippedBytes_ += isDiscarding_ || isInterim() ? parsed : 0;
+        if (skippedBytes_ > maxSkippedBytes) {
+            fail("bytes before the response do not end");
+            return false;
+        }
         if (std::string body = parser_.takeBody(); !body.empty() && !isDiscarding_) {
             const auto handlers = handlers_;
             handlers->onBody(std::move(body));
@@ -205,9 +216,8 @@
         if (parser_.state() != ParseState::Complete) {
             continue;
         }
-        const bool isInterim = parser_.response().status < 200;
-        if (isDiscarding_ || isInterim) {
-            const bool endsConnection = !isInterim && !parser_.response().isKeepAlive;
+        if (isDiscarding_ || isInterim()) {
+            const bool endsConnection = !isInterim() && !parser_.response().isKeepAlive;
             if (endsConnection) {
                 fail("connection closes after a response to another request");
                 return false;
@@ -226,6 +236,11 @@
     return true;
 }
 
+bool ClientConnection::isInterim() const
+{
+    return isHeadSeen_ && parser_.response().status < 200;
+}
+
 /// Returns whether the connection is still in use.
 bool ClientConnection::onHeadParsed()
 {
--- a/src/libs/proxy/clientconnection.h
+++ b/src/libs/proxy/clientconnection.h
@@ -67,6 +67,7 @@
     void read();
     void onRead(const std::error_code &error, std::size_t size);
     bool consume(std::string_view bytes);
+    bool isInterim() const;
     bool onHeadParsed();
     void onResponseComplete(bool hasExtraBytes);
     void fail(const std::string &problem);
@@ -89,6 +90,7 @@
     bool isPaused_ = false;
     bool isHeadSeen_ = false;
     bool isDiscarding_ = false;
+    std::size_t skippedBytes_ = 0;
     bool isHeadMethod_ = false;
     bool isReusable_ = false;
     bool isClosed_ = false;
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -432,3 +432,26 @@
     fixture.awaitClose();
     fixture.runUntil([&] { return fixture.first.closedByPeer() == 1; }, "the server is released");
 }
+
+/// Guards against bytes before the response that never end: interim responses, and the late
+/// response to another request.
+Test(passthrough, bytesWithoutEndBeforeTheResponseBreakTheConnection)
+{
+    std::string interim;
+    for (int i = 0; i < 20'000; ++i) {
+        interim += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    const std::string late
+        = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n"
+          + chunk(std::string(500'000, 'x'));
+    for (const std::string &bytes : {interim, late}) {
+        Fixture fixture;
+        fixture.configure();
+        fixture.listServers(false);
+        fixture.first.add({{bytes}});
+        fixture.request("/once/", "r1");
+        fixture.awaitResponse("HTTP/1.1 502");
+        fixture.runUntil([&] { return fixture.first.closedByPeer() == 1; },
+                         "the server is released");
+    }
+}
