A program begins with a turn that was sent to a server

Callers saw: a program whose first turn was refused came back as one in progress, and was preferred to programs that had really begun. Cause: it was remembered once its rate allowed the turn, before a server was found. It is remembered now when the turn is sent.

Test: aProgramBeginsWithATurnThatWasSent, failed before.

--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -300,9 +300,6 @@
         return;
     }
     hasPermit_ = true;
-    if (!traits_.program.isEmpty()) {
-        owner_.recentPrograms_.add(traits_.program);
-    }
     if (verdict.wait == Base::Duration::zero()) {
         checkBudget();
         return;
@@ -462,6 +459,9 @@
 {
     ++attempts_;
     hasPermit_ = false; // the first attempt uses the permit
+    if (!traits_.program.isEmpty()) {
+        owner_.recentPrograms_.add(traits_.program);
+    }
     connect(*placement_);
 }
 
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -25,6 +25,10 @@
         traits.previousTurn = std::string(*previous);
         traits.isPreviousTurnMalformed = previous->empty();
     }
+    if (const auto program = head.headers.find("Program")) {
+        traits.program = Base::ProgramId(std::string(*program));
+        traits.programBudget = Base::Tokens(100);
+    }
     if (const auto last = head.headers.find("Last-Event-Id")) {
         traits.lastEventId = std::string(*last);
     }
@@ -43,6 +47,9 @@
     traits.isWrongServer = head.status == 421;
     traits.isAuthentic = head.headers.contains("Proof");
     traits.isServerLeaving = head.headers.contains("Leaving");
+    if (const auto running = head.headers.find("Running")) {
+        traits.load = {static_cast<std::uint32_t>(std::stoi(std::string(*running))), 0, 4};
+    }
     if (const auto limit = head.headers.find("Limit")) {
         traits.requestLimit = Base::RequestRate(std::stod(std::string(*limit)));
     }
@@ -88,6 +95,9 @@
     result.kind = kind;
     result.isResumable = prefix == "/resumable/";
     result.isHistoryKept = prefix == "/kept/";
+    if (prefix == "/turns/") {
+        result.programRetention = std::chrono::seconds(60);
+    }
     result.services = {{Base::ServiceId("s"), 1}};
     result.attempts = attempts;
     return result;
@@ -102,7 +112,8 @@
                        route("/once/", RouteKind::NonIdempotent, 2),
                        route("/stream/", RouteKind::Stream, 1),
                        route("/resumable/", RouteKind::Stream, 2),
-                       route("/kept/", RouteKind::Stream, 1)};
+                       route("/kept/", RouteKind::Stream, 1),
+                       route("/turns/", RouteKind::Stream, 1)};
     document.limits.bodyBytes = 1000;
     Contracts::RoutedTeam team;
     team.team.id = Base::TeamId("club");
@@ -211,11 +222,19 @@
         return log;
     }
 
-    static AdmissionControls controls()
+    AdmissionControls controls()
     {
         AdmissionControls result;
-        result.takePermit = [](const auto &, auto, const auto &callback) { callback({}); };
+        result.takePermit = [this](const auto &, Admission::Urgency urgency, const auto &callback) {
+            urgencies.push_back(urgency);
+            callback({});
+        };
         result.returnPermit = [](const auto &) {};
+        result.reserveTokens = [](const auto &, auto, const auto &callback) {
+            callback(BudgetVerdict::Admitted);
+            return Programs::ReservationId(1);
+        };
+        result.settleTokens = [](auto, auto) {};
         return result;
     }
 
@@ -297,6 +316,8 @@
     ScriptedServer second;
     std::string received;
     bool isClosed = false;
+    /// Urgency of each request for a permit.
+    std::vector<Admission::Urgency> urgencies;
 };
 
 inline std::size_t requestCount(const Fixture &fixture)
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -455,3 +455,23 @@
                          "the server is released");
     }
 }
+
+/// Guards against programs that count as begun although their first turn was refused.
+Test(passthrough, aProgramBeginsWithATurnThatWasSent)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.request("/turns/", "r1", "Program: p1\r\n");
+    fixture.awaitResponse("HTTP/1.1 503");
+    fixture.listServers(false);
+    fixture.first.add({{okResponse, okResponse}});
+    for (const char *id : {"r2", "r3"}) {
+        fixture.request("/turns/", id, "Program: p1\r\n");
+        fixture.awaitResponse("Request-Id: " + std::string(id) + "\r\n");
+        fixture.runUntil([&] { return fixture.passThrough().activeRequests() == 0; },
+                         "the request ends");
+    }
+    using Admission::Urgency;
+    const std::vector<Urgency> expected{Urgency::NewProgram, Urgency::NewProgram, Urgency::Started};
+    cr_assert(fixture.urgencies == expected);
+}
