New programs are refused while the servers are full

Callers saw: when servers limit their requests, or too few are left, every program got slow and a quarter of them failed, since one server without a limit was sent 58 requests at once for 16 slots (turns of 1.3 s where 0.25 s is usual, deadlines of 3 s). Cause: programs were begun whatever the servers' load. A turn that begins a program is now refused at once, not run, with Retry-After 0.5 s, while even the server with the least cost has less than a quarter of its slots free; the same reserve as in the rates of teams. Turns of programs in progress and calls of tools go on as before.

Known gap: a daemon takes a program that it has not seen for new, also if it is in progress elsewhere.

Tests: newProgramsAreRefusedWhileTheServersAreFull (failed before), newWorkLeavesAReserveOfSlots.

--- a/src/libs/dispatch/requestplacer.cpp
+++ b/src/libs/dispatch/requestplacer.cpp
@@ -185,9 +185,16 @@
                      best->listed.server.slots,
                      cachedAt(*best, prompt),
                      best->listed.version,
+                     hasRoomForNewWork(*best, now),
                      bestRank.isExhausted};
 }
 
+bool RequestPlacer::hasRoomForNewWork(const Server &server, Base::Instant now) const
+{
+    const double slots = std::max(1U, server.listed.server.slots);
+    return loadOf(server, now) < (1 - settings_.newWorkReserve) * slots;
+}
+
 RequestPlacer::Rank RequestPlacer::rankOf(Server &server,
                                           const std::vector<PromptPart> &prompt,
                                           Base::Instant now)
--- a/src/libs/dispatch/requestplacer.h
+++ b/src/libs/dispatch/requestplacer.h
@@ -52,6 +52,8 @@
     std::uint32_t slots = 0;
     Base::Tokens cachedTokens;
     Base::SoftwareVersion version;
+    /// The server has more free slots than are reserved for programs in progress.
+    bool hasRoomForNewWork = true;
     /// The request limit of every available server is exhausted; this one's permits return first.
     bool isExhausted = false;
 };
@@ -77,6 +79,8 @@
     /// Weight of the newest outcome in a server's failure rate, and the time constant of its decay.
     double failureWeight = 0.15;
     Base::Duration failureDecayTime = std::chrono::seconds(3);
+    /// Fraction of a server's slots that new programs leave to programs in progress.
+    double newWorkReserve = 0.25;
     std::uint32_t failuresToEject = 3;
     Base::Duration firstEjection = std::chrono::milliseconds(500);
     Base::Duration longestEjection = std::chrono::seconds(4);
@@ -147,6 +151,7 @@
     Rank rankOf(Server &server, const std::vector<PromptPart> &prompt, Base::Instant now);
     Server *find(const ServerInstance &instance);
     double loadOf(const Server &server, Base::Instant now) const;
+    bool hasRoomForNewWork(const Server &server, Base::Instant now) const;
     double failureRateOf(const Server &server, Base::Instant now) const;
     void recordOutcome(Server &server, bool isFailure, Base::Instant now);
     double costOf(Server &server, const std::vector<PromptPart> &prompt, Base::Instant now);
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -397,6 +397,12 @@
                       owner_.settings_.retryAfterBusy);
         return;
     }
+    if (isOverloaded()) {
+        refuseAttempt("overload",
+                      "the servers have no room for new programs",
+                      owner_.settings_.retryAfterOverload);
+        return;
+    }
     if (owner_.limits_.isLimited(placement_->instance)) {
         requestServerPermit();
     } else {
@@ -404,6 +410,13 @@
     }
 }
 
+/// Programs that begin while even the best server is full would make those in progress late.
+bool Exchange::isOverloaded() const
+{
+    return urgency_ == Admission::Urgency::NewProgram && attempts_ == 0
+           && !placement_->hasRoomForNewWork;
+}
+
 /// Requests that find the limit of one server exhausted try others first and wait only then.
 void Exchange::requestServerPermit()
 {
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -48,6 +48,7 @@
     void onCallerDisconnected();
 
     void startAttempt();
+    bool isOverloaded() const;
     void requestServerPermit();
     void onServerPermit(const Admission::PermitVerdict &verdict, bool mayWait);
     void offer();
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -36,6 +36,8 @@
     std::uint32_t maxAttempts = 4;
     /// Retry-After if no server is available; a short queue drains in that time.
     Base::Duration retryAfterBusy = std::chrono::milliseconds(100);
+    /// Retry-After of a new program while the servers are full; about the time of two turns.
+    Base::Duration retryAfterOverload = std::chrono::milliseconds(500);
     /// Responses up to this size are forwarded only once they are complete.
     std::size_t bufferedResponseBytes = 256 * 1024;
     /// Unsent bytes to a slow caller at which reading from the server pauses.
--- a/tests/libs/dispatch/tst_requestplacer.cpp
+++ b/tests/libs/dispatch/tst_requestplacer.cpp
@@ -286,3 +286,16 @@
     placer.serversChanged({newer, older});
     cr_assert(!placer.choose(service, {}, {}, at(0), older.version));
 }
+
+Test(requestplacer, newWorkLeavesAReserveOfSlots)
+{
+    RequestPlacer placer(here, withoutJitter(), 1);
+    placer.serversChanged({server("a")});
+    for (int running = 0; running < 5; ++running) {
+        const auto placement = placer.choose(service, {}, {}, at(0));
+        cr_assert_eq(placement->hasRoomForNewWork, running < 3, "%d of 4 slots", running);
+        placer.requestSent(placement->instance, {});
+    }
+    placer.serversChanged({server("a"), server("b", there)});
+    cr_assert(placer.choose(service, {}, {}, at(0))->hasRoomForNewWork, "b is free");
+}
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -475,3 +475,23 @@
     const std::vector<Urgency> expected{Urgency::NewProgram, Urgency::NewProgram, Urgency::Started};
     cr_assert(fixture.urgencies == expected);
 }
+
+/// Guards against programs that begin while the servers cannot keep up with those in progress.
+Test(passthrough, newProgramsAreRefusedWhileTheServersAreFull)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    const std::string full = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nRunning: 90\r\n"
+                             "Content-Length: 5\r\n\r\nhello";
+    fixture.first.add({{full, full, full}});
+    fixture.request("/turns/", "r1", "Program: p1\r\n");
+    fixture.awaitResponse("Request-Id: r1\r\n");
+    fixture.runUntil([&] { return fixture.passThrough().activeRequests() == 0; }, "r1 ends");
+    fixture.request("/turns/", "r2", "Program: p2\r\n");
+    fixture.awaitResponse("HTTP/1.1 503");
+    fixture.awaitResponse("Retry-After: ");
+    fixture.request("/turns/", "r3", "Program: p1\r\n");
+    fixture.awaitResponse("Request-Id: r3\r\n");
+    cr_assert_eq(requestCount(fixture), 2, "the program in progress goes on");
+}
