A turn that continues a kept one is of a program in progress

Callers saw: a program whose next turn reaches another daemon was refused like a new one when its team's rate or the servers were short. The name of the previous turn shows that the program has begun, so a daemon that has not seen it knows it as well.

--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -268,8 +268,10 @@
     if (!isTurn()) {
         return Admission::Urgency::ToolCall;
     }
-    return owner_.recentPrograms_.contains(traits_.program) ? Admission::Urgency::Started
-                                                            : Admission::Urgency::NewProgram;
+    const bool continuesTurn = route_->isHistoryKept && !traits_.previousTurn.empty();
+    return continuesTurn || owner_.recentPrograms_.contains(traits_.program)
+               ? Admission::Urgency::Started
+               : Admission::Urgency::NewProgram;
 }
 
 void Exchange::checkRate()
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -95,7 +95,7 @@
     result.kind = kind;
     result.isResumable = prefix == "/resumable/";
     result.isHistoryKept = prefix == "/kept/";
-    if (prefix == "/turns/") {
+    if (prefix == "/turns/" || prefix == "/kept/") {
         result.programRetention = std::chrono::seconds(60);
     }
     result.services = {{Base::ServiceId("s"), 1}};
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -495,3 +495,14 @@
     fixture.awaitResponse("Request-Id: r3\r\n");
     cr_assert_eq(requestCount(fixture), 2, "the program in progress goes on");
 }
+
+/// Guards against a program in progress that counts as new at a daemon that has not seen it.
+Test(passthrough, aTurnThatContinuesAnotherIsOfAProgramInProgress)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.passThrough().setHistory({[] { return true; }, [](auto...) {}, {}});
+    fixture.request("/kept/", "r1", "Program: p1\r\nPrevious: r0\r\n");
+    fixture.runUntil([&] { return !fixture.urgencies.empty(); }, "the rate is checked");
+    cr_assert(fixture.urgencies.front() == Admission::Urgency::Started);
+}
