--- /dev/null
+++ b/tests/benches/proxybench.cpp
@@ -0,0 +1,147 @@
+#include <admission/permitpool.h>
+#include <base/random.h>
+#include <dispatch/requestplacer.h>
+#include <proxy/peermessages.h>
+#include <proxy/peerroster.h>
+
+#include <chrono>
+#include <cstdio>
+#include <string>
+
+// Cost of the decisions of a pass-through daemon, and sizes of its messages. Times are of this
+// machine; nothing is asserted.
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr int repetitions = 20'000;
+
+Base::Instant at(std::int64_t microseconds)
+{
+    return Base::Instant(Base::Duration(microseconds));
+}
+
+double microsecondsSince(Clock::time_point start)
+{
+    return std::chrono::duration<double, std::micro>(Clock::now() - start).count();
+}
+
+std::vector<Base::VmId> daemons(std::size_t count)
+{
+    std::vector<Base::VmId> names;
+    for (std::size_t i = 0; i < count; ++i) {
+        names.emplace_back("front-zone-a-" + std::to_string(i));
+    }
+    return names;
+}
+
+/// Mean cost of a placement among servers of two versions, with prompts that share prefixes.
+double placementCost(std::size_t servers, std::size_t prefixes, bool hasVersion)
+{
+    Dispatch::RequestPlacer placer(Base::ZoneId("zone-a"), {}, 1);
+    std::vector<Dispatch::ListedServer> listed(servers);
+    for (std::size_t i = 0; i < servers; ++i) {
+        listed[i].server.id = Base::ServerId("i-" + std::to_string(i));
+        listed[i].server.service = Base::ServiceId("engine");
+        listed[i].server.zone = Base::ZoneId(i % 3 == 0 ? "zone-a" : "zone-b");
+        listed[i].server.slots = 16;
+        listed[i].version = Base::SoftwareVersion(i % 2 == 0 ? "v1" : "v2");
+    }
+    placer.serversChanged(listed);
+    const std::optional<Base::SoftwareVersion> version
+        = hasVersion ? std::optional(Base::SoftwareVersion("v1")) : std::nullopt;
+    Base::Random random(1);
+    const Clock::time_point start = Clock::now();
+    for (int i = 0; i < repetitions; ++i) {
+        const std::uint64_t prefix = random.below(prefixes);
+        const std::vector<Dispatch::PromptPart> prompt{{prefix, Base::Tokens(12'600)},
+                                                       {random.next(), Base::Tokens(840)}};
+        const auto placement
+            = placer.choose(Base::ServiceId("engine"), prompt, {}, at(i * 400), version);
+        placer.requestSent(placement->instance, prompt);
+        placer.requestEnded(placement->instance);
+    }
+    return microsecondsSince(start) / repetitions;
+}
+
+/// Mean cost of the decision on one permit of a limited server.
+double permitCost(std::size_t servers, std::size_t members)
+{
+    Admission::PermitPool pool(std::chrono::hours(1));
+    pool.setDaemonCount(members, at(0));
+    for (const Base::VmId &member : daemons(members)) {
+        pool.renewMembership(member, at(0));
+    }
+    std::vector<Base::ServerId> names;
+    for (std::size_t i = 0; i < servers; ++i) {
+        names.emplace_back("i-" + std::to_string(i));
+        pool.limitServer(names.back(), Base::RequestRate(5), at(0));
+    }
+    const Clock::time_point start = Clock::now();
+    for (int i = 0; i < repetitions; ++i) {
+        pool.admitToServer(names[static_cast<std::size_t>(i) % servers], {}, at(i * 400));
+    }
+    return microsecondsSince(start) / repetitions;
+}
+
+/// Mean cost of the choice of the daemons that keep the version of a stream.
+double rankCost(std::size_t count)
+{
+    const std::vector<Base::VmId> names = daemons(count);
+    Proxy::PeerRoster roster(names.front());
+    roster.setDaemons(names);
+    std::size_t chosen = 0;
+    const Clock::time_point start = Clock::now();
+    for (int i = 0; i < repetitions; ++i) {
+        chosen += roster.firstByRank(std::to_string(i), 3).size();
+    }
+    return chosen > 0 ? microsecondsSince(start) / repetitions : 0;
+}
+
+std::size_t sizeOf(const Proxy::PeerBody &body)
+{
+    return Proxy::encodePeerMessage({Base::VmId("front-zone-a-101"),
+                                     Base::ConfigVersion(40),
+                                     body,
+                                     Proxy::ListReport{70'000, 70'500, 2, std::chrono::seconds(1)}})
+        .size();
+}
+
+} // namespace
+
+int main()
+{
+    std::printf("placement: servers, prefixes, one version of two, microseconds\n");
+    for (const std::size_t servers : {12, 120, 600}) {
+        for (const bool hasVersion : {false, true}) {
+            std::printf("%6zu %6d %d %8.2f\n",
+                        servers,
+                        1000,
+                        hasVersion ? 1 : 0,
+                        placementCost(servers, 1000, hasVersion));
+        }
+    }
+    std::printf("permit of a limited server: servers, daemons, microseconds\n");
+    for (const std::size_t members : {7, 75, 340}) {
+        std::printf("%6d %6zu %8.2f\n", 600, members, permitCost(600, members));
+    }
+    std::printf("daemons that keep a stream's version: daemons, microseconds\n");
+    for (const std::size_t count : {7, 75, 340}) {
+        std::printf("%6zu %8.2f\n", count, rankCost(count));
+    }
+    const Proxy::RequestNumber number(1ULL << 60);
+    const Proxy::LimitReport report{{Base::ServerId("i-8d5e2cc404"), 1'790'000'000'123},
+                                    Base::RequestRate(6.5),
+                                    std::chrono::milliseconds(80)};
+    std::printf("datagrams: bytes\n");
+    std::printf("  stream notice           %zu\n",
+                sizeOf(Proxy::StreamNotice{"85a0980a851388fe", Base::SoftwareVersion("v1.1")}));
+    std::printf("  stream version request  %zu\n",
+                sizeOf(Proxy::StreamVersionRequest{number, "85a0980a851388fe"}));
+    std::printf("  permit request (server) %zu\n",
+                sizeOf(Proxy::ServerPermitRequest{number, report, {}}));
+    std::printf("  permit response         %zu\n", sizeOf(Proxy::PermitResponse{number, {}}));
+    std::printf("  limit report            %zu\n", sizeOf(report));
+    return 0;
+}
