--- /dev/null
+++ b/src/tools/marjoramctl/explaincommand.h
@@ -0,0 +1,6 @@
+#pragma once
+
+#include "commands.h"
+
+/// Adds the command that tells what happened to a request from the daemons' logs.
+void addExplainCommand(CLI::App &app, CommandContext &context);
--- a/src/tools/marjoramctl/main.cpp
+++ b/src/tools/marjoramctl/main.cpp
@@ -1,4 +1,5 @@
 #include "commands.h"
+#include "explaincommand.h"
 #include "historycommands.h"
 
 #include <rpc/tlsfactory.h>
@@ -77,6 +78,7 @@
         return *client;
     };
     addCommands(app, context);
+    addExplainCommand(app, context);
     addHistoryCommands(app, context);
     try {
         app.parse(argc, argv);
