--- a/src/libs/proxy/ratesharing.cpp
+++ b/src/libs/proxy/ratesharing.cpp
@@ -121,7 +121,7 @@
     requestPermit(std::make_shared<const PermitTask>(std::move(task)), 1);
 }
 
-void RateSharing::requestPermit(std::shared_ptr<const PermitTask> task, int attempt)
+void RateSharing::requestPermit(const std::shared_ptr<const PermitTask> &task, int attempt)
 {
     const Base::Instant now = now_();
     const Base::VmId coordinator = coordinatorOf(task->group);
--- a/src/libs/proxy/ratesharing.h
+++ b/src/libs/proxy/ratesharing.h
@@ -94,7 +94,7 @@
         Base::Instant sentAt;
     };
 
-    void requestPermit(std::shared_ptr<const PermitTask> task, int attempt);
+    void requestPermit(const std::shared_ptr<const PermitTask> &task, int attempt);
     void joinPools();
     void sendJoinRequest(const Base::VmId &coordinator, std::vector<TeamGroup> groups);
     void onPoolJoinResponse(const PoolJoinResponse &response, Base::Instant sentAt);
