--- a/tests/libs/proxy/peerfleet.h
+++ b/tests/libs/proxy/peerfleet.h
@@ -20,6 +20,7 @@
         : log_({.file = {}, .level = Telemetry::LogLevel::Error, .daemon = {}, .keyPrefixes = {}})
     {
         std::vector<PeerAddress> addresses;
+        addresses.reserve(static_cast<std::size_t>(size));
         for (int i = 0; i < size; ++i) {
             addresses.push_back({Base::VmId("vm-" + std::to_string(i)), freeEndpoint()});
         }
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -232,7 +232,7 @@
 }
 
 /// Each attempt to resume names the attempt that brought the first event.
-void SoakCaller::resume(ActiveRequest broken, int events)
+void SoakCaller::resume(const ActiveRequest &broken, int events)
 {
     ActiveRequest request;
     request.id = name_ + "-" + std::to_string(++lastRequest_);
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -55,7 +55,7 @@
     void startProgram();
     void startRequest();
     void send(ActiveRequest request);
-    void resume(ActiveRequest broken, int events);
+    void resume(const ActiveRequest &broken, int events);
     std::string serialize(const ActiveRequest &request, const Attempt &attempt);
     void onConnected(const std::string &problem, const std::string &bytes);
     void transmit(const std::string &bytes);
