Soak: an action that is due at the end of a period is not dropped

runFor() removed timers that had expired, also those whose handlers had not run yet, so that a paused process could stay paused or a fault uncleared. A timer now lives until its handler has run.

--- a/tests/soak/soakenvironment.cpp
+++ b/tests/soak/soakenvironment.cpp
@@ -271,8 +271,8 @@
 
 void SoakEnvironment::schedule(Milliseconds delay, std::function<void()> action)
 {
-    timers_.push_back(std::make_unique<asio::steady_timer>(context_, delay));
-    timers_.back()->async_wait([action = std::move(action)](const std::error_code &error) {
+    const auto timer = std::make_shared<asio::steady_timer>(context_, delay);
+    timer->async_wait([timer, action = std::move(action)](const std::error_code &error) {
         if (!error) {
             action();
         }
@@ -652,9 +652,6 @@
 void SoakEnvironment::runFor(Milliseconds duration)
 {
     context_.run_for(duration);
-    std::erase_if(timers_, [](const auto &timer) {
-        return timer->expiry() < asio::steady_timer::clock_type::now();
-    });
 }
 
 void SoakEnvironment::checkRecovery()
--- a/tests/soak/soakenvironment.h
+++ b/tests/soak/soakenvironment.h
@@ -126,7 +126,6 @@
     std::vector<std::unique_ptr<BackendStub>> backends_;
     std::vector<std::shared_ptr<SoakCaller>> callers_;
     std::vector<Team> teams_;
-    std::vector<std::unique_ptr<asio::steady_timer>> timers_;
     std::uint64_t version_ = 0;
     int keyNumber_ = 0;
     int faults_ = 0;
