--- a/src/libs/proxy/requestlimitsharing.cpp
+++ b/src/libs/proxy/requestlimitsharing.cpp
@@ -157,4 +157,16 @@
     }
 }
 
+LimitControls limitControls(RequestLimitSharing &sharing)
+{
+    LimitControls controls;
+    controls.stated = [&sharing](const auto &statement) { sharing.stated(statement); };
+    controls.isLimited = [&sharing](const auto &instance) { return sharing.isLimited(instance); };
+    controls.takePermit = [&sharing](const auto &instance, const auto &terms, auto callback) {
+        sharing.acquire(instance, terms, std::move(callback));
+    };
+    controls.returnPermit = [&sharing](const auto &instance) { sharing.refund(instance.id); };
+    return controls;
+}
+
 } // namespace Proxy
--- a/src/libs/proxy/requestlimitsharing.h
+++ b/src/libs/proxy/requestlimitsharing.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "passthrough.h"
 #include "ratesharing.h"
 
 #include <dispatch/requestlimits.h>
@@ -54,4 +55,7 @@
     Dispatch::RequestLimits limits_;
 };
 
+/// The controls through which requests use the limits; \a sharing must outlive them.
+LimitControls limitControls(RequestLimitSharing &sharing);
+
 } // namespace Proxy
--- a/src/libs/proxy/streamversionsharing.cpp
+++ b/src/libs/proxy/streamversionsharing.cpp
@@ -83,4 +83,16 @@
     }
 }
 
+StreamControls streamControls(StreamVersionSharing &sharing)
+{
+    StreamControls controls;
+    controls.began = [&sharing](const auto &attempt, const Base::SoftwareVersion &version) {
+        sharing.streamBegan(attempt, version);
+    };
+    controls.find = [&sharing](const auto &attempt, auto callback) {
+        sharing.find(attempt, std::move(callback));
+    };
+    return controls;
+}
+
 } // namespace Proxy
--- a/src/libs/proxy/streamversionsharing.h
+++ b/src/libs/proxy/streamversionsharing.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "passthrough.h"
 #include "peerlink.h"
 
 #include <dispatch/streamversions.h>
@@ -37,4 +38,7 @@
     Dispatch::StreamVersions streams_;
 };
 
+/// The controls through which requests use the versions; \a sharing must outlive them.
+StreamControls streamControls(StreamVersionSharing &sharing);
+
 } // namespace Proxy
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -145,8 +145,8 @@
         , first(context_)
         , second(context_)
     {
-        passThrough_.setLimits(limitControls());
-        passThrough_.setStreams(streamControls());
+        passThrough_.setLimits(limitControls(limits_));
+        passThrough_.setStreams(streamControls(streams_));
         accept();
         caller_.connect(acceptor_.local_endpoint());
         readCaller();
@@ -240,30 +240,6 @@
 
     static Base::VmId vm() { return Base::VmId("vm-1"); }
 
-    LimitControls limitControls()
-    {
-        LimitControls result;
-        result.stated = [this](const auto &statement) { limits_.stated(statement); };
-        result.isLimited = [this](const auto &instance) { return limits_.isLimited(instance); };
-        result.takePermit = [this](const auto &instance, const auto &terms, auto callback) {
-            limits_.acquire(instance, terms, std::move(callback));
-        };
-        result.returnPermit = [this](const auto &instance) { limits_.refund(instance.id); };
-        return result;
-    }
-
-    StreamControls streamControls()
-    {
-        StreamControls result;
-        result.began = [this](const auto &attempt, const Base::SoftwareVersion &version) {
-            streams_.streamBegan(attempt, version);
-        };
-        result.find = [this](const auto &attempt, auto callback) {
-            streams_.find(attempt, std::move(callback));
-        };
-        return result;
-    }
-
     static Dispatch::ListedServer listed(const std::string &id, const ScriptedServer &server)
     {
         Dispatch::ListedServer result;
