Tests: addresses of their own instead of ports that others may take

The fixtures asked the system for a port, closed it and bound it again later; in between, the system may assign the same port to any connection of another test. The same held for the datagram ports of tst_proxy.

Each test process now uses a loopback address of its own, by its process id, and ports below those that the system assigns, so no other socket can hold them.

--- a/tests/libs/proxy/peerfleet.h
+++ b/tests/libs/proxy/peerfleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <libs/loopback.h>
 #include <proxy/requestlimitsharing.h>
 #include <proxy/steadyclock.h>
 #include <proxy/streamversionsharing.h>
@@ -22,7 +23,8 @@
         std::vector<PeerAddress> addresses;
         addresses.reserve(static_cast<std::size_t>(size));
         for (int i = 0; i < size; ++i) {
-            addresses.push_back({Base::VmId("vm-" + std::to_string(i)), freeEndpoint()});
+            addresses.push_back(
+                {Base::VmId("vm-" + std::to_string(i)), freeEndpoint<asio::ip::udp>()});
         }
         for (const PeerAddress &address : addresses) {
             daemons_.push_back(std::make_unique<Daemon>(*this, address));
@@ -90,13 +92,6 @@
         bool isLost = false;
     };
 
-    asio::ip::udp::endpoint freeEndpoint()
-    {
-        asio::ip::udp::socket socket(context_,
-                                     asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
-        return socket.local_endpoint();
-    }
-
     asio::io_context context_;
     Telemetry::Log log_;
     Telemetry::Metrics metrics_;
--- a/tests/libs/proxy/tst_turnadmission.cpp
+++ b/tests/libs/proxy/tst_turnadmission.cpp
@@ -1,3 +1,4 @@
+#include <libs/loopback.h>
 #include <proxy/steadyclock.h>
 #include <proxy/turnadmission.h>
 
@@ -14,20 +15,14 @@
 const Base::VmId self("a");
 const Base::VmId other("b");
 
-asio::ip::udp::endpoint freePort(asio::io_context &context)
-{
-    const asio::ip::udp::socket socket(context, {asio::ip::address_v4::loopback(), 0});
-    return socket.local_endpoint();
-}
-
 /// The admission of one daemon, a second daemon as a scripted coordinator, and a store that accepts
 /// every write.
 class Fixture
 {
 public:
     Fixture()
-        : ownAddress_(freePort(context_))
-        , otherAddress_(freePort(context_))
+        : ownAddress_(freeEndpoint<asio::ip::udp>())
+        , otherAddress_(freeEndpoint<asio::ip::udp>())
         , own_(context_, self, ownAddress_, log(), metrics_, 1, &steadyNow)
         , coordinator_(context_, other, otherAddress_, log(), metrics_, 2, &steadyNow)
         , turns_(
--- a/tests/libs/turnstore/storefixture.cpp
+++ b/tests/libs/turnstore/storefixture.cpp
@@ -1,5 +1,6 @@
 #include "storefixture.h"
 
+#include <libs/loopback.h>
 #include <proxy/steadyclock.h>
 
 #include <criterion/criterion.h>
@@ -14,14 +15,6 @@
 
 constexpr auto guardTime = std::chrono::seconds(20);
 
-/// A port that no process uses, as told by the system.
-asio::ip::tcp::endpoint freeEndpoint(asio::io_context &context)
-{
-    asio::ip::tcp::acceptor acceptor(context,
-                                     asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return acceptor.local_endpoint();
-}
-
 } // namespace
 
 TemporaryFolder::TemporaryFolder()
@@ -65,7 +58,7 @@
         Node node;
         node.address.holder
             = {Base::VmId("vm" + std::to_string(i)), Base::ZoneId(std::to_string(i))};
-        node.address.endpoint = freeEndpoint(context);
+        node.address.endpoint = freeEndpoint<asio::ip::tcp>();
         nodes_.push_back(std::move(node));
     }
     for (std::size_t i = 0; i < holders; ++i) {
