A deadline that passes before a request is sent counts against no server

What callers saw: a server that limits its requests, or a slow disk of kept turns, made sound servers look failing for some seconds; placement then avoided them. It now counts only while an attempt has a connection.

Test: aDeadlineBeforeTheRequestIsSentCountsAgainstNoServer failed before in six runs of six (the next request went to another availability zone) and passes in four of four.

--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -364,7 +364,7 @@
 
 void Exchange::onDeadline()
 {
-    if (placement_) {
+    if (connection_) {
         owner_.placer_.requestFailed(placement_->instance, now());
     }
     if (isHeadForwarded_) {
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -163,6 +163,14 @@
         passThrough_.serversChanged(servers);
     }
 
+    /// Lists both servers; the second one is in another availability zone than the proxy.
+    void listSecondElsewhere()
+    {
+        std::vector<Dispatch::ListedServer> servers{listed("one", first), listed("two", second)};
+        servers.back().server.zone = Base::ZoneId("elsewhere");
+        passThrough_.serversChanged(servers);
+    }
+
     /// Lists both servers with the given software versions; a server without one is not listed.
     void listVersions(const std::string &versionOfFirst, const std::string &versionOfSecond)
     {
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -301,6 +301,31 @@
     cr_assert_eq(requestCount(fixture), 1);
 }
 
+/// Guards against a server that is avoided because a request waited for its permit until the
+/// deadline.
+Test(passthrough, aDeadlineBeforeTheRequestIsSentCountsAgainstNoServer)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    bool isLimited = true;
+    LimitControls limits;
+    limits.stated = [](const auto &) {};
+    limits.isLimited = [&](const auto &) { return isLimited; };
+    limits.takePermit = [](const auto &, const auto &, const auto &) {};
+    limits.returnPermit = [](const auto &) {};
+    fixture.passThrough().setLimits(limits);
+    fixture.request("/safe/", "r1", "Timeout-Ms: 20\r\n");
+    fixture.awaitResponse("HTTP/1.1 503");
+    isLimited = false;
+    fixture.listSecondElsewhere();
+    fixture.first.add({{okResponse}});
+    fixture.second.add({{okResponse}});
+    fixture.request("/safe/", "r2");
+    fixture.awaitResponse("Request-Id: r2\r\n");
+    cr_assert_eq(fixture.first.requests().size(), 1);
+}
+
 /// The limit belongs to the server that now uses the address.
 Test(passthrough, ignoresTheLimitOfAnotherServerAtTheAddress)
 {
