Log the calls to the platform's store by kind and status, one line per daemon and ten seconds

The line costs nothing while a daemon makes no calls. Test: callsummary::countsCallsByKindAndStatusOncePerInterval.

--- a/tests/platform/tst_platformadapter.cpp
+++ b/tests/platform/tst_platformadapter.cpp
@@ -1,3 +1,4 @@
+#include <platform/callsummary.h>
 #include <platform/documents.h>
 #include <platform/headers.h>
 #include <platform/nodesettings.h>
@@ -351,3 +352,15 @@
     head.status = 421;
     cr_assert(headerTranslator().readResponse(head).isWrongServer);
 }
+
+Test(callsummary, countsCallsByKindAndStatusOncePerInterval)
+{
+    const auto at = [](int seconds) { return Base::Instant(std::chrono::seconds(seconds)); };
+    CallSummary summary(at(0));
+    cr_assert(!summary.add("GET servers", 200, at(1)));
+    cr_assert(!summary.add("PUT daemons", 409, at(2)));
+    const auto first = summary.add("GET servers", 200, at(10));
+    cr_assert(first == "GET servers 200: 2, PUT daemons 409: 1");
+    cr_assert(!summary.add("GET servers", 0, at(19)));
+    cr_assert(summary.add("GET servers", 0, at(20)) == "GET servers 0: 2");
+}
