Allocations of a coordinator that the store rejects are written by one daemon for each group

Cause: a coordinator that cannot write passed each allocation to another daemon, drawn by the hash of the write. All allocations of a group are one object, so the writes of many daemons to it conflicted, each conflict was tried again at once, and the calls grew with the square of the daemons that wrote.

Change: the daemon that writes follows from the group; allocations of one group meet there and go out together. The one that wrote last is asked first, the next by rank if it does not reach the store.

--- a/src/libs/proxy/turnadmission.cpp
+++ b/src/libs/proxy/turnadmission.cpp
@@ -282,14 +282,17 @@
     });
 }
 
+/// All allocations of a group go to the same daemon, as writes of several daemons to one object
+/// conflict. The next one is asked if it does not reach the store either.
 void TurnAdmission::relayAllocation(const Programs::WriteAllocation &allocation, int attempt)
 {
-    const std::string key = allocation.writeId.text() + std::to_string(attempt);
-    const Base::VmId peer = peers_.roster().coordinatorFor(key, now_());
     if (attempt > maxRelayAttempts) {
         allocationAnswered(allocation.program, Programs::AllocationUnanswered{});
         return;
     }
+    const Programs::AllocationGroup group = groups_.groupOf(allocation.program);
+    const int rank = (lastRelay_[group] + attempt - 1) % maxRelayAttempts;
+    const Base::VmId peer = relayOf(group, rank);
     if (peer == self_) {
         relayAllocation(allocation, attempt + 1);
         return;
@@ -302,6 +305,7 @@
                 = response
                   && !std::holds_alternative<Programs::AllocationUnanswered>(response->outcome);
             if (isAnswered) {
+                lastRelay_[group] = rank;
                 allocationAnswered(allocation.program, response->outcome);
             } else {
                 relayAllocation(allocation, attempt + 1);
@@ -309,6 +313,12 @@
         });
 }
 
+Base::VmId TurnAdmission::relayOf(Programs::AllocationGroup group, int rank) const
+{
+    const std::string key = "relays/" + std::to_string(group.value()) + "/" + std::to_string(rank);
+    return peers_.roster().coordinatorFor(key, now_());
+}
+
 void TurnAdmission::onAllocationRelay(const Base::VmId &sender,
                                       const AllocationRelayRequest &request)
 {
--- a/src/libs/proxy/turnadmission.h
+++ b/src/libs/proxy/turnadmission.h
@@ -67,6 +67,7 @@
     void deliverVerdict(const Programs::AnswerTurn &answer);
     void writeAllocation(const Programs::WriteAllocation &allocation);
     void relayAllocation(const Programs::WriteAllocation &allocation, int attempt);
+    Base::VmId relayOf(Programs::AllocationGroup group, int rank) const;
     void allocationAnswered(const Base::ProgramId &program,
                             const Programs::AllocationOutcome &outcome);
     void armTimer();
@@ -90,6 +91,8 @@
     std::function<bool()> hasMajority_;
     /// Set while the store does not respond to this daemon: allocations are relayed first.
     std::optional<Base::Instant> relayUntil_;
+    /// Rank of the daemon that last wrote for this one.
+    std::map<Programs::AllocationGroup, int> lastRelay_;
     std::unordered_map<Programs::ReservationId, VerdictCallback> callbacks_;
     /// Requests of other daemons in progress; retransmissions of them are ignored.
     std::set<std::pair<Base::VmId, RequestNumber>> activeRequests_;
