One daemon reads the list of servers for all while the store rejects its readers

Cause: the first two coordinators of rates read the list for all.

Sixteen more daemons follow in an order, 20 ms apart, and hear of each read at once.

Ruled out: longer ages for the others (everyRankReadsWithinTheBound and forwardedReportsDoNotReduceTheAge hold them to 1.3 s).

--- a/src/libs/proxy/sharedlist.cpp
+++ b/src/libs/proxy/sharedlist.cpp
@@ -10,27 +10,26 @@
 /// A server must get no new requests later than 2 s after its entry is marked as leaving. That time
 /// covers the age of the last rank, a read that is retried once, and the transfer to the other
 /// daemons.
-constexpr Base::Duration firstReaderMaxAge = std::chrono::milliseconds(800);
+constexpr Base::Duration firstReaderMaxAge = std::chrono::milliseconds(700);
 constexpr Base::Duration secondReaderMaxAge = std::chrono::milliseconds(1000);
-constexpr Base::Duration otherMaxAge = std::chrono::milliseconds(1300);
+
+/// Time for a read and a notice to all others, so that few of them read at once.
+constexpr Base::Duration standbyInterval = std::chrono::milliseconds(20);
 
 Base::Duration maxAge(ReaderRank rank)
 {
-    switch (rank) {
-    case ReaderRank::First:
+    if (rank == firstReader) {
         return firstReaderMaxAge;
-    case ReaderRank::Second:
-        return secondReaderMaxAge;
-    case ReaderRank::Other:
-        break;
     }
-    return otherMaxAge;
+    const ReaderRank position = std::min(rank, lastReader);
+    return secondReaderMaxAge + (position.value() - secondReader.value()) * standbyInterval;
 }
 
 } // namespace
 
 void SharedList::read(std::uint64_t revision, bool isChanged, Base::Instant now)
 {
+    isActingReader_ = changedAt_ != 0;
     if (isChanged || changedAt_ == 0) {
         changedAt_ = revision;
     }
@@ -53,6 +52,7 @@
     if (!isLaterRead) {
         return ReportOutcome::NothingNew;
     }
+    isActingReader_ = false;
     confirmedAt_ = report.confirmedAt;
     reads_ = report.reads;
     asOf_ = std::max(asOf_, now - report.age);
@@ -61,6 +61,7 @@
 
 void SharedList::fetched(const ListReport &report, Base::Instant now)
 {
+    isActingReader_ = false;
     changedAt_ = report.changedAt;
     confirmedAt_ = std::max(report.changedAt, report.confirmedAt);
     reads_ = report.reads;
@@ -78,7 +79,7 @@
 
 Base::Instant SharedList::nextRead(ReaderRank rank) const
 {
-    return asOf_ + maxAge(rank);
+    return asOf_ + maxAge(isActingReader_ ? firstReader : rank);
 }
 
 } // namespace Proxy
--- a/src/libs/proxy/sharedlist.h
+++ b/src/libs/proxy/sharedlist.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/instant.h>
+#include <base/strongtype.h>
 
 #include <cstdint>
 #include <optional>
@@ -22,16 +23,19 @@
     bool operator==(const ListReport &) const = default;
 };
 
-/// Order in which daemons read the list for the others.
-enum class ReaderRank {
-    First,
-    Second,
-    Other
-};
+/// Position of a daemon in the order in which they read the list for all others; 0 reads first.
+using ReaderRank = Base::StrongNumber<struct ReaderRankTag, std::uint32_t>;
+
+inline constexpr ReaderRank firstReader(0);
+inline constexpr ReaderRank secondReader(1);
+/// Rank of all daemons that are not among the first in the order.
+inline constexpr ReaderRank lastReader(16);
 
 /// Age of a list that some daemons read from the store and all others fetch from them. A daemon
 /// reads the list itself only if its copy is older than its rank allows. So the calls of the first
-/// reader serve the fleet, and the loss of any reader delays updates by a fraction of a second.
+/// reader serve the fleet, and the loss of any reader delays updates by a fraction of a second. A
+/// daemon that had to read in place of those before it stays the reader until another read confirms
+/// the list: the store may reject the others for long.
 class SharedList
 {
 public:
@@ -55,6 +59,8 @@
     /// The time at which a daemon of the rank reads the list.
     Base::Instant nextRead(ReaderRank rank) const;
     std::uint64_t changedAt() const { return changedAt_; }
+    /// Whether this daemon reads in place of those before it in the order.
+    bool isActingReader() const { return isActingReader_; }
     /// The time at which the list was last known to be current.
     Base::Instant asOf() const { return asOf_; }
 
@@ -63,6 +69,7 @@
     std::uint64_t confirmedAt_ = 0;
     std::uint64_t reads_ = 0;
     Base::Instant asOf_;
+    bool isActingReader_ = false;
 };
 
 } // namespace Proxy
--- a/tests/platform/tst_feeds.cpp
+++ b/tests/platform/tst_feeds.cpp
@@ -68,8 +68,7 @@
     ServerFeedCallbacks callbacks()
     {
         ServerFeedCallbacks result;
-        result.readerRank
-            = [this] { return isReader ? Proxy::ReaderRank::First : Proxy::ReaderRank::Other; };
+        result.readerRank = [this] { return isReader ? Proxy::firstReader : Proxy::lastReader; };
         result.verifyConfiguration
             = [this](auto done) { configuration.verifyCurrent(std::move(done)); };
         result.onListRead = [this](bool) { ++listReads; };
