A fleet starts with reads that may be stale, and large fleets read the list of daemons less often

Cause: at the first start each of 259 daemons takes itself for the first reader until it knows the others: it polls the configuration that the operator has not written yet (986 calls), reads and watches it (646), reads the list of servers until a reader confirms it (608) and the list of daemons in full. Later each reads the list of daemons every 2 s, whatever their number.

Change: at the first start of the fleet, when there is nothing older to read, first reads may be stale (a tenth of the price), nobody counts as a reader before the daemons have listed each other (2.5 s), and lists are confirmed by the readers' reports. Restarts read current documents as before. The interval between reads of the list of daemons is 25 ms for each daemon, 2 s at least; a message from a daemon that is not listed leads to a read within a second.

Tests: aDaemonOfAFleetThatStartsReadsCheaply, readsTheListLessOftenInALargeFleet, readsTheListOnceADaemonIsHeardThatItLacks (it failed first: a message during a read was forgotten); without the change the first one needs a current read for each.

--- a/src/libs/proxy/peerlink.cpp
+++ b/src/libs/proxy/peerlink.cpp
@@ -171,6 +171,9 @@
     const std::optional<PeerMessage> message = decodePeerMessage(bytes);
     const bool isKnown = message && endpoints_.contains(message->sender);
     if (!isKnown) {
+        if (message && onUnknownSender_) {
+            onUnknownSender_();
+        }
         metrics_
             .counter("marjoram_peer_unusable_total",
                      "Datagrams that cannot be decoded or whose sender is unknown")
--- a/src/libs/proxy/peerlink.h
+++ b/src/libs/proxy/peerlink.h
@@ -54,6 +54,8 @@
     using ReportCallback = std::function<void(
         const Base::VmId &, Base::ConfigVersion, const std::optional<ListReport> &)>;
     void onReport(ReportCallback callback) { onReport_ = std::move(callback); }
+    /// Called for each message of a daemon that is not among those of setDaemons().
+    void onUnknownSender(std::function<void()> callback) { onUnknownSender_ = std::move(callback); }
     /// Sends messages that carry only the routing version and the server list report.
     void notify(const std::vector<Base::VmId> &peers);
     void notifyAll();
@@ -115,6 +117,7 @@
     Base::Instant lastReceivedAt_;
     std::function<std::optional<ListReport>()> listReporter_;
     ReportCallback onReport_;
+    std::function<void()> onUnknownSender_;
     RequestHandler onRequest_;
 };
 
--- a/src/libs/proxy/sharedlist.cpp
+++ b/src/libs/proxy/sharedlist.cpp
@@ -16,6 +16,8 @@
 /// Time for a read and a notice to all others, so that few of them read at once.
 constexpr Base::Duration standbyInterval = std::chrono::milliseconds(20);
 
+} // namespace
+
 Base::Duration maxAge(ReaderRank rank)
 {
     if (rank == firstReader) {
@@ -25,8 +27,6 @@
     return secondReaderMaxAge + (position.value() - secondReader.value()) * standbyInterval;
 }
 
-} // namespace
-
 void SharedList::read(std::uint64_t revision, bool isChanged, Base::Instant now)
 {
     isActingReader_ = changedAt_ != 0;
--- a/src/libs/proxy/sharedlist.h
+++ b/src/libs/proxy/sharedlist.h
@@ -31,6 +31,9 @@
 /// Rank of all daemons that are not among the first in the order.
 inline constexpr ReaderRank lastReader(16);
 
+/// Age of the list at which a daemon of that rank reads it.
+Base::Duration maxAge(ReaderRank rank);
+
 /// Age of a list that some daemons read from the store and all others fetch from them. A daemon
 /// reads the list itself only if its copy is older than its rank allows. So the calls of the first
 /// reader serve the fleet, and the loss of any reader delays updates by a fraction of a second. A
--- a/tests/platform/platformstore.cpp
+++ b/tests/platform/platformstore.cpp
@@ -56,6 +56,9 @@
 void PlatformStore::onRequest(const Caller &caller, const Proxy::CallerRequest &request)
 {
     ++calls_;
+    if (request.head.target.find("allow_stale=1") == std::string::npos) {
+        ++currentCalls_;
+    }
     if (refusalStatus_ != 0) {
         respond(caller, refusalStatus_, json::object());
         return;
--- a/tests/platform/platformstore.h
+++ b/tests/platform/platformstore.h
@@ -34,6 +34,8 @@
     void setPageSize(std::size_t size) { pageSize_ = size; }
 
     int calls() const { return calls_; }
+    /// Calls whose response may not be stale; the others cost a tenth.
+    int currentCalls() const { return currentCalls_; }
 
 private:
     using Caller = std::shared_ptr<Proxy::CallerConnection>;
@@ -73,4 +75,5 @@
     int refusalStatus_ = 0;
     bool dropsNextResponse_ = false;
     int calls_ = 0;
+    int currentCalls_ = 0;
 };
--- a/tests/platform/tst_feeds.cpp
+++ b/tests/platform/tst_feeds.cpp
@@ -128,7 +128,7 @@
 {
     Fixture fixture;
     fixture.platform.put("config", "main", routing(3));
-    fixture.configuration.start();
+    fixture.configuration.start(false);
     fixture.waitForVersion(3);
     fixture.platform.put("config", "main", routing(8));
     fixture.waitForVersion(8);
@@ -141,7 +141,7 @@
 {
     Fixture fixture;
     fixture.platform.put("config", "main", routing(8));
-    fixture.configuration.start();
+    fixture.configuration.start(false);
     fixture.waitForVersion(8);
     fixture.platform.put("config", "main", routing(7));
     fixture.platform.put("config", "main", {{"version", "text"}});
@@ -153,7 +153,7 @@
 Test(feeds, retriesUntilAConfigurationExists)
 {
     Fixture fixture;
-    fixture.configuration.start();
+    fixture.configuration.start(false);
     fixture.runUntil([&] { return fixture.platform.calls() >= 2; }, "a second read");
     fixture.platform.put("config", "main", routing(1));
     fixture.waitForVersion(1);
@@ -167,7 +167,7 @@
         fixture.platform.put("servers", name, server("ready"));
     }
     fixture.platform.put("servers", "i-6", {{"service", 5}});
-    fixture.servers.start();
+    fixture.servers.start(false);
     fixture.runUntil([&] { return fixture.listed.size() == 5; }, "five servers");
     fixture.platform.put("servers", "i-3", server("draining"));
     fixture.platform.erase("servers", "i-1");
@@ -179,7 +179,7 @@
 {
     Fixture fixture;
     fixture.platform.put("servers", "i-1", server("ready"));
-    fixture.servers.start();
+    fixture.servers.start(false);
     fixture.runUntil([&] { return fixture.listed.size() == 1; }, "a server");
     fixture.platform.refuseWith(503);
     fixture.runUntil([&] { return !fixture.store.isReachable(); }, "the store to be unavailable");
@@ -199,8 +199,8 @@
     fixture.isReader = false;
     fixture.platform.put("config", "main", routing(3));
     fixture.platform.put("servers", "i-1", server("ready"));
-    fixture.configuration.start();
-    fixture.servers.start();
+    fixture.configuration.start(false);
+    fixture.servers.start(false);
     fixture.waitForVersion(3);
     fixture.runUntil([&] { return fixture.listed.size() == 1; }, "a server");
     fixture.platform.put("config", "main", routing(5));
@@ -218,8 +218,8 @@
     fixture.isReader = false;
     fixture.platform.put("config", "main", routing(3));
     fixture.platform.put("servers", "i-1", server("ready"));
-    fixture.configuration.start();
-    fixture.servers.start();
+    fixture.configuration.start(false);
+    fixture.servers.start(false);
     fixture.runUntil([&] { return fixture.listReads > 0; }, "the first read");
     const int before = fixture.platform.calls();
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
@@ -236,6 +236,32 @@
     fixture.runUntil([&] { return fixture.platform.calls() > before; }, "a read without reports");
 }
 
+/// Guards against the herd at the start of a fleet: 3,361 calls by 259 daemons before the first
+/// request, 13 each.
+Test(feeds, aDaemonOfAFleetThatStartsReadsCheaply)
+{
+    Fixture fixture;
+    fixture.isReader = false;
+    fixture.platform.put("servers", "i-1", server("ready"));
+    DaemonDirectory directory(fixture.context,
+                              fixture.store,
+                              {Base::VmId("a"), "10.0.0.1:7", Base::ZoneId("z")},
+                              Fixture::log(),
+                              [](const auto &) {});
+    directory.start(true);
+    fixture.configuration.start(true);
+    fixture.servers.start(true);
+    fixture.runUntil([&] { return fixture.platform.calls() >= 6; }, "reads without a result");
+    fixture.platform.put("config", "main", routing(3));
+    fixture.waitForVersion(3);
+    cr_assert_eq(fixture.listed.size(), 1);
+    cr_assert(directory.isRead());
+    cr_assert_eq(fixture.platform.currentCalls(), 1, "the registration only");
+    fixture.platform.put("servers", "i-2", server("ready"));
+    fixture.runUntil([&] { return fixture.listed.size() == 2; },
+                     "a read of its own, as no reader confirms the list");
+}
+
 Test(allocationwriter, writesOnlyOnTheExpectedRevision)
 {
     Fixture fixture;
@@ -267,7 +293,7 @@
     cr_assert(std::holds_alternative<Programs::GroupUnanswered>(fixture.write(first)),
               "no call to a store that is known to be unavailable");
     cr_assert_eq(fixture.platform.calls(), 1);
-    fixture.servers.start();
+    fixture.servers.start(false);
     fixture.runUntil([&] { return fixture.store.isReachable(); },
                      "a reader to reach the store again");
     const auto conflict = std::get<Programs::GroupConflict>(fixture.write(first));
@@ -285,7 +311,7 @@
                               {Base::VmId("a"), "10.0.0.1:7", Base::ZoneId("z")},
                               Fixture::log(),
                               [&](const auto &daemons) { found = daemons; });
-    directory.start();
+    directory.start(false);
     fixture.runUntil([&] { return found.size() == 2; }, "both daemons");
     cr_assert_eq(fixture.platform.spec("daemons", "a")["address"], "10.0.0.1:7");
 }
@@ -303,7 +329,7 @@
         [](const auto &) {});
     std::optional<bool> isFirst;
     directory.onRegistration([&](bool first) { isFirst = first; });
-    directory.start();
+    directory.start(false);
     fixture.runUntil([&] { return directory.daemons().size() == 2; }, "both daemons");
     cr_assert(isFirst == true);
     cr_assert_eq(turnHolders(directory.daemons()).size(), 2);
@@ -323,12 +349,12 @@
     DaemonDirectory first(
         fixture.context, fixture.store, self, Fixture::log(), [](const auto &) {});
     cr_assert(!first.document());
-    first.start();
+    first.start(false);
     fixture.runUntil([&] { return first.isRead(); }, "the list");
     fixture.platform.refuseWith(503);
     DaemonDirectory second(
         fixture.context, fixture.store, self, Fixture::log(), [](const auto &) {});
-    second.start();
+    second.start(false);
     for (const char *useless : {"", "5", "[]", "{\"c\": 5}"}) {
         second.applyDocument(useless);
         cr_assert_leq(second.daemons().size(), 1);
@@ -343,6 +369,41 @@
     cr_assert_eq(second.daemons().size(), 3);
 }
 
+/// At the target of 340 daemons, each reads less than the 8 KB/s that all its control may take.
+Test(daemondirectory, readsTheListLessOftenInALargeFleet)
+{
+    constexpr double bytesPerDaemon = 120;
+    for (const std::size_t daemons : {10U, 75U, 340U, 1000U}) {
+        const double seconds = Base::toSeconds(daemonListInterval(daemons));
+        cr_assert_leq(static_cast<double>(daemons) * bytesPerDaemon / seconds, 8000);
+        cr_assert_geq(seconds, 2);
+    }
+}
+
+/// Guards against a new daemon that is not known until the next read.
+Test(daemondirectory, readsTheListOnceADaemonIsHeardThatItLacks)
+{
+    constexpr int fleet = 600; // its interval is longer than the guard time
+    Fixture fixture;
+    for (int i = 0; i < fleet; ++i) {
+        fixture.platform.put(
+            "daemons", "d" + std::to_string(i), {{"address", "10.0.0.2:7"}, {"zone", "z"}});
+    }
+    DaemonDirectory directory(fixture.context,
+                              fixture.store,
+                              {Base::VmId("d0"), "10.0.0.2:7", Base::ZoneId("z")},
+                              Fixture::log(),
+                              [](const auto &) {});
+    directory.start(false);
+    fixture.runUntil([&] { return directory.daemons().size() == fleet; }, "the fleet");
+    const int before = fixture.platform.calls();
+    fixture.runUntil([&] { return fixture.platform.calls() > before + 1; },
+                     "the read after a change, of two pages");
+    fixture.platform.put("daemons", "new", {{"address", "10.0.0.3:7"}, {"zone", "z"}});
+    directory.expectNewDaemon();
+    fixture.runUntil([&] { return directory.daemons().size() == fleet + 1; }, "the new daemon");
+}
+
 Test(daemondirectory, knowsThatItWasRegisteredBefore)
 {
     Fixture fixture;
@@ -354,7 +415,7 @@
                               [](const auto &) {});
     std::optional<bool> isFirst;
     directory.onRegistration([&](bool first) { isFirst = first; });
-    directory.start();
+    directory.start(false);
     fixture.runUntil([&] { return isFirst.has_value(); }, "the registration");
     cr_assert(isFirst == false);
 }
