Readers pass news on to their parts of the fleet

What callers saw: after a change of the servers or of the configuration daemons of a large fleet learned of it late and read the store themselves.

Cause: the daemon that read a change told all others at once, and all fetched the document from it: 258 copies of some 25 KB, two seconds on a link of 30 Mbit/s and as much processor time of 0.12 core. Fetches timed out after 300 ms, lists grew old.

Test: eachReaderPassesNewsToItsPart, 340 daemons: all reached once, nobody sends to more than twice the mean.

--- a/src/libs/proxy/peerroster.cpp
+++ b/src/libs/proxy/peerroster.cpp
@@ -74,6 +74,20 @@
     return first;
 }
 
+std::vector<Base::VmId> PeerRoster::partOf(const std::vector<Base::VmId> &group,
+                                           const Base::VmId &member) const
+{
+    std::vector<Base::VmId> part;
+    const auto position = std::find(group.begin(), group.end(), member) - group.begin();
+    for (const auto &[vm, peer] : peers_) {
+        const bool isOwn = peer.hash % group.size() == static_cast<std::uint64_t>(position);
+        if (isOwn && std::find(group.begin(), group.end(), vm) == group.end()) {
+            part.push_back(vm);
+        }
+    }
+    return part;
+}
+
 void PeerRoster::recordResponse(const Base::VmId &peer)
 {
     if (const auto entry = peers_.find(peer); entry != peers_.end()) {
--- a/src/libs/proxy/peerroster.h
+++ b/src/libs/proxy/peerroster.h
@@ -43,6 +43,11 @@
     /// The first daemons by rank for the key, whether they respond or not.
     std::vector<Base::VmId> firstByRank(std::string_view key, std::size_t count) const;
 
+    /// The daemons outside of \a group that \a member of the group is responsible for; empty for
+    /// daemons that are no members.
+    std::vector<Base::VmId> partOf(const std::vector<Base::VmId> &group,
+                                   const Base::VmId &member) const;
+
     void recordResponse(const Base::VmId &peer);
     void recordTimeout(const Base::VmId &peer, Base::Instant now);
     bool isSuspect(const Base::VmId &peer, Base::Instant now) const;
--- a/tests/libs/proxy/tst_peers.cpp
+++ b/tests/libs/proxy/tst_peers.cpp
@@ -162,3 +162,27 @@
     roster.recordResponse(daemons[1]);
     cr_assert(roster.coordinatorFor(key, at(1020)) == daemons[1]);
 }
+
+/// Guards against a daemon that sends a document to the whole fleet: a list of 25 KB to 258 others
+/// takes two seconds on a link of 30 Mbit/s.
+Test(peerroster, eachReaderPassesNewsToItsPart)
+{
+    constexpr std::size_t fleet = 340;
+    constexpr std::size_t group = 16;
+    PeerRoster roster(Base::VmId("vm-0"), {});
+    roster.setDaemons(vms(fleet));
+    const std::vector<Base::VmId> readers = roster.firstByRank("readers", group);
+    std::set<Base::VmId> reached(readers.begin(), readers.end());
+    for (const Base::VmId &reader : readers) {
+        const std::vector<Base::VmId> part = roster.partOf(readers, reader);
+        cr_assert_leq(part.size(), 2 * fleet / group);
+        for (const Base::VmId &vm : part) {
+            cr_assert(reached.insert(vm).second, "notified twice");
+        }
+    }
+    cr_assert_eq(reached.size(), fleet);
+    for (const Base::VmId &vm : vms(fleet)) {
+        const bool isReader = std::find(readers.begin(), readers.end(), vm) != readers.end();
+        cr_assert(isReader || roster.partOf(readers, vm).empty());
+    }
+}
--- a/tests/platform/tst_feeds.cpp
+++ b/tests/platform/tst_feeds.cpp
@@ -72,6 +72,7 @@
         result.verifyConfiguration
             = [this](auto done) { configuration.verifyCurrent(std::move(done)); };
         result.onListRead = [this](bool) { ++listReads; };
+        result.onListFetched = [] {};
         result.selectPeer = [] { return std::optional<asio::ip::udp::endpoint>(); };
         return result;
     }
