--- a/src/libs/dispatch/requestplacer.cpp
+++ b/src/libs/dispatch/requestplacer.cpp
@@ -8,7 +8,6 @@
 struct RequestPlacer::Server
 {
     ListedServer listed;
-    std::uint64_t hash = 0;
     std::uint32_t running = 0;
     /// Requests of other daemons at the last report.
     double othersLoad = 0;
@@ -66,7 +65,6 @@
         server->listed = listed;
         if (!isSameInstance) {
             server->nextEjection = settings_.firstEjection;
-            server->hash = Base::hash64(listed.server.id.text());
         }
         next[listed.server.id] = std::move(server);
     }
@@ -133,28 +131,8 @@
     return cached;
 }
 
-/// Prompt tokens that the server has to read, as far as this daemon can tell. The first part is
-/// shared by many requests: what this daemon has not sent to the server others may have.
-double RequestPlacer::missingTokens(const Server &server,
-                                    const std::vector<PromptPart> &prompt,
-                                    double share) const
-{
-    double missing = 0;
-    bool isMissing = false;
-    for (const PromptPart &part : prompt) {
-        const bool isFirst = &part == &prompt.front() && prompt.size() > 1;
-        isMissing = isMissing || !server.cachedParts.contains(part.key);
-        if (isMissing) {
-            const double expected = isFirst ? expectedAtServer(part.key, server.hash, share) : 0;
-            missing += static_cast<double>(part.tokens.value()) * (1 - expected);
-        }
-    }
-    return missing;
-}
-
 double RequestPlacer::costOf(Server &server,
                              const std::vector<PromptPart> &prompt,
-                             double share,
                              Base::Instant now)
 {
     const double load = loadOf(server, now);
@@ -166,7 +144,13 @@
         const double waiting = std::max(0.0, load + 1 - slots);
         cost += server.meanLatencyMs * (1 + waiting / slots);
     }
-    cost += missingTokens(server, prompt, share) / settings_.prefillTokensPerMs;
+    std::int64_t missing = 0;
+    bool isMissing = false;
+    for (const PromptPart &part : prompt) {
+        isMissing = isMissing || !server.cachedParts.contains(part.key);
+        missing += isMissing ? part.tokens.value() : 0;
+    }
+    cost += static_cast<double>(missing) / settings_.prefillTokensPerMs;
     cost += failureRateOf(server, now) * settings_.failureCostMs;
     return cost * (1 + settings_.jitter * random_.unit());
 }
@@ -179,10 +163,6 @@
 {
     Server *best = nullptr;
     Rank bestRank;
-    if (!prompt.empty()) {
-        demand_.add(prompt.front().key, now);
-    }
-    const double share = prompt.empty() ? 0 : demand_.shareOf(prompt.front().key, now);
     for (auto &[id, server] : servers_) {
         const bool isExcluded = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
         const bool isOtherVersion = version && server->listed.version != *version;
@@ -190,7 +170,7 @@
             || isOtherVersion) {
             continue;
         }
-        const Rank rank = rankOf(*server, prompt, share, now);
+        const Rank rank = rankOf(*server, prompt, now);
         if (!best || rank < bestRank) {
             best = server.get();
             bestRank = rank;
@@ -217,14 +197,13 @@
 
 RequestPlacer::Rank RequestPlacer::rankOf(Server &server,
                                           const std::vector<PromptPart> &prompt,
-                                          double share,
                                           Base::Instant now)
 {
     Rank rank;
     rank.isEjected = server.ejectedUntil && now < *server.ejectedUntil;
     rank.isExhausted = now < server.exhaustedUntil;
     rank.cost = rank.isExhausted ? Base::toSeconds(server.exhaustedUntil - now)
-                                 : costOf(server, prompt, share, now);
+                                 : costOf(server, prompt, now);
     return rank;
 }
 
--- a/src/libs/dispatch/requestplacer.h
+++ b/src/libs/dispatch/requestplacer.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "prefixdemand.h"
-
 #include <base/instant.h>
 #include <base/random.h>
 #include <base/types.h>
@@ -150,29 +148,19 @@
         auto operator<=>(const Rank &) const = default;
     };
 
-    Rank rankOf(Server &server,
-                const std::vector<PromptPart> &prompt,
-                double share,
-                Base::Instant now);
+    Rank rankOf(Server &server, const std::vector<PromptPart> &prompt, Base::Instant now);
     Server *find(const ServerInstance &instance);
     double loadOf(const Server &server, Base::Instant now) const;
     bool hasRoomForNewWork(const Server &server, Base::Instant now) const;
     double failureRateOf(const Server &server, Base::Instant now) const;
     void recordOutcome(Server &server, bool isFailure, Base::Instant now);
-    double costOf(Server &server,
-                  const std::vector<PromptPart> &prompt,
-                  double share,
-                  Base::Instant now);
-    double missingTokens(const Server &server,
-                         const std::vector<PromptPart> &prompt,
-                         double share) const;
+    double costOf(Server &server, const std::vector<PromptPart> &prompt, Base::Instant now);
     Base::Tokens cachedAt(const Server &server, const std::vector<PromptPart> &prompt) const;
 
     Base::ZoneId zone_;
     PlacementSettings settings_;
     Base::Random random_;
     std::unordered_map<Base::ServerId, std::unique_ptr<Server>> servers_;
-    PrefixDemand demand_;
 };
 
 } // namespace Dispatch
