A daemon knows that the earlier process of its own VM has ended

The witnesses were the killed processes.

Change: an incarnation of this VM at this address is gone as soon as it is seen (in the list of leases): this process holds the address. Ruled out: permits themselves (the owner of the rate's partition was waiting), the fencing of leases before they are listed (staggered restarts in the test).

--- a/src/libs/fleet/membershipview.cpp
+++ b/src/libs/fleet/membershipview.cpp
@@ -34,7 +34,12 @@
     Member member;
     member.daemon = daemon;
     member.daemon.state = DaemonState::Suspect;
-    applyVm(members_.emplace(daemon.incarnation, std::move(member)).first->second, now);
+    Member &added = members_.emplace(daemon.incarnation, std::move(member)).first->second;
+    applyVm(added, now);
+    // This process has the address of an earlier one of its VM, which has ended therefore.
+    if (daemon.vm == self_.vm && daemon.address == self_.address) {
+        markGone(added, GoneReason::Replaced, now);
+    }
 }
 
 void MembershipView::handlePlatformList(std::span<const Vm> vms, Base::Instant now)
--- a/tests/libs/scheduler/tst_daemoncore.cpp
+++ b/tests/libs/scheduler/tst_daemoncore.cpp
@@ -133,6 +133,33 @@
     cr_assert_eq(executionsOf(fleet, program.text() + "/20"), 1U);
 }
 
+/// Guards against a fleet that serves nothing after a kill of all daemons, as each waits for
+/// witnesses that ended with the earlier processes, its own among them.
+Test(daemoncore, aFleetRecoversAfterAKillOfAllDaemons)
+{
+    constexpr std::uint64_t seeds = 10;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CoreFleet fleet(3, seed);
+        waitUntilServed(fleet);
+        const Base::ProgramId program = fleet.createProgram(0);
+        const size_t first = fleet.submit(1, program, 1, "orders", "one");
+        cr_assert(fleet.runUntil([&] { return isAnswered(fleet, first); }, 10s));
+        for (size_t daemon = 0; daemon < fleet.size(); ++daemon) {
+            fleet.kill(daemon);
+        }
+        for (size_t daemon = 0; daemon < fleet.size(); ++daemon) {
+            fleet.run(seed
+                      * 800ms); // the first may fence the leases before the last one lists them
+            fleet.restart((daemon + seed) % fleet.size());
+        }
+        waitUntilServed(fleet);
+        const size_t repeat = fleet.submit(2, program, 1, "orders", "one");
+        cr_assert(fleet.runUntil([&] { return isAnswered(fleet, repeat); }, 10s));
+        cr_assert_str_eq(fleet.caller(repeat).done()->turn.output.c_str(), "done one");
+        cr_assert_eq(executionsOf(fleet, program.text() + "/1"), 1U);
+    }
+}
+
 Test(daemoncore, shutdownHandsOverWithoutAGap)
 {
     CoreFleet fleet(3, 6);
