--- a/src/libs/proxy/peerlink.cpp
+++ b/src/libs/proxy/peerlink.cpp
@@ -127,17 +127,6 @@
     }
 }
 
-void PeerLink::notifyAll()
-{
-    std::vector<Base::VmId> others;
-    for (const auto &[vm, endpoint] : endpoints_) {
-        if (vm != self_) {
-            others.push_back(vm);
-        }
-    }
-    notify(others);
-}
-
 /// A failed send is only counted, as it has the same effect as a lost datagram.
 void PeerLink::sendDatagram(const Base::VmId &peer, const std::string &bytes)
 {
--- a/src/libs/proxy/peerlink.h
+++ b/src/libs/proxy/peerlink.h
@@ -58,7 +58,6 @@
     void onUnknownSender(std::function<void()> callback) { onUnknownSender_ = std::move(callback); }
     /// Sends messages that carry only the routing version and the server list report.
     void notify(const std::vector<Base::VmId> &peers);
-    void notifyAll();
 
     RequestNumber nextRequestNumber();
     /// \a number is from nextRequestNumber() and also in the body.
--- a/tests/libs/proxy/tst_allocationrelay.cpp
+++ b/tests/libs/proxy/tst_allocationrelay.cpp
@@ -146,7 +146,7 @@
     /// Keeps the first daemon from taking itself for isolated.
     void sendNotices()
     {
-        daemons_.back()->peers.notifyAll();
+        daemons_.back()->peers.notify({Base::VmId("vm-0")});
         notice_.expires_after(std::chrono::milliseconds(50));
         notice_.async_wait([this](const std::error_code &error) {
             if (!error) {
