BUDGET: log a hash of the request where its response breaks

'answer broken' and 'request ended' carry request_hash (team, path, query, body) and whether the response had begun, so that repetitions of one request can be told from requests that were merely on the same server. Repetitions by the daemon itself and bystanders are ruled out as the cause.

--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -86,6 +86,8 @@
     if (!findRoute() || !checkKey() || !checkHistoryFields()) {
         return;
     }
+    fingerprint_ = Dispatch::fingerprintOf(
+        team_ ? team_->team.id : Base::TeamId{}, request_.head.target, request_.body);
     const Base::Duration timeout
         = std::min(route_->timeout, traits_.callerTimeout.value_or(route_->timeout));
     deadline_ = request_.arrivedAt + timeout;
@@ -525,6 +527,7 @@
     sentAt_ = now();
     bufferedBody_.clear();
     events_.dropPartialEvent();
+    hasResponseBegun_ = false;
     auto self = shared_from_this();
     ClientConnection::Handlers handlers;
     handlers.onHead = [self](const ResponseHead &head, const Framing &framing) {
@@ -561,6 +564,7 @@
         recordStatements(traits);
     }
     head_ = head;
+    hasResponseBegun_ = true;
     framing_ = framing;
     if (traits.isNotRun || traits.isWrongServer) {
         releaseServer(false);
@@ -788,7 +792,9 @@
                       {.request = traits_.id,
                        .step = "backend",
                        .peer = placement_->instance.id.text(),
-                       .details = {{"server_version", placement_->version.text()},
+                       .details = {{"request_hash", fingerprint_.text()},
+                                   {"response_begun", std::int64_t(hasResponseBegun_)},
+                                   {"server_version", placement_->version.text()},
                                    {"events", static_cast<std::int64_t>(events_.eventCount())}}});
     if (mayRetry()) {
         excludedServers_.push_back(placement_->instance.id);
@@ -942,6 +948,9 @@
     if (route_) {
         fields.details.push_back({"route", route_->id.text()});
     }
+    if (mayHaveRun_) {
+        fields.details.push_back({"request_hash", fingerprint_.text()});
+    }
     if (team_) {
         fields.details.push_back({"urgency", nameOf(urgency_)});
     }
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -3,6 +3,8 @@
 #include "eventsplitter.h"
 #include "passthrough.h"
 
+#include <dispatch/requestfingerprint.h>
+
 namespace Proxy {
 
 /// Handles one request of a caller from its arrival to its final response: admission, the attempts
@@ -93,6 +95,7 @@
     const Contracts::RoutedService *service_ = nullptr;
     const Contracts::RoutedTeam *team_ = nullptr;
     Base::Instant deadline_;
+    Dispatch::RequestFingerprint fingerprint_;
     asio::steady_timer timer_;
     /// Runs while the request waits until its team's permit is valid.
     std::optional<asio::steady_timer> rateTimer_;
@@ -112,6 +115,8 @@
     /// The limit that the server of the last response states.
     std::optional<Base::RequestRate> requestLimit_;
 
+    /// The server of the current attempt has sent the head of its response.
+    bool hasResponseBegun_ = false;
     ResponseHead head_;
     Framing framing_;
     std::string bufferedBody_;
