--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -163,6 +163,8 @@
         passThrough_.serversChanged(servers);
     }
 
+    void listSecondOnly() { passThrough_.serversChanged({listed("two", second)}); }
+
     /// Lists both servers; the second one is in another availability zone than the proxy.
     void listSecondElsewhere()
     {
@@ -219,6 +221,17 @@
     }
 
     void disconnect() { caller_.close(); }
+
+    /// Continues with a new connection of the caller.
+    void reconnect()
+    {
+        caller_ = asio::ip::tcp::socket(context_);
+        caller_.connect(acceptor_.local_endpoint());
+        received.clear();
+        isClosed = false;
+        readCaller();
+    }
+
     PassThrough &passThrough() { return passThrough_; }
 
 private:
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -531,3 +531,27 @@
     fixture.runUntil([&] { return !fixture.urgencies.empty(); }, "the rate is checked");
     cr_assert(fixture.urgencies.front() == Admission::Urgency::Started);
 }
+
+/// Guards against a request that crashes one server after the other because callers repeat it.
+Test(passthrough, aRequestThatCrashedTwoServersIsRefused)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.first.add({{streamHead}, true});
+    fixture.listServers(false);
+    fixture.request("/stream/a", "1");
+    fixture.awaitClose();
+    fixture.reconnect();
+    fixture.second.add({{streamHead}, true});
+    fixture.listSecondOnly();
+    fixture.request("/stream/a", "2");
+    fixture.awaitClose();
+    fixture.reconnect();
+    fixture.request("/stream/a", "3");
+    fixture.awaitResponse("HTTP/1.1 503");
+    cr_assert_eq(requestCount(fixture), 2U);
+    fixture.second.add({{okResponse}, false});
+    fixture.send("POST /stream/a HTTP/1.1\r\nHost: x.example\r\nAuthorization: Bearer secret\r\n"
+                 "Request-Id: 4\r\nContent-Length: 5\r\n\r\nother");
+    fixture.awaitResponse("hello");
+}
