One mechanism for what daemons know of servers and streams

Limits of servers, versions of streams and, next, requests that crash servers are statements about a subject. The newest one holds (NewestStatements, out of RequestLimits); three daemons by rank keep it (PeerLink::sendToKeepers, out of StreamVersionSharing); what all have to know travels with the join requests of the pools (JoinExchange, in place of LimitExchange).

--- a/src/libs/dispatch/requestlimits.cpp
+++ b/src/libs/dispatch/requestlimits.cpp
@@ -6,63 +6,34 @@
 
 bool RequestLimits::apply(const LimitStatement &statement, Base::Instant now)
 {
-    const auto known = entries_.find(statement.instance);
-    if (known == entries_.end()) {
-        if (statement.limit) {
-            entries_.emplace(statement.instance, Entry{statement, now});
-        }
-        return statement.limit.has_value();
-    }
-    Entry &entry = known->second;
-    if (statement.validAt <= entry.statement.validAt) {
+    if (!statement.limit && !statements_.find(statement.instance)) {
         return false;
     }
-    const bool isChanged = statement.limit != entry.statement.limit;
-    entry.statement = statement;
-    if (isChanged) {
-        entry.changedAt = now;
-    }
-    return isChanged;
+    return statements_.apply(statement, now);
 }
 
 std::vector<Base::ServerId> RequestLimits::retain(const std::set<ServerInstance> &instances)
 {
     std::set<Base::ServerId> removed;
-    std::erase_if(entries_, [&](const auto &entry) {
-        const bool isRemoved = !instances.contains(entry.first);
+    statements_.eraseIf([&](const LimitStatement &statement) {
+        const bool isRemoved = !instances.contains(statement.instance);
         if (isRemoved) {
-            removed.insert(entry.first.id);
+            removed.insert(statement.instance.id);
         }
         return isRemoved;
     });
-    for (const auto &[instance, entry] : entries_) {
-        removed.erase(instance.id);
+    for (const LimitStatement &statement : statements_.all()) {
+        removed.erase(statement.instance.id);
     }
     return {removed.begin(), removed.end()};
 }
 
-const LimitStatement *RequestLimits::find(const ServerInstance &instance) const
-{
-    const auto entry = entries_.find(instance);
-    return entry == entries_.end() ? nullptr : &entry->second.statement;
-}
-
-std::vector<LimitStatement> RequestLimits::changedSince(Base::Instant time) const
-{
-    std::vector<LimitStatement> changed;
-    for (const auto &[instance, entry] : entries_) {
-        if (entry.changedAt >= time) {
-            changed.push_back(entry.statement);
-        }
-    }
-    return changed;
-}
-
 std::size_t RequestLimits::size() const
 {
+    const std::vector<LimitStatement> all = statements_.all();
     return static_cast<std::size_t>(
-        std::count_if(entries_.begin(), entries_.end(), [](const auto &entry) {
-            return entry.second.statement.limit.has_value();
+        std::count_if(all.begin(), all.end(), [](const LimitStatement &statement) {
+            return statement.limit.has_value();
         }));
 }
 
--- a/src/libs/dispatch/requestlimits.h
+++ b/src/libs/dispatch/requestlimits.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "neweststatements.h"
 #include "requestplacer.h"
 
 #include <base/instant.h>
 #include <base/types.h>
 
-#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -21,6 +21,8 @@
     /// Time at which the statement was valid.
     Base::Instant validAt;
 
+    const ServerInstance &subject() const { return instance; }
+    bool hasSameValue(const LimitStatement &other) const { return limit == other.limit; }
     bool operator==(const LimitStatement &) const = default;
 };
 
@@ -35,19 +37,19 @@
     std::vector<Base::ServerId> retain(const std::set<ServerInstance> &instances);
 
     /// The newest statement of the server; null if it has never stated a limit.
-    const LimitStatement *find(const ServerInstance &instance) const;
-    std::vector<LimitStatement> changedSince(Base::Instant time) const;
+    const LimitStatement *find(const ServerInstance &instance) const
+    {
+        return statements_.find(instance);
+    }
+    std::vector<LimitStatement> changedSince(Base::Instant time) const
+    {
+        return statements_.changedSince(time);
+    }
     /// Number of servers that state a limit.
     std::size_t size() const;
 
 private:
-    struct Entry
-    {
-        LimitStatement statement;
-        Base::Instant changedAt;
-    };
-
-    std::map<ServerInstance, Entry> entries_;
+    NewestStatements<LimitStatement> statements_;
 };
 
 } // namespace Dispatch
--- a/src/libs/proxy/peerlink.cpp
+++ b/src/libs/proxy/peerlink.cpp
@@ -18,6 +18,8 @@
 /// respond.
 constexpr Base::Duration isolationTimeout = std::chrono::milliseconds(800);
 
+constexpr std::size_t keeperCount = 3;
+
 /// Returns the number of the request that \a body responds to, or nothing if it is no response.
 std::optional<RequestNumber> requestNumberOfResponse(const PeerBody &body)
 {
@@ -113,6 +115,21 @@
     sendDatagram(peer, encode(std::move(body)));
 }
 
+std::vector<Base::VmId> PeerLink::keepersOf(const std::string &subject) const
+{
+    std::vector<Base::VmId> keepers = roster_.firstByRank(subject, keeperCount);
+    std::erase(keepers, self_);
+    return keepers;
+}
+
+void PeerLink::sendToKeepers(const std::string &subject, const PeerBody &body)
+{
+    const std::string bytes = encode(body);
+    for (const Base::VmId &keeper : keepersOf(subject)) {
+        sendDatagram(keeper, bytes);
+    }
+}
+
 std::string PeerLink::encode(PeerBody body) const
 {
     return encodePeerMessage(
--- a/src/libs/proxy/peerlink.h
+++ b/src/libs/proxy/peerlink.h
@@ -68,6 +68,12 @@
     /// Sends a response, or a message without one.
     void send(const Base::VmId &peer, PeerBody body);
 
+    /// The other daemons that keep what is known about a subject, so that the loss of two at once
+    /// leaves one that knows it.
+    std::vector<Base::VmId> keepersOf(const std::string &subject) const;
+    /// Sends a message without a response to each keeper of the subject.
+    void sendToKeepers(const std::string &subject, const PeerBody &body);
+
     /// Whether no message of any other daemon has arrived recently.
     bool isIsolated() const;
 
--- a/src/libs/proxy/ratesharing.cpp
+++ b/src/libs/proxy/ratesharing.cpp
@@ -202,8 +202,8 @@
         }
     }
     PoolJoinResponse response{request.number, hasLocalMajority(), {}};
-    if (limitExchange_.recentReports) {
-        response.limits = limitExchange_.recentReports(request.groups);
+    for (const JoinExchange &exchange : joinExchanges_) {
+        exchange.fillResponse(request, response);
     }
     peers_.send(sender, std::move(response));
 }
@@ -244,26 +244,30 @@
 void RateSharing::sendJoinRequest(const Base::VmId &coordinator, std::vector<TeamGroup> groups)
 {
     const RequestNumber number = peers_.nextRequestNumber();
+    PoolJoinRequest request{number, std::move(groups)};
+    for (const JoinExchange &exchange : joinExchanges_) {
+        exchange.fillRequest(request);
+    }
     peers_.sendRequest(coordinator,
                        number,
-                       PoolJoinRequest{number, std::move(groups)},
-                       [this, sentAt = now_()](const PeerBody *body) {
+                       std::move(request),
+                       [this, coordinator, sentAt = now_()](const PeerBody *body) {
                            if (const auto *response
                                = body ? std::get_if<PoolJoinResponse>(body) : nullptr) {
-                               onPoolJoinResponse(*response, sentAt);
+                               onPoolJoinResponse(coordinator, *response, sentAt);
                            }
                        });
 }
 
-void RateSharing::onPoolJoinResponse(const PoolJoinResponse &response, Base::Instant sentAt)
+void RateSharing::onPoolJoinResponse(const Base::VmId &sender,
+                                     const PoolJoinResponse &response,
+                                     Base::Instant sentAt)
 {
     if (response.hasMajority) {
         lastMajorityAt_ = sentAt;
     }
-    if (limitExchange_.onReport) {
-        for (const LimitReport &report : response.limits) {
-            limitExchange_.onReport(report);
-        }
+    for (const JoinExchange &exchange : joinExchanges_) {
+        exchange.onResponse(sender, response);
     }
 }
 
--- a/src/libs/proxy/ratesharing.h
+++ b/src/libs/proxy/ratesharing.h
@@ -25,11 +25,15 @@
     std::function<void(const Admission::PermitVerdict &)> callback;
 };
 
-/// Reports of the limits of servers that travel with the join requests of the pools.
-struct LimitExchange
+/// What daemons tell each other with the join requests of the pools and the responses to them, so
+/// that it reaches all daemons without messages of its own.
+struct JoinExchange
 {
-    std::function<std::vector<LimitReport>(const std::vector<TeamGroup> &)> recentReports;
-    std::function<void(const LimitReport &)> onReport;
+    std::function<void(PoolJoinRequest &)> fillRequest = [](auto &) {};
+    std::function<void(const PoolJoinRequest &, PoolJoinResponse &)> fillResponse
+        = [](const auto &, auto &) {};
+    std::function<void(const Base::VmId &sender, const PoolJoinResponse &)> onResponse
+        = [](const auto &, const auto &) {};
 };
 
 /// Enforces the rates of teams over the whole fleet. Teams are divided into groups; the group's
@@ -69,7 +73,7 @@
     /// The daemon that grants this one its permits: the coordinator, or itself if it is isolated.
     Base::VmId coordinatorOf(std::size_t group) const;
     Admission::PermitPool &pool(std::size_t group) { return pools_[group]; }
-    void setLimitExchange(LimitExchange exchange) { limitExchange_ = std::move(exchange); }
+    void addJoinExchange(JoinExchange exchange) { joinExchanges_.push_back(std::move(exchange)); }
 
     /// Whether this daemon is connected to the majority of the fleet: it receives the join requests
     /// of a majority itself, or a coordinator that it reaches does.
@@ -97,7 +101,9 @@
     void requestPermit(const std::shared_ptr<const PermitTask> &task, int attempt);
     void joinPools();
     void sendJoinRequest(const Base::VmId &coordinator, std::vector<TeamGroup> groups);
-    void onPoolJoinResponse(const PoolJoinResponse &response, Base::Instant sentAt);
+    void onPoolJoinResponse(const Base::VmId &sender,
+                            const PoolJoinResponse &response,
+                            Base::Instant sentAt);
     void scheduleJoin();
     bool hasLocalMajority() const;
 
@@ -110,7 +116,7 @@
     /// Teams that have a limit.
     std::set<Base::TeamId> limited_;
     std::deque<SentResponse> recentResponses_;
-    LimitExchange limitExchange_;
+    std::vector<JoinExchange> joinExchanges_;
     /// When the last join request was sent whose response confirmed a majority.
     std::optional<Base::Instant> lastMajorityAt_;
     bool isStarted_ = false;
--- a/src/libs/proxy/requestlimitsharing.cpp
+++ b/src/libs/proxy/requestlimitsharing.cpp
@@ -33,8 +33,16 @@
     , metrics_(metrics)
     , now_(std::move(now))
 {
-    rates_.setLimitExchange({[this](const auto &groups) { return recentReports(groups); },
-                             [this](const LimitReport &report) { onReport(report); }});
+    JoinExchange exchange;
+    exchange.fillResponse = [this](const PoolJoinRequest &request, PoolJoinResponse &response) {
+        response.limits = recentReports(request.groups);
+    };
+    exchange.onResponse = [this](const auto &, const PoolJoinResponse &response) {
+        for (const LimitReport &report : response.limits) {
+            onReport(report);
+        }
+    };
+    rates_.addJoinExchange(std::move(exchange));
 }
 
 LimitReport RequestLimitSharing::toReport(const Dispatch::LimitStatement &statement) const
--- a/src/libs/proxy/streamversionsharing.cpp
+++ b/src/libs/proxy/streamversionsharing.cpp
@@ -4,10 +4,6 @@
 
 namespace {
 
-/// Daemons that keep the version of a stream, besides the one that forwards it. The loss of two
-/// daemons at once leaves at least one that knows it.
-constexpr std::size_t keeperCount = 3;
-
 /// One search; ends with the first daemon that knows the stream, or with the last response.
 struct Search
 {
@@ -24,29 +20,17 @@
 
 } // namespace
 
-StreamVersionSharing::StreamVersionSharing(Base::VmId self,
-                                           PeerLink &peers,
-                                           std::function<Base::Instant()> now)
-    : self_(std::move(self))
-    , peers_(peers)
+StreamVersionSharing::StreamVersionSharing(PeerLink &peers, std::function<Base::Instant()> now)
+    : peers_(peers)
     , now_(std::move(now))
     , streams_({})
 {}
 
-std::vector<Base::VmId> StreamVersionSharing::keepersOf(const std::string &attempt) const
-{
-    std::vector<Base::VmId> keepers = peers_.roster().firstByRank(attempt, keeperCount);
-    std::erase(keepers, self_);
-    return keepers;
-}
-
 void StreamVersionSharing::streamBegan(const std::string &attempt,
                                        const Base::SoftwareVersion &version)
 {
     streams_.add(attempt, version, now_());
-    for (const Base::VmId &keeper : keepersOf(attempt)) {
-        peers_.send(keeper, StreamNotice{attempt, version});
-    }
+    peers_.sendToKeepers(attempt, StreamNotice{attempt, version});
 }
 
 void StreamVersionSharing::onNotice(const StreamNotice &notice)
@@ -62,7 +46,7 @@
 void StreamVersionSharing::find(const std::string &attempt, FindCallback callback)
 {
     const auto known = streams_.find(attempt);
-    const std::vector<Base::VmId> keepers = keepersOf(attempt);
+    const std::vector<Base::VmId> keepers = peers_.keepersOf(attempt);
     if (known || keepers.empty()) {
         callback(known);
         return;
--- a/src/libs/proxy/streamversionsharing.h
+++ b/src/libs/proxy/streamversionsharing.h
@@ -19,7 +19,7 @@
     /// Receives the version, or nothing if no daemon that responds knows the stream.
     using FindCallback = std::function<void(const std::optional<Base::SoftwareVersion> &)>;
 
-    StreamVersionSharing(Base::VmId self, PeerLink &peers, std::function<Base::Instant()> now);
+    StreamVersionSharing(PeerLink &peers, std::function<Base::Instant()> now);
 
     /// Must be called before the first event of the stream is sent to the caller.
     void streamBegan(const std::string &attempt, const Base::SoftwareVersion &version);
@@ -30,9 +30,6 @@
     void onRequest(const Base::VmId &sender, const StreamVersionRequest &request);
 
 private:
-    std::vector<Base::VmId> keepersOf(const std::string &attempt) const;
-
-    Base::VmId self_;
     PeerLink &peers_;
     std::function<Base::Instant()> now_;
     Dispatch::StreamVersions streams_;
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -139,7 +139,7 @@
         , peers_(context_, vm(), {}, silentLog(), metrics_, 1, &steadyNow)
         , rates_(context_, vm(), peers_, &steadyNow)
         , limits_(vm(), rates_, peers_, silentLog(), metrics_, &steadyNow)
-        , streams_(vm(), peers_, &steadyNow)
+        , streams_(peers_, &steadyNow)
         , acceptor_(context_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
         , caller_(context_)
         , first(context_)
--- a/tests/libs/proxy/peerfleet.h
+++ b/tests/libs/proxy/peerfleet.h
@@ -63,7 +63,7 @@
                     &steadyNow)
             , rates(fleet.context_, address.vm, peers, &steadyNow)
             , limits(address.vm, rates, peers, fleet.log_, fleet.metrics_, &steadyNow)
-            , streams(address.vm, peers, &steadyNow)
+            , streams(peers, &steadyNow)
         {
             peers.start([this](const Base::VmId &sender, const PeerBody &body) {
                 if (isLost) {
