A daemon reaches servers through another one while its own path is cut

Cause: a daemon had one path to a server and took a path that fails for servers that fail. Evidence: for 12 s every attempt of the four cut daemons failed at every server (1,368 times 400 ms), while the other three were answered by the same servers in 57 ms.

A direct attempt that fails, or has not connected after 100 ms, is followed by one through another daemon (RequestRelay): it connects to the listed server and passes bytes on. All decisions stay with the daemon that has the request, so permits, limits, budgets, versions and at-most-once hold as they are, and a relay never uses another one. A server that only others reach is reached through them from then on, with one direct attempt a second that carries no request; two such servers and no byte from any server for 300 ms mean that all are, and idle connections are closed. Relays are taken from the own availability zone first, then from zones not tried yet. A relay that stops says so, and waits for what is in flight. Readiness stays: with most daemons cut, zones are used whole, and open connections stay.

Without the relay five of the eight tests of requestrelay fail.

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -213,6 +213,10 @@
   2: optional string version
 }
 
+/** The sender is about to end and connects to no more servers for others. Has no response. */
+struct RelayNotice {
+}
+
 /** Records at the next coordinator of a program what the sender may overdraw; 0 ends it. */
 struct OverdraftNotice {
   1: i64 number
@@ -248,6 +252,7 @@
   19: OverdraftRecorded overdraftRecorded
   20: CrashReport crashReport
   21: QuarantineNotice quarantineNotice
+  22: RelayNotice relayNotice
 }
 
 struct PeerMessage {
--- a/src/libs/dispatch/requestplacer.cpp
+++ b/src/libs/dispatch/requestplacer.cpp
@@ -85,6 +85,12 @@
     return server != servers_.end() && server->second->listed.startedAt == instance.startedAt;
 }
 
+std::optional<std::string> RequestPlacer::addressOf(const ServerInstance &instance) const
+{
+    return isListed(instance) ? std::optional(servers_.at(instance.id)->listed.server.address)
+                              : std::nullopt;
+}
+
 bool RequestPlacer::isAvailable(const ServerInstance &instance) const
 {
     return isListed(instance) && !servers_.at(instance.id)->isLeaving();
--- a/src/libs/dispatch/requestplacer.h
+++ b/src/libs/dispatch/requestplacer.h
@@ -129,6 +129,8 @@
     void leavingAnnounced(const ServerInstance &instance);
 
     bool isListed(const ServerInstance &instance) const;
+    /// Address of the listed instance, or nothing.
+    std::optional<std::string> addressOf(const ServerInstance &instance) const;
     /// Whether the instance may get new requests.
     bool isAvailable(const ServerInstance &instance) const;
     /// Whether the service has a server that is not leaving.
--- a/src/libs/proxy/clientconnection.h
+++ b/src/libs/proxy/clientconnection.h
@@ -3,6 +3,7 @@
 #include "messageparser.h"
 
 #include <base/instant.h>
+#include <base/types.h>
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -59,6 +60,10 @@
     /// Calls back when an idle connection is closed by the server or receives unexpected bytes.
     void watchIdle(std::function<void()> onUnusable);
 
+    /// The daemon through which the server is reached; unset for a direct connection.
+    void setRelay(Base::VmId relay) { relay_ = std::move(relay); }
+    const std::optional<Base::VmId> &relay() const { return relay_; }
+
     bool isReusable() const { return isReusable_; }
     /// Whether any byte of the current request may have been sent.
     bool hasSent() const { return hasSent_; }
@@ -78,6 +83,7 @@
 
     asio::ip::tcp::socket socket_;
     asio::ip::tcp::endpoint peer_;
+    std::optional<Base::VmId> relay_;
     asio::steady_timer connectTimer_;
     MessageParser parser_{MessageParser::Kind::Response};
     std::string outgoing_;
--- a/src/libs/proxy/connectionpool.cpp
+++ b/src/libs/proxy/connectionpool.cpp
@@ -65,6 +65,19 @@
     }
 }
 
+void ConnectionPool::closeIf(const std::function<bool(const ClientConnection &)> &isUnwanted)
+{
+    for (auto &[instance, connections] : idle_) {
+        std::erase_if(connections, [&](const Idle &idle) {
+            const bool isErased = isUnwanted(*idle.connection);
+            if (isErased) {
+                idle.connection->close();
+            }
+            return isErased;
+        });
+    }
+}
+
 void ConnectionPool::retain(const std::function<bool(const Dispatch::ServerInstance &)> &isKept)
 {
     std::vector<Dispatch::ServerInstance> removed;
--- a/src/libs/proxy/connectionpool.h
+++ b/src/libs/proxy/connectionpool.h
@@ -34,6 +34,8 @@
              const std::shared_ptr<ClientConnection> &connection,
              Base::Instant now);
     void closeAll(const Dispatch::ServerInstance &instance);
+    /// Closes the idle connections for which \a isUnwanted returns true.
+    void closeIf(const std::function<bool(const ClientConnection &)> &isUnwanted);
     /// Closes connections to servers for which \a isKept returns false.
     void retain(const std::function<bool(const Dispatch::ServerInstance &)> &isKept);
 
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -370,7 +370,7 @@
 
 void Exchange::onDeadline()
 {
-    if (connection_) {
+    if (connection_ || connecting_) {
         owner_.placer_.requestFailed(placement_->instance, now());
     }
     if (isHeadForwarded_) {
@@ -511,7 +511,7 @@
 void Exchange::connect(const Dispatch::Placement &placement)
 {
     owner_.placer_.requestSent(placement.instance, traits_.prompt);
-    if (auto idle = owner_.pool_.take(placement.instance, now())) {
+    if (auto idle = owner_.takeIdle(placement.instance)) {
         sendTo(std::move(idle));
         return;
     }
@@ -520,26 +520,40 @@
         onNotRun("address " + placement.address + " is not an IP address and port");
         return;
     }
-    connection_ = std::make_shared<ClientConnection>(owner_.context_, *endpoint);
     auto self = shared_from_this();
-    connection_->connect(std::min(owner_.settings_.connectTimeout, timeLeft()),
-                         [self, connection = connection_](const std::string &problem) {
-                             if (self->isEnded_ || self->connection_ != connection) {
-                                 connection->close();
-                             } else if (problem.empty()) {
-                                 self->sendTo(connection);
-                             } else {
-                                 self->owner_.placer_.requestFailed(self->placement_->instance,
-                                                                    self->now());
-                                 self->onNotRun("connect: " + problem);
-                             }
-                         });
+    isConnecting_ = true;
+    auto attempt = owner_.connector_.connect(
+        {placement.instance, *endpoint},
+        std::min(owner_.settings_.connectTimeout, timeLeft()),
+        [self](std::shared_ptr<ClientConnection> connection, const std::string &problem) {
+            self->onConnected(std::move(connection), problem);
+        });
+    if (isConnecting_) {
+        connecting_ = std::move(attempt);
+    }
+}
+
+void Exchange::onConnected(std::shared_ptr<ClientConnection> connection, const std::string &problem)
+{
+    isConnecting_ = false;
+    connecting_.reset();
+    if (connection) {
+        sendTo(std::move(connection));
+        return;
+    }
+    owner_.placer_.requestFailed(placement_->instance, now());
+    owner_.placer_.requestEnded(placement_->instance);
+    onNotRun("connect: " + problem);
 }
 
 void Exchange::sendTo(std::shared_ptr<ClientConnection> connection)
 {
     connection_ = std::move(connection);
+    relay_ = connection_->relay();
     sentAt_ = now();
+    if (!connection_->relay()) {
+        owner_.connector_.paths().sent(sentAt_);
+    }
     bufferedBody_.clear();
     events_.dropPartialEvent();
     hasResponseBegun_ = false;
@@ -571,6 +585,9 @@
 
 HeadVerdict Exchange::onHead(const ResponseHead &head, const Framing &framing)
 {
+    if (!relay_) {
+        owner_.connector_.paths().received();
+    }
     const ResponseTraits traits = owner_.translator_.readResponse(head);
     if (!traits.id.empty() && traits.id != traits_.id) {
         return HeadVerdict::Discard;
@@ -669,6 +686,9 @@
 
 void Exchange::onBody(const std::string &bytes)
 {
+    if (!relay_) {
+        owner_.connector_.paths().received();
+    }
     if (isEventStream_) {
         onEvents(events_.feed(bytes));
         return;
@@ -733,8 +753,12 @@
     }
 }
 
+/// A connection through another daemon may have ended with that daemon.
 Dispatch::CrashStage Exchange::crashStage() const
 {
+    if (connection_->relay()) {
+        return Dispatch::CrashStage::Waiting;
+    }
     if (route_->kind != RouteKind::Stream) {
         return Dispatch::CrashStage::Unknown;
     }
@@ -887,13 +911,18 @@
     if (!placement_) {
         return;
     }
+    if (const auto connecting = std::exchange(connecting_, nullptr)) {
+        isConnecting_ = false;
+        connecting->cancel();
+        owner_.placer_.requestEnded(placement_->instance);
+    }
     auto connection = std::exchange(connection_, nullptr);
     if (!connection) {
         return;
     }
     owner_.placer_.requestEnded(placement_->instance);
-    if (isConnectionReusable && owner_.placer_.isListed(placement_->instance)) {
-        owner_.pool_.put(placement_->instance, connection, now());
+    if (isConnectionReusable) {
+        owner_.putIdle(placement_->instance, connection);
     } else {
         connection->close();
     }
@@ -1002,6 +1031,9 @@
         fields.details.push_back({"history_milliseconds", milliseconds(historyTime_)});
         fields.details.push_back({"keep_milliseconds", milliseconds(keepingTime_)});
     }
+    if (relay_) {
+        fields.details.push_back({"relay", relay_->text()});
+    }
     if (placement_) {
         fields.peer = placement_->instance.id.text();
         fields.details.push_back({"load", placement_->load});
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -58,6 +58,7 @@
     void refuseAttempt(const char *outcome, std::string detail, Base::Duration retryAfter);
     void refuseQuarantined();
     void connect(const Dispatch::Placement &placement);
+    void onConnected(std::shared_ptr<ClientConnection> connection, const std::string &problem);
     void sendTo(std::shared_ptr<ClientConnection> connection);
     std::string serializeForServer() const;
     HeadVerdict onHead(const ResponseHead &head, const Framing &framing);
@@ -104,7 +105,11 @@
 
     /// The server of the current attempt.
     std::optional<Dispatch::Placement> placement_;
+    std::shared_ptr<ConnectAttempt> connecting_;
+    bool isConnecting_ = false;
     std::shared_ptr<ClientConnection> connection_;
+    /// The daemon through which the server of the last attempt is reached.
+    std::optional<Base::VmId> relay_;
     Base::Instant sentAt_;
     std::vector<Base::ServerId> excludedServers_;
     std::uint32_t attempts_ = 0;
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -1,5 +1,6 @@
 #include "passthrough.h"
 
+#include "endpoint.h"
 #include "exchange.h"
 #include "steadyclock.h"
 
@@ -20,7 +21,15 @@
     , metrics_(metrics)
     , placer_(settings_.zone, settings_.placement, seed)
     , pool_(settings_.pool)
+    , connector_(context, settings_.connector, log, metrics, seed)
 {
+    connector_.onCutOff([this] {
+        pool_.closeIf([](const ClientConnection &connection) { return !connection.relay(); });
+    });
+    connector_.onPathRestored([this] {
+        pool_.closeIf(
+            [](const ClientConnection &connection) { return connection.relay().has_value(); });
+    });
     handlers_ = std::make_shared<CallerHandlers>();
     handlers_->onRequest
         = [this](const auto &caller, const CallerRequest &request) { onRequest(caller, request); };
@@ -60,8 +69,56 @@
 {
     placer_.serversChanged(servers);
     serviceVersions_.serversChanged(servers, now());
-    pool_.retain(
-        [this](const Dispatch::ServerInstance &instance) { return placer_.isListed(instance); });
+    const auto isListed
+        = [this](const Dispatch::ServerInstance &instance) { return placer_.isListed(instance); };
+    pool_.retain(isListed);
+    connector_.paths().retain(isListed);
+}
+
+std::optional<asio::ip::tcp::endpoint> PassThrough::addressOf(
+    const Dispatch::ServerInstance &instance) const
+{
+    const auto address = placer_.addressOf(instance);
+    return address ? parseEndpoint(*address) : std::nullopt;
+}
+
+void PassThrough::relayStops(const Base::VmId &vm)
+{
+    connector_.relayStops(vm);
+    pool_.closeIf([&](const ClientConnection &connection) { return connection.relay() == vm; });
+}
+
+/// A connection that was open before the servers fell silent may hang.
+std::shared_ptr<ClientConnection> PassThrough::takeIdle(const Dispatch::ServerInstance &instance)
+{
+    probePath();
+    return connector_.paths().isSilent(now()) && !isCutOff() ? nullptr
+                                                             : pool_.take(instance, now());
+}
+
+void PassThrough::putIdle(const Dispatch::ServerInstance &instance,
+                          const std::shared_ptr<ClientConnection> &connection)
+{
+    const bool isRelayGone = connection->relay() && !connector_.isRelayUsable(*connection->relay());
+    if (placer_.isListed(instance) && !isRelayGone) {
+        pool_.put(instance, connection, now());
+    } else {
+        connection->close();
+    }
+}
+
+/// Tries the direct path to a server that is reached through another daemon, if it is time.
+void PassThrough::probePath()
+{
+    const auto instance = connector_.paths().takeProbe(now());
+    const auto address = instance ? addressOf(*instance) : std::nullopt;
+    if (address) {
+        connector_.probe({*instance, *address},
+                         settings_.connectTimeout,
+                         [this, instance = *instance](const auto &connection) {
+                             putIdle(instance, connection);
+                         });
+    }
 }
 
 Base::ConfigVersion PassThrough::version() const
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -5,6 +5,7 @@
 #include "connectionpool.h"
 #include "recentprograms.h"
 #include "requesttraits.h"
+#include "serverconnector.h"
 
 #include <admission/permitpool.h>
 #include <contracts/routingtable.h>
@@ -45,6 +46,7 @@
     std::size_t callerBacklogBytes = 256 * 1024;
     Dispatch::PlacementSettings placement;
     PoolSettings pool;
+    ServerConnectorSettings connector;
 };
 
 /// Verdict on one turn of a program.
@@ -151,6 +153,15 @@
     bool configure(Contracts::RoutingDocument document);
     void serversChanged(const std::vector<Dispatch::ListedServer> &servers);
 
+    /// Sets the other daemons, through which servers can be reached.
+    void setRelays(std::vector<RelayAddress> relays) { connector_.setRelays(std::move(relays)); }
+    /// The daemon is about to end; its connections to servers are not used for new requests.
+    void relayStops(const Base::VmId &vm);
+    std::optional<asio::ip::tcp::endpoint> addressOf(
+        const Dispatch::ServerInstance &instance) const;
+    /// Whether this daemon reaches servers through others only.
+    bool isCutOff() const { return connector_.paths().isCutOff(); }
+
     Base::ConfigVersion version() const;
     bool hasConfiguration() const { return table_ != nullptr; }
     std::shared_ptr<const Contracts::RoutingTable> table() const { return table_; }
@@ -172,6 +183,10 @@
     friend class Exchange;
 
     void onRequest(const std::shared_ptr<CallerConnection> &caller, CallerRequest request);
+    std::shared_ptr<ClientConnection> takeIdle(const Dispatch::ServerInstance &instance);
+    void putIdle(const Dispatch::ServerInstance &instance,
+                 const std::shared_ptr<ClientConnection> &connection);
+    void probePath();
     void countResponse(int status, Base::Duration latency);
 
     asio::io_context &context_;
@@ -187,6 +202,7 @@
     Telemetry::Metrics &metrics_;
     Dispatch::RequestPlacer placer_;
     ConnectionPool pool_;
+    ServerConnector connector_;
     std::shared_ptr<const Contracts::RoutingTable> table_;
     std::shared_ptr<CallerHandlers> handlers_;
     std::set<std::shared_ptr<CallerConnection>> connections_;
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -390,6 +390,7 @@
                 part.atServerUs = report.timeAtServer.count();
                 wire.__set_crashReport(part);
             },
+            [&](const RelayNotice &) { wire.__set_relayNotice({}); },
             [&](const QuarantineNotice &notice) {
                 Wire::QuarantineNotice part;
                 part.reports = toWire(notice.reports);
@@ -526,6 +527,9 @@
     if (wire.__isset.quarantineNotice) {
         return QuarantineNotice{reportsFromWire(wire.quarantineNotice.reports)};
     }
+    if (wire.__isset.relayNotice) {
+        return RelayNotice{};
+    }
     if (wire.__isset.stillWorking) {
         return RequestInProgress{requestNumberFromWire(wire.stillWorking.number)};
     }
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -217,6 +217,12 @@
     bool operator==(const OverdraftRecorded &) const = default;
 };
 
+/// The sender is about to end and connects to no more servers for others. Has no response.
+struct RelayNotice
+{
+    bool operator==(const RelayNotice &) const = default;
+};
+
 /// Carries only the fields that every message has. Has no response.
 struct Notice
 {
@@ -243,7 +249,8 @@
                               OverdraftNotice,
                               OverdraftRecorded,
                               Dispatch::CrashReport,
-                              QuarantineNotice>;
+                              QuarantineNotice,
+                              RelayNotice>;
 
 /// One datagram between daemons.
 struct PeerMessage
--- a/src/libs/proxy/proxydaemon.cpp
+++ b/src/libs/proxy/proxydaemon.cpp
@@ -163,6 +163,7 @@
     }
     shutdownBegan_ = passThrough_.now();
     passThrough_.stop();
+    hooks_.began();
     logReadiness();
     continueShutdown();
 }
@@ -171,7 +172,7 @@
 {
     return settings_.stop.stateAt(passThrough_.now() - *shutdownBegan_,
                                   passThrough_.activeRequests(),
-                                  passThrough_.openConnections());
+                                  passThrough_.openConnections() + hooks_.openSessions());
 }
 
 void ProxyDaemon::continueShutdown()
--- a/src/libs/proxy/proxydaemon.h
+++ b/src/libs/proxy/proxydaemon.h
@@ -30,6 +30,15 @@
 
     /// Throws std::exception if an address cannot be bound.
     void start();
+    /// What other parts of the process do in a graceful shutdown.
+    struct ShutdownHooks
+    {
+        std::function<void()> began = [] {};
+        /// Connections that other daemons use.
+        std::function<std::size_t()> openSessions = [] { return std::size_t(0); };
+    };
+
+    void setShutdownHooks(ShutdownHooks hooks) { hooks_ = std::move(hooks); }
     /// A daemon is ready once it has a configuration and a server list.
     void setServersKnown();
 
@@ -53,6 +62,7 @@
     asio::ip::tcp::acceptor callers_;
     asio::ip::tcp::acceptor status_;
     asio::signal_set signals_;
+    ShutdownHooks hooks_;
     asio::steady_timer shutdownTimer_;
     std::shared_ptr<CallerHandlers> statusHandlers_;
     std::optional<Base::Instant> shutdownBegan_;
--- /dev/null
+++ b/src/libs/proxy/requestrelay.cpp
@@ -0,0 +1,252 @@
+#include "requestrelay.h"
+
+#include "messageparser.h"
+
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include <array>
+#include <charconv>
+
+namespace Proxy {
+
+namespace {
+
+constexpr std::string_view pathPrefix = "/relay/";
+constexpr std::size_t bufferBytes = 8 * 1024;
+constexpr int listenBacklog = 256;
+
+/// Decodes "/relay/START/ID".
+std::optional<Dispatch::ServerInstance> parsePath(std::string_view path)
+{
+    if (!path.starts_with(pathPrefix)) {
+        return std::nullopt;
+    }
+    path.remove_prefix(pathPrefix.size());
+    const std::size_t slash = path.find('/');
+    if (slash == std::string_view::npos || slash + 1 == path.size()) {
+        return std::nullopt;
+    }
+    Dispatch::ServerInstance instance;
+    const char *end = path.data() + slash;
+    const auto result = std::from_chars(path.data(), end, instance.startedAt);
+    if (result.ec != std::errc() || result.ptr != end) {
+        return std::nullopt;
+    }
+    instance.id = Base::ServerId(std::string(path.substr(slash + 1)));
+    return instance;
+}
+
+} // namespace
+
+std::string relayRequest(const Dispatch::ServerInstance &instance)
+{
+    return "POST " + std::string(pathPrefix) + std::to_string(instance.startedAt) + "/"
+           + instance.id.text() + " HTTP/1.1\r\nHost: relay\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// One connection of a daemon and the one to the server that belongs to it.
+class RequestRelay::Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(RequestRelay &owner, asio::ip::tcp::socket socket)
+        : owner_(owner)
+        , daemon_{std::move(socket), {}}
+        , server_{asio::ip::tcp::socket(owner.context_), {}}
+        , timer_(owner.context_)
+    {}
+
+    void start()
+    {
+        setTimeout(owner_.settings_.requestTimeout);
+        readRequest();
+    }
+
+    void close()
+    {
+        timer_.cancel();
+        std::error_code ignored; // both connections end anyway
+        daemon_.socket.close(ignored);
+        server_.socket.close(ignored);
+        owner_.sessions_.erase(shared_from_this());
+    }
+
+private:
+    struct Side
+    {
+        asio::ip::tcp::socket socket;
+        std::array<char, bufferBytes> buffer{};
+    };
+
+    void setTimeout(Base::Duration timeout)
+    {
+        auto self = shared_from_this();
+        timer_.expires_after(timeout);
+        timer_.async_wait([self](const std::error_code &error) {
+            if (!error) {
+                self->close();
+            }
+        });
+    }
+
+    void readRequest()
+    {
+        auto self = shared_from_this();
+        daemon_.socket.async_read_some(asio::buffer(daemon_.buffer),
+                                       [self](const std::error_code &error, std::size_t size) {
+                                           if (error) {
+                                               self->close();
+                                               return;
+                                           }
+                                           self->onRequestBytes(size);
+                                       });
+    }
+
+    void onRequestBytes(std::size_t size)
+    {
+        const std::size_t parsed = parser_.feed(std::string_view(daemon_.buffer.data(), size));
+        if (parser_.state() == ParseState::Failed || parsed < size) {
+            close();
+        } else if (parser_.state() == ParseState::Complete) {
+            onRequest();
+        } else {
+            readRequest();
+        }
+    }
+
+    void onRequest()
+    {
+        const auto instance = parsePath(parser_.request().path());
+        if (!instance) {
+            respond(400);
+        } else if (owner_.isStopping_ || owner_.isCutOff_()
+                   || owner_.sessions_.size() > owner_.settings_.maxSessions) {
+            respond(relayUnavailable);
+        } else if (const auto address = owner_.lookup_(*instance)) {
+            connect(*address);
+        } else {
+            respond(relayUnavailable); // this daemon's list may be older
+        }
+    }
+
+    /// No connection before the timeout may be this daemon's fault; a refused one is the server's.
+    void connect(const asio::ip::tcp::endpoint &address)
+    {
+        auto self = shared_from_this();
+        timer_.expires_after(owner_.settings_.connectTimeout);
+        timer_.async_wait([self](const std::error_code &error) {
+            if (!error) {
+                self->respond(relayUnavailable);
+            }
+        });
+        server_.socket.async_connect(address, [self](const std::error_code &error) {
+            if (!self->daemon_.socket.is_open() || self->hasResponded_) {
+                return;
+            }
+            std::error_code ignored; // a socket without the option still works
+            self->server_.socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->daemon_.socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->respond(error ? relayNoServer : 200);
+        });
+    }
+
+    void respond(int status)
+    {
+        hasResponded_ = true;
+        timer_.cancel();
+        response_ = "HTTP/1.1 " + std::to_string(status) + " " + std::string(reasonOf(status))
+                    + "\r\nContent-Length: 0\r\n\r\n";
+        auto self = shared_from_this();
+        asio::async_write(daemon_.socket,
+                          asio::buffer(response_),
+                          [self, status](const std::error_code &error, std::size_t) {
+                              if (error || status != 200) {
+                                  self->close();
+                                  return;
+                              }
+                              self->forward(self->daemon_, self->server_);
+                              self->forward(self->server_, self->daemon_);
+                          });
+    }
+
+    /// Reads on only once the bytes are written, so that a slow reader holds the writer back.
+    void forward(Side &from, Side &to)
+    {
+        auto self = shared_from_this();
+        from.socket.async_read_some(
+            asio::buffer(from.buffer),
+            [self, &from, &to](const std::error_code &error, std::size_t size) {
+                if (error) {
+                    self->close();
+                    return;
+                }
+                asio::async_write(to.socket,
+                                  asio::buffer(from.buffer.data(), size),
+                                  [self, &from, &to](const std::error_code &failure, std::size_t) {
+                                      if (failure) {
+                                          self->close();
+                                      } else {
+                                          self->forward(from, to);
+                                      }
+                                  });
+            });
+    }
+
+    RequestRelay &owner_;
+    Side daemon_;
+    Side server_;
+    asio::steady_timer timer_;
+    MessageParser parser_{MessageParser::Kind::Request};
+    std::string response_;
+    bool hasResponded_ = false;
+};
+
+RequestRelay::RequestRelay(asio::io_context &context,
+                           RelaySettings settings,
+                           Lookup lookup,
+                           std::function<bool()> isCutOff,
+                           Telemetry::Log &log)
+    : context_(context)
+    , settings_(std::move(settings))
+    , lookup_(std::move(lookup))
+    , isCutOff_(std::move(isCutOff))
+    , log_(log)
+    , acceptor_(context)
+{}
+
+RequestRelay::~RequestRelay() = default;
+
+void RequestRelay::start()
+{
+    acceptor_.open(settings_.address.protocol());
+    acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    acceptor_.bind(settings_.address);
+    acceptor_.listen(listenBacklog);
+    accept();
+}
+
+void RequestRelay::accept()
+{
+    acceptor_.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (error) {
+            log_.write(Telemetry::LogLevel::Error,
+                       "cannot accept a connection of a peer: " + error.message(),
+                       {.step = "relay"});
+        } else {
+            const auto session = std::make_shared<Session>(*this, std::move(socket));
+            sessions_.insert(session);
+            session->start();
+        }
+        accept();
+    });
+}
+
+void RequestRelay::stop()
+{
+    isStopping_ = true;
+}
+
+} // namespace Proxy
--- /dev/null
+++ b/src/libs/proxy/requestrelay.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <base/instant.h>
+#include <dispatch/requestplacer.h>
+#include <telemetry/log.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace Proxy {
+
+/// Status of the response if the server cannot be reached from here either.
+inline constexpr int relayNoServer = 502;
+/// Status of the response if this daemon cannot help: it is cut off, stopping or busy.
+inline constexpr int relayUnavailable = 503;
+
+/// The request of a daemon for a connection to the server. After a response with status 200, the
+/// connection carries the bytes to and from the server.
+std::string relayRequest(const Dispatch::ServerInstance &instance);
+
+struct RelaySettings
+{
+    asio::ip::tcp::endpoint address;
+    /// A reachable server accepts within one round trip.
+    Base::Duration connectTimeout = std::chrono::milliseconds(200);
+    /// Time for the request of the daemon.
+    Base::Duration requestTimeout = std::chrono::seconds(1);
+    std::size_t maxSessions = 512;
+};
+
+/// Connects to backend servers for daemons that do not reach them. Everything that concerns the
+/// requests is decided by the daemon that sends them; bytes pass unchanged. Never uses another
+/// daemon itself.
+class RequestRelay
+{
+public:
+    /// Returns the address of a listed server.
+    using Lookup
+        = std::function<std::optional<asio::ip::tcp::endpoint>(const Dispatch::ServerInstance &)>;
+
+    RequestRelay(asio::io_context &context,
+                 RelaySettings settings,
+                 Lookup lookup,
+                 std::function<bool()> isCutOff,
+                 Telemetry::Log &log);
+    ~RequestRelay();
+
+    /// Throws std::exception if the address cannot be bound.
+    void start();
+    /// Accepts no new sessions.
+    void stop();
+    std::size_t sessionCount() const { return sessions_.size(); }
+    asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+private:
+    class Session;
+
+    void accept();
+
+    asio::io_context &context_;
+    RelaySettings settings_;
+    Lookup lookup_;
+    std::function<bool()> isCutOff_;
+    Telemetry::Log &log_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::set<std::shared_ptr<Session>> sessions_;
+    bool isStopping_ = false;
+};
+
+} // namespace Proxy
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -2,6 +2,7 @@
 
 #include "scriptedserver.h"
 
+#include <proxy/endpoint.h>
 #include <proxy/passthrough.h>
 #include <proxy/quarantinesharing.h>
 #include <proxy/requestlimitsharing.h>
@@ -236,8 +237,9 @@
     }
 
     PassThrough &passThrough() { return passThrough_; }
+    asio::io_context &context() { return context_; }
 
-private:
+protected:
     /// Shared by all fixtures, as the log library can be started only once per process.
     static Telemetry::Log &silentLog()
     {
@@ -246,6 +248,17 @@
         return log;
     }
 
+    static Dispatch::ListedServer listed(const std::string &id, const ScriptedServer &server)
+    {
+        Dispatch::ListedServer result;
+        result.server.id = Base::ServerId(id);
+        result.server.service = Base::ServiceId("s");
+        result.server.address = server.address();
+        result.server.slots = 4;
+        return result;
+    }
+
+private:
     AdmissionControls controls()
     {
         AdmissionControls result;
@@ -264,16 +277,6 @@
 
     static Base::VmId vm() { return Base::VmId("vm-1"); }
 
-    static Dispatch::ListedServer listed(const std::string &id, const ScriptedServer &server)
-    {
-        Dispatch::ListedServer result;
-        result.server.id = Base::ServerId(id);
-        result.server.service = Base::ServiceId("s");
-        result.server.address = server.address();
-        result.server.slots = 4;
-        return result;
-    }
-
     void accept()
     {
         acceptor_.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
--- a/tests/libs/proxy/scriptedserver.cpp
+++ b/tests/libs/proxy/scriptedserver.cpp
@@ -54,6 +54,18 @@
             [self](const std::error_code &error, std::size_t size) { self->onRead(error, size); });
     }
 
+    void respond(const std::string &id)
+    {
+        if (next_ < script_.responses.size()) {
+            const std::string text = withId(script_.responses[next_++], id);
+            std::error_code ignored;
+            asio::write(socket_, asio::buffer(text), ignored);
+        }
+        if (next_ == script_.responses.size() && script_.closesAfterwards) {
+            close();
+        }
+    }
+
     void close()
     {
         std::error_code ignored;
@@ -82,18 +94,6 @@
         }
     }
 
-    void respond(const std::string &id)
-    {
-        if (next_ < script_.responses.size()) {
-            const std::string text = withId(script_.responses[next_++], id);
-            std::error_code ignored;
-            asio::write(socket_, asio::buffer(text), ignored);
-        }
-        if (next_ == script_.responses.size() && script_.closesAfterwards) {
-            close();
-        }
-    }
-
     ScriptedServer &server_;
     asio::ip::tcp::socket socket_;
     Script script_;
@@ -105,6 +105,7 @@
 ScriptedServer::ScriptedServer(asio::io_context &context)
     : context_(context)
     , acceptor_(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , endpoint_(acceptor_.local_endpoint())
 {
     accept();
 }
@@ -121,9 +122,20 @@
     }
 }
 
+void ScriptedServer::crash()
+{
+    acceptor_.close();
+    closeConnections();
+}
+
+void ScriptedServer::sendNext(const std::string &id)
+{
+    connections_.back()->respond(id);
+}
+
 std::string ScriptedServer::address() const
 {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(endpoint_.port());
 }
 
 void ScriptedServer::accept()
--- a/tests/libs/proxy/scriptedserver.h
+++ b/tests/libs/proxy/scriptedserver.h
@@ -27,6 +27,10 @@
     void add(Script script) { scripts_.push_back(std::move(script)); }
     std::string address() const;
     void closeConnections();
+    /// Ends all connections and accepts no more.
+    void crash();
+    /// Writes the next response of the newest connection without a request.
+    void sendNext(const std::string &id);
 
     /// Complete requests in the order of their arrival.
     const std::vector<std::string> &requests() const { return requests_; }
@@ -40,6 +44,7 @@
 
     asio::io_context &context_;
     asio::ip::tcp::acceptor acceptor_;
+    asio::ip::tcp::endpoint endpoint_;
     std::deque<Script> scripts_;
     std::vector<std::string> requests_;
     std::vector<std::shared_ptr<Connection>> connections_;
--- a/tests/libs/proxy/tst_peers.cpp
+++ b/tests/libs/proxy/tst_peers.cpp
@@ -43,6 +43,7 @@
                               Dispatch::CrashStage::Producing,
                               std::chrono::microseconds(70)},
         QuarantineNotice{{quarantined}},
+        RelayNotice{},
         PoolJoinResponse{number, true, {}},
         PoolJoinResponse{number,
                          false,
--- /dev/null
+++ b/tests/libs/proxy/tst_requestrelay.cpp
@@ -0,0 +1,189 @@
+#include "passthroughfixture.h"
+
+#include <libs/loopback.h>
+#include <proxy/requestrelay.h>
+
+namespace {
+
+/// Accepts no connection, and lets those that try hang, like a server behind a partition.
+class HangingServer
+{
+public:
+    explicit HangingServer(asio::io_context &context)
+        : acceptor_(context)
+    {
+        acceptor_.open(asio::ip::tcp::v4());
+        acceptor_.bind({asio::ip::address_v4::loopback(), 0});
+        acceptor_.listen(0);
+        for (int i = 0; i < 4; ++i) {
+            fillers_.emplace_back(context);
+            fillers_.back().async_connect(acceptor_.local_endpoint(),
+                                          [](const std::error_code &) {});
+        }
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+private:
+    asio::ip::tcp::acceptor acceptor_;
+    std::vector<asio::ip::tcp::socket> fillers_;
+};
+
+/// A proxy that does not reach its servers, and another daemon that does.
+class RelayFixture : public Fixture
+{
+public:
+    explicit RelayFixture(const std::string &unreachableAddress)
+        : relay_(
+            context(),
+            {.address = {asio::ip::address_v4::loopback(), 0}},
+            [this](const auto &instance) { return reachable(instance); },
+            [this] { return isRelayCutOff; },
+            silentLog())
+    {
+        configure();
+        relay_.start();
+        passThrough().setRelays({{Base::VmId("vm-2"), relay_.address(), {}}});
+        auto one = listed("one", first);
+        auto two = listed("two", second);
+        one.server.address = unreachableAddress;
+        two.server.address = unreachableAddress;
+        two.server.zone = Base::ZoneId("elsewhere");
+        passThrough().serversChanged({one, two});
+    }
+
+    RequestRelay &relay() { return relay_; }
+
+    bool isRelayCutOff = false;
+
+private:
+    std::optional<asio::ip::tcp::endpoint> reachable(const Dispatch::ServerInstance &instance)
+    {
+        return parseEndpoint(instance.id == Base::ServerId("one") ? first.address()
+                                                                  : second.address());
+    }
+
+    RequestRelay relay_;
+};
+
+std::string refusingAddress()
+{
+    const auto endpoint = freeEndpoint<asio::ip::tcp>();
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+} // namespace
+
+/// Guards against a daemon without a path to the servers that serves nobody.
+Test(requestrelay, aRequestReachesItsServerThroughAnotherDaemon)
+{
+    RelayFixture fixture(refusingAddress());
+    fixture.first.add({{okResponse, okResponse}, false});
+    fixture.request("/once/a", "1");
+    fixture.awaitResponse("hello");
+    cr_assert_eq(fixture.first.requests().size(), 1U);
+    cr_assert(fixture.first.requests()[0].find("Server: one") != std::string::npos);
+    fixture.received.clear();
+    fixture.request("/once/b", "2");
+    fixture.awaitResponse("hello");
+    cr_assert_eq(fixture.first.connectionCount(), 1, "the connection is kept");
+}
+
+Test(requestrelay, aRequestReachesItsServerIfTheDirectAttemptHangs)
+{
+    asio::io_context other;
+    const HangingServer hanging(other);
+    RelayFixture fixture(hanging.address());
+    fixture.first.add({{streamHead + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n"}, false});
+    fixture.request("/stream/a", "1");
+    fixture.awaitResponse("0\r\n\r\n");
+    cr_assert(fixture.received.find("data: d2") != std::string::npos);
+}
+
+Test(requestrelay, theServerIsReleasedWhenTheCallerDisconnects)
+{
+    RelayFixture fixture(refusingAddress());
+    fixture.first.add({{streamHead + chunk(event(1))}, false});
+    fixture.request("/stream/a", "1");
+    fixture.awaitResponse("data: d1");
+    fixture.disconnect();
+    fixture.runUntil([&] { return fixture.first.closedByPeer() == 1; }, "the server is released");
+    fixture.runUntil([&] { return fixture.relay().sessionCount() == 0; }, "the session ends");
+}
+
+Test(requestrelay, aRelayThatIsCutOffItselfIsNotUsed)
+{
+    RelayFixture fixture(refusingAddress());
+    fixture.isRelayCutOff = true;
+    fixture.request("/once/a", "1");
+    fixture.awaitResponse("HTTP/1.1 503");
+    cr_assert_eq(requestCount(fixture), 0U);
+    cr_assert_eq(fixture.first.connectionCount(), 0);
+}
+
+/// A request that may have run at the server is not sent again.
+Test(requestrelay, aRequestWhoseRelayEndsIsNotRepeated)
+{
+    RelayFixture fixture(refusingAddress());
+    fixture.first.add({{""}, true});
+    fixture.second.add({{okResponse}, false});
+    fixture.request("/once/a", "1");
+    fixture.awaitResponse("HTTP/1.1 502");
+    cr_assert_eq(requestCount(fixture), 1U);
+}
+
+Test(requestrelay, aStopLetsRequestsInFlightEnd)
+{
+    RelayFixture fixture(refusingAddress());
+    fixture.first.add({{streamHead + chunk(event(1)), chunk(event(2)) + "0\r\n\r\n"}, false});
+    fixture.request("/stream/a", "1");
+    fixture.awaitResponse("data: d1");
+    fixture.relay().stop();
+    fixture.passThrough().relayStops(Base::VmId("vm-2"));
+    cr_assert_eq(fixture.relay().sessionCount(), 1U);
+    fixture.first.sendNext("1");
+    fixture.awaitResponse("data: d2");
+    fixture.runUntil([&] { return fixture.relay().sessionCount() == 0; },
+                     "the connection is not kept");
+}
+
+Test(requestrelay, aServerThatNobodyReachesIsRefusedOnce)
+{
+    RelayFixture fixture(refusingAddress());
+    fixture.first.crash();
+    fixture.second.crash();
+    fixture.request("/once/a", "1");
+    fixture.awaitResponse("HTTP/1.1 503");
+}
+
+Test(requestrelay, requestsThatNameNoServerAreRefused)
+{
+    RelayFixture fixture(refusingAddress());
+    for (const std::string &path : {"/relay/", "/relay/x/one", "/relay/17", "/relay//one", "/"}) {
+        asio::ip::tcp::socket socket(fixture.context());
+        socket.connect(fixture.relay().address());
+        asio::write(
+            socket,
+            asio::buffer("POST " + path + " HTTP/1.1\r\nHost: r\r\nContent-Length: 0\r\n\r\n"));
+        std::array<char, 256> buffer{};
+        std::string response;
+        bool isClosed = false;
+        std::function<void()> read = [&] {
+            socket.async_read_some(asio::buffer(buffer),
+                                   [&](const std::error_code &error, std::size_t size) {
+                                       response.append(buffer.data(), size);
+                                       isClosed = static_cast<bool>(error);
+                                       if (!error) {
+                                           read();
+                                       }
+                                   });
+        };
+        read();
+        fixture.runUntil([&] { return isClosed; }, "the relay closes the connection");
+        cr_assert(response.starts_with("HTTP/1.1 400"), "%s: %s", path.c_str(), response.c_str());
+    }
+    cr_assert_eq(fixture.first.connectionCount(), 0);
+}
