Only a server that accepts no new connection counts as crashed

The age of the crash travels with the report, so that the time of the check does not join two crashes.

requestsWhoseConnectionsEndAreNoSuspectsIfTheServersLive failed before (503 for the second request).

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -35,6 +35,8 @@
   6: CrashStage stage
   /** Time from the sending of the request to the end of the connection. */
   7: i64 atServerUs
+  /** Time since the end of the connection. */
+  8: i64 ageUs
 }
 
 enum RequestScope {
--- a/src/libs/dispatch/requestquarantine.cpp
+++ b/src/libs/dispatch/requestquarantine.cpp
@@ -47,9 +47,9 @@
     if (!suspect.servers.insert(report.server).second) {
         return std::nullopt;
     }
-    const Base::Instant sentAt = now - report.timeAtServer;
-    if (suspect.waves.empty() || sentAt > suspect.waves.back().beganAt) {
-        suspect.waves.push_back({now, 0});
+    const Base::Instant crashedAt = now - report.age;
+    if (suspect.waves.empty() || crashedAt - report.timeAtServer > suspect.waves.back().beganAt) {
+        suspect.waves.push_back({crashedAt, 0});
     }
     int &weight = suspect.waves.back().weight;
     weight = std::max(weight, weightOf(report.stage));
--- a/src/libs/dispatch/requestquarantine.h
+++ b/src/libs/dispatch/requestquarantine.h
@@ -35,6 +35,8 @@
     CrashStage stage = CrashStage::Unknown;
     /// Time from the sending of the request to the end of the connection.
     Base::Duration timeAtServer{};
+    /// Time since the end of the connection.
+    Base::Duration age{};
 
     bool operator==(const CrashReport &) const = default;
 };
--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -67,6 +67,7 @@
             return;
         }
         self->setUpSocket();
+        self->isReusable_ = true;
         report({});
     });
 }
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -731,7 +731,7 @@
     }
     if (end != ResponseEnd::Complete) {
         if (end == ResponseEnd::Disconnected) {
-            owner_.quarantine_.crashed(
+            owner_.crashes_.disconnected(
                 {fingerprints_, placement_->instance, crashStage(), now() - sentAt_});
         }
         releaseServer(false);
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -22,6 +22,12 @@
     , placer_(settings_.zone, settings_.placement, seed)
     , pool_(settings_.pool)
     , connector_(context, settings_.connector, log, metrics, seed)
+    , crashes_(
+          connector_,
+          settings_.connectTimeout,
+          {[this](const auto &instance) { return addressOf(instance); },
+           [this](const auto &report) { quarantine_.crashed(report); },
+           [this](const auto &instance, const auto &connection) { putIdle(instance, connection); }})
 {
     connector_.onCutOff([this] {
         pool_.closeIf([](const ClientConnection &connection) { return !connection.relay(); });
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -3,6 +3,7 @@
 #include "callerconnection.h"
 
 #include "connectionpool.h"
+#include "crashverifier.h"
 #include "recentprograms.h"
 #include "requesttraits.h"
 #include "serverconnector.h"
@@ -203,6 +204,7 @@
     Dispatch::RequestPlacer placer_;
     ConnectionPool pool_;
     ServerConnector connector_;
+    CrashVerifier crashes_;
     std::shared_ptr<const Contracts::RoutingTable> table_;
     std::shared_ptr<CallerHandlers> handlers_;
     std::set<std::shared_ptr<CallerConnection>> connections_;
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -388,6 +388,7 @@
                 part.startedAt = static_cast<std::int64_t>(report.server.startedAt);
                 part.stage = toWire(report.stage);
                 part.atServerUs = report.timeAtServer.count();
+                part.ageUs = report.age.count();
                 wire.__set_crashReport(part);
             },
             [&](const RelayNotice &) { wire.__set_relayNotice({}); },
@@ -522,7 +523,8 @@
              {team, Dispatch::RequestScope::Exact, static_cast<std::uint64_t>(report.exactHash)}},
             {Base::ServerId(report.server), static_cast<std::uint64_t>(report.startedAt)},
             stageFromWire(report.stage),
-            std::chrono::microseconds(std::max<std::int64_t>(0, report.atServerUs))};
+            std::chrono::microseconds(std::max<std::int64_t>(0, report.atServerUs)),
+            std::chrono::microseconds(std::max<std::int64_t>(0, report.ageUs))};
     }
     if (wire.__isset.quarantineNotice) {
         return QuarantineNotice{reportsFromWire(wire.quarantineNotice.reports)};
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -224,6 +224,13 @@
         runUntil([&] { return isClosed; }, "the caller's connection is closed");
     }
 
+    /// Runs the loop until requests with the usual body are kept from the servers.
+    void awaitQuarantine(const std::string &path)
+    {
+        const auto request = Dispatch::fingerprintsOf(Base::TeamId("club"), path, "body");
+        runUntil([&] { return quarantine_.isQuarantined(request); }, "the request is quarantined");
+    }
+
     void disconnect() { caller_.close(); }
 
     /// Continues with a new connection of the caller.
--- a/tests/libs/proxy/scriptedserver.h
+++ b/tests/libs/proxy/scriptedserver.h
@@ -19,6 +19,8 @@
         std::vector<std::string> responses;
         /// Closes after the last response; otherwise the connection stays open.
         bool closesAfterwards = false;
+        /// The whole server ends after the last response.
+        bool crashesAfterwards = false;
     };
 
     explicit ScriptedServer(asio::io_context &context);
@@ -29,6 +31,8 @@
     void closeConnections();
     /// Ends all connections and accepts no more.
     void crash();
+    /// Accepts connections again, at the same address.
+    void restart();
     /// Writes the next response of the newest connection without a request.
     void sendNext(const std::string &id);
 
