--- a/src/libs/dispatch/requestquarantine.h
+++ b/src/libs/dispatch/requestquarantine.h
@@ -85,7 +85,7 @@
 /// Finds requests that crash the servers that run them, out of those that were merely on a server
 /// when it crashed: they return, another server crashes, and no server responds. What is known of a
 /// request belongs to its fingerprints, as each attempt has an id of its own. The path is one of
-/// them because bodies of agent programs differ in what came before the part that crashes.
+/// them because the same fault may come with the bodies of different programs.
 class RequestQuarantine
 {
 public:
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -521,21 +521,16 @@
         return;
     }
     auto self = shared_from_this();
-    isConnecting_ = true;
-    auto attempt = owner_.connector_.connect(
+    connecting_ = owner_.connector_.connect(
         {placement.instance, *endpoint},
         std::min(owner_.settings_.connectTimeout, timeLeft()),
         [self](std::shared_ptr<ClientConnection> connection, const std::string &problem) {
             self->onConnected(std::move(connection), problem);
         });
-    if (isConnecting_) {
-        connecting_ = std::move(attempt);
-    }
 }
 
 void Exchange::onConnected(std::shared_ptr<ClientConnection> connection, const std::string &problem)
 {
-    isConnecting_ = false;
     connecting_.reset();
     if (connection) {
         sendTo(std::move(connection));
@@ -912,7 +907,6 @@
         return;
     }
     if (const auto connecting = std::exchange(connecting_, nullptr)) {
-        isConnecting_ = false;
         connecting->cancel();
         owner_.placer_.requestEnded(placement_->instance);
     }
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -106,7 +106,6 @@
     /// The server of the current attempt.
     std::optional<Dispatch::Placement> placement_;
     std::shared_ptr<ConnectAttempt> connecting_;
-    bool isConnecting_ = false;
     std::shared_ptr<ClientConnection> connection_;
     /// The daemon through which the server of the last attempt is reached.
     std::optional<Base::VmId> relay_;
--- a/src/libs/proxy/serverconnector.h
+++ b/src/libs/proxy/serverconnector.h
@@ -66,7 +66,7 @@
                     Telemetry::Metrics &metrics,
                     std::uint64_t seed);
 
-    /// Calls back once, unless the attempt is cancelled.
+    /// Calls back once and never at once, unless the attempt is cancelled.
     std::shared_ptr<ConnectAttempt> connect(const Target &target,
                                             Base::Duration timeout,
                                             Done done);
