--- a/tests/benches/proxybench.cpp
+++ b/tests/benches/proxybench.cpp
@@ -99,6 +99,26 @@
     return chosen > 0 ? microsecondsSince(start) / repetitions : 0;
 }
 
+/// Computes the fingerprints of a request and looks them up.
+double quarantineCost(std::size_t statements, std::size_t bodyBytes)
+{
+    Dispatch::RequestQuarantine quarantine;
+    const Base::TeamId team("team");
+    const Base::Instant now(std::chrono::seconds(1));
+    for (std::size_t i = 0; i < statements; ++i) {
+        const auto request = Dispatch::fingerprintsOf(team, std::to_string(i), {});
+        quarantine.apply({request.path, true, now, now, std::chrono::minutes(1)}, now);
+    }
+    const std::string body(bodyBytes, 'x');
+    int quarantined = 0;
+    const Clock::time_point start = Clock::now();
+    for (int i = 0; i < repetitions; ++i) {
+        const auto request = Dispatch::fingerprintsOf(team, "/chat/" + std::to_string(i), body);
+        quarantined += quarantine.isQuarantined(request, now) ? 1 : 0;
+    }
+    return quarantined == 0 ? microsecondsSince(start) / repetitions : 0;
+}
+
 std::size_t sizeOf(const Proxy::PeerBody &body)
 {
     return Proxy::encodePeerMessage({Base::VmId("front-zone-a-101"),
@@ -130,6 +150,10 @@
     for (const std::size_t count : {7, 75, 340}) {
         std::printf("%6zu %8.2f\n", count, rankCost(count));
     }
+    std::printf("quarantine: statements, bytes of the body, microseconds\n");
+    for (const std::size_t statements : {0, 256}) {
+        std::printf("%6zu %6d %8.2f\n", statements, 17'000, quarantineCost(statements, 17'000));
+    }
     const Proxy::RequestNumber number(1ULL << 60);
     const Proxy::LimitReport report{{Base::ServerId("i-8d5e2cc404"), 1'790'000'000'123},
                                     Base::RequestRate(6.5),
@@ -143,5 +167,22 @@
                 sizeOf(Proxy::ServerPermitRequest{number, report, {}}));
     std::printf("  permit response         %zu\n", sizeOf(Proxy::PermitResponse{number, {}}));
     std::printf("  limit report            %zu\n", sizeOf(report));
+    const auto request = Dispatch::fingerprintsOf(Base::TeamId("xaka200"), "/chat", "body");
+    std::printf("  crash report            %zu\n",
+                sizeOf(Dispatch::CrashReport{request,
+                                             report.instance,
+                                             Dispatch::CrashStage::Begun,
+                                             std::chrono::milliseconds(80),
+                                             std::chrono::milliseconds(9)}));
+    const Proxy::QuarantineReport quarantined{request.path,
+                                              true,
+                                              std::chrono::milliseconds(900),
+                                              std::chrono::milliseconds(30),
+                                              std::chrono::minutes(1)};
+    std::printf("  quarantine notice       %zu\n", sizeOf(Proxy::QuarantineNotice{{quarantined}}));
+    Proxy::PoolJoinResponse join;
+    join.number = number;
+    join.quarantine.assign(256, quarantined);
+    std::printf("  join response, 256 quarantines  %zu\n", sizeOf(join));
     return 0;
 }
