--- a/src/libs/proxy/requestrelay.cpp
+++ b/src/libs/proxy/requestrelay.cpp
@@ -119,13 +119,14 @@
         const auto instance = parsePath(parser_.request().path());
         if (!instance) {
             respond(400);
-        } else if (owner_.isStopping_ || owner_.isCutOff_()
-                   || owner_.sessions_.size() > owner_.settings_.maxSessions) {
-            respond(relayUnavailable);
-        } else if (const auto address = owner_.lookup_(*instance)) {
+            return;
+        }
+        // The server may be missing because this daemon's list is older.
+        const auto address = owner_.mayConnect() ? owner_.lookup_(*instance) : std::nullopt;
+        if (address) {
             connect(*address);
         } else {
-            respond(relayUnavailable); // this daemon's list may be older
+            respond(relayUnavailable);
         }
     }
 
@@ -244,6 +245,11 @@
     });
 }
 
+bool RequestRelay::mayConnect() const
+{
+    return !isStopping_ && !isCutOff_() && sessions_.size() <= settings_.maxSessions;
+}
+
 void RequestRelay::stop()
 {
     isStopping_ = true;
--- a/src/libs/proxy/requestrelay.h
+++ b/src/libs/proxy/requestrelay.h
@@ -61,6 +61,7 @@
     class Session;
 
     void accept();
+    bool mayConnect() const;
 
     asio::io_context &context_;
     RelaySettings settings_;
