Closed zones: no request to servers of zones that an operator closes

An operator closes a zone by an object in the platform's store. Placement leaves the zone's servers out; requests whose server's zone closes while they wait for a permit or a connection go to another one; the relay refuses new requests to them and lets running ones end.

The store's fake now reports deletions to watches.

--- a/src/libs/dispatch/requestplacer.cpp
+++ b/src/libs/dispatch/requestplacer.cpp
@@ -20,6 +20,7 @@
     Base::Instant ratedAt;
     std::optional<Base::Instant> ejectedUntil;
     bool hasAnnouncedLeaving = false;
+    bool isZoneClosed = false;
     /// End of the last period without permits of the server's request limit.
     Base::Instant exhaustedUntil;
     Base::Duration nextEjection{};
@@ -29,6 +30,7 @@
 
     void addCachedPart(std::uint64_t part, std::size_t limit);
     bool isLeaving() const { return listed.server.isLeaving || hasAnnouncedLeaving; }
+    bool mayGetRequests() const { return !isLeaving() && !isZoneClosed; }
 };
 
 void RequestPlacer::Server::addCachedPart(std::uint64_t part, std::size_t limit)
@@ -63,6 +65,7 @@
         std::unique_ptr<Server> server
             = isSameInstance ? std::move(known->second) : std::make_unique<Server>();
         server->listed = listed;
+        server->isZoneClosed = closures_.isClosed(listed.server.zone);
         if (!isSameInstance) {
             server->nextEjection = settings_.firstEjection;
         }
@@ -71,6 +74,17 @@
     servers_ = std::move(next);
 }
 
+ClosureChanges RequestPlacer::applyClosures(const std::vector<ClosedZone> &closed,
+                                            std::uint64_t revision,
+                                            Base::Instant now)
+{
+    ClosureChanges changes = closures_.apply(closed, revision, now);
+    for (auto &[id, server] : servers_) {
+        server->isZoneClosed = closures_.isClosed(server->listed.server.zone);
+    }
+    return changes;
+}
+
 RequestPlacer::Server *RequestPlacer::find(const ServerInstance &instance)
 {
     const auto server = servers_.find(instance.id);
@@ -79,6 +93,11 @@
     return isSameInstance ? server->second.get() : nullptr;
 }
 
+const RequestPlacer::Server *RequestPlacer::find(const ServerInstance &instance) const
+{
+    return isListed(instance) ? servers_.at(instance.id).get() : nullptr;
+}
+
 bool RequestPlacer::isListed(const ServerInstance &instance) const
 {
     const auto server = servers_.find(instance.id);
@@ -93,13 +112,37 @@
 
 bool RequestPlacer::isAvailable(const ServerInstance &instance) const
 {
-    return isListed(instance) && !servers_.at(instance.id)->isLeaving();
+    const Server *server = find(instance);
+    return server && server->mayGetRequests();
+}
+
+bool RequestPlacer::isInClosedZone(const ServerInstance &instance) const
+{
+    const Server *server = find(instance);
+    return server && server->isZoneClosed;
+}
+
+bool RequestPlacer::hasOnlyClosedServers(const Base::ServiceId &service,
+                                         const std::optional<Base::SoftwareVersion> &version) const
+{
+    bool hasClosed = false;
+    for (const auto &[id, server] : servers_) {
+        const bool isOtherVersion = version && server->listed.version != *version;
+        if (server->listed.server.service != service || server->isLeaving() || isOtherVersion) {
+            continue;
+        }
+        if (!server->isZoneClosed) {
+            return false;
+        }
+        hasClosed = true;
+    }
+    return hasClosed;
 }
 
 bool RequestPlacer::hasServer(const Base::ServiceId &service) const
 {
     return std::any_of(servers_.begin(), servers_.end(), [&](const auto &entry) {
-        return entry.second->listed.server.service == service && !entry.second->isLeaving();
+        return entry.second->listed.server.service == service && entry.second->mayGetRequests();
     });
 }
 
@@ -167,16 +210,19 @@
                                                Base::Instant now,
                                                const std::optional<Base::SoftwareVersion> &version)
 {
+    const std::vector<Base::ZoneId> spared = zonesToSpare(now);
     Server *best = nullptr;
     Rank bestRank;
     for (auto &[id, server] : servers_) {
         const bool isExcluded = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
         const bool isOtherVersion = version && server->listed.version != *version;
-        if (server->listed.server.service != service || server->isLeaving() || isExcluded
+        if (server->listed.server.service != service || !server->mayGetRequests() || isExcluded
             || isOtherVersion) {
             continue;
         }
-        const Rank rank = rankOf(*server, prompt, now);
+        Rank rank = rankOf(*server, prompt, now);
+        rank.isSpared
+            = std::find(spared.begin(), spared.end(), server->listed.server.zone) != spared.end();
         if (!best || rank < bestRank) {
             best = server.get();
             bestRank = rank;
@@ -195,6 +241,16 @@
                      bestRank.isExhausted};
 }
 
+/// Drawn once for each placement: drawn for each server, a zone with many would hardly be left out.
+std::vector<Base::ZoneId> RequestPlacer::zonesToSpare(Base::Instant now)
+{
+    std::vector<Base::ZoneId> zones = closures_.returningZones(now);
+    std::erase_if(zones, [&](const Base::ZoneId &zone) {
+        return random_.unit() < closures_.returnShare(zone, now);
+    });
+    return zones;
+}
+
 bool RequestPlacer::hasRoomForNewWork(const Server &server, Base::Instant now) const
 {
     const double slots = std::max(1U, server.listed.server.slots);
--- a/src/libs/dispatch/requestplacer.h
+++ b/src/libs/dispatch/requestplacer.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "zoneclosures.h"
+
 #include <base/instant.h>
 #include <base/random.h>
 #include <base/types.h>
@@ -98,6 +100,11 @@
 
     /// Sets the complete list of servers.
     void serversChanged(const std::vector<ListedServer> &servers);
+    /// Sets the complete set of closed zones; their servers get no requests.
+    ClosureChanges applyClosures(const std::vector<ClosedZone> &closed,
+                                 std::uint64_t revision,
+                                 Base::Instant now);
+    const ZoneClosures &closures() const { return closures_; }
 
     /// Returns the server with the least expected cost among those of the given version, if one is
     /// given; nullopt if no server is available.
@@ -133,8 +140,14 @@
     std::optional<std::string> addressOf(const ServerInstance &instance) const;
     /// Whether the instance may get new requests.
     bool isAvailable(const ServerInstance &instance) const;
-    /// Whether the service has a server that is not leaving.
+    /// Whether the service has a server that is not leaving, in a zone that is not closed.
     bool hasServer(const Base::ServiceId &service) const;
+    /// Whether the instance is listed in a closed zone.
+    bool isInClosedZone(const ServerInstance &instance) const;
+    /// Whether the service has servers that are not leaving, all of them in closed zones. Counts
+    /// only those of the version, if one is given.
+    bool hasOnlyClosedServers(const Base::ServiceId &service,
+                              const std::optional<Base::SoftwareVersion> &version = {}) const;
 
 private:
     struct Server;
@@ -143,6 +156,8 @@
     struct Rank
     {
         bool isEjected = false;
+        /// The server's zone was reopened a short time ago, and this placement leaves it out.
+        bool isSpared = false;
         bool isExhausted = false;
         /// Expected cost, or the time until permits return if the server is exhausted.
         double cost = 0;
@@ -150,6 +165,9 @@
         auto operator<=>(const Rank &) const = default;
     };
 
+    const Server *find(const ServerInstance &instance) const;
+    /// Reopened zones that this placement leaves out.
+    std::vector<Base::ZoneId> zonesToSpare(Base::Instant now);
     Rank rankOf(Server &server, const std::vector<PromptPart> &prompt, Base::Instant now);
     Server *find(const ServerInstance &instance);
     double loadOf(const Server &server, Base::Instant now) const;
@@ -162,6 +180,7 @@
     Base::ZoneId zone_;
     PlacementSettings settings_;
     Base::Random random_;
+    ZoneClosures closures_;
     std::unordered_map<Base::ServerId, std::unique_ptr<Server>> servers_;
 };
 
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -51,6 +51,7 @@
     void onCallerDisconnected();
 
     void startAttempt();
+    void refuseWithoutServer();
     bool isOverloaded() const;
     void requestServerPermit();
     void onServerPermit(const Admission::PermitVerdict &verdict, bool mayWait);
@@ -68,6 +69,8 @@
     void onBody(const std::string &bytes);
     void onEvents(const std::string &bytes);
     void onEnd(ResponseEnd end, const std::string &problem);
+    bool isZoneClosed() const;
+    void onZoneClosed();
     void onNotRun(const std::string &detail);
     void onBroken(const std::string &problem);
     bool mayRetry() const;
--- a/src/libs/proxy/exchangeattempts.cpp
+++ b/src/libs/proxy/exchangeattempts.cpp
@@ -31,10 +31,7 @@
     placement_ = owner_.placer_.choose(
         service_->id, traits_.prompt, excludedServers_, now(), streamVersion_);
     if (!placement_ || attempts_ >= owner_.settings_.maxAttempts) {
-        refuseAttempt("no_server",
-                      attempts_ == 0 ? "service has no available server"
-                                     : "no server accepted the request",
-                      owner_.settings_.retryAfterBusy);
+        refuseWithoutServer();
         return;
     }
     if (isOverloaded()) {
@@ -50,6 +47,26 @@
     }
 }
 
+void Exchange::refuseWithoutServer()
+{
+    const bool areZonesClosed
+        = !placement_ && owner_.placer_.hasOnlyClosedServers(service_->id, streamVersion_);
+    if (!areZonesClosed) {
+        refuseAttempt("no_server",
+                      attempts_ == 0 ? "service has no available server"
+                                     : "no server accepted the request",
+                      owner_.settings_.retryAfterBusy);
+        return;
+    }
+    owner_.metrics_
+        .counter("marjoram_closed_zone_refusals_total",
+                 "Requests refused because only closed zones have servers")
+        .add();
+    refuseAttempt("zones_closed",
+                  "all servers of the service are in closed zones",
+                  owner_.settings_.retryAfterClosed);
+}
+
 /// Programs that begin while even the best server is full would make those in progress late.
 bool Exchange::isOverloaded() const
 {
@@ -89,6 +106,12 @@
         }
         return;
     }
+    if (isZoneClosed()) {
+        // The zone was closed while the permit was on its way.
+        owner_.limits_.returnPermit(instance);
+        startAttempt();
+        return;
+    }
     if (verdict.wait == Base::Duration::zero()) {
         offer();
         return;
@@ -160,6 +183,11 @@
 void Exchange::onConnected(std::shared_ptr<ClientConnection> connection, const std::string &problem)
 {
     connecting_.reset();
+    if (connection && isZoneClosed()) {
+        connection_ = std::move(connection);
+        onZoneClosed();
+        return;
+    }
     if (connection) {
         sendTo(std::move(connection));
         return;
@@ -206,6 +234,21 @@
     return bytes.append(prefix_).append(request_.body);
 }
 
+bool Exchange::isZoneClosed() const
+{
+    return owner_.placer_.isInClosedZone(placement_->instance);
+}
+
+/// The zone was closed before the request was sent.
+void Exchange::onZoneClosed()
+{
+    owner_.metrics_
+        .counter("marjoram_closed_zone_redirects_total",
+                 "Requests whose server's zone was closed before they were sent")
+        .add();
+    onNotRun("zone of the server was closed");
+}
+
 /// The request was not executed on this server, so it is safe to try another one.
 void Exchange::onNotRun(const std::string &detail)
 {
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -81,6 +81,17 @@
     connector_.paths().retain(isListed);
 }
 
+Dispatch::ClosureChanges PassThrough::applyClosures(const std::vector<Dispatch::ClosedZone> &closed,
+                                                    std::uint64_t revision)
+{
+    return placer_.applyClosures(closed, revision, now());
+}
+
+bool PassThrough::isInClosedZone(const Dispatch::ServerInstance &instance) const
+{
+    return placer_.isInClosedZone(instance);
+}
+
 std::optional<asio::ip::tcp::endpoint> PassThrough::addressOf(
     const Dispatch::ServerInstance &instance) const
 {
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -41,6 +41,9 @@
     Base::Duration retryAfterBusy = std::chrono::milliseconds(100);
     /// Retry-After of a new program while the servers are full; about the time of two turns.
     Base::Duration retryAfterOverload = std::chrono::milliseconds(500);
+    /// Retry-After while only closed zones have servers; a reopened zone is known to all daemons
+    /// within this time.
+    Base::Duration retryAfterClosed = std::chrono::seconds(1);
     /// Responses up to this size are forwarded only once they are complete.
     std::size_t bufferedResponseBytes = 256 * 1024;
     /// Unsent bytes to a slow caller at which reading from the server pauses.
@@ -153,6 +156,11 @@
     /// Applies the document if its version is newer. Returns whether it was applied.
     bool configure(Contracts::RoutingDocument document);
     void serversChanged(const std::vector<Dispatch::ListedServer> &servers);
+    /// Sets the complete set of closed zones, as of a revision of the store.
+    Dispatch::ClosureChanges applyClosures(const std::vector<Dispatch::ClosedZone> &closed,
+                                           std::uint64_t revision);
+    /// Whether the instance is listed in a closed zone; no request may reach it.
+    bool isInClosedZone(const Dispatch::ServerInstance &instance) const;
 
     /// Sets the other daemons, through which servers can be reached.
     void setRelays(std::vector<RelayAddress> relays) { connector_.setRelays(std::move(relays)); }
--- a/src/libs/proxy/requestrelay.cpp
+++ b/src/libs/proxy/requestrelay.cpp
@@ -121,6 +121,11 @@
             respond(400);
             return;
         }
+        instance_ = *instance;
+        if (owner_.isClosed_(instance_)) {
+            respond(relayNoServer);
+            return;
+        }
         // The server may be missing because this daemon's list is older.
         const auto address = owner_.mayConnect() ? owner_.lookup_(*instance) : std::nullopt;
         if (address) {
@@ -147,7 +152,8 @@
             std::error_code ignored; // a socket without the option still works
             self->server_.socket.set_option(asio::ip::tcp::no_delay(true), ignored);
             self->daemon_.socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-            self->respond(error ? relayNoServer : 200);
+            const bool isClosed = self->owner_.isClosed_(self->instance_);
+            self->respond(error || isClosed ? relayNoServer : 200);
         });
     }
 
@@ -170,6 +176,15 @@
                           });
     }
 
+    /// A daemon sends bytes after those of the server only for its next request. A daemon that does
+    /// not know of a closure must not send one through a connection from before.
+    bool mayForward(bool isFromDaemon)
+    {
+        const bool isNextRequest = isFromDaemon && !isRequestOpen_;
+        isRequestOpen_ = isFromDaemon;
+        return !isNextRequest || !owner_.isClosed_(instance_);
+    }
+
     /// Reads on only once the bytes are written, so that a slow reader holds the writer back.
     void forward(Side &from, Side &to)
     {
@@ -177,7 +192,7 @@
         from.socket.async_read_some(
             asio::buffer(from.buffer),
             [self, &from, &to](const std::error_code &error, std::size_t size) {
-                if (error) {
+                if (error || !self->mayForward(&from == &self->daemon_)) {
                     self->close();
                     return;
                 }
@@ -199,7 +214,10 @@
     asio::steady_timer timer_;
     MessageParser parser_{MessageParser::Kind::Request};
     std::string response_;
+    Dispatch::ServerInstance instance_;
     bool hasResponded_ = false;
+    /// The last bytes came from the daemon: its request is being sent or has no response yet.
+    bool isRequestOpen_ = false;
 };
 
 RequestRelay::RequestRelay(asio::io_context &context,
--- a/src/libs/proxy/requestrelay.h
+++ b/src/libs/proxy/requestrelay.h
@@ -50,6 +50,13 @@
                  Telemetry::Log &log);
     ~RequestRelay();
 
+    /// Requests to servers for which \a isClosed returns true are refused; those that are already
+    /// running end by themselves.
+    void setClosedServers(std::function<bool(const Dispatch::ServerInstance &)> isClosed)
+    {
+        isClosed_ = std::move(isClosed);
+    }
+
     /// Throws std::exception if the address cannot be bound.
     void start();
     /// Accepts no new sessions.
@@ -67,6 +74,8 @@
     RelaySettings settings_;
     Lookup lookup_;
     std::function<bool()> isCutOff_;
+    std::function<bool(const Dispatch::ServerInstance &)> isClosed_
+        = [](const Dispatch::ServerInstance &) { return false; };
     Telemetry::Log &log_;
     asio::ip::tcp::acceptor acceptor_;
     std::set<std::shared_ptr<Session>> sessions_;
--- a/tests/platform/platformstore.cpp
+++ b/tests/platform/platformstore.cpp
@@ -132,6 +132,12 @@
             events.push_back({{"deleted", false}, {"object", object}});
         }
     }
+    for (const auto &[name, revision] : deletions_[watch.kind]) {
+        if (revision > watch.after) {
+            events.push_back({{"deleted", true},
+                              {"object", {{"meta", {{"name", name}, {"revision", revision}}}}}});
+        }
+    }
     if (events.empty()) {
         return false;
     }
@@ -147,6 +153,7 @@
 
 void PlatformStore::store(const std::string &kind, const std::string &name, const json &spec)
 {
+    deletions_[kind].erase(name);
     // Parsed again because JSON from the wire holds non-negative integers as unsigned.
     kinds_[kind][name] = json::parse(
         json{{"meta", {{"name", name}, {"revision", ++revision_}}}, {"spec", spec}}.dump());
@@ -159,8 +166,9 @@
 {
     if (request.head.method == "DELETE") {
         const std::size_t erased = kinds_[kind].erase(name);
-        ++revision_;
+        recordDeletion(kind, name);
         respond(caller, erased > 0 ? 200 : 404, json::object());
+        notifyWatches(kind);
         return;
     }
     const json body = json::parse(request.body);
@@ -209,7 +217,13 @@
 void PlatformStore::erase(const std::string &kind, const std::string &name)
 {
     kinds_[kind].erase(name);
-    ++revision_;
+    recordDeletion(kind, name);
+    notifyWatches(kind);
+}
+
+void PlatformStore::recordDeletion(const std::string &kind, const std::string &name)
+{
+    deletions_[kind][name] = ++revision_;
 }
 
 json PlatformStore::spec(const std::string &kind, const std::string &name) const
--- a/tests/platform/platformstore.h
+++ b/tests/platform/platformstore.h
@@ -62,12 +62,15 @@
     void store(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     static void respond(const Caller &caller, int status, const nlohmann::json &body);
 
+    void recordDeletion(const std::string &kind, const std::string &name);
     void finishWatch(const Caller &caller);
 
     asio::io_context &context_;
     asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<Proxy::CallerHandlers> handlers_;
     std::map<std::string, Kind> kinds_;
+    /// Revisions of deletions by kind and name.
+    std::map<std::string, std::map<std::string, std::uint64_t>> deletions_;
     std::vector<Watch> watches_;
     std::uint64_t revision_ = 1;
     std::uint64_t oldestRevision_ = 0;
