--- a/tests/libs/proxy/tst_requestrelay.cpp
+++ b/tests/libs/proxy/tst_requestrelay.cpp
@@ -159,6 +159,38 @@
     fixture.awaitResponse("HTTP/1.1 503");
 }
 
+/// Guards against a daemon that does not know of a closure and reaches the zone through one that
+/// does, over a new or a kept connection.
+Test(requestrelay, aServerOfAClosedZoneGetsNoNewRequests)
+{
+    RelayFixture fixture(refusingAddress());
+    bool isClosed = false;
+    fixture.relay().setClosedServers([&](const auto &) { return isClosed; });
+    fixture.first.add({{okResponse, okResponse}});
+    fixture.request("/once/a", "1");
+    fixture.awaitResponse("hello");
+    isClosed = true;
+    fixture.request("/once/b", "2");
+    fixture.awaitResponse("HTTP/1.1 502");
+    fixture.request("/once/c", "3");
+    fixture.awaitResponse("HTTP/1.1 503");
+    cr_assert_eq(requestCount(fixture), 1U);
+}
+
+/// Guards against a closure that cuts off what is already running.
+Test(requestrelay, aRunningRequestOfAClosedZoneEndsByItself)
+{
+    RelayFixture fixture(refusingAddress());
+    bool isClosed = false;
+    fixture.relay().setClosedServers([&](const auto &) { return isClosed; });
+    fixture.first.add({{streamHead + chunk(event(1)), chunk(event(2)) + "0\r\n\r\n"}, false});
+    fixture.request("/stream/a", "1");
+    fixture.awaitResponse("data: d1");
+    isClosed = true;
+    fixture.first.sendNext("1");
+    fixture.awaitResponse("data: d2");
+}
+
 Test(requestrelay, requestsThatNameNoServerAreRefused)
 {
     RelayFixture fixture(refusingAddress());
