--- a/tests/benches/proxybench.cpp
+++ b/tests/benches/proxybench.cpp
@@ -65,6 +65,30 @@
     return microsecondsSince(start) / repetitions;
 }
 
+/// Mean cost of the look-up whether the chosen server's zone is closed.
+double closureCost(std::size_t servers, std::size_t closedZones)
+{
+    Dispatch::RequestPlacer placer(Base::ZoneId("zone-a"), {}, 1);
+    std::vector<Dispatch::ListedServer> listed(servers);
+    for (std::size_t i = 0; i < servers; ++i) {
+        listed[i].server.id = Base::ServerId("i-" + std::to_string(i));
+        listed[i].server.zone = Base::ZoneId("zone-" + std::to_string(i % 3));
+    }
+    placer.serversChanged(listed);
+    std::vector<Dispatch::ClosedZone> closed;
+    for (std::size_t i = 0; i < closedZones; ++i) {
+        closed.push_back({Base::ZoneId("zone-" + std::to_string(i)), 1});
+    }
+    placer.applyClosures(closed, 1, at(0));
+    std::size_t inClosedZone = 0;
+    const Clock::time_point start = Clock::now();
+    for (std::size_t i = 0; i < repetitions; ++i) {
+        inClosedZone += placer.isInClosedZone(listed[i % servers].instance()) ? 1 : 0;
+    }
+    const double cost = microsecondsSince(start) / repetitions;
+    return inClosedZone > 0 || closedZones == 0 ? cost : 0;
+}
+
 /// Mean cost of the decision on one permit of a limited server.
 double permitCost(std::size_t servers, std::size_t members)
 {
@@ -142,6 +166,10 @@
                         placementCost(servers, 1000, hasVersion));
         }
     }
+    std::printf("look-up of closed zones: servers, closed zones, microseconds\n");
+    for (const std::size_t closed : {0, 1, 3}) {
+        std::printf("%6d %6zu %8.2f\n", 600, closed, closureCost(600, closed));
+    }
     std::printf("permit of a limited server: servers, daemons, microseconds\n");
     for (const std::size_t members : {7, 75, 340}) {
         std::printf("%6d %6zu %8.2f\n", 600, members, permitCost(600, members));
