Dispatch: which servers are cold, and a quiet countdown

A server that has just started takes only a few requests a second.

The countdown in list entries does not count as a change of the list; only its begin, its end and an increase do. Otherwise all daemons would fetch the list at each read while any server is cold.

--- a/src/libs/dispatch/requestplacer.h
+++ b/src/libs/dispatch/requestplacer.h
@@ -37,6 +37,8 @@
     Contracts::BackendServer server;
     std::uint64_t startedAt = 0;
     Base::SoftwareVersion version;
+    /// Time for which the server stays cold, from the reading of the list; unset if not stated.
+    std::optional<Base::Duration> coldLeft;
 
     ServerInstance instance() const { return {server.id, startedAt}; }
     bool operator==(const ListedServer &) const = default;
--- a/src/libs/dispatch/serverdirectory.cpp
+++ b/src/libs/dispatch/serverdirectory.cpp
@@ -1,6 +1,7 @@
 #include "serverdirectory.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace Dispatch {
@@ -21,8 +22,30 @@
     });
 }
 
+bool hasChanged(const ListedServer &before, const ListedServer &after)
+{
+    const bool isCountdown = before.coldLeft && after.coldLeft
+                             && *after.coldLeft > Base::Duration::zero()
+                             && *after.coldLeft <= *before.coldLeft;
+    if (!isCountdown) {
+        return before != after;
+    }
+    return std::tie(before.server, before.startedAt, before.version)
+           != std::tie(after.server, after.startedAt, after.version);
+}
+
 } // namespace
 
+bool hasChanged(const std::vector<ListedServer> &before, const std::vector<ListedServer> &after)
+{
+    return !std::equal(
+        before.begin(),
+        before.end(),
+        after.begin(),
+        after.end(),
+        [](const ListedServer &a, const ListedServer &b) { return !hasChanged(a, b); });
+}
+
 void ServerDirectory::storeReadFailed(Base::Instant now)
 {
     storeReadFailedAt_ = now;
@@ -64,7 +87,7 @@
         });
     }
     keptUntil_ = std::move(keptUntil);
-    const bool isChanged = !isKnown_ || list != servers_;
+    const bool isChanged = !isKnown_ || hasChanged(servers_, list);
     isKnown_ = true;
     servers_ = std::move(list);
     return isChanged;
--- a/src/libs/dispatch/serverdirectory.h
+++ b/src/libs/dispatch/serverdirectory.h
@@ -6,6 +6,10 @@
 
 namespace Dispatch {
 
+/// Whether the lists differ in more than the countdown of cold servers: their time left counts as
+/// changed only if it begins, ends or increases.
+bool hasChanged(const std::vector<ListedServer> &before, const std::vector<ListedServer> &after);
+
 /// Backend servers that may get requests, from the lists read from the store. During an outage of
 /// the store, entries may expire although their servers are alive. Such entries are kept until the
 /// servers have had time to register again.
