PermitPool: limits of cold servers

A cold server's bucket starts empty, holds a quarter of a second's rate, and ends at a given time; the smaller of the stated and the cold rate holds.

Two pools may count the same member while a coordinator is replaced, so a new member adds 0.4 of its share until its earlier membership has expired. A pool with less than one permit drops it after 0.1 s, and pools start at different phases, as 70 isolated daemons would send 70 requests at once otherwise. Nothing is granted before the number of daemons is known.

--- a/src/libs/admission/permitpool.cpp
+++ b/src/libs/admission/permitpool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace Admission {
 
@@ -25,6 +26,18 @@
 constexpr double serverBurstSeconds = 1;
 constexpr double maxServerBurst = 1e6;
 
+/// A cold server crashes well above its rate, and two pools may grant its permits at a time.
+constexpr double coldBurstSeconds = 0.25;
+
+/// Part of its share of cold servers' limits that a member adds until its membership in an earlier
+/// pool has certainly expired. That pool may grant the whole rate and burst once more: 1.4 rates
+/// and a burst of a quarter are less than the 1.5 rates and 5 requests that are allowed.
+constexpr double newMemberShare = 0.4;
+
+/// Time for which a pool with less than one permit of a cold server keeps an unused one. Without
+/// it, all pools of a split fleet could have one at the same time.
+constexpr double coldPermitSeconds = 0.1;
+
 Base::Duration longestWait(Urgency urgency)
 {
     switch (urgency) {
@@ -52,22 +65,49 @@
 double PermitPool::share() const
 {
     return std::min(1.0,
-                    static_cast<double>(renewedAt_.size())
+                    static_cast<double>(members_.size())
                         / static_cast<double>(std::max<std::size_t>(1, daemonCount_)));
 }
 
+/// The members' share of the limits of cold servers.
+double PermitPool::coldShare(Base::Instant now) const
+{
+    if (!isCountKnown_ || now < coldFrom_) {
+        return 0;
+    }
+    double shares = 0;
+    for (const auto &[vm, member] : members_) {
+        shares += now - member.joinedAt >= membershipLength_ ? 1 : newMemberShare;
+    }
+    return std::min(1.0, shares / static_cast<double>(std::max<std::size_t>(1, daemonCount_)));
+}
+
+double PermitPool::shareOf(const Bucket &bucket) const
+{
+    return bucket.isCold ? coldShare_ : share();
+}
+
 /// A bucket of less than one permit would never admit a request. The minimum of one permit is
 /// within the amount that the shares of other daemons leave unused because of rounding.
 double PermitPool::capacityOf(const Bucket &bucket) const
 {
-    return std::max(1.0, static_cast<double>(bucket.limit.burst.value()) * share());
+    return std::max(1.0, static_cast<double>(bucket.limit.burst.value()) * shareOf(bucket));
 }
 
 void PermitPool::refill(Bucket &bucket, Base::Instant now) const
 {
-    bucket.level += bucket.limit.perSecond * share() * Base::toSeconds(now - bucket.filledAt);
+    const double rate = bucket.limit.perSecond * shareOf(bucket);
+    bucket.level += rate * Base::toSeconds(now - bucket.filledAt);
     bucket.filledAt = now;
-    bucket.level = std::min(bucket.level, capacityOf(bucket));
+    const double burst = static_cast<double>(bucket.limit.burst.value()) * shareOf(bucket);
+    if (!bucket.isCold || burst >= 1) {
+        bucket.level = std::min(bucket.level, capacityOf(bucket));
+        return;
+    }
+    const double kept = std::min(1.0, rate * coldPermitSeconds);
+    if (bucket.level >= 1 + kept) {
+        bucket.level -= std::floor(bucket.level - kept); // unused permits are dropped
+    }
 }
 
 void PermitPool::refillAll(Base::Instant now)
@@ -75,20 +115,24 @@
     for (auto &[team, bucket] : buckets_) {
         refill(bucket, now);
     }
-    for (auto &[server, bucket] : serverBuckets_) {
-        refill(bucket, now);
+    for (auto &[server, entry] : serverBuckets_) {
+        refill(entry.bucket, now);
     }
 }
 
-void PermitPool::removeExpiredMembers(Base::Instant now)
+/// Removes expired members and cold limits, and counts new members in full once they are due.
+void PermitPool::updateMembers(Base::Instant now)
 {
+    endCold(now);
     const auto isExpired
-        = [&](const auto &member) { return now - member.second >= membershipLength_; };
-    if (std::none_of(renewedAt_.begin(), renewedAt_.end(), isExpired)) {
+        = [&](const auto &member) { return now - member.second.renewedAt >= membershipLength_; };
+    const bool hasExpired = std::any_of(members_.begin(), members_.end(), isExpired);
+    if (!hasExpired && (serverBuckets_.empty() || coldShare(now) == coldShare_)) {
         return;
     }
     refillAll(now);
-    std::erase_if(renewedAt_, isExpired);
+    std::erase_if(members_, isExpired);
+    coldShare_ = coldShare(now);
     refillAll(now); // caps the levels
 }
 
@@ -96,7 +140,7 @@
 /// start empty, because a restarted daemon may have granted their permits just before.
 void PermitPool::configure(const TeamLimits &limits, Base::Instant now)
 {
-    removeExpiredMembers(now);
+    updateMembers(now);
     refillAll(now);
     std::unordered_map<Base::TeamId, Bucket> next;
     for (const auto &[team, limit] : limits) {
@@ -116,19 +160,25 @@
 
 void PermitPool::setDaemonCount(std::size_t count, Base::Instant now)
 {
-    removeExpiredMembers(now);
+    updateMembers(now);
     refillAll(now);
     daemonCount_ = count;
+    isCountKnown_ = true;
+    coldShare_ = coldShare(now);
     refillAll(now); // caps the levels
 }
 
 void PermitPool::renewMembership(const Base::VmId &member, Base::Instant now)
 {
-    removeExpiredMembers(now);
-    if (!renewedAt_.contains(member)) {
-        refillAll(now);
+    updateMembers(now);
+    const auto known = members_.find(member);
+    if (known != members_.end()) {
+        known->second.renewedAt = now;
+        return;
     }
-    renewedAt_[member] = now;
+    refillAll(now);
+    members_[member] = {now, now};
+    coldShare_ = coldShare(now);
 }
 
 /// A server's bucket starts empty, because the requests that led to the limit are still running.
@@ -136,31 +186,93 @@
                              std::optional<Base::RequestRate> rate,
                              Base::Instant now)
 {
-    if (!rate) {
+    updateMembers(now);
+    const auto known = serverBuckets_.find(server);
+    if (!rate && (known == serverBuckets_.end() || !known->second.cold)) {
         serverBuckets_.erase(server);
         return;
     }
-    removeExpiredMembers(now);
-    Bucket &bucket = serverBuckets_.try_emplace(server, Bucket{{}, 0, now}).first->second;
+    ServerBucket &entry
+        = serverBuckets_.try_emplace(server, ServerBucket{{{}, 0, now, false}, {}, {}})
+              .first->second;
+    entry.stated = rate;
+    setRate(entry, now);
+}
+
+/// The bucket of a server that becomes cold starts empty, whatever it held before.
+void PermitPool::limitColdServer(const Base::ServerId &server,
+                                 const ColdRate &cold,
+                                 Base::Instant now)
+{
+    updateMembers(now);
+    if (cold.until <= now) {
+        return;
+    }
+    ServerBucket &entry
+        = serverBuckets_.try_emplace(server, ServerBucket{{{}, 0, now, false}, {}, {}})
+              .first->second;
+    if (!entry.cold) {
+        refill(entry.bucket, now);
+        entry.bucket.level = std::min(entry.bucket.level, -cold.phase);
+        entry.cold = cold;
+    } else {
+        entry.cold->until = std::max(entry.cold->until, cold.until);
+        entry.cold->rate = std::min(entry.cold->rate, cold.rate);
+    }
+    setRate(entry, now);
+}
+
+void PermitPool::admitColdFrom(Base::Instant time)
+{
+    coldFrom_ = time;
+}
+
+/// Sets the smaller of the stated and the cold rate.
+void PermitPool::setRate(ServerBucket &server, Base::Instant now)
+{
+    Bucket &bucket = server.bucket;
     refill(bucket, now);
-    const double perSecond = std::max(*rate, minServerRate).value();
-    const double burst = std::min(std::ceil(serverBurstSeconds * perSecond), maxServerBurst);
-    bucket.limit = {perSecond, Permits(static_cast<std::int64_t>(burst))};
+    const bool isCold = server.cold.has_value();
+    double perSecond = isCold ? server.cold->rate.value() : std::numeric_limits<double>::infinity();
+    if (server.stated) {
+        perSecond = std::min(perSecond, std::max(*server.stated, minServerRate).value());
+    }
+    const double burst = isCold ? std::max(1.0, std::floor(coldBurstSeconds * perSecond))
+                                : std::ceil(serverBurstSeconds * perSecond);
+    bucket.isCold = isCold;
+    bucket.limit = {perSecond, Permits(static_cast<std::int64_t>(std::min(burst, maxServerBurst)))};
     refill(bucket, now); // caps the level
 }
 
+void PermitPool::endCold(Base::Instant now)
+{
+    for (auto entry = serverBuckets_.begin(); entry != serverBuckets_.end();) {
+        ServerBucket &server = entry->second;
+        const bool hasEnded = server.cold && now >= server.cold->until;
+        if (hasEnded && !server.stated) {
+            entry = serverBuckets_.erase(entry);
+            continue;
+        }
+        if (hasEnded) {
+            server.cold.reset();
+            setRate(server, now);
+        }
+        ++entry;
+    }
+}
+
 PermitVerdict PermitPool::admit(Bucket &bucket,
                                 Urgency urgency,
                                 Base::Duration longestWait,
                                 Base::Instant now)
 {
-    removeExpiredMembers(now);
+    updateMembers(now);
     refill(bucket, now);
     const bool isNew = urgency == Urgency::NewProgram;
     const double reserve = isNew ? newProgramReserve * capacityOf(bucket) : 0;
     const double needed = std::min(1 + reserve, capacityOf(bucket));
     const double missing = std::max(0.0, needed - bucket.level);
-    const double rate = bucket.limit.perSecond * share();
+    const double rate = bucket.limit.perSecond * shareOf(bucket);
     const Base::Duration wait = missing > 0 ? refillTime(missing, rate) : Base::Duration::zero();
     if (wait <= longestWait) {
         bucket.level -= 1;
@@ -180,18 +292,19 @@
                                         const ServerPermitTerms &terms,
                                         Base::Instant now)
 {
+    updateMembers(now); // removes ended cold limits
     const auto entry = serverBuckets_.find(server);
     if (entry == serverBuckets_.end()) {
         return {};
     }
     const Base::Duration longest
         = terms.mayWait ? longestWait(terms.urgency) : Base::Duration::zero();
-    return admit(entry->second, terms.urgency, longest, now);
+    return admit(entry->second.bucket, terms.urgency, longest, now);
 }
 
 void PermitPool::refund(Bucket &bucket, Base::Instant now)
 {
-    removeExpiredMembers(now);
+    updateMembers(now);
     refill(bucket, now);
     bucket.level = std::min(bucket.level + 1, capacityOf(bucket));
 }
@@ -205,16 +318,17 @@
 
 void PermitPool::refundToServer(const Base::ServerId &server, Base::Instant now)
 {
+    updateMembers(now); // removes ended cold limits
     if (const auto entry = serverBuckets_.find(server); entry != serverBuckets_.end()) {
-        refund(entry->second, now);
+        refund(entry->second.bucket, now);
     }
 }
 
 bool PermitPool::hasMajoritySince(Base::Instant since) const
 {
-    const auto recent = std::count_if(renewedAt_.begin(),
-                                      renewedAt_.end(),
-                                      [&](const auto &member) { return member.second >= since; });
+    const auto recent = std::count_if(members_.begin(), members_.end(), [&](const auto &member) {
+        return member.second.renewedAt >= since;
+    });
     return 2 * static_cast<std::size_t>(recent) > daemonCount_;
 }
 
--- a/src/libs/admission/permitpool.h
+++ b/src/libs/admission/permitpool.h
@@ -44,6 +44,16 @@
     bool operator==(const ServerPermitTerms &) const = default;
 };
 
+/// What a cold server takes from all daemons together.
+struct ColdRate
+{
+    Base::RequestRate rate;
+    Base::Instant until;
+    /// Part of a permit, from 0 to 1, that the first permit has to wait for. Spreads the first
+    /// permits of pools that know of the server at the same time.
+    double phase = 0;
+};
+
 using TeamLimits = std::vector<std::pair<Base::TeamId, RateLimit>>;
 
 /// Permits of teams, and of backend servers that limit the requests of all daemons together, for
@@ -69,6 +79,13 @@
                      std::optional<Base::RequestRate> rate,
                      Base::Instant now);
 
+    /// Limits a cold server until the given time, in addition to what limitServer() sets. Of
+    /// several such limits the smallest rate and the last end hold.
+    void limitColdServer(const Base::ServerId &server, const ColdRate &cold, Base::Instant now);
+    /// No request to a cold server is admitted before the given time, nor before the number of
+    /// daemons is known.
+    void admitColdFrom(Base::Instant time);
+
     /// Adds the member's share to this pool, or extends its membership.
     void renewMembership(const Base::VmId &member, Base::Instant now);
 
@@ -93,9 +110,27 @@
         RateLimit limit;
         double level = 0;
         Base::Instant filledAt;
+        bool isCold = false;
+    };
+
+    struct ServerBucket
+    {
+        Bucket bucket;
+        std::optional<Base::RequestRate> stated;
+        std::optional<ColdRate> cold;
+    };
+
+    struct Membership
+    {
+        Base::Instant joinedAt;
+        Base::Instant renewedAt;
     };
 
     double share() const;
+    double coldShare(Base::Instant now) const;
+    double shareOf(const Bucket &bucket) const;
+    void setRate(ServerBucket &server, Base::Instant now);
+    void endCold(Base::Instant now);
     double capacityOf(const Bucket &bucket) const;
     void refill(Bucket &bucket, Base::Instant now) const;
     PermitVerdict admit(Bucket &bucket,
@@ -104,14 +139,18 @@
                         Base::Instant now);
     void refund(Bucket &bucket, Base::Instant now);
     void refillAll(Base::Instant now);
-    void removeExpiredMembers(Base::Instant now);
+    void updateMembers(Base::Instant now);
 
     Base::Duration membershipLength_;
     std::size_t daemonCount_ = 1;
     bool isConfigured_ = false;
-    std::map<Base::VmId, Base::Instant> renewedAt_;
+    bool isCountKnown_ = false;
+    Base::Instant coldFrom_ = Base::Instant::min();
+    /// Share of the limits of cold servers since the last change of the members.
+    double coldShare_ = 0;
+    std::map<Base::VmId, Membership> members_;
     std::unordered_map<Base::TeamId, Bucket> buckets_;
-    std::unordered_map<Base::ServerId, Bucket> serverBuckets_;
+    std::unordered_map<Base::ServerId, ServerBucket> serverBuckets_;
 };
 
 } // namespace Admission
--- a/tests/libs/admission/tst_permitpool.cpp
+++ b/tests/libs/admission/tst_permitpool.cpp
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <functional>
+#include <set>
 
 using namespace Admission;
 
@@ -386,3 +387,219 @@
         cr_assert_geq(admitted, 0.95 * limit * 60, "%d in 60 s at %.1f", admitted, limit);
     }
 }
+
+namespace {
+
+constexpr double coldRate = 23;
+constexpr int coldBound = 39; // 1.5 times the rate, plus 5
+
+/// Daemons that send all of their requests to one cold server, each through the pool of its
+/// coordinator. A grant is counted at the time at which its request is sent.
+class ColdFleet
+{
+public:
+    ColdFleet(std::size_t size, std::uint64_t seed)
+        : random_(seed)
+        , coordinatorOf_(size, 0)
+    {
+        for (std::size_t daemon = 0; daemon < size; ++daemon) {
+            phases_.push_back(random_.unit());
+            pools_.push_back(newPool());
+        }
+    }
+
+    std::size_t size() const { return coordinatorOf_.size(); }
+    Base::Random &random() { return random_; }
+    /// From now on, the daemon asks another coordinator.
+    void move(std::size_t daemon, std::size_t coordinator) { coordinatorOf_[daemon] = coordinator; }
+    void restartAll()
+    {
+        for (PermitPool &pool : pools_) {
+            pool = newPool();
+        }
+    }
+
+    /// Simulates ten milliseconds in which the daemon makes requests with the given probability.
+    void step(std::int64_t now, const std::function<double(std::size_t)> &demand)
+    {
+        for (std::size_t daemon = 0; daemon < size(); ++daemon) {
+            PermitPool &pool = pools_[coordinatorOf_[daemon]];
+            if (now % 500 == static_cast<std::int64_t>(daemon * 70 % 500)) {
+                pool.renewMembership(vm(daemon), at(now));
+            }
+            if (random_.chance(demand(daemon))) {
+                request(daemon, pool, now);
+            }
+        }
+    }
+
+    /// The most requests that the server gets in any one second.
+    int maximum() const
+    {
+        int most = 0;
+        for (auto first = sentAt_.begin(); first != sentAt_.end(); ++first) {
+            const auto last = sentAt_.lower_bound(*first + std::chrono::seconds(1));
+            most = std::max(most, static_cast<int>(std::distance(first, last)));
+        }
+        return most;
+    }
+    std::size_t total() const { return sentAt_.size(); }
+
+private:
+    PermitPool newPool() const
+    {
+        PermitPool pool(std::chrono::milliseconds(1100));
+        pool.setDaemonCount(coordinatorOf_.size(), at(0));
+        return pool;
+    }
+
+    void request(std::size_t daemon, PermitPool &pool, std::int64_t now)
+    {
+        pool.renewMembership(vm(daemon), at(now));
+        const double phase = phases_[coordinatorOf_[daemon]];
+        pool.limitColdServer(server, {Base::RequestRate(coldRate), at(1'000'000), phase}, at(now));
+        const auto urgency = static_cast<Urgency>(random_.below(3));
+        const PermitVerdict verdict
+            = pool.admitToServer(server, {urgency, random_.chance(0.5)}, at(now));
+        if (verdict.isAdmitted) {
+            sentAt_.insert(at(now) + verdict.wait);
+        }
+    }
+
+    Base::Random random_;
+    std::vector<double> phases_;
+    std::vector<PermitPool> pools_;
+    std::vector<std::size_t> coordinatorOf_;
+    std::multiset<Base::Instant> sentAt_;
+};
+
+constexpr std::size_t coldFleetSize = 70;
+
+} // namespace
+
+/// Guards against a bound that a fleet passes while all is well, and against a much smaller one.
+Test(permitpool, aColdServerGetsItsRate)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        ColdFleet fleet(coldFleetSize, seed);
+        for (std::int64_t now = 0; now < 10'000; now += 10) {
+            fleet.step(now, [](std::size_t) { return 0.05; });
+        }
+        cr_assert_leq(fleet.maximum(), coldBound, "seed %lu: %d", seed, fleet.maximum());
+        cr_assert_geq(fleet.total(), 0.9 * coldRate * 9, "seed %lu: %zu", seed, fleet.total());
+    }
+}
+
+/// Guards against two pools that both grant the whole rate while a coordinator is replaced, one
+/// daemon still asking the former one as often as it can.
+Test(permitpool, aColdServerSurvivesAChangeOfCoordinators)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        ColdFleet fleet(coldFleetSize, seed);
+        const std::size_t straggler = fleet.random().below(coldFleetSize);
+        for (std::int64_t now = 0; now < 8000; now += 10) {
+            const bool isMoving = now >= 3000 && now < 3000 + static_cast<int>(seed * 10);
+            for (std::size_t daemon = 0; isMoving && daemon < fleet.size(); ++daemon) {
+                if (daemon != straggler && fleet.random().chance(0.3)) {
+                    fleet.move(daemon, 1);
+                }
+            }
+            fleet.step(now, [&](std::size_t daemon) {
+                return now < 3000 ? 0.001 : daemon == straggler ? 1 : 0.05;
+            });
+        }
+        cr_assert_leq(fleet.maximum(), coldBound, "seed %lu: %d", seed, fleet.maximum());
+    }
+}
+
+/// Guards against a permit in each of the pools of a fleet whose daemons are all isolated: 70 at
+/// once, as each would keep its permit until the first request.
+Test(permitpool, isolatedDaemonsTogetherKeepTheBoundOfAColdServer)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        ColdFleet fleet(coldFleetSize, seed);
+        for (std::int64_t now = 0; now < 20'000; now += 10) {
+            for (std::size_t daemon = 0; now == 2000 && daemon < fleet.size(); ++daemon) {
+                fleet.move(daemon, daemon);
+            }
+            const bool isBurst = now % 5000 < 1000;
+            fleet.step(now, [&](std::size_t) { return isBurst ? 1 : 0.003; });
+        }
+        cr_assert_leq(fleet.maximum(), coldBound, "seed %lu: %d", seed, fleet.maximum());
+        cr_assert_gt(fleet.total(), 50, "seed %lu: %zu", seed, fleet.total());
+    }
+}
+
+/// Guards against new pools beside the permits that the lost ones had granted just before.
+Test(permitpool, aColdServerSurvivesARestartOfAllDaemons)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        ColdFleet fleet(coldFleetSize, seed);
+        for (std::int64_t now = 0; now < 8000; now += 10) {
+            if (now == 3000 + static_cast<int>(seed * 10)) {
+                fleet.restartAll();
+            }
+            fleet.step(now, [&](std::size_t) { return now < 2800 ? 0.001 : 0.1; });
+        }
+        cr_assert_leq(fleet.maximum(), coldBound, "seed %lu: %d", seed, fleet.maximum());
+    }
+}
+
+/// Guards against the bound of a split fleet: groups that change every 1.5 s.
+Test(permitpool, aColdServerSurvivesASplitFleet)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        ColdFleet fleet(coldFleetSize, seed);
+        for (std::int64_t now = 0; now < 20'000; now += 10) {
+            const std::size_t groups = 1 + fleet.random().below(8);
+            for (std::size_t daemon = 0; now % 1500 == 0 && daemon < fleet.size(); ++daemon) {
+                fleet.move(daemon, fleet.random().below(groups));
+            }
+            fleet.step(now, [](std::size_t) { return 0.05; });
+        }
+        cr_assert_leq(fleet.maximum(), coldBound, "seed %lu: %d", seed, fleet.maximum());
+    }
+}
+
+/// Guards against the whole rate for each daemon that knows no other yet.
+Test(permitpool, aColdServerGetsNothingBeforeTheFleetIsKnown)
+{
+    PermitPool pool(membershipLength);
+    pool.admitColdFrom(at(1000));
+    const auto admits = [&](std::int64_t now) {
+        pool.renewMembership(vm(0), at(now));
+        pool.limitColdServer(server, {Base::RequestRate(coldRate), at(60'000)}, at(now));
+        return pool.admitToServer(server, {}, at(now)).isAdmitted;
+    };
+    cr_assert(!admits(500));
+    pool.setDaemonCount(1, at(600));
+    cr_assert(!admits(900));
+    cr_assert(!admits(1000));
+    cr_assert(admits(1500));
+}
+
+/// Guards against a cold limit that lifts the limit that the server states, or outlives the time.
+Test(permitpool, theSmallerOfAStatedAndAColdLimitHolds)
+{
+    PermitPool pool(membershipLength);
+    pool.setDaemonCount(1, at(0));
+    const auto admittedIn = [&](std::int64_t from, std::int64_t to) {
+        int admitted = 0;
+        for (std::int64_t now = from; now < to; now += 10) {
+            pool.renewMembership(vm(0), at(now));
+            admitted += pool.admitToServer(server, {}, at(now)).isAdmitted ? 1 : 0;
+        }
+        return admitted;
+    };
+    pool.limitServer(server, Base::RequestRate(100), at(0));
+    cr_assert_geq(admittedIn(0, 3000), 290);
+    pool.limitColdServer(server, {Base::RequestRate(10), at(5000)}, at(3000));
+    pool.limitServer(server, Base::RequestRate(100), at(3000));
+    cr_assert_leq(admittedIn(3000, 5000), 20);
+    cr_assert_geq(admittedIn(5000, 6000), 99, "the stated limit holds again");
+    pool.limitServer(server, Base::RequestRate(2), at(6000));
+    pool.limitColdServer(server, {Base::RequestRate(10), at(8000)}, at(6000));
+    cr_assert_leq(admittedIn(6000, 8000), 4);
+    pool.limitServer(server, {}, at(8000));
+    cr_assert_eq(admittedIn(8000, 8100), 10, "no limit is left");
+}
