Cold servers over the whole fleet

Each request to a cold server needs a permit of the server's coordinator, like a request to a server that states a limit; the smaller rate holds. The permit request carries the cold rate and the time left in optional fields, which a coordinator without its own knowledge applies. An answer without the optional field isColdApplied comes from the previous build, and the daemon then needs a permit of its even part as well. Without a cold rate nothing changes.

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -118,6 +118,8 @@
   2: bool isAdmitted
   /** Time until the permit is valid, or, if the request is rejected, until it fits the rate. */
   3: i64 waitUs
+  /** The cold rate of the request is in force; unset by builds that do not know it. */
+  4: optional bool isColdApplied
 }
 
 /** Returns a permit that was not used. Has no response. */
@@ -132,6 +134,10 @@
   3: RequestUrgency urgency
   /** The sender accepts a permit that becomes valid later. */
   4: bool mayWait
+  /** Requests per second that the server takes while it is cold, as known to the sender. */
+  5: optional double coldPerSecond
+  /** Time for which the server stays cold. */
+  6: optional i64 coldLeftMs
 }
 
 /** Returns a permit for a server that was not used. Has no response. */
--- a/src/libs/contracts/route.h
+++ b/src/libs/contracts/route.h
@@ -66,6 +66,10 @@
     Base::Tokens tokensPerEvent{0};
     /// Connections that a server accepts from all daemons together; 0 means unknown.
     std::uint32_t maxConnections = 0;
+    /// Requests per second that a server takes while it is cold; 0 means any number.
+    Base::RequestRate coldRate{0};
+    /// Time for which a server is cold after its start.
+    Base::Duration coldPeriod = std::chrono::seconds(3);
 
     bool operator==(const RoutedService &) const = default;
 };
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -164,6 +164,19 @@
     return std::chrono::milliseconds(std::clamp<std::int64_t>(milliseconds, 0, longestMs));
 }
 
+/// Nothing if the fields are missing or the rate is not one; the sender then uses its even part.
+std::optional<ColdReport> coldFromWire(const Wire::ServerPermitRequest &request)
+{
+    constexpr std::int64_t longestMs = 1000LL * 60 * 60;
+    const bool isUsable = request.__isset.coldPerSecond && request.__isset.coldLeftMs
+                          && std::isfinite(request.coldPerSecond) && request.coldPerSecond > 0;
+    if (!isUsable) {
+        return std::nullopt;
+    }
+    const std::int64_t left = std::clamp<std::int64_t>(request.coldLeftMs, 0, longestMs);
+    return ColdReport{Base::RequestRate(request.coldPerSecond), std::chrono::milliseconds(left)};
+}
+
 std::vector<Wire::QuarantineReport> toWire(const std::vector<QuarantineReport> &reports)
 {
     std::vector<Wire::QuarantineReport> parts;
@@ -205,6 +218,9 @@
     part.number = toWire(response.number);
     part.isAdmitted = verdict.isAdmitted;
     part.waitUs = (verdict.isAdmitted ? verdict.wait : verdict.retryAfter).count();
+    if (response.isColdApplied) {
+        part.__set_isColdApplied(true);
+    }
     return part;
 }
 
@@ -337,6 +353,10 @@
                 part.report = toWire(request.report);
                 part.urgency = toWire(request.terms.urgency);
                 part.mayWait = request.terms.mayWait;
+                if (request.cold) {
+                    part.__set_coldPerSecond(request.cold->rate.value());
+                    part.__set_coldLeftMs(toMilliseconds(request.cold->left));
+                }
                 wire.__set_serverPermitRequest(part);
             },
             [&](const ServerPermitReturn &permit) {
@@ -432,7 +452,9 @@
     }
     if (wire.__isset.permitAnswer) {
         return PermitResponse{requestNumberFromWire(wire.permitAnswer.number),
-                              verdictFromWire(wire.permitAnswer)};
+                              verdictFromWire(wire.permitAnswer),
+                              wire.permitAnswer.__isset.isColdApplied
+                                  && wire.permitAnswer.isColdApplied};
     }
     if (wire.__isset.permitReturn) {
         return PermitReturn{Base::TeamId(wire.permitReturn.team)};
@@ -481,7 +503,8 @@
         }
         return ServerPermitRequest{requestNumberFromWire(request.number),
                                    *report,
-                                   {urgencyFromWire(request.urgency), request.mayWait}};
+                                   {urgencyFromWire(request.urgency), request.mayWait},
+                                   coldFromWire(request)};
     }
     if (wire.__isset.serverPermitReturn) {
         return ServerPermitReturn{Base::ServerId(wire.serverPermitReturn.server)};
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -95,6 +95,8 @@
 {
     RequestNumber number;
     Admission::PermitVerdict verdict;
+    /// The cold rate of the request is in force at the sender.
+    bool isColdApplied = false;
 
     bool operator==(const PermitResponse &) const = default;
 };
@@ -107,12 +109,23 @@
     bool operator==(const PermitReturn &) const = default;
 };
 
+/// What a cold server takes, as known to the sender.
+struct ColdReport
+{
+    Base::RequestRate rate;
+    /// Time for which the server stays cold.
+    Base::Duration left{};
+
+    bool operator==(const ColdReport &) const = default;
+};
+
 /// Requests the permit of one request to a backend server; PermitResponse is the response.
 struct ServerPermitRequest
 {
     RequestNumber number;
     LimitReport report;
     Admission::ServerPermitTerms terms;
+    std::optional<ColdReport> cold;
 
     bool operator==(const ServerPermitRequest &) const = default;
 };
--- a/src/libs/proxy/ratesharing.cpp
+++ b/src/libs/proxy/ratesharing.cpp
@@ -121,24 +121,46 @@
     requestPermit(std::make_shared<const PermitTask>(std::move(task)), 1);
 }
 
-void RateSharing::requestPermit(const std::shared_ptr<const PermitTask> &task, int attempt)
+Admission::PermitVerdict RateSharing::decideLocally(const PermitTask &task)
 {
     const Base::Instant now = now_();
+    Admission::PermitPool &pool = pools_[task.group];
+    pool.renewMembership(self_, now);
+    return task.decide(pool, now);
+}
+
+void RateSharing::onPermitResponse(const PermitTask &task,
+                                   const Base::VmId &coordinator,
+                                   const PermitResponse &response)
+{
+    if (!response.verdict.isAdmitted || !task.isPartial(response)) {
+        task.callback(response.verdict);
+        return;
+    }
+    Admission::PermitVerdict verdict = decideLocally(task);
+    if (verdict.isAdmitted) {
+        verdict.wait = std::max(verdict.wait, response.verdict.wait);
+    } else {
+        task.returnPermit(coordinator);
+    }
+    task.callback(verdict);
+}
+
+void RateSharing::requestPermit(const std::shared_ptr<const PermitTask> &task, int attempt)
+{
     const Base::VmId coordinator = coordinatorOf(task->group);
     if (coordinator == self_ || attempt > maxPermitAttempts) {
-        Admission::PermitPool &pool = pools_[task->group];
-        pool.renewMembership(self_, now);
-        task->callback(task->decide(pool, now));
+        task->callback(decideLocally(*task));
         return;
     }
     const RequestNumber number = peers_.nextRequestNumber();
     peers_.sendRequest(coordinator,
                        number,
                        task->makeRequest(number),
-                       [this, task, attempt](const PeerBody *body) {
+                       [this, task, attempt, coordinator](const PeerBody *body) {
                            if (const auto *response
                                = body ? std::get_if<PermitResponse>(body) : nullptr) {
-                               task->callback(response->verdict);
+                               onPermitResponse(*task, coordinator, *response);
                            } else {
                                requestPermit(task, attempt + 1);
                            }
@@ -174,7 +196,8 @@
     const Base::VmId &sender,
     RequestNumber number,
     std::size_t group,
-    const std::function<Admission::PermitVerdict(Admission::PermitPool &, Base::Instant)> &decide)
+    const std::function<Admission::PermitVerdict(Admission::PermitPool &, Base::Instant)> &decide,
+    bool isColdApplied)
 {
     const Base::Instant now = now_();
     while (!recentResponses_.empty()
@@ -189,7 +212,7 @@
     }
     Admission::PermitPool &pool = pools_[group];
     pool.renewMembership(sender, now);
-    const PermitResponse response{number, decide(pool, now)};
+    const PermitResponse response{number, decide(pool, now), isColdApplied};
     recentResponses_.push_back({sender, response, now});
     peers_.send(sender, response);
 }
--- a/src/libs/proxy/ratesharing.h
+++ b/src/libs/proxy/ratesharing.h
@@ -23,6 +23,11 @@
     /// Grants the permit from a pool of this daemon.
     std::function<Admission::PermitVerdict(Admission::PermitPool &, Base::Instant)> decide;
     std::function<void(const Admission::PermitVerdict &)> callback;
+    /// The coordinator did not apply all of the request, so its permit needs another one of this
+    /// daemon's own share.
+    std::function<bool(const PermitResponse &)> isPartial = [](const auto &) { return false; };
+    /// Returns the coordinator's permit if this daemon's own share denies one.
+    std::function<void(const Base::VmId &coordinator)> returnPermit = [](const auto &) {};
 };
 
 /// What daemons tell each other with the join requests of the pools and the responses to them, so
@@ -45,6 +50,8 @@
 public:
     using PermitCallback = std::function<void(const Admission::PermitVerdict &)>;
 
+    static constexpr std::size_t groupCount = 4;
+
     RateSharing(asio::io_context &context,
                 Base::VmId self,
                 PeerLink &peers,
@@ -66,7 +73,8 @@
                  RequestNumber number,
                  std::size_t group,
                  const std::function<Admission::PermitVerdict(Admission::PermitPool &,
-                                                              Base::Instant)> &decide);
+                                                              Base::Instant)> &decide,
+                 bool isColdApplied = false);
     static std::size_t groupOf(std::string_view name);
     /// The coordinator of the group by the roster.
     Base::VmId rosterCoordinator(std::size_t group) const;
@@ -88,8 +96,6 @@
     void onPermitReturn(const PermitReturn &permit);
 
 private:
-    static constexpr std::size_t groupCount = 4;
-
     /// Kept to be sent again if the request is retransmitted.
     struct SentResponse
     {
@@ -98,6 +104,10 @@
         Base::Instant sentAt;
     };
 
+    Admission::PermitVerdict decideLocally(const PermitTask &task);
+    void onPermitResponse(const PermitTask &task,
+                          const Base::VmId &coordinator,
+                          const PermitResponse &response);
     void requestPermit(const std::shared_ptr<const PermitTask> &task, int attempt);
     void joinPools();
     void sendJoinRequest(const Base::VmId &coordinator, std::vector<TeamGroup> groups);
--- a/src/libs/proxy/requestlimitsharing.cpp
+++ b/src/libs/proxy/requestlimitsharing.cpp
@@ -1,5 +1,7 @@
 #include "requestlimitsharing.h"
 
+#include <base/random.h>
+
 #include <algorithm>
 #include <set>
 
@@ -34,6 +36,7 @@
     , now_(std::move(now))
 {
     JoinExchange exchange;
+    exchange.fillRequest = [this](PoolJoinRequest &) { updateColdCount(); };
     exchange.fillResponse = [this](const PoolJoinRequest &request, PoolJoinResponse &response) {
         response.limits = recentReports(request.groups);
     };
@@ -59,7 +62,68 @@
 bool RequestLimitSharing::isLimited(const Dispatch::ServerInstance &instance) const
 {
     const Dispatch::LimitStatement *statement = limits_.find(instance);
-    return statement && statement->limit;
+    return (statement && statement->limit) || cold_.limitOf(instance, now_());
+}
+
+void RequestLimitSharing::configure(const std::vector<Contracts::RoutedService> &services)
+{
+    for (const Contracts::RoutedService &service : services) {
+        cold_.configure(service.id, service.coldPeriod, service.coldRate);
+    }
+}
+
+void RequestLimitSharing::admitColdFrom(Base::Instant time)
+{
+    for (std::size_t group = 0; group < RateSharing::groupCount; ++group) {
+        rates_.pool(group).admitColdFrom(time);
+    }
+}
+
+void RequestLimitSharing::zoneReopened(const Base::ZoneId &zone)
+{
+    cold_.zoneReopened(zone, now_());
+    log_.write(Telemetry::LogLevel::Info,
+               "servers of the zone count as cold",
+               {.step = "limit", .details = {{"zone", zone.text()}}});
+    updateColdCount();
+}
+
+/// All daemons see a server start at about the same time; their permits of it begin at different
+/// times, as a split fleet would grant all of them at once otherwise.
+void RequestLimitSharing::applyCold(const Base::ServerId &server,
+                                    const Dispatch::ColdLimit &cold,
+                                    Admission::PermitPool &pool,
+                                    Base::Instant now) const
+{
+    constexpr std::uint64_t steps = 1'000'000;
+    const std::uint64_t hash = Base::hash64(self_.text() + "/" + server.text());
+    const double phase = static_cast<double>(hash % steps) / static_cast<double>(steps);
+    pool.limitColdServer(server, {cold.rate, cold.until, phase}, now);
+}
+
+std::optional<ColdReport> RequestLimitSharing::coldReportOf(
+    const Dispatch::ServerInstance &instance) const
+{
+    const Base::Instant now = now_();
+    const std::optional<Dispatch::ColdLimit> cold = cold_.limitOf(instance, now);
+    return cold ? std::optional(ColdReport{cold->rate, cold->until - now}) : std::nullopt;
+}
+
+Admission::PermitVerdict RequestLimitSharing::decide(const Dispatch::ServerInstance &instance,
+                                                     const Admission::ServerPermitTerms &terms,
+                                                     Admission::PermitPool &pool,
+                                                     Base::Instant now) const
+{
+    if (const auto cold = cold_.limitOf(instance, now)) {
+        applyCold(instance.id, *cold, pool, now);
+    }
+    return pool.admitToServer(instance.id, terms, now);
+}
+
+void RequestLimitSharing::updateColdCount()
+{
+    metrics_.gauge("marjoram_cold_servers", "Servers that have started a short time ago")
+        .set(static_cast<double>(cold_.count(now_())));
 }
 
 std::vector<LimitReport> RequestLimitSharing::recentReports(
@@ -117,14 +181,31 @@
                                   const Admission::ServerPermitTerms &terms,
                                   PermitCallback callback)
 {
-    rates_.acquire({groupOf(instance.id),
-                    [this, instance, terms](RequestNumber number) {
-                        return ServerPermitRequest{number, reportOf(instance), terms};
-                    },
-                    [server = instance.id, terms](Admission::PermitPool &pool, Base::Instant now) {
-                        return pool.admitToServer(server, terms, now);
-                    },
-                    std::move(callback)});
+    PermitTask task;
+    task.group = groupOf(instance.id);
+    task.makeRequest = [this, instance, terms](RequestNumber number) {
+        return ServerPermitRequest{number, reportOf(instance), terms, coldReportOf(instance)};
+    };
+    task.decide = [this, instance, terms](Admission::PermitPool &pool, Base::Instant now) {
+        return decide(instance, terms, pool, now);
+    };
+    task.isPartial = [this, instance](const PermitResponse &response) {
+        return !response.isColdApplied && coldReportOf(instance);
+    };
+    task.returnPermit = [this, instance](const Base::VmId &coordinator) {
+        peers_.send(coordinator, ServerPermitReturn{instance.id});
+    };
+    task.callback =
+        [this, instance, callback = std::move(callback)](const Admission::PermitVerdict &verdict) {
+            if (!verdict.isAdmitted && cold_.limitOf(instance, now_())) {
+                metrics_
+                    .counter("marjoram_cold_permits_denied_total",
+                             "Permits of cold servers that were denied to this daemon")
+                    .add();
+            }
+            callback(verdict);
+        };
+    rates_.acquire(std::move(task));
 }
 
 void RequestLimitSharing::refund(const Base::ServerId &server)
@@ -141,12 +222,18 @@
                                           const ServerPermitRequest &request)
 {
     onReport(request.report);
-    rates_.respond(sender,
-                   request.number,
-                   groupOf(request.report.instance.id),
-                   [&request](Admission::PermitPool &pool, Base::Instant now) {
-                       return pool.admitToServer(request.report.instance.id, request.terms, now);
-                   });
+    const Dispatch::ServerInstance &instance = request.report.instance;
+    rates_.respond(
+        sender,
+        request.number,
+        groupOf(instance.id),
+        [&](Admission::PermitPool &pool, Base::Instant now) {
+            if (request.cold) {
+                applyCold(instance.id, {request.cold->rate, now + request.cold->left}, pool, now);
+            }
+            return decide(instance, request.terms, pool, now);
+        },
+        request.cold.has_value());
 }
 
 void RequestLimitSharing::onPermitReturn(const ServerPermitReturn &permit)
@@ -160,6 +247,15 @@
     for (const Dispatch::ListedServer &server : servers) {
         listed.insert(server.instance());
     }
+    const auto becameCold = cold_.serversChanged(servers, now_());
+    if (!becameCold.empty()) {
+        log_.write(Telemetry::LogLevel::Info,
+                   "servers have become cold",
+                   {.step = "limit",
+                    .peer = becameCold.front().id.text(),
+                    .details = {{"servers", static_cast<std::int64_t>(becameCold.size())}}});
+    }
+    updateColdCount();
     for (const Base::ServerId &server : limits_.retain(listed)) {
         rates_.pool(groupOf(server)).limitServer(server, {}, now_());
     }
--- a/src/libs/proxy/requestlimitsharing.h
+++ b/src/libs/proxy/requestlimitsharing.h
@@ -3,13 +3,16 @@
 #include "passthrough.h"
 #include "ratesharing.h"
 
+#include <contracts/route.h>
+#include <dispatch/coldservers.h>
 #include <dispatch/requestlimits.h>
 
 namespace Proxy {
 
-/// Enforces the limits that backend servers state on the requests of all daemons together. A server
-/// belongs to a group of RateSharing, whose coordinator grants the permits for its requests and
-/// tells the other daemons about changed limits with its join responses.
+/// Enforces the limits that backend servers state, and those of cold servers, on the requests of
+/// all daemons together. A server belongs to a group of RateSharing, whose coordinator grants the
+/// permits for its requests and tells the other daemons about changed limits with its join
+/// responses.
 class RequestLimitSharing
 {
 public:
@@ -22,6 +25,14 @@
                         Telemetry::Metrics &metrics,
                         std::function<Base::Instant()> now);
 
+    /// Sets the periods and rates of cold servers.
+    void configure(const std::vector<Contracts::RoutedService> &services);
+    /// No request to a cold server is permitted before the given time, from which on all daemons
+    /// know each other.
+    void admitColdFrom(Base::Instant time);
+    /// The zone's servers count as cold again.
+    void zoneReopened(const Base::ZoneId &zone);
+
     bool isLimited(const Dispatch::ServerInstance &instance) const;
     /// A server stated a limit, or none, in a response to this daemon.
     void stated(const Dispatch::LimitStatement &statement);
@@ -41,6 +52,16 @@
     void serversChanged(const std::vector<Dispatch::ListedServer> &servers);
 
 private:
+    void applyCold(const Base::ServerId &server,
+                   const Dispatch::ColdLimit &cold,
+                   Admission::PermitPool &pool,
+                   Base::Instant now) const;
+    std::optional<ColdReport> coldReportOf(const Dispatch::ServerInstance &instance) const;
+    Admission::PermitVerdict decide(const Dispatch::ServerInstance &instance,
+                                    const Admission::ServerPermitTerms &terms,
+                                    Admission::PermitPool &pool,
+                                    Base::Instant now) const;
+    void updateColdCount();
     bool apply(const Dispatch::LimitStatement &statement, const char *source);
     LimitReport reportOf(const Dispatch::ServerInstance &instance) const;
     LimitReport toReport(const Dispatch::LimitStatement &statement) const;
@@ -53,6 +74,7 @@
     Telemetry::Metrics &metrics_;
     std::function<Base::Instant()> now_;
     Dispatch::RequestLimits limits_;
+    Dispatch::ColdServers cold_;
 };
 
 /// The controls through which requests use the limits; \a sharing must outlive them.
--- a/tests/benches/proxybench.cpp
+++ b/tests/benches/proxybench.cpp
@@ -164,7 +164,7 @@
     std::printf("  stream version request  %zu\n",
                 sizeOf(Proxy::StreamVersionRequest{number, "85a0980a851388fe"}));
     std::printf("  permit request (server) %zu\n",
-                sizeOf(Proxy::ServerPermitRequest{number, report, {}}));
+                sizeOf(Proxy::ServerPermitRequest{number, report, {}, {}}));
     std::printf("  permit response         %zu\n", sizeOf(Proxy::PermitResponse{number, {}}));
     std::printf("  limit report            %zu\n", sizeOf(report));
     const auto request = Dispatch::fingerprintsOf(Base::TeamId("xaka200"), "/chat", "body");
--- a/tests/libs/proxy/peerfleet.h
+++ b/tests/libs/proxy/peerfleet.h
@@ -39,6 +39,13 @@
     RequestLimitSharing &limits(std::size_t daemon) { return daemons_[daemon]->limits; }
     StreamVersionSharing &streams(std::size_t daemon) { return daemons_[daemon]->streams; }
     QuarantineSharing &quarantine(std::size_t daemon) { return daemons_[daemon]->quarantine; }
+    std::size_t coordinatorOf(const Base::ServerId &server) const
+    {
+        const std::size_t group = RateSharing::groupOf(server.text());
+        return std::stoul(daemons_[0]->rates.rosterCoordinator(group).text().substr(3));
+    }
+    /// From now on, the daemon handles requests like a build without cold servers.
+    void downgrade(std::size_t daemon) { daemons_[daemon]->knowsColdServers = false; }
     /// From now on, the daemon ignores all requests.
     void lose(std::size_t daemon) { daemons_[daemon]->isLost = true; }
     void recover(std::size_t daemon) { daemons_[daemon]->isLost = false; }
@@ -87,7 +94,11 @@
                 } else if (const auto *report = std::get_if<LimitReport>(&body)) {
                     limits.onReport(*report);
                 } else if (const auto *request = std::get_if<ServerPermitRequest>(&body)) {
-                    limits.onPermitRequest(sender, *request);
+                    ServerPermitRequest known = *request;
+                    if (!knowsColdServers) {
+                        known.cold.reset();
+                    }
+                    limits.onPermitRequest(sender, known);
                 } else if (const auto *permit = std::get_if<ServerPermitReturn>(&body)) {
                     limits.onPermitReturn(*permit);
                 } else if (const auto *notice = std::get_if<StreamNotice>(&body)) {
@@ -108,6 +119,7 @@
         StreamVersionSharing streams;
         QuarantineSharing quarantine;
         bool isLost = false;
+        bool knowsColdServers = true;
     };
 
     asio::io_context context_;
--- a/tests/platform/tst_feeds.cpp
+++ b/tests/platform/tst_feeds.cpp
@@ -193,6 +193,28 @@
                      "removal of an entry that is not renewed");
 }
 
+/// Guards against a list that is published, and fetched by all daemons, at each read while a server
+/// is cold.
+Test(feeds, theCountdownOfAColdServerIsNoNews)
+{
+    Fixture fixture;
+    json entry = server("ready");
+    entry["cold_left_ms"] = 3000;
+    fixture.platform.put("servers", "i-1", entry);
+    fixture.servers.start(false);
+    fixture.runUntil([&] { return fixture.listed.size() == 1; }, "a server");
+    fixture.listed.clear();
+    entry["cold_left_ms"] = 2000;
+    fixture.platform.put("servers", "i-1", entry);
+    const int reads = fixture.listReads;
+    fixture.runUntil([&] { return fixture.listReads >= reads + 2; }, "a read of the new entry");
+    cr_assert(fixture.listed.empty());
+    entry["cold_left_ms"] = 2500;
+    fixture.platform.put("servers", "i-1", entry);
+    fixture.runUntil([&] { return fixture.listed.size() == 1; }, "the server that is cold again");
+    cr_assert_eq(*fixture.listed.front().coldLeft, std::chrono::milliseconds(2500));
+}
+
 /// A daemon that gets no reports from readers reads both documents itself.
 Test(feeds, readsTheStoreWithoutReportsOfReaders)
 {
--- a/tests/platform/tst_platformadapter.cpp
+++ b/tests/platform/tst_platformadapter.cpp
@@ -183,6 +183,45 @@
     cr_assert_eq(server(leaving)->version.text(), "v1");
 }
 
+/// Guards against an entry that is ignored, or a server that is taken for warm, because the time
+/// that it stays cold is unusable.
+Test(documents, readsTheTimeThatAServerStaysCold)
+{
+    json entry = serverEntry();
+    entry.erase("cold_left_ms");
+    cr_assert(!server(entry)->coldLeft, "not stated");
+    entry["cold_left_ms"] = 1234.5;
+    cr_assert_eq(*server(entry)->coldLeft, std::chrono::microseconds(1'234'500));
+    entry["cold_left_ms"] = 0;
+    cr_assert_eq(*server(entry)->coldLeft, Base::Duration::zero());
+    for (const json &unusable : {json(-1), json("3000"), json(1e18), json(true), json::array()}) {
+        entry["cold_left_ms"] = unusable;
+        std::vector<DocumentProblem> problems;
+        const auto decoded = decodeServer("i-1", json::parse(entry.dump()), problems);
+        cr_assert(decoded && !decoded->coldLeft);
+        cr_assert_eq(problems.size(), 1);
+        cr_assert(problems.front().isEntryUsed);
+    }
+}
+
+/// Guards against a bound for services without one, and against a period without end.
+Test(documents, readsTheRateOfColdServers)
+{
+    json spec = routing();
+    cr_assert_eq(decodeRouting(spec)->document.services.at(0).coldRate.value(), 0);
+    spec["services"][0]["cold_per_s"] = 23;
+    spec["services"][0]["cold_s"] = 4.5;
+    const Contracts::RoutedService service = decodeRouting(spec)->document.services.at(0);
+    cr_assert_eq(service.coldRate.value(), 23);
+    cr_assert_eq(service.coldPeriod, std::chrono::milliseconds(4500));
+    spec["services"][0]["cold_per_s"] = -23;
+    spec["services"][0]["cold_s"] = 1e9;
+    const auto unusable = decodeRouting(spec);
+    cr_assert_eq(unusable->problems.size(), 2);
+    cr_assert_eq(unusable->document.services.at(0).coldRate.value(), 0);
+    cr_assert_eq(unusable->document.services.at(0).coldPeriod, std::chrono::seconds(3));
+}
+
 Test(documents, rejectsInvalidServerEntries)
 {
     const std::vector<std::pair<std::string, json>> bad{{"service", 5},
--- a/tests/soak/backendstub.cpp
+++ b/tests/soak/backendstub.cpp
@@ -113,13 +113,17 @@
 nlohmann::json BackendStub::entry(bool isLeaving) const
 {
     const auto endpoint = relay_.endpoint();
-    return {{"service", service_},
-            {"address", endpoint.address().to_string() + ":" + std::to_string(endpoint.port())},
-            {"zone", "zone-a"},
-            {"slots", 8},
-            {"version", version_},
-            {"state", isLeaving ? "draining" : "ready"},
-            {"born", 1}};
+    const Base::Instant now = now_();
+    const Base::Duration coldLeft = std::max(coldUntil_, now) - now;
+    return {
+        {"service", service_},
+        {"address", endpoint.address().to_string() + ":" + std::to_string(endpoint.port())},
+        {"zone", "zone-a"},
+        {"slots", 8},
+        {"version", version_},
+        {"state", isLeaving ? "draining" : "ready"},
+        {"born", startedAt_},
+        {"cold_left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(coldLeft).count()}};
 }
 
 Proxy::ResponseHead BackendStub::head(int status, const std::string &id) const
@@ -135,6 +139,13 @@
     return result;
 }
 
+void BackendStub::restart()
+{
+    ++startedAt_;
+    coldUntil_ = now_() + coldPeriod;
+    ledger_.serverRestarted(id_, coldRate, coldUntil_);
+}
+
 void BackendStub::setLimit(double perSecond)
 {
     limit_ = perSecond;
--- a/tests/soak/backendstub.h
+++ b/tests/soak/backendstub.h
@@ -42,6 +42,8 @@
     void setFault(BackendFault fault) { fault_ = fault; }
     /// States the limit in all responses from now on; no limit if it is 0.
     void setLimit(double perSecond);
+    /// From now on the server is another process, which is cold for a while.
+    void restart();
     /// Returns the server's entry in the platform's store.
     nlohmann::json entry(bool isLeaving) const;
 
@@ -67,6 +69,8 @@
     std::string service_;
     std::string version_;
     double limit_ = 0;
+    int startedAt_ = 1;
+    Base::Instant coldUntil_ = Base::Instant::min();
     Ledger &ledger_;
     std::function<Base::Instant()> now_;
     Base::Random random_;
@@ -91,4 +95,8 @@
 
 constexpr int tokensPerEvent = 20;
 
+/// Time for which a server is cold, and the requests per second that it takes then.
+constexpr Base::Duration coldPeriod = std::chrono::seconds(3);
+constexpr double coldRate = 6;
+
 } // namespace Soak
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -19,6 +19,11 @@
 constexpr double serverSlack = 5;
 constexpr Base::Duration serverLimitDelay = std::chrono::seconds(3);
 
+/// Specified bound of the requests to a cold server.
+constexpr Base::Duration coldWindow = std::chrono::seconds(1);
+constexpr double coldExcess = 1.5;
+constexpr double coldSlack = 5;
+
 bool guaranteesNotRun(int status)
 {
     return status == 429 || status == 503 || status == 402 || status == 401 || status == 404;
@@ -99,8 +104,33 @@
     serverLimits_[server] = {perSecond, now, {}};
 }
 
+void Ledger::serverRestarted(const std::string &server, double perSecond, Base::Instant coldUntil)
+{
+    coldServers_[server] = {perSecond, coldUntil, {}};
+}
+
+void Ledger::checkCold(const std::string &server, Base::Instant now)
+{
+    const auto entry = coldServers_.find(server);
+    if (entry == coldServers_.end() || now >= entry->second.until) {
+        return;
+    }
+    ColdServer &cold = entry->second;
+    cold.arrivals.push_back(now);
+    while (cold.arrivals.front() <= now - coldWindow) {
+        cold.arrivals.pop_front();
+    }
+    if (static_cast<double>(cold.arrivals.size()) > coldExcess * cold.perSecond + coldSlack) {
+        recordViolation("cold",
+                        std::to_string(cold.arrivals.size()) + " requests to the cold server "
+                            + server + " in 1 s");
+        cold.arrivals.clear(); // report each excess once
+    }
+}
+
 void Ledger::requestArrived(const std::string &server, Base::Instant now)
 {
+    checkCold(server, now);
     const auto entry = serverLimits_.find(server);
     const bool isBound = entry != serverLimits_.end() && entry->second.perSecond > 0
                          && now - entry->second.since >= serverLimitDelay;
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -61,6 +61,8 @@
                     Base::Instant now);
     /// A server states a limit of requests per second from now on; 0 if it has none.
     void serverLimited(const std::string &server, double perSecond, Base::Instant now);
+    /// A server has started; it takes that many requests per second until the given time.
+    void serverRestarted(const std::string &server, double perSecond, Base::Instant coldUntil);
     /// A request has arrived at a server, which may refuse it.
     void requestArrived(const std::string &server, Base::Instant now);
     /// The response to a kept turn has ended, so any caller of the team may continue it.
@@ -100,9 +102,19 @@
         std::deque<Base::Instant> arrivals;
     };
 
+    /// Requests that have arrived at a cold server.
+    struct ColdServer
+    {
+        double perSecond = 0;
+        Base::Instant until;
+        std::deque<Base::Instant> arrivals;
+    };
+
+    void checkCold(const std::string &server, Base::Instant now);
     void checkRate(const std::string &team, Base::Instant now);
 
     std::map<std::string, ServerLimit> serverLimits_;
+    std::map<std::string, ColdServer> coldServers_;
     std::map<std::string, Attempt> attempts_;
     std::map<std::string, std::vector<KeptChain>> chains_;
     std::map<std::string, std::int64_t> deliveredTokens_;
--- a/tests/soak/soakenvironment.cpp
+++ b/tests/soak/soakenvironment.cpp
@@ -237,7 +237,11 @@
            route("lookups", "idempotent", "app"),
            route("orders", "non_idempotent", "app")}},
          {"services",
-          {{{"name", "engine"}, {"engine", {{"stride", tokensPerEvent}}}}, {{"name", "app"}}}},
+          {{{"name", "engine"},
+            {"engine", {{"stride", tokensPerEvent}}},
+            {"cold_s", Base::toSeconds(coldPeriod)},
+            {"cold_per_s", coldRate}},
+           {{"name", "app"}, {"cold_s", Base::toSeconds(coldPeriod)}, {"cold_per_s", coldRate}}}},
          {"tenants", tenants},
          {"limits",
           {{"header_bytes", 16384},
@@ -599,15 +603,22 @@
     }
 }
 
-/// Marks the server as draining, then removes its entry and later adds it again.
+/// Marks the server as draining, then removes its entry; later another process with the same id and
+/// address starts, which is cold for a while.
 void SoakEnvironment::drain(std::size_t index)
 {
     BackendStub &backend = *backends_[index];
     store_.put("servers", backend.id(), backend.entry(true));
     schedule(randomDuration(500, 2500),
              [this, &backend] { store_.erase("servers", backend.id()); });
-    schedule(randomDuration(2600, 3500),
-             [this, &backend] { store_.put("servers", backend.id(), backend.entry(false)); });
+    const auto list
+        = [this, &backend] { store_.put("servers", backend.id(), backend.entry(false)); };
+    const Milliseconds returnsAfter = randomDuration(2600, 3500);
+    schedule(returnsAfter, [&backend, list] {
+        backend.restart();
+        list();
+    });
+    schedule(returnsAfter + std::chrono::duration_cast<Milliseconds>(coldPeriod), list);
 }
 
 void SoakEnvironment::injectCallerFault()
