Cold servers: the test of the even part detects a missing one

The daemons counted as isolated when the test began, so they used their even part in any case. The test now waits until all have heard the coordinator. With the check of isColdApplied removed it fails with 450 permits; with it 6 of 6 tests of requestlimitsharing pass.

--- a/tests/libs/proxy/tst_requestlimitsharing.cpp
+++ b/tests/libs/proxy/tst_requestlimitsharing.cpp
@@ -130,6 +130,10 @@
     PeerFleet fleet(4);
     const auto begin = std::chrono::steady_clock::now();
     const std::size_t coordinator = fleet.coordinatorOf(server.id);
+    fleet.limits(coordinator).stated({server, Base::RequestRate(1000), steadyNow()});
+    fleet.runUntil([&] { return isLimitedEverywhere(fleet, true); }, "the coordinator responds");
+    fleet.limits(coordinator).stated({server, {}, steadyNow()});
+    fleet.runUntil([&] { return isLimitedEverywhere(fleet, false); }, "all know that it ended");
     fleet.downgrade(coordinator);
     std::vector<std::size_t> daemons;
     for (std::size_t daemon = 0; daemon < fleet.size(); ++daemon) {
