Streams: refuse resumption at an uncertain version, keep records at record stores

A resumed stream was continued at the version listed at that moment if the caller did not name the attempt, at the recorded version although its server had been restarted before, and after a period that counted from a list that may be stale. Streams are now found by the attempt or by a key of the request, the period counts confirmed lists, and records name the server instance.

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -201,18 +201,31 @@
 struct StreamNotice {
   1: string attempt
   2: string version
+  /** Hash of what all attempts of the caller at the request have in common. */
+  3: optional i64 requestKey
+  /** The server that began the stream, and its start time in milliseconds since the Unix epoch. */
+  4: optional string server
+  5: optional i64 startedAt
 }
 
 /** Requests the software version of the server that began a stream. */
 struct StreamVersionRequest {
   1: i64 number
+  /** Empty if the caller did not name it; the stream is then found by the key. */
   2: string attempt
+  3: optional i64 requestKey
 }
 
 /** Response to StreamVersionRequest; without a version the sender does not know the stream. */
 struct StreamVersionAnswer {
   1: i64 number
   2: optional string version
+  3: optional string server
+  4: optional i64 startedAt
+  /** Time since the first event of the stream. */
+  5: optional i64 ageMs
+  /** The key belongs to streams of several versions. */
+  6: optional bool isAmbiguous
 }
 
 /** The sender is about to end and connects to no more servers for others. Has no response. */
--- a/src/libs/dispatch/streamversions.h
+++ b/src/libs/dispatch/streamversions.h
@@ -1,17 +1,61 @@
 #pragma once
 
+#include "requestplacer.h"
+
 #include <base/instant.h>
 #include <base/types.h>
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <variant>
 
 namespace Dispatch {
 
-/// The software version of the server that began each recent stream, by the id of the caller's
-/// attempt that brought the first event.
+/// Hash of what all attempts of a caller at one request have in common.
+using StreamKey = Base::StrongNumber<struct StreamKeyTag, std::uint64_t>;
+
+/// Identifies a stream by the attempt that brought its first event, by its key, or by both.
+struct StreamName
+{
+    /// Empty if it is not known.
+    std::string attempt;
+    std::optional<StreamKey> key;
+
+    bool operator==(const StreamName &) const = default;
+};
+
+/// What is known about the first event of a stream.
+struct StreamRecord
+{
+    Base::SoftwareVersion version;
+    /// The server that began the stream; its id is empty if it is not known.
+    ServerInstance server;
+    /// Time since the first event.
+    Base::Duration age{};
+
+    bool operator==(const StreamRecord &) const = default;
+};
+
+struct UnknownStream
+{
+    bool operator==(const UnknownStream &) const = default;
+};
+
+/// The key belongs to streams of several versions.
+struct AmbiguousStream
+{
+    bool operator==(const AmbiguousStream &) const = default;
+};
+
+using StreamFinding = std::variant<UnknownStream, AmbiguousStream, StreamRecord>;
+
+/// Combines what two daemons know about a stream; of two records, the newer one is kept.
+StreamFinding combined(const StreamFinding &a, const StreamFinding &b);
+
+/// The software version of the server that began each recent stream.
 class StreamVersions
 {
 public:
@@ -26,22 +70,40 @@
         : settings_(settings)
     {}
 
-    /// The first version of a stream is kept.
-    void add(const std::string &attempt, const Base::SoftwareVersion &version, Base::Instant now);
-    std::optional<Base::SoftwareVersion> find(const std::string &attempt) const;
-    std::size_t size() const { return versions_.size(); }
+    /// The first record of an attempt is kept.
+    void add(const StreamName &stream, const StreamRecord &record, Base::Instant now);
+    /// Searches by the attempt if the name has one, otherwise by the key.
+    StreamFinding find(const StreamName &stream, Base::Instant now) const;
+    std::size_t size() const { return entries_.size(); }
 
 private:
+    /// Position of an entry in the order of all that were ever added.
+    using Sequence = std::uint64_t;
+
     struct Entry
     {
-        std::string attempt;
-        Base::Instant addedAt;
+        StreamName stream;
+        StreamRecord record;
+        Base::Instant beganAt;
     };
 
+    /// The entries of one key and one version.
+    struct VersionEntries
+    {
+        std::size_t count = 0;
+        Sequence newest = 0;
+    };
+
+    void removeOldest();
+    StreamFinding findByKey(StreamKey key, Base::Instant now) const;
+    StreamFinding recordAt(Sequence sequence, Base::Instant now) const;
+
     Settings settings_;
-    /// Oldest first.
+    /// Oldest first; the first one has the sequence number removed_.
     std::deque<Entry> entries_;
-    std::unordered_map<std::string, Base::SoftwareVersion> versions_;
+    Sequence removed_ = 0;
+    std::unordered_map<std::string, Sequence> byAttempt_;
+    std::unordered_map<StreamKey, std::map<Base::SoftwareVersion, VersionEntries>> byKey_;
 };
 
 } // namespace Dispatch
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -35,7 +35,10 @@
     void findHistory();
     void onHistory(TurnHistory::LookupResult result, const TurnHistory::Chain &chain);
     void findStreamVersion();
-    void onStreamVersion(const std::optional<Base::SoftwareVersion> &version);
+    Dispatch::StreamKey streamKey() const;
+    void onStreamFound(const Dispatch::StreamFinding &finding);
+    void refuseStream(const char *outcome, std::string detail);
+    bool isStreamUncertain() const;
     void onAdmitted();
     void keepTurn();
     void onTurnKept(bool isKept);
@@ -145,6 +148,9 @@
     std::size_t chainTurns_ = 0;
     /// The version that began the stream; the rest of it comes from servers of this version only.
     std::optional<Base::SoftwareVersion> streamVersion_;
+    /// What is known about the first event of the stream, and when that was known.
+    std::optional<Dispatch::StreamRecord> streamRecord_;
+    Base::Instant streamRecordedAt_;
     /// The request continues no stream, or its version was found.
     bool isStreamVersionKnown_ = true;
     /// The rate and the budget allow the request.
--- a/src/libs/proxy/exchangeadmission.cpp
+++ b/src/libs/proxy/exchangeadmission.cpp
@@ -122,31 +122,44 @@
         return;
     }
     isStreamVersionKnown_ = false;
-    if (traits_.resumedAttempt.empty()) {
-        onStreamVersion({});
-        return;
-    }
     auto self = shared_from_this();
-    owner_.streams_.find(traits_.resumedAttempt,
-                         [self](const std::optional<Base::SoftwareVersion> &version) {
+    owner_.streams_.find({traits_.resumedAttempt, streamKey()},
+                         [self](const Dispatch::StreamFinding &finding) {
                              if (!self->isEnded_) {
-                                 self->onStreamVersion(version);
+                                 self->onStreamFound(finding);
                              }
                          });
 }
 
+/// Attempts of a caller at the same request have equal keys.
+Dispatch::StreamKey Exchange::streamKey() const
+{
+    const Dispatch::RequestFingerprint &request = fingerprints_.exact;
+    std::uint64_t key = Base::hash64(request.team.text(), request.hash);
+    key = Base::hash64(traits_.session, key);
+    if (!traits_.prompt.empty()) {
+        key = Base::hash64(std::to_string(traits_.prompt.back().key), key);
+    }
+    return Dispatch::StreamKey(key);
+}
+
 /// A stream that no daemon knows can still be continued if there has been only one version.
-void Exchange::onStreamVersion(const std::optional<Base::SoftwareVersion> &version)
+void Exchange::onStreamFound(const Dispatch::StreamFinding &finding)
 {
-    const Base::Duration period
-        = traits_.resumedAttempt.empty() ? Base::Duration::zero() : soleVersionPeriod;
-    streamVersion_
-        = version ? version : owner_.serviceVersions_.soleVersion(service_->id, period, now());
+    if (std::holds_alternative<Dispatch::AmbiguousStream>(finding)) {
+        refuseStream("stream_uncertain", "equal requests were begun by several software versions");
+        return;
+    }
+    if (const auto *record = std::get_if<Dispatch::StreamRecord>(&finding)) {
+        streamRecord_ = *record;
+        streamRecordedAt_ = now();
+        streamVersion_ = record->version;
+    } else {
+        streamVersion_
+            = owner_.serviceVersions_.soleVersion(service_->id, soleVersionPeriod, now());
+    }
     if (!streamVersion_) {
-        respondWithError(503,
-                         "stream_unknown",
-                         "the software version that began the stream is not known",
-                         owner_.settings_.retryAfterBusy);
+        refuseStream("stream_unknown", "the software version that began the stream is not known");
         return;
     }
     isStreamVersionKnown_ = true;
@@ -155,6 +168,25 @@
     }
 }
 
+void Exchange::refuseStream(const char *outcome, std::string detail)
+{
+    respondWithError(503, outcome, std::move(detail), owner_.settings_.retryAfterBusy);
+}
+
+/// Whether the server that began the stream may have had another version than the recorded one.
+bool Exchange::isStreamUncertain() const
+{
+    if (!streamRecord_) {
+        return false;
+    }
+    Dispatch::StreamRecord record = *streamRecord_;
+    record.age += now() - streamRecordedAt_;
+    const auto time = std::chrono::system_clock::now().time_since_epoch();
+    const Dispatch::UnixMs unixTime(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+    return owner_.serviceVersions_.isUncertain(record, unixTime);
+}
+
 /// Makes the first attempt once the request is admitted and what it continues is known.
 void Exchange::onAdmitted()
 {
--- a/src/libs/proxy/exchangeattempts.cpp
+++ b/src/libs/proxy/exchangeattempts.cpp
@@ -28,6 +28,12 @@
         refuseQuarantined();
         return;
     }
+    if (isStreamUncertain()) {
+        refuseAttempt("stream_uncertain",
+                      "the server that began the stream was restarted with another version",
+                      owner_.settings_.retryAfterBusy);
+        return;
+    }
     placement_ = owner_.placer_.choose(
         service_->id, traits_.prompt, excludedServers_, now(), streamVersion_);
     if (!placement_ || attempts_ >= owner_.settings_.maxAttempts) {
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -135,7 +135,9 @@
     if (!streamVersion_ && events_.eventCount() > 0) {
         streamVersion_ = placement_->version;
         if (route_->isResumable) {
-            owner_.streams_.began(traits_.id, *streamVersion_);
+            streamRecord_ = {placement_->version, placement_->instance, {}};
+            streamRecordedAt_ = now();
+            owner_.streams_.began({traits_.id, streamKey()}, *streamRecord_);
         }
     }
     forwardBody(bytes);
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -109,12 +109,12 @@
 /// Access to the software versions of the servers that began recent streams.
 struct StreamControls
 {
-    using FindCallback = std::function<void(const std::optional<Base::SoftwareVersion> &)>;
+    using FindCallback = std::function<void(const Dispatch::StreamFinding &)>;
 
-    /// The first event of the attempt's stream is about to be sent to the caller.
-    std::function<void(const std::string &attempt, const Base::SoftwareVersion &)> began;
-    /// Calls back once, immediately or later, without a version if the stream is not known.
-    std::function<void(const std::string &attempt, FindCallback)> find;
+    /// The first event of a stream is about to be sent to the caller.
+    std::function<void(const Dispatch::StreamName &, const Dispatch::StreamRecord &)> began;
+    /// Calls back once, immediately or later.
+    std::function<void(const Dispatch::StreamName &, FindCallback)> find;
 };
 
 /// Access to the requests that crash servers.
@@ -153,6 +153,10 @@
     /// Applies the document if its version is newer. Returns whether it was applied.
     bool configure(Contracts::RoutingDocument document);
     void serversChanged(const std::vector<Dispatch::ListedServer> &servers);
+    /// The last list of servers was the current one at the given time.
+    void serversConfirmed(Base::Instant asOf) { serviceVersions_.listConfirmed(asOf); }
+    /// The whole system starts for the first time. Must be called before the first list.
+    void setFleetStart() { serviceVersions_.setFleetStart(); }
 
     /// Sets the other daemons, through which servers can be reached.
     void setRelays(std::vector<RelayAddress> relays) { connector_.setRelays(std::move(relays)); }
@@ -198,7 +202,7 @@
     LimitControls limits_;
     StreamControls streams_;
     QuarantineControls quarantine_;
-    Dispatch::ServiceVersions serviceVersions_;
+    Dispatch::ServiceVersions serviceVersions_{{}};
     Telemetry::Log &log_;
     Telemetry::Metrics &metrics_;
     Dispatch::RequestPlacer placer_;
--- a/src/libs/proxy/peerlink.cpp
+++ b/src/libs/proxy/peerlink.cpp
@@ -1,7 +1,10 @@
 #include "peerlink.h"
 
+#include <base/random.h>
 #include <base/visitor.h>
 
+#include <algorithm>
+
 namespace Proxy {
 
 namespace {
@@ -130,6 +133,38 @@
     }
 }
 
+void PeerLink::setRecordStores(const std::vector<PeerAddress> &stores)
+{
+    recordStores_.clear();
+    for (const PeerAddress &store : stores) {
+        recordStores_.emplace(store.vm, store.endpoint);
+    }
+}
+
+std::vector<Base::VmId> PeerLink::recordStoresOf(const std::string &subject,
+                                                 std::size_t count) const
+{
+    std::vector<std::pair<std::uint64_t, Base::VmId>> ranks;
+    ranks.reserve(recordStores_.size());
+    for (const auto &[vm, endpoint] : recordStores_) {
+        ranks.emplace_back(Base::hash64(subject, Base::hash64(vm.text())), vm);
+    }
+    std::sort(ranks.begin(), ranks.end(), std::greater<>());
+    std::vector<Base::VmId> first;
+    for (std::size_t i = 0; i < std::min(count, ranks.size()); ++i) {
+        first.push_back(ranks[i].second);
+    }
+    return first;
+}
+
+void PeerLink::sendToEach(const std::vector<Base::VmId> &peers, const PeerBody &body)
+{
+    const std::string bytes = encode(body);
+    for (const Base::VmId &peer : peers) {
+        sendDatagram(peer, bytes);
+    }
+}
+
 void PeerLink::sendToAll(const PeerBody &body)
 {
     const std::string bytes = encode(body);
@@ -157,9 +192,12 @@
 /// A failed send is only counted, as it has the same effect as a lost datagram.
 void PeerLink::sendDatagram(const Base::VmId &peer, const std::string &bytes)
 {
-    const auto endpoint = endpoints_.find(peer);
+    auto endpoint = endpoints_.find(peer);
     if (endpoint == endpoints_.end()) {
-        return;
+        endpoint = recordStores_.find(peer);
+        if (endpoint == recordStores_.end()) {
+            return;
+        }
     }
     std::error_code error;
     socket_.send_to(asio::buffer(bytes), endpoint->second, 0, error);
@@ -186,6 +224,10 @@
 void PeerLink::onDatagram(std::string_view bytes)
 {
     const std::optional<PeerMessage> message = decodePeerMessage(bytes);
+    if (message && recordStores_.contains(message->sender)) {
+        onRecordStoreMessage(*message);
+        return;
+    }
     const bool isKnown = message && endpoints_.contains(message->sender);
     if (!isKnown) {
         if (message && onUnknownSender_) {
@@ -213,6 +255,14 @@
     }
 }
 
+/// Record stores only respond. They do not count as peers that prove this daemon connected.
+void PeerLink::onRecordStoreMessage(const PeerMessage &message)
+{
+    if (const auto number = requestNumberOfResponse(message.body)) {
+        completeRequest(*number, message.sender, message.body);
+    }
+}
+
 void PeerLink::extendTimeout(RequestNumber number, const Base::VmId &sender)
 {
     const auto entry = pendingRequests_.find(number);
--- a/src/libs/proxy/peerlink.h
+++ b/src/libs/proxy/peerlink.h
@@ -74,6 +74,13 @@
     /// Sends a message without a response to each keeper of the subject.
     void sendToKeepers(const std::string &subject, const PeerBody &body);
 
+    /// Sets the daemons that keep records for the others, and are no part of the fleet otherwise.
+    void setRecordStores(const std::vector<PeerAddress> &stores);
+    /// The first record stores by rank for the subject.
+    std::vector<Base::VmId> recordStoresOf(const std::string &subject, std::size_t count) const;
+    /// Sends a message without a response to each of the daemons.
+    void sendToEach(const std::vector<Base::VmId> &peers, const PeerBody &body);
+
     /// Sends a message without a response to all other daemons.
     void sendToAll(const PeerBody &body);
 
@@ -97,6 +104,7 @@
     std::string encode(PeerBody body) const;
     void receive();
     void onDatagram(std::string_view bytes);
+    void onRecordStoreMessage(const PeerMessage &message);
     void sendDatagram(const Base::VmId &peer, const std::string &bytes);
     void extendTimeout(RequestNumber number, const Base::VmId &sender);
     void completeRequest(RequestNumber number, const Base::VmId &sender, const PeerBody &body);
@@ -117,6 +125,7 @@
     bool isTimerArmed_ = false;
     PeerRoster roster_;
     std::map<Base::VmId, asio::ip::udp::endpoint> endpoints_;
+    std::map<Base::VmId, asio::ip::udp::endpoint> recordStores_;
     std::unordered_map<RequestNumber, PendingRequest> pendingRequests_;
     /// Peers that were logged as unresponsive.
     std::set<Base::VmId> unresponsive_;
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -252,6 +252,65 @@
     return Programs::AllocationUnanswered{};
 }
 
+Wire::StreamNotice toWire(const StreamNotice &notice)
+{
+    Wire::StreamNotice part;
+    part.attempt = notice.stream.attempt;
+    part.version = notice.record.version.text();
+    if (notice.stream.key) {
+        part.__set_requestKey(static_cast<std::int64_t>(notice.stream.key->value()));
+    }
+    part.__set_server(notice.record.server.id.text());
+    part.__set_startedAt(static_cast<std::int64_t>(notice.record.server.startedAt));
+    return part;
+}
+
+std::optional<Dispatch::StreamKey> keyFromWire(bool isSet, std::int64_t key)
+{
+    return isSet ? std::optional(Dispatch::StreamKey(static_cast<std::uint64_t>(key)))
+                 : std::nullopt;
+}
+
+/// Fields that a previous build does not set have their default values.
+StreamNotice noticeFromWire(const Wire::StreamNotice &notice)
+{
+    return {{notice.attempt, keyFromWire(notice.__isset.requestKey, notice.requestKey)},
+            {Base::SoftwareVersion(notice.version),
+             {Base::ServerId(notice.server), static_cast<std::uint64_t>(notice.startedAt)},
+             {}}};
+}
+
+Wire::StreamVersionAnswer toWire(const StreamVersionResponse &response)
+{
+    Wire::StreamVersionAnswer part;
+    part.number = toWire(response.number);
+    std::visit(
+        Base::Visitor{[](const Dispatch::UnknownStream &) {},
+                      [&](const Dispatch::AmbiguousStream &) { part.__set_isAmbiguous(true); },
+                      [&](const Dispatch::StreamRecord &record) {
+                          part.__set_version(record.version.text());
+                          part.__set_server(record.server.id.text());
+                          part.__set_startedAt(static_cast<std::int64_t>(record.server.startedAt));
+                          part.__set_ageMs(toMilliseconds(record.age));
+                      }},
+        response.finding);
+    return part;
+}
+
+Dispatch::StreamFinding findingFromWire(const Wire::StreamVersionAnswer &answer)
+{
+    if (answer.__isset.isAmbiguous && answer.isAmbiguous) {
+        return Dispatch::AmbiguousStream{};
+    }
+    if (!answer.__isset.version) {
+        return Dispatch::UnknownStream{};
+    }
+    return Dispatch::StreamRecord{
+        Base::SoftwareVersion(answer.version),
+        {Base::ServerId(answer.server), static_cast<std::uint64_t>(answer.startedAt)},
+        durationFromWire(answer.ageMs)};
+}
+
 Wire::PeerBody toWire(const PeerBody &body)
 {
     Wire::PeerBody wire;
@@ -344,25 +403,18 @@
                 part.server = permit.server.text();
                 wire.__set_serverPermitReturn(part);
             },
-            [&](const StreamNotice &notice) {
-                Wire::StreamNotice part;
-                part.attempt = notice.attempt;
-                part.version = notice.version.text();
-                wire.__set_streamNotice(part);
-            },
+            [&](const StreamNotice &notice) { wire.__set_streamNotice(toWire(notice)); },
             [&](const StreamVersionRequest &request) {
                 Wire::StreamVersionRequest part;
                 part.number = toWire(request.number);
-                part.attempt = request.attempt;
+                part.attempt = request.stream.attempt;
+                if (request.stream.key) {
+                    part.__set_requestKey(static_cast<std::int64_t>(request.stream.key->value()));
+                }
                 wire.__set_streamVersionRequest(part);
             },
             [&](const StreamVersionResponse &response) {
-                Wire::StreamVersionAnswer part;
-                part.number = toWire(response.number);
-                if (response.version) {
-                    part.__set_version(response.version->text());
-                }
-                wire.__set_streamVersionAnswer(part);
+                wire.__set_streamVersionAnswer(toWire(response));
             },
             [&](const OverdraftNotice &notice) {
                 Wire::OverdraftNotice part;
@@ -487,20 +539,17 @@
         return ServerPermitReturn{Base::ServerId(wire.serverPermitReturn.server)};
     }
     if (wire.__isset.streamNotice) {
-        return StreamNotice{wire.streamNotice.attempt,
-                            Base::SoftwareVersion(wire.streamNotice.version)};
+        return noticeFromWire(wire.streamNotice);
     }
     if (wire.__isset.streamVersionRequest) {
-        return StreamVersionRequest{requestNumberFromWire(wire.streamVersionRequest.number),
-                                    wire.streamVersionRequest.attempt};
+        const Wire::StreamVersionRequest &request = wire.streamVersionRequest;
+        return StreamVersionRequest{
+            requestNumberFromWire(request.number),
+            {request.attempt, keyFromWire(request.__isset.requestKey, request.requestKey)}};
     }
     if (wire.__isset.streamVersionAnswer) {
-        const Wire::StreamVersionAnswer &answer = wire.streamVersionAnswer;
-        StreamVersionResponse response{requestNumberFromWire(answer.number), {}};
-        if (answer.__isset.version) {
-            response.version = Base::SoftwareVersion(answer.version);
-        }
-        return response;
+        return StreamVersionResponse{requestNumberFromWire(wire.streamVersionAnswer.number),
+                                     findingFromWire(wire.streamVersionAnswer)};
     }
     if (wire.__isset.overdraftNotice) {
         const Wire::OverdraftNotice &notice = wire.overdraftNotice;
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -6,6 +6,7 @@
 #include <base/types.h>
 #include <dispatch/requestplacer.h>
 #include <dispatch/requestquarantine.h>
+#include <dispatch/streamversions.h>
 #include <programs/tokenledger.h>
 
 #include <optional>
@@ -125,11 +126,12 @@
     bool operator==(const ServerPermitReturn &) const = default;
 };
 
-/// The software version of the server that began the stream of an attempt. Has no response.
+/// A stream has begun. Has no response.
 struct StreamNotice
 {
-    std::string attempt;
-    Base::SoftwareVersion version;
+    Dispatch::StreamName stream;
+    /// Without an age, as the notice is sent at once.
+    Dispatch::StreamRecord record;
 
     bool operator==(const StreamNotice &) const = default;
 };
@@ -137,7 +139,7 @@
 struct StreamVersionRequest
 {
     RequestNumber number;
-    std::string attempt;
+    Dispatch::StreamName stream;
 
     bool operator==(const StreamVersionRequest &) const = default;
 };
@@ -145,8 +147,7 @@
 struct StreamVersionResponse
 {
     RequestNumber number;
-    /// Unset if the sender does not know the stream.
-    std::optional<Base::SoftwareVersion> version;
+    Dispatch::StreamFinding finding;
 
     bool operator==(const StreamVersionResponse &) const = default;
 };
--- a/src/libs/proxy/streamversionsharing.cpp
+++ b/src/libs/proxy/streamversionsharing.cpp
@@ -1,68 +1,158 @@
 #include "streamversionsharing.h"
 
+#include <base/visitor.h>
+
+#include <algorithm>
+
 namespace Proxy {
 
 namespace {
 
-/// One search; ends with the first daemon that knows the stream, or with the last response.
+using Dispatch::StreamFinding;
+using Dispatch::StreamName;
+using Dispatch::StreamRecord;
+
+/// With the daemon that forwards the stream, one copy is left after the loss of any two.
+constexpr std::size_t peerCopies = 2;
+constexpr std::size_t recordStoreCopies = 2;
+
+/// One search; ends with the first record of the attempt, or with the last response.
 struct Search
 {
     std::size_t pending = 0;
+    /// Streams found by their key may differ, so that all responses count.
+    bool endsWithFirst = false;
+    StreamFinding finding;
     StreamVersionSharing::FindCallback callback;
 
-    void end(const std::optional<Base::SoftwareVersion> &version)
+    void add(const StreamFinding &other)
     {
-        if (auto done = std::exchange(callback, nullptr)) {
-            done(version);
+        --pending;
+        finding = Dispatch::combined(finding, other);
+        const bool isFound = !std::holds_alternative<Dispatch::UnknownStream>(finding);
+        if (callback && (pending == 0 || (endsWithFirst && isFound))) {
+            std::exchange(callback, nullptr)(finding);
         }
     }
 };
 
+std::string subjectOf(Dispatch::StreamKey key)
+{
+    return "stream " + std::to_string(key.value());
+}
+
+const char *nameOf(const StreamFinding &finding)
+{
+    return std::visit(Base::Visitor{[](const Dispatch::UnknownStream &) { return "unknown"; },
+                                    [](const Dispatch::AmbiguousStream &) { return "ambiguous"; },
+                                    [](const StreamRecord &) { return "found"; }},
+                      finding);
+}
+
 } // namespace
 
-StreamVersionSharing::StreamVersionSharing(PeerLink &peers, std::function<Base::Instant()> now)
+StreamVersionSharing::StreamVersionSharing(PeerLink &peers,
+                                           Telemetry::Metrics &metrics,
+                                           std::function<Base::Instant()> now,
+                                           Settings settings)
     : peers_(peers)
+    , metrics_(metrics)
     , now_(std::move(now))
-    , streams_({})
+    , streams_(settings)
 {}
 
-void StreamVersionSharing::streamBegan(const std::string &attempt,
-                                       const Base::SoftwareVersion &version)
+void StreamVersionSharing::streamBegan(const StreamName &stream, const StreamRecord &record)
 {
-    streams_.add(attempt, version, now_());
-    peers_.sendToKeepers(attempt, StreamNotice{attempt, version});
+    add(stream, record);
+    peers_.sendToEach(recipientsOf(stream), StreamNotice{stream, record});
 }
 
 void StreamVersionSharing::onNotice(const StreamNotice &notice)
 {
-    streams_.add(notice.attempt, notice.version, now_());
+    add(notice.stream, notice.record);
+}
+
+void StreamVersionSharing::add(const StreamName &stream, const StreamRecord &record)
+{
+    streams_.add(stream, record, now_());
+    metrics_.gauge("marjoram_stream_records", "Streams whose software version this daemon keeps")
+        .set(static_cast<double>(streams_.size()));
 }
 
 void StreamVersionSharing::onRequest(const Base::VmId &sender, const StreamVersionRequest &request)
 {
-    peers_.send(sender, StreamVersionResponse{request.number, streams_.find(request.attempt)});
+    peers_.send(sender,
+                StreamVersionResponse{request.number, streams_.find(request.stream, now_())});
 }
 
-void StreamVersionSharing::find(const std::string &attempt, FindCallback callback)
+/// At most four. The peers are ranked by the attempt, as in builds that know no keys. Without
+/// record stores, a peer that is ranked by the key finds streams whose attempt is not named.
+std::vector<Base::VmId> StreamVersionSharing::recipientsOf(const StreamName &stream) const
 {
-    const auto known = streams_.find(attempt);
-    const std::vector<Base::VmId> keepers = peers_.keepersOf(attempt);
-    if (known || keepers.empty()) {
-        callback(known);
+    std::vector<Base::VmId> recipients = peers_.keepersOf(stream.attempt);
+    if (!stream.key) {
+        return recipients;
+    }
+    const std::string subject = subjectOf(*stream.key);
+    const std::vector<Base::VmId> stores = peers_.recordStoresOf(subject, recordStoreCopies);
+    if (stores.empty()) {
+        const std::vector<Base::VmId> byKey = peers_.keepersOf(subject);
+        const bool isNew
+            = !byKey.empty()
+              && std::find(recipients.begin(), recipients.end(), byKey.front()) == recipients.end();
+        if (isNew) {
+            recipients.push_back(byKey.front());
+        }
+        return recipients;
+    }
+    recipients.resize(std::min(recipients.size(), peerCopies));
+    recipients.insert(recipients.end(), stores.begin(), stores.end());
+    return recipients;
+}
+
+std::vector<Base::VmId> StreamVersionSharing::keepersOf(const StreamName &stream) const
+{
+    std::vector<Base::VmId> keepers;
+    if (!stream.attempt.empty()) {
+        keepers = peers_.keepersOf(stream.attempt);
+    }
+    if (!stream.key) {
+        return keepers;
+    }
+    const std::string subject = subjectOf(*stream.key);
+    const std::vector<Base::VmId> stores = peers_.recordStoresOf(subject, recordStoreCopies);
+    keepers.insert(keepers.end(), stores.begin(), stores.end());
+    if (stores.empty() && stream.attempt.empty()) {
+        keepers = peers_.keepersOf(subject);
+    }
+    return keepers;
+}
+
+void StreamVersionSharing::find(const StreamName &stream, FindCallback callback)
+{
+    const bool isNamed = !stream.attempt.empty();
+    const auto done = [this, callback = std::move(callback)](const StreamFinding &finding) {
+        metrics_
+            .counter("marjoram_stream_lookups_total",
+                     "Searches for the software version of a resumed stream by result",
+                     {{"result", nameOf(finding)}})
+            .add();
+        callback(finding);
+    };
+    const StreamFinding known = streams_.find(stream, now_());
+    const std::vector<Base::VmId> keepers = keepersOf(stream);
+    const bool isKnown = !std::holds_alternative<Dispatch::UnknownStream>(known);
+    if (keepers.empty() || (isNamed && isKnown)) {
+        done(known);
         return;
     }
-    const auto search = std::make_shared<Search>(Search{keepers.size(), std::move(callback)});
+    const auto search = std::make_shared<Search>(Search{keepers.size(), isNamed, known, done});
     for (const Base::VmId &keeper : keepers) {
         const RequestNumber number = peers_.nextRequestNumber();
         peers_.sendRequest(
-            keeper, number, StreamVersionRequest{number, attempt}, [search](const PeerBody *body) {
-                --search->pending;
+            keeper, number, StreamVersionRequest{number, stream}, [search](const PeerBody *body) {
                 const auto *response = body ? std::get_if<StreamVersionResponse>(body) : nullptr;
-                if (response && response->version) {
-                    search->end(response->version);
-                } else if (search->pending == 0) {
-                    search->end({});
-                }
+                search->add(response ? response->finding : StreamFinding());
             });
     }
 }
@@ -70,11 +160,11 @@
 StreamControls streamControls(StreamVersionSharing &sharing)
 {
     StreamControls controls;
-    controls.began = [&sharing](const auto &attempt, const Base::SoftwareVersion &version) {
-        sharing.streamBegan(attempt, version);
+    controls.began = [&sharing](const auto &stream, const auto &record) {
+        sharing.streamBegan(stream, record);
     };
-    controls.find = [&sharing](const auto &attempt, auto callback) {
-        sharing.find(attempt, std::move(callback));
+    controls.find = [&sharing](const auto &stream, auto callback) {
+        sharing.find(stream, std::move(callback));
     };
     return controls;
 }
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -141,7 +141,7 @@
         , peers_(context_, vm(), {}, silentLog(), metrics_, 1, &steadyNow)
         , rates_(context_, vm(), peers_, &steadyNow)
         , limits_(vm(), rates_, peers_, silentLog(), metrics_, &steadyNow)
-        , streams_(peers_, &steadyNow)
+        , streams_(peers_, metrics_, &steadyNow)
         , quarantine_(vm(), rates_, peers_, silentLog(), metrics_, &steadyNow)
         , acceptor_(context_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
         , caller_(context_)
@@ -192,6 +192,24 @@
         passThrough_.serversChanged(servers);
     }
 
+    /// Lists the first server as a process that started at the given time of the system clock, and
+    /// the second one with the given version; without one, it is not listed.
+    void listRestarted(const std::string &versionOfFirst,
+                       std::chrono::system_clock::time_point startedAt,
+                       const std::string &versionOfSecond)
+    {
+        std::vector<Dispatch::ListedServer> servers{listed("one", first), listed("two", second)};
+        servers[0].version = Base::SoftwareVersion(versionOfFirst);
+        servers[0].startedAt = static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(startedAt.time_since_epoch())
+                .count());
+        servers[1].version = Base::SoftwareVersion(versionOfSecond);
+        if (versionOfSecond.empty()) {
+            servers.pop_back();
+        }
+        passThrough_.serversChanged(servers);
+    }
+
     void send(const std::string &bytes) { asio::write(caller_, asio::buffer(bytes)); }
 
     void request(const std::string &path, const std::string &id, const std::string &more = "")
--- a/tests/libs/proxy/peerfleet.h
+++ b/tests/libs/proxy/peerfleet.h
@@ -75,7 +75,7 @@
                     &steadyNow)
             , rates(fleet.context_, address.vm, peers, &steadyNow)
             , limits(address.vm, rates, peers, fleet.log_, fleet.metrics_, &steadyNow)
-            , streams(peers, &steadyNow)
+            , streams(peers, fleet.metrics_, &steadyNow)
             , quarantine(address.vm, rates, peers, fleet.log_, fleet.metrics_, &steadyNow)
         {
             peers.start([this](const Base::VmId &sender, const PeerBody &body) {
--- a/tests/libs/proxy/tst_passthrough.cpp
+++ b/tests/libs/proxy/tst_passthrough.cpp
@@ -427,6 +427,55 @@
     cr_assert_eq(requestCount(fixture), 0);
 }
 
+/// Guards against a resumption at the version listed now, however recently it became the only one.
+Test(passthrough, aStreamWithoutItsAttemptIsNotResumedAtTheNextVersion)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listVersions("v1", "");
+    fixture.first.add({{streamHead + chunk(event(1)) + "0\r\n\r\n"}, true});
+    fixture.request("/resumable/", "r1");
+    fixture.awaitResponse("0\r\n\r\n");
+    fixture.listVersions("", "v2");
+    fixture.second.add({{streamHead + chunk(event(2)) + "0\r\n\r\n"}, true});
+    fixture.request("/resumable/", "r2", "Last-Event-Id: 1\r\n");
+    fixture.awaitResponse("HTTP/1.1 503");
+    cr_assert_eq(fixture.second.requests().size(), 0);
+}
+
+/// Guards against the same in a daemon that has just started, and was told of no stream.
+Test(passthrough, aNewDaemonResumesNoStreamWithoutItsAttempt)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listVersions("", "v2");
+    fixture.second.add({{streamHead + chunk(event(2)) + "0\r\n\r\n"}, true});
+    fixture.request("/resumable/", "r2", "Last-Event-Id: 1\r\n");
+    fixture.awaitResponse("HTTP/1.1 503");
+    cr_assert_eq(fixture.second.requests().size(), 0);
+}
+
+/// Guards against the version of the list at placement for a server that had been restarted with
+/// another one before the list was read again.
+Test(passthrough, aStreamOfARestartedServerIsNotResumedAtItsOldVersion)
+{
+    const auto longAgo = std::chrono::system_clock::now() - std::chrono::minutes(10);
+    Fixture fixture;
+    fixture.configure();
+    fixture.listRestarted("v1", longAgo, {});
+    const auto restartedAt = std::chrono::system_clock::now();
+    fixture.first.add({{streamHead + chunk(event(1)) + "0\r\n\r\n"}, true});
+    fixture.second.add({{streamHead + chunk(event(2)) + "0\r\n\r\n"}, true});
+    // The second server is listed only afterwards, so that the first one begins the stream.
+    fixture.request("/resumable/", "r1");
+    fixture.awaitResponse("0\r\n\r\n");
+    fixture.listRestarted("v2", restartedAt, "v1");
+    const std::size_t before = requestCount(fixture);
+    fixture.request("/resumable/", "r2", "Last-Event-Id: 1\r\nResumes: r1\r\n");
+    fixture.awaitResponse("HTTP/1.1 503");
+    cr_assert_eq(requestCount(fixture), before);
+}
+
 /// Guards against an event without end, which filled the memory until the deadline.
 Test(passthrough, anEventWithoutEndIsABrokenResponse)
 {
