Streams: find streams of unnamed attempts only where another daemon confirms them

A daemon's own records of a key may name an earlier stream of an equal request. Without daemons that keep turns, two peers by rank of the key keep the record.

--- a/src/libs/proxy/streamversionsharing.cpp
+++ b/src/libs/proxy/streamversionsharing.cpp
@@ -16,24 +16,37 @@
 constexpr std::size_t peerCopies = 2;
 constexpr std::size_t recordStoreCopies = 2;
 
+bool isUnknown(const StreamFinding &finding)
+{
+    return std::holds_alternative<Dispatch::UnknownStream>(finding);
+}
+
 /// One search; ends with the first record of the attempt, or with the last response.
 struct Search
 {
     std::size_t pending = 0;
-    /// Streams found by their key may differ, so that all responses count.
-    bool endsWithFirst = false;
+    /// Streams of one key may differ, so that all responses count.
+    bool isNamed = false;
     StreamFinding finding;
     StreamVersionSharing::FindCallback callback;
+    bool isConfirmed = false;
 
-    void add(const StreamFinding &other)
+    void add(const StreamFinding &response)
     {
         --pending;
-        finding = Dispatch::combined(finding, other);
-        const bool isFound = !std::holds_alternative<Dispatch::UnknownStream>(finding);
-        if (callback && (pending == 0 || (endsWithFirst && isFound))) {
-            std::exchange(callback, nullptr)(finding);
+        isConfirmed = isConfirmed || !isUnknown(response);
+        finding = Dispatch::combined(finding, response);
+        if (callback && (pending == 0 || (isNamed && isConfirmed))) {
+            std::exchange(callback, nullptr)(result());
         }
     }
+
+    /// This daemon's own records of a key may lack the stream, and name an earlier one.
+    StreamFinding result() const
+    {
+        const bool isIncomplete = !isConfirmed && std::holds_alternative<StreamRecord>(finding);
+        return isIncomplete ? StreamFinding() : finding;
+    }
 };
 
 std::string subjectOf(Dispatch::StreamKey key)
@@ -86,27 +99,25 @@
 }
 
 /// At most four. The peers are ranked by the attempt, as in builds that know no keys. Without
-/// record stores, a peer that is ranked by the key finds streams whose attempt is not named.
+/// record stores, peers that are ranked by the key find streams whose attempt is not named.
 std::vector<Base::VmId> StreamVersionSharing::recipientsOf(const StreamName &stream) const
 {
     std::vector<Base::VmId> recipients = peers_.keepersOf(stream.attempt);
+    recipients.resize(std::min(recipients.size(), peerCopies));
     if (!stream.key) {
         return recipients;
     }
     const std::string subject = subjectOf(*stream.key);
-    const std::vector<Base::VmId> stores = peers_.recordStoresOf(subject, recordStoreCopies);
-    if (stores.empty()) {
-        const std::vector<Base::VmId> byKey = peers_.keepersOf(subject);
-        const bool isNew
-            = !byKey.empty()
-              && std::find(recipients.begin(), recipients.end(), byKey.front()) == recipients.end();
-        if (isNew) {
-            recipients.push_back(byKey.front());
+    std::vector<Base::VmId> byKey = peers_.recordStoresOf(subject, recordStoreCopies);
+    if (byKey.empty()) {
+        byKey = peers_.keepersOf(subject);
+        byKey.resize(std::min(byKey.size(), peerCopies));
+    }
+    for (Base::VmId &vm : byKey) {
+        if (std::find(recipients.begin(), recipients.end(), vm) == recipients.end()) {
+            recipients.push_back(std::move(vm));
         }
-        return recipients;
     }
-    recipients.resize(std::min(recipients.size(), peerCopies));
-    recipients.insert(recipients.end(), stores.begin(), stores.end());
     return recipients;
 }
 
@@ -141,8 +152,7 @@
     };
     const StreamFinding known = streams_.find(stream, now_());
     const std::vector<Base::VmId> keepers = keepersOf(stream);
-    const bool isKnown = !std::holds_alternative<Dispatch::UnknownStream>(known);
-    if (keepers.empty() || (isNamed && isKnown)) {
+    if (keepers.empty() || (isNamed && !isUnknown(known))) {
         done(known);
         return;
     }
--- a/tests/libs/proxy/peerfleet.h
+++ b/tests/libs/proxy/peerfleet.h
@@ -18,22 +18,38 @@
 class PeerFleet
 {
 public:
-    explicit PeerFleet(int size)
+    explicit PeerFleet(int size, int recordStores = 0)
         : log_({.file = {}, .level = Telemetry::LogLevel::Error, .daemon = {}, .keyPrefixes = {}})
     {
-        std::vector<PeerAddress> addresses;
-        addresses.reserve(static_cast<std::size_t>(size));
-        for (int i = 0; i < size; ++i) {
-            addresses.push_back(
-                {Base::VmId("vm-" + std::to_string(i)), freeEndpoint<asio::ip::udp>()});
+        for (const PeerAddress &address : freeAddresses("store-", recordStores)) {
+            storeAddresses_.push_back(address);
+            stores_.push_back(std::make_unique<RecordStore>(*this, address));
         }
-        for (const PeerAddress &address : addresses) {
-            daemons_.push_back(std::make_unique<Daemon>(*this, address));
-            daemons_.back()->peers.setDaemons(addresses);
+        startDaemons(size);
+    }
+
+    /// Replaces all daemons by new ones of the same names that know nothing; the record stores
+    /// stay.
+    void restartDaemons()
+    {
+        const auto size = static_cast<int>(daemons_.size());
+        for (auto &daemon : daemons_) {
+            daemon->isLost = true;
+            lostDaemons_.push_back(std::move(daemon));
         }
-        for (const auto &daemon : daemons_) {
-            daemon->rates.setDaemonCount(addresses.size());
+        daemons_.clear();
+        startDaemons(size);
+    }
+    /// From now on, the record store ignores all messages.
+    void loseStore(std::size_t store) { stores_[store]->isLost = true; }
+    /// Records of all record stores together.
+    std::size_t storedRecords() const
+    {
+        std::size_t count = 0;
+        for (const auto &store : stores_) {
+            count += store->streams.recordCount();
         }
+        return count;
     }
 
     RequestLimitSharing &limits(std::size_t daemon) { return daemons_[daemon]->limits; }
@@ -63,6 +79,61 @@
     }
 
 private:
+    static std::vector<PeerAddress> freeAddresses(const std::string &prefix, int count)
+    {
+        std::vector<PeerAddress> addresses;
+        addresses.reserve(static_cast<std::size_t>(count));
+        for (int i = 0; i < count; ++i) {
+            addresses.push_back(
+                {Base::VmId(prefix + std::to_string(i)), freeEndpoint<asio::ip::udp>()});
+        }
+        return addresses;
+    }
+
+    void startDaemons(int size)
+    {
+        const std::vector<PeerAddress> addresses = freeAddresses("vm-", size);
+        for (const PeerAddress &address : addresses) {
+            daemons_.push_back(std::make_unique<Daemon>(*this, address));
+            daemons_.back()->peers.setDaemons(addresses);
+            daemons_.back()->peers.setRecordStores(storeAddresses_);
+        }
+        for (const auto &daemon : daemons_) {
+            daemon->rates.setDaemonCount(addresses.size());
+        }
+        for (const auto &store : stores_) {
+            store->peers.setDaemons(addresses);
+        }
+    }
+
+    struct RecordStore
+    {
+        RecordStore(PeerFleet &fleet, const PeerAddress &address)
+            : peers(fleet.context_,
+                    address.vm,
+                    address.endpoint,
+                    fleet.log_,
+                    fleet.metrics_,
+                    7,
+                    &steadyNow)
+            , streams(peers, fleet.metrics_, &steadyNow)
+        {
+            peers.start([this](const Base::VmId &sender, const PeerBody &body) {
+                const auto *notice = std::get_if<StreamNotice>(&body);
+                const auto *request = std::get_if<StreamVersionRequest>(&body);
+                if (notice && !isLost) {
+                    streams.onNotice(*notice);
+                } else if (request && !isLost) {
+                    streams.onRequest(sender, *request);
+                }
+            });
+        }
+
+        PeerLink peers;
+        StreamVersionSharing streams;
+        bool isLost = false;
+    };
+
     struct Daemon
     {
         Daemon(PeerFleet &fleet, const PeerAddress &address)
@@ -114,6 +185,9 @@
     Telemetry::Log log_;
     Telemetry::Metrics metrics_;
     std::vector<std::unique_ptr<Daemon>> daemons_;
+    std::vector<std::unique_ptr<Daemon>> lostDaemons_;
+    std::vector<PeerAddress> storeAddresses_;
+    std::vector<std::unique_ptr<RecordStore>> stores_;
 };
 
 } // namespace Proxy
