Soak: kill all daemons more often, resume streams without the attempt's id

The daemons get the port range, so that record stores and relays are used. Callers name the attempt of a resumed stream half of the time and repeat a refused resumption up to six times.

--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -90,6 +90,10 @@
     /// Attempts that were neither served nor rejected because of a limit.
     int failedCount() const { return failed_; }
     int runCount() const { return runs_; }
+    /// A caller has tried to resume a stream.
+    void recordResumption(bool isServed) { ++(isServed ? resumed_ : notResumed_); }
+    int resumedCount() const { return resumed_; }
+    int notResumedCount() const { return notResumed_; }
 
 private:
     /// The limit that a server states, and the requests that have arrived since.
@@ -117,6 +121,8 @@
     int refused_ = 0;
     int failed_ = 0;
     int runs_ = 0;
+    int resumed_ = 0;
+    int notResumed_ = 0;
 };
 
 } // namespace Soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -32,7 +32,8 @@
     const Soak::SoakResult result
         = Soak::SoakEnvironment({program, seed, std::chrono::seconds(seconds), folder}).run();
     std::cout << "seed " << seed << ": " << result.faults << " faults, " << result.runs << " runs, "
-              << result.served << " served, " << result.refused << " refused, "
+              << result.served << " served, " << result.refused << " refused, " << result.resumed
+              << " of " << result.resumed + result.notResumed << " resumptions served, "
               << result.violations.size() << " violations" << std::endl;
     for (const std::string &violation : result.violations) {
         std::cout << "  " << violation << '\n';
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -8,6 +8,8 @@
 
 constexpr int maxEvents = 12;
 constexpr int maxRequests = 10;
+/// Attempts to resume one stream; a daemon is started again within 1.2 s.
+constexpr int maxResumptions = 6;
 constexpr auto requestTimeout = std::chrono::milliseconds(2500);
 
 const char *pathOf(RequestKind kind)
@@ -151,8 +153,11 @@
     if (!request.previous.turn.empty()) {
         head.headers.add("X-Previous-Turn", request.previous.turn);
     }
-    if (!request.resumedAttempt.empty()) {
+    // Callers may leave out the attempt that brought the first event.
+    if (request.isResumption && random_.chance(0.5)) {
         head.headers.add("Resumes", request.resumedAttempt);
+    }
+    if (request.isResumption) {
         head.headers.add("Last-Event-Id", std::to_string(request.earlierEvents));
     }
     if (request.kind == RequestKind::Turn || request.kind == RequestKind::KeptTurn) {
@@ -226,18 +231,25 @@
         return;
     }
     const bool isRefused = request.status == 429 || request.status == 503 || request.status == 0;
+    if (isRefused && request.isResumption && request.resumptions < maxResumptions) {
+        constexpr std::uint64_t maxRepetitionDelayMs = 600;
+        runAfter(std::chrono::milliseconds(1 + random_.below(maxRepetitionDelayMs)),
+                 [this, request] { resume(request, request.earlierEvents); });
+        return;
+    }
     const int maxDelayMs = isRefused ? 300 : 30;
     runAfter(std::chrono::milliseconds(1 + random_.below(static_cast<std::uint64_t>(maxDelayMs))),
              [this] { startRequest(); });
 }
 
-/// Each attempt to resume names the attempt that brought the first event.
 void SoakCaller::resume(const ActiveRequest &broken, int events)
 {
     ActiveRequest request;
     request.id = name_ + "-" + std::to_string(++lastRequest_);
     request.kind = broken.kind;
     request.body = broken.body;
+    request.isResumption = true;
+    request.resumptions = broken.resumptions + 1;
     request.resumedAttempt = broken.resumedAttempt.empty() ? broken.id : broken.resumedAttempt;
     request.earlierEvents = events;
     request.version = broken.version;
@@ -257,6 +269,9 @@
         ledger_.recordViolation("mixed",
                                 request.id + " received a wrong response: " + request.received);
     }
+    if (request.isResumption) {
+        ledger_.recordResumption(request.status == 200);
+    }
     ledger_.attemptFinished(request.id, request.isComplete ? request.status : 0);
     return events;
 }
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -42,6 +42,8 @@
         std::string body;
         /// The chain that a kept turn continues; empty at the start of one.
         KeptChain previous;
+        bool isResumption = false;
+        int resumptions = 0;
         /// The attempt that brought the first event of the stream, if this one resumes it.
         std::string resumedAttempt;
         /// Events that the caller had before this attempt, and the software version of them.
--- a/tests/soak/soakenvironment.cpp
+++ b/tests/soak/soakenvironment.cpp
@@ -169,6 +169,7 @@
              {"ready", text(endpoint(daemon.ip, statusPort))},
              {"control", text(endpoint(daemon.ip, peerPort))}}},
            {"seeds", seeds},
+           {"port_range", {turnPort, turnPort + 10}},
            {"bootstrap", isFirstStart},
            {"tolerate", {{"machines", toleratedLosses}}},
            {"bounds", {{"config_apply_ms", configurationBoundMs}, {"grace_s", graceSeconds}}},
@@ -419,7 +420,7 @@
 void SoakEnvironment::injectDaemonFault()
 {
     Daemon &daemon = daemons_[random_.below(daemons_.size())];
-    switch (random_.below(8)) {
+    switch (random_.below(9)) {
     case 0:
     case 1:
         killDaemon(daemon);
@@ -432,6 +433,7 @@
         daemon.process->signal(SIGHUP);
         break;
     case 5:
+    case 8: // servers of two versions run all the time, and callers resume their streams
         for (Daemon &each : daemons_) {
             killDaemon(each);
         }
@@ -697,7 +699,9 @@
             ledger_.servedCount(),
             ledger_.refusedCount(),
             ledger_.runCount(),
-            faults_};
+            faults_,
+            ledger_.resumedCount(),
+            ledger_.notResumedCount()};
 }
 
 } // namespace Soak
--- a/tests/soak/soakenvironment.h
+++ b/tests/soak/soakenvironment.h
@@ -27,6 +27,9 @@
     int refused = 0;
     int runs = 0;
     int faults = 0;
+    /// Attempts to resume a stream that were served, and that were not.
+    int resumed = 0;
+    int notResumed = 0;
 };
 
 /// Runs daemons as processes with fakes of the platform's store and of backend servers, with
