--- a/tests/libs/dispatch/tst_streamversions.cpp
+++ b/tests/libs/dispatch/tst_streamversions.cpp
@@ -168,4 +168,5 @@
     cr_assert(!versions.isUncertain(record, UnixMs(108'999)), "began before the restart");
     cr_assert(!versions.isUncertain({v2, {Base::ServerId("a"), 5}, {}}, UnixMs(115'000)));
     cr_assert(!versions.isUncertain({v1, {Base::ServerId("b"), 5}, {}}, UnixMs(115'000)));
+    cr_assert(!versions.isUncertain({v1, {}, {}}, UnixMs(115'000)), "of a previous build");
 }
--- a/tests/platform/tst_platformadapter.cpp
+++ b/tests/platform/tst_platformadapter.cpp
@@ -91,6 +91,7 @@
     cr_assert(parsed.problems.empty());
     cr_assert(!parsed.settings.callers);
     cr_assert_eq(parsed.settings.turnStore->port(), 7780);
+    cr_assert_eq(parsed.settings.streamRecords->port(), 7782, "fronts and stores must agree on it");
     cr_assert_eq(parsed.settings.toleratedLosses, 2);
     cr_assert_eq(parsed.settings.diskBytes, 440'000'000);
     cr_assert_eq(parsed.settings.dataFolder, "/data/store");
