--- a/tests/benches/proxybench.cpp
+++ b/tests/benches/proxybench.cpp
@@ -159,8 +159,12 @@
                                     Base::RequestRate(6.5),
                                     std::chrono::milliseconds(80)};
     std::printf("datagrams: bytes\n");
-    std::printf("  stream notice           %zu\n",
-                sizeOf(Proxy::StreamNotice{"85a0980a851388fe", Base::SoftwareVersion("v1.1")}));
+    std::printf(
+        "  stream notice           %zu\n",
+        sizeOf(Proxy::StreamNotice{{"85a0980a851388fe", Dispatch::StreamKey(0x9c41d07be2a35f68)},
+                                   {Base::SoftwareVersion("v1.1"),
+                                    {Base::ServerId("engine-a-17"), 1'700'000'000'000},
+                                    {}}}));
     std::printf("  stream version request  %zu\n",
                 sizeOf(Proxy::StreamVersionRequest{number, "85a0980a851388fe"}));
     std::printf("  permit request (server) %zu\n",
