marjoramctl zone close, open and list

A closed zone is part of the product's configuration; the dispatcher and the lenders of slots treat its servers like leaving ones.

--- a/schema/operator.thrift
+++ b/schema/operator.thrift
@@ -110,6 +110,12 @@
   2: bool isLeaving = true
 }
 
+/** Servers of a closed zone get no new work. */
+struct SetZoneClosed {
+  1: string zone
+  2: bool isClosed = true
+}
+
 /** Replaces the whole configuration by a document in JSON. */
 struct ReplaceConfiguration {
   1: string document
@@ -128,6 +134,7 @@
   10: RemoveServer removeServer
   11: SetServerLeaving setServerLeaving
   12: ReplaceConfiguration replaceConfiguration
+  13: SetZoneClosed setZoneClosed
 }
 
 struct ChangeRequest {
--- a/src/libs/contracts/configchanges.cpp
+++ b/src/libs/contracts/configchanges.cpp
@@ -61,11 +61,12 @@
     const auto serversAfter = indexById(after.servers);
     for (const BackendServer &server : after.servers) {
         const auto known = serversBefore.find(server.id);
-        const bool isSame = known != serversBefore.end() && *known->second == server;
+        const bool isSame = known != serversBefore.end() && *known->second == server
+                            && before.getsNoWork(server) == after.getsNoWork(server);
         if (isSame) {
             continue;
         }
-        if (server.isLeaving) {
+        if (after.getsNoWork(server)) {
             changes.emplace_back(ServerLeaving{server.id});
         }
         changes.emplace_back(ServerChanged{server});
--- a/src/libs/contracts/configedit.cpp
+++ b/src/libs/contracts/configedit.cpp
@@ -109,6 +109,14 @@
                    "id of an existing server");
     }
 
+    void operator()(const SetZoneClosed &edit)
+    {
+        std::erase(document_.closedZones, edit.zone);
+        if (edit.isClosed) {
+            document_.closedZones.push_back(edit.zone);
+        }
+    }
+
     void operator()(const ReplaceConfiguration &edit)
     {
         const std::vector<AcceptedChange> changes = std::move(document_.recentChanges);
--- a/src/libs/contracts/configedit.h
+++ b/src/libs/contracts/configedit.h
@@ -78,6 +78,13 @@
     bool isLeaving = true;
 };
 
+/// Closes the zone for new work, or opens it. No error if it is so already.
+struct SetZoneClosed
+{
+    Base::ZoneId zone;
+    bool isClosed = true;
+};
+
 /// Replaces the whole configuration; the version of the given document is ignored.
 struct ReplaceConfiguration
 {
@@ -96,6 +103,7 @@
                                 PutServer,
                                 RemoveServer,
                                 SetServerLeaving,
+                                SetZoneClosed,
                                 ReplaceConfiguration>;
 
 /// The edited document, or the problems that make the edit invalid.
--- a/src/libs/contracts/configuration.cpp
+++ b/src/libs/contracts/configuration.cpp
@@ -34,6 +34,16 @@
     return findById(services, id);
 }
 
+bool ConfigurationDocument::isClosed(const Base::ZoneId &zone) const
+{
+    return std::find(closedZones.begin(), closedZones.end(), zone) != closedZones.end();
+}
+
+bool ConfigurationDocument::getsNoWork(const BackendServer &server) const
+{
+    return server.isLeaving || isClosed(server.zone);
+}
+
 const BackendServer *ConfigurationDocument::findServer(const Base::ServerId &id) const
 {
     return findById(servers, id);
--- a/src/libs/contracts/configuration.h
+++ b/src/libs/contracts/configuration.h
@@ -115,7 +115,12 @@
     std::vector<Team> teams;
     std::vector<Service> services;
     std::vector<BackendServer> servers;
+    /// Zones whose servers get no new work.
+    std::vector<Base::ZoneId> closedZones;
 
+    bool isClosed(const Base::ZoneId &zone) const;
+    /// Whether the server is leaving or in a closed zone.
+    bool getsNoWork(const BackendServer &server) const;
     const Team *findTeam(const Base::TeamId &id) const;
     const Service *findService(const Base::ServiceId &id) const;
     const BackendServer *findServer(const Base::ServerId &id) const;
--- a/src/libs/contracts/configurationcheck.cpp
+++ b/src/libs/contracts/configurationcheck.cpp
@@ -29,6 +29,7 @@
         checkTeams();
         checkServices();
         checkServers();
+        checkZones();
         return std::move(problems_);
     }
 
@@ -71,6 +72,7 @@
     void checkServices();
     void checkService(const std::string &path, const Service &service);
     void checkServers();
+    void checkZones();
     void checkAddress(const std::string &path, const std::string &address);
 
     const ConfigurationDocument &document_;
@@ -118,6 +120,16 @@
     }
 }
 
+void Checker::checkZones()
+{
+    std::set<std::string> zones;
+    for (size_t i = 0; i < document_.closedZones.size(); ++i) {
+        const std::string path = itemPath("closed_zones", i);
+        checkName(path, document_.closedZones[i].text());
+        checkUnique(path, document_.closedZones[i], zones);
+    }
+}
+
 void Checker::checkServices()
 {
     std::set<std::string> services;
--- a/src/libs/contracts/configurationcodec.cpp
+++ b/src/libs/contracts/configurationcodec.cpp
@@ -221,6 +221,10 @@
     for (const BackendServer &server : document.servers) {
         object["servers"].push_back(toJson(server));
     }
+    // Builds without closed zones reject names that they do not know.
+    for (const Base::ZoneId &zone : document.closedZones) {
+        object["closed_zones"].push_back(zone.text());
+    }
     return object;
 }
 
@@ -254,6 +258,9 @@
     for (SettingsReader &server : reader.objects("servers")) {
         document.servers.push_back(readServer(server));
     }
+    for (std::string &zone : reader.texts("closed_zones")) {
+        document.closedZones.emplace_back(std::move(zone));
+    }
     reader.rejectUnknown();
     if (parsed.isValid()) {
         parsed.problems = check(document);
--- a/src/libs/operators/editcodec.cpp
+++ b/src/libs/operators/editcodec.cpp
@@ -115,6 +115,10 @@
         return ConfigEdit(Contracts::SetServerLeaving{
             Base::ServerId(change.setServerLeaving.server), change.setServerLeaving.isLeaving});
     }
+    if (has.setZoneClosed) {
+        return ConfigEdit(Contracts::SetZoneClosed{Base::ZoneId(change.setZoneClosed.zone),
+                                                   change.setZoneClosed.isClosed});
+    }
     if (has.replaceConfiguration) {
         return decodeDocument(change.replaceConfiguration);
     }
--- a/src/libs/scheduler/daemoncore_config.cpp
+++ b/src/libs/scheduler/daemoncore_config.cpp
@@ -143,11 +143,12 @@
         config.service = server.service;
         config.kind = service ? toDispatch(service->kind) : Dispatch::ServiceKind::Plain;
         config.slots = server.slots;
-        config.isLeaving = server.isLeaving;
+        const bool getsNoWork = config_.document()->getsNoWork(server);
+        config.isLeaving = getsNoWork;
         servers.push_back(std::move(config));
         const auto epoch = serving_.find(partitionOfServer(server.id));
         if (slotLenders_.owns(server.id)) {
-            slotLenders_.configured(server.id, server.slots, server.isLeaving, now);
+            slotLenders_.configured(server.id, server.slots, getsNoWork, now);
         } else if (epoch != serving_.end()) {
             slotLenders_.acquired(server.id, server.slots, epoch->second, now);
         }
--- a/src/libs/scheduler/daemoncore_ownership.cpp
+++ b/src/libs/scheduler/daemoncore_ownership.cpp
@@ -295,7 +295,8 @@
     for (const Contracts::BackendServer &server : config_.document()->servers) {
         if (partitionOfServer(server.id) == partition) {
             slotLenders_.acquired(server.id, server.slots, epoch, now);
-            slotLenders_.configured(server.id, server.slots, server.isLeaving, now);
+            slotLenders_.configured(
+                server.id, server.slots, config_.document()->getsNoWork(server), now);
         }
     }
 }
--- a/src/tools/marjoramctl/commands.cpp
+++ b/src/tools/marjoramctl/commands.cpp
@@ -4,6 +4,7 @@
 
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <sstream>
 
 namespace {
@@ -210,6 +211,54 @@
     });
 }
 
+void addZoneCommand(CLI::App &zone, CommandContext &context, bool isClosed)
+{
+    auto body = std::make_shared<Wire::SetZoneClosed>();
+    body->isClosed = isClosed;
+    CLI::App *command = zone.add_subcommand(
+        isClosed ? "close" : "open",
+        isClosed ? "give the servers of a zone no new work; example: marjoramctl zone close a"
+                 : "give the servers of a zone work again; example: marjoramctl zone open a");
+    command->add_option("zone", body->zone, "name")->required();
+    command->callback([body, &context] {
+        Wire::Change change;
+        change.__set_setZoneClosed(*body);
+        carryOut(context, change, "zone " + body->zone + (body->isClosed ? " closed" : " opened"));
+    });
+}
+
+void addZoneCommands(CLI::App &app, CommandContext &context)
+{
+    CLI::App *zone = app.add_subcommand("zone", "availability zones: close, open, list");
+    zone->require_subcommand(1);
+    addZoneCommand(*zone, context, true);
+    addZoneCommand(*zone, context, false);
+    zone->add_subcommand("list", "list the zones and their servers; example: marjoramctl zone list")
+        ->callback([&context] {
+            const json document = json::parse(context.client().configuration().document);
+            std::map<std::string, json> zones;
+            const auto entryOf = [&](const std::string &name) -> json & {
+                return zones.try_emplace(name, json{{"closed", false}, {"servers", 0}})
+                    .first->second;
+            };
+            for (const json &server : document["servers"]) {
+                json &count = entryOf(server["zone"].get<std::string>())["servers"];
+                count = count.get<int>() + 1;
+            }
+            for (const json &name : document.value("closed_zones", json::array())) {
+                entryOf(name.get<std::string>())["closed"] = true;
+            }
+            if (context.isJson) {
+                std::cout << json(zones).dump(2) << '\n';
+                return;
+            }
+            for (const auto &[name, entry] : zones) {
+                std::cout << name << (entry["closed"].get<bool>() ? " closed, " : " open, ")
+                          << entry["servers"].get<int>() << " servers\n";
+            }
+        });
+}
+
 void addConfigCommands(CLI::App &app, CommandContext &context)
 {
     CLI::App *config = app.add_subcommand("config", "configuration: show, replace");
@@ -257,5 +306,6 @@
     addLimitCommands(app, context);
     addServiceCommands(app, context);
     addServerCommands(app, context);
+    addZoneCommands(app, context);
     addConfigCommands(app, context);
 }
--- a/tests/libs/contracts/tst_configuration.cpp
+++ b/tests/libs/contracts/tst_configuration.cpp
@@ -194,3 +194,27 @@
     cr_assert_null(index.service(Base::ServiceId("nothing")));
     cr_assert(index.serversOf(Base::ServiceId("nothing")).empty());
 }
+
+/// Guards against servers of a closed zone that get work, against a zone that stays closed in part
+/// because it was closed twice, and against a document that the previous build rejects.
+Test(configuration, closedZonesKeepTheirServersFromWork)
+{
+    const Base::ZoneId north("north");
+    const EditedConfiguration closed = applyEdit(sample(), SetZoneClosed{north});
+    const EditedConfiguration twice = applyEdit(closed.document, SetZoneClosed{north});
+    cr_assert(twice.isValid());
+    cr_assert(twice.document.getsNoWork(twice.document.servers[0]));
+    cr_assert(decode(encode(twice.document)).document == twice.document);
+    const ConfigChange leaving = ServerLeaving{Base::ServerId("engine1")};
+    cr_assert(changesBetween(sample(), closed.document).at(0) == leaving);
+    const EditedConfiguration opened = applyEdit(twice.document, SetZoneClosed{north, false});
+    cr_assert(!opened.document.getsNoWork(opened.document.servers[0]));
+    cr_assert_eq(changesBetween(closed.document, opened.document).size(), 1);
+    cr_assert(encode(opened.document).find("closed_zones") == std::string::npos);
+    const Base::ZoneId unknown("unknown");
+    cr_assert(applyEdit(sample(), SetZoneClosed{unknown}).isValid(), "its servers may come later");
+    cr_assert(applyEdit(sample(), SetZoneClosed{unknown, false}).isValid());
+    for (const std::string &name : {std::string(), std::string(200, 'z'), std::string("a/b")}) {
+        cr_assert_not(applyEdit(sample(), SetZoneClosed{Base::ZoneId(name)}).isValid());
+    }
+}
--- a/tests/libs/proxy/tst_closedzones.cpp
+++ b/tests/libs/proxy/tst_closedzones.cpp
@@ -19,6 +19,7 @@
     void close(const std::vector<Base::ZoneId> &zones)
     {
         std::vector<Dispatch::ClosedZone> closed;
+        closed.reserve(zones.size());
         for (const Base::ZoneId &zone : zones) {
             closed.push_back({zone, revision_});
         }
