Admission of programs while the servers are overloaded

A burst of 2.4 times the usual programs left a deployment in a state in which nearly every turn waited at the servers until its deadline: programs were admitted by the free slots of one server only, which says nothing about the turns that the admitted programs still bring.

--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -92,6 +92,7 @@
 {
     if (connection_ || connecting_) {
         owner_.placer_.requestFailed(placement_->instance, now());
+        owner_.load_.requestTimedOut(service_->id, now());
     }
     if (isHeadForwarded_) {
         abortResponse("deadline", "deadline exceeded during the response");
@@ -174,11 +175,24 @@
     if (hasPermit_) {
         owner_.controls_.returnPermit(team_->team);
     }
+    if (std::exchange(isCountedTurn_, false)) {
+        owner_.load_.turnEnded(service_->id, traits_.program, now());
+        countOutput();
+    }
     --owner_.active_;
     owner_.countResponse(ending.status, now() - request_.arrivedAt);
     writeLog(std::move(ending));
 }
 
+void Exchange::countOutput()
+{
+    const auto tokens
+        = static_cast<std::int64_t>(events_.eventCount()) * service_->tokensPerEvent.value();
+    const bool isInTime
+        = !traits_.programTimeLeft || now() - request_.arrivedAt <= *traits_.programTimeLeft;
+    owner_.load_.countOutput(Base::Tokens(tokens), isInTime);
+}
+
 void Exchange::settle()
 {
     if (!isReserved_ || !isEnded_) {
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -42,6 +42,8 @@
     Dispatch::CrashStage crashStage() const;
     TurnHistory::Turn completedTurn() const;
     Admission::Urgency urgency() const;
+    Admission::ProgramProfile programProfile() const;
+    bool checkLoad();
     void checkRate();
     void onPermitVerdict(const Admission::PermitVerdict &verdict);
     void checkBudget();
@@ -86,6 +88,7 @@
                           std::optional<Base::Duration> retryAfter = std::nullopt);
     void abortResponse(const char *outcome, std::string detail);
     void finish(Ending ending);
+    void countOutput();
     void settle();
     void writeLog(Ending ending);
 
@@ -131,6 +134,8 @@
     bool isHeadForwarded_ = false;
     Programs::ReservationId reservation_;
     bool isReserved_ = false;
+    /// The turn counts among the requests of its program.
+    bool isCountedTurn_ = false;
     Admission::Urgency urgency_ = Admission::Urgency::Started;
     /// A permit was granted, and no attempt has been made yet.
     bool hasPermit_ = false;
--- a/src/libs/proxy/exchangeadmission.cpp
+++ b/src/libs/proxy/exchangeadmission.cpp
@@ -202,13 +202,43 @@
                : Admission::Urgency::NewProgram;
 }
 
+Admission::ProgramProfile Exchange::programProfile() const
+{
+    const std::uint32_t priority
+        = team_ ? team_->priority.value_or(route_->priority) : route_->priority;
+    return {traits_.program, team_ ? team_->team.id : Base::TeamId{}, priority};
+}
+
+/// Refuses a turn that the servers cannot finish, before it takes a permit or a part of a budget.
+bool Exchange::checkLoad()
+{
+    if (!isTurn()) {
+        return true;
+    }
+    const bool isFirst = urgency_ == Admission::Urgency::NewProgram;
+    const Admission::ProgramProfile profile = programProfile();
+    if (const auto refusal
+        = owner_.load_.decide(service_->id, profile, isFirst, traits_.programTimeLeft, now())) {
+        respondWithError(503, refusal->outcome, refusal->detail, refusal->retryAfter);
+        return false;
+    }
+    owner_.load_.turnStarted(service_->id, profile, now());
+    isCountedTurn_ = true;
+    return true;
+}
+
 void Exchange::checkRate()
 {
+    if (team_) {
+        urgency_ = urgency();
+    }
+    if (!checkLoad()) {
+        return;
+    }
     if (!team_) {
         checkBudget();
         return;
     }
-    urgency_ = urgency();
     auto self = shared_from_this();
     owner_.controls_.takePermit(
         team_->team, urgency_, [self](const Admission::PermitVerdict &verdict) {
--- a/src/libs/proxy/exchangeattempts.cpp
+++ b/src/libs/proxy/exchangeattempts.cpp
@@ -54,7 +54,7 @@
 bool Exchange::isOverloaded() const
 {
     return urgency_ == Admission::Urgency::NewProgram && attempts_ == 0
-           && !placement_->hasRoomForNewWork;
+           && !placement_->hasRoomForNewWork && !owner_.load_.isEnabled(service_->id);
 }
 
 /// Requests that find the limit of one server exhausted try others first and wait only then.
@@ -252,7 +252,7 @@
                                    {"response_begun", std::int64_t(hasResponseBegun_)},
                                    {"server_version", placement_->version.text()},
                                    {"events", static_cast<std::int64_t>(events_.eventCount())}}});
-    if (mayRetry()) {
+    if (mayRetry() && owner_.load_.takeRetry(service_->id)) {
         excludedServers_.push_back(placement_->instance.id);
         startAttempt();
     } else if (isHeadForwarded_) {
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -65,6 +65,7 @@
     if (traits.load) {
         owner_.placer_.loadReported(
             placement_->instance, traits.load->running, traits.load->waiting, now());
+        owner_.load_.loadReported(service_->id, *traits.load, now());
     }
     if (traits.isServerLeaving) {
         owner_.placer_.leavingAnnounced(placement_->instance);
@@ -171,6 +172,7 @@
     }
     releaseServer(true);
     owner_.quarantine_.completed(fingerprints_);
+    owner_.load_.requestSucceeded(service_->id);
     if (isEventStream_ && route_->isHistoryKept) {
         keepTurn();
     } else {
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -20,6 +20,7 @@
     , log_(log)
     , metrics_(metrics)
     , placer_(settings_.zone, settings_.placement, seed)
+    , load_(settings_.loadControl, log, metrics, seed)
     , pool_(settings_.pool)
     , connector_(context, settings_.connector, log, metrics, seed)
     , crashes_(
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -4,6 +4,7 @@
 
 #include "connectionpool.h"
 #include "crashverifier.h"
+#include "loadcontrol.h"
 #include "recentprograms.h"
 #include "requesttraits.h"
 #include "serverconnector.h"
@@ -48,6 +49,7 @@
     Dispatch::PlacementSettings placement;
     PoolSettings pool;
     ServerConnectorSettings connector;
+    LoadControlMode loadControl = LoadControlMode::Auto;
 };
 
 /// Verdict on one turn of a program.
@@ -202,6 +204,7 @@
     Telemetry::Log &log_;
     Telemetry::Metrics &metrics_;
     Dispatch::RequestPlacer placer_;
+    LoadControl load_;
     ConnectionPool pool_;
     ServerConnector connector_;
     CrashVerifier crashes_;
--- a/src/libs/proxy/requesttraits.h
+++ b/src/libs/proxy/requesttraits.h
@@ -48,6 +48,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// Time that work takes on the server's VM now, in percent of the usual; unset if not stated.
+    std::optional<std::uint32_t> slowness;
 };
 
 /// Properties of a response according to its headers.
