--- a/src/libs/dispatch/requestplacer.cpp
+++ b/src/libs/dispatch/requestplacer.cpp
@@ -12,6 +12,9 @@
     /// Requests of other daemons at the last report.
     double othersLoad = 0;
     Base::Instant reportedAt;
+    /// Percent of the usual time that work takes, at slownessAt.
+    std::uint32_t slowness = 100;
+    Base::Instant slownessAt;
     /// Mean latency in milliseconds; negative before the first response.
     double meanLatencyMs = -1;
     std::uint32_t failures = 0;
@@ -69,6 +72,30 @@
         next[listed.server.id] = std::move(server);
     }
     servers_ = std::move(next);
+    for (auto &[service, costs] : costs_) {
+        std::vector<Base::ServerId> ids;
+        for (const ListedServer &listed : servers) {
+            if (listed.server.service == service && !listed.server.isLeaving) {
+                ids.push_back(listed.server.id);
+            }
+        }
+        costs.affinity.serversChanged(std::move(ids));
+    }
+}
+
+void RequestPlacer::placeByCost(const Base::ServiceId &service)
+{
+    const auto [costs, isNew] = costs_.try_emplace(service);
+    if (!isNew) {
+        return;
+    }
+    std::vector<Base::ServerId> ids;
+    for (const auto &[id, server] : servers_) {
+        if (server->listed.server.service == service && !server->isLeaving()) {
+            ids.push_back(id);
+        }
+    }
+    costs->second.affinity.serversChanged(std::move(ids));
 }
 
 RequestPlacer::Server *RequestPlacer::find(const ServerInstance &instance)
@@ -107,7 +134,10 @@
 {
     const double age = Base::toSeconds(now - server.reportedAt);
     const double decay = std::exp(-age / Base::toSeconds(settings_.reportDecayTime));
-    return server.running + server.othersLoad * decay;
+    const auto costs = costs_.find(server.listed.server.service);
+    // A server without a recent report is as busy as the others, not idle.
+    const double mean = costs == costs_.end() ? 0 : costs->second.meanOthersLoad;
+    return server.running + mean + (server.othersLoad - mean) * decay;
 }
 
 /// Without the decay, a server that is avoided would never show that it works again.
@@ -137,10 +167,49 @@
     return cached;
 }
 
+Base::Tokens RequestPlacer::missingAt(const Server &server,
+                                      const std::vector<PromptPart> &prompt) const
+{
+    Base::Tokens missing;
+    bool isMissing = false;
+    for (const PromptPart &part : prompt) {
+        // Other daemons send the part to the same servers; elsewhere it is evicted soon.
+        const bool isKept = homes_ && &part == &prompt.front()
+                                ? homes_->contains(server.listed.server.id)
+                                : server.cachedParts.contains(part.key);
+        isMissing = isMissing || !isKept;
+        missing += isMissing ? part.tokens : Base::Tokens();
+    }
+    return missing;
+}
+
+double RequestPlacer::estimatedCostOf(Server &server,
+                                      const std::vector<PromptPart> &prompt,
+                                      Base::Instant now)
+{
+    const double load = loadOf(server, now);
+    const double slots = std::max(1U, server.listed.server.slots);
+    const double waiting = std::max(0.0, load + 1 - slots);
+    const bool isSlownessKnown = now - server.slownessAt < settings_.slownessTime;
+    const double slowness = isSlownessKnown ? server.slowness / 100.0 : 1;
+    const double latency
+        = server.meanLatencyMs >= 0 ? server.meanLatencyMs : current_->model.baseMs();
+    const double work
+        = load * settings_.costPerRunningMs + latency * (1 + waiting / slots)
+          + current_->model.readingMs(missingAt(server, prompt), std::min(load, slots));
+    const double zone = server.listed.server.zone == zone_ ? 0 : settings_.crossZoneCostMs;
+    const double cost
+        = zone + work * slowness + failureRateOf(server, now) * settings_.failureCostMs;
+    return cost * (1 + settings_.jitter * random_.unit());
+}
+
 double RequestPlacer::costOf(Server &server,
                              const std::vector<PromptPart> &prompt,
                              Base::Instant now)
 {
+    if (current_) {
+        return estimatedCostOf(server, prompt, now);
+    }
     const double load = loadOf(server, now);
     const double slots = std::max(1U, server.listed.server.slots);
     double cost = server.listed.server.zone == zone_ ? 0 : settings_.crossZoneCostMs;
@@ -169,6 +238,13 @@
 {
     Server *best = nullptr;
     Rank bestRank;
+    const auto costs = costs_.find(service);
+    current_ = costs == costs_.end() ? nullptr : &costs->second;
+    homes_ = nullptr;
+    if (current_ && prompt.size() > 1) {
+        current_->affinity.observe(prompt.front().key, now);
+        homes_ = current_->affinity.homesOf(prompt.front().key, now);
+    }
     for (auto &[id, server] : servers_) {
         const bool isExcluded = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
         const bool isOtherVersion = version && server->listed.version != *version;
@@ -190,6 +266,7 @@
                      loadOf(*best, now),
                      best->listed.server.slots,
                      cachedAt(*best, prompt),
+                     missingAt(*best, prompt),
                      best->listed.version,
                      hasRoomForNewWork(*best, now),
                      bestRank.isExhausted};
@@ -294,6 +371,30 @@
     }
     server->othersLoad = std::max(0.0, double(running) + waiting - server->running);
     server->reportedAt = now;
+    if (const auto costs = costs_.find(server->listed.server.service); costs != costs_.end()) {
+        double &mean = costs->second.meanOthersLoad;
+        mean += settings_.reportWeight * (server->othersLoad - mean);
+    }
+}
+
+void RequestPlacer::slownessReported(const ServerInstance &instance,
+                                     std::uint32_t percent,
+                                     Base::Instant now)
+{
+    Server *server = find(instance);
+    if (server && percent >= settings_.minSlowness && percent <= settings_.maxSlowness) {
+        server->slowness = percent;
+        server->slownessAt = now;
+    }
+}
+
+void RequestPlacer::costObserved(const Base::ServiceId &service,
+                                 Base::Tokens missing,
+                                 Base::Duration time)
+{
+    if (const auto costs = costs_.find(service); costs != costs_.end()) {
+        costs->second.model.responded(missing, time);
+    }
 }
 
 } // namespace Dispatch
--- a/src/libs/dispatch/requestplacer.h
+++ b/src/libs/dispatch/requestplacer.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "costmodel.h"
+#include "promptaffinity.h"
+
 #include <base/instant.h>
 #include <base/random.h>
 #include <base/types.h>
@@ -51,6 +54,8 @@
     double load = 0;
     std::uint32_t slots = 0;
     Base::Tokens cachedTokens;
+    /// Tokens of the prompt that the server is expected to read.
+    Base::Tokens missingTokens;
     Base::SoftwareVersion version;
     /// The server has more free slots than are reserved for programs in progress.
     bool hasRoomForNewWork = true;
@@ -71,6 +76,12 @@
     double jitter = 0.2;
     /// Weight of the newest observation in a server's mean latency.
     double latencyWeight = 0.1;
+    /// Weight of the newest report in the mean of a service.
+    double reportWeight = 0.1;
+    /// A statement of slowness is evidence for this time only.
+    Base::Duration slownessTime = std::chrono::milliseconds(300);
+    std::uint32_t minSlowness = 10;
+    std::uint32_t maxSlowness = 10'000;
     /// Time constant of the decay of the load that other daemons caused at the last report.
     Base::Duration reportDecayTime = std::chrono::milliseconds(500);
     /// Expected cost of a failed request: the caller repeats it after some hundred milliseconds, or
@@ -125,6 +136,13 @@
     /// The server's request limit is exhausted until the given time.
     void permitDenied(const ServerInstance &instance, Base::Instant until);
 
+    /// From now on, requests to the service are placed by their estimated cost.
+    void placeByCost(const Base::ServiceId &service);
+    /// The VM of the server takes this many percent of the usual time now.
+    void slownessReported(const ServerInstance &instance, std::uint32_t percent, Base::Instant now);
+    /// A server of the service sent the head of its response; \a missing is that of the placement.
+    void costObserved(const Base::ServiceId &service, Base::Tokens missing, Base::Duration time);
+
     /// The server has announced that it is about to stop; this instance gets no new requests.
     void leavingAnnounced(const ServerInstance &instance);
 
@@ -139,6 +157,15 @@
 private:
     struct Server;
 
+    /// What is learned about the requests of one service.
+    struct ServiceCosts
+    {
+        CostModel model{{}};
+        /// Mean of the requests of other daemons in the recent reports of all servers.
+        double meanOthersLoad = 0;
+        PromptAffinity affinity{{}};
+    };
+
     /// Order of the servers; the least one is chosen.
     struct Rank
     {
@@ -157,12 +184,22 @@
     double failureRateOf(const Server &server, Base::Instant now) const;
     void recordOutcome(Server &server, bool isFailure, Base::Instant now);
     double costOf(Server &server, const std::vector<PromptPart> &prompt, Base::Instant now);
+    double estimatedCostOf(Server &server,
+                           const std::vector<PromptPart> &prompt,
+                           Base::Instant now);
+    Base::Tokens missingAt(const Server &server, const std::vector<PromptPart> &prompt) const;
     Base::Tokens cachedAt(const Server &server, const std::vector<PromptPart> &prompt) const;
 
     Base::ZoneId zone_;
     PlacementSettings settings_;
     Base::Random random_;
     std::unordered_map<Base::ServerId, std::unique_ptr<Server>> servers_;
+    /// Services whose requests are placed by cost.
+    std::unordered_map<Base::ServiceId, ServiceCosts> costs_;
+    /// That of the service of the current choice; null if it is not placed by cost.
+    ServiceCosts *current_ = nullptr;
+    /// The servers that preferably keep the first part of the prompt of the current choice.
+    const std::unordered_set<Base::ServerId> *homes_ = nullptr;
 };
 
 } // namespace Dispatch
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -46,6 +46,9 @@
     if (isEventStream_ && route_->isHistoryKept) {
         events_.setDataCollected();
     }
+    if (isEventStream_) {
+        owner_.placer_.costObserved(service_->id, placement_->missingTokens, now() - sentAt_);
+    }
     if (isHeadForwarded_ && !isEventStream_) {
         releaseServer(false);
         abortResponse("not_resumed",
@@ -66,6 +69,12 @@
         owner_.placer_.loadReported(
             placement_->instance, traits.load->running, traits.load->waiting, now());
         owner_.load_.loadReported(service_->id, *traits.load, now());
+        if (owner_.load_.isEnabled(service_->id)) {
+            owner_.placer_.placeByCost(service_->id);
+        }
+        if (traits.load->slowness) {
+            owner_.placer_.slownessReported(placement_->instance, *traits.load->slowness, now());
+        }
     }
     if (traits.isServerLeaving) {
         owner_.placer_.leavingAnnounced(placement_->instance);
