--- a/src/libs/dispatch/promptaffinity.cpp
+++ b/src/libs/dispatch/promptaffinity.cpp
@@ -52,10 +52,9 @@
     }
     Part &entry = found->second;
     const double demand = decayed(entry.demand, now - entry.observedAt);
-    if (demand < settings_.minDemand) {
-        return nullptr;
-    }
-    const double share = demand / std::max(1.0, decayed(totalDemand_, now - observedAt_));
+    const double total = decayed(totalDemand_, now - observedAt_);
+    const double share
+        = (demand + settings_.priorDemand) / (total + settings_.priorTotal * settings_.priorDemand);
     const double wanted = share * static_cast<double>(servers_.size()) * settings_.partsPerServer;
     const auto count = std::clamp(static_cast<std::size_t>(std::ceil(wanted)),
                                   std::min(settings_.minServers, servers_.size()),
--- a/src/libs/dispatch/promptaffinity.h
+++ b/src/libs/dispatch/promptaffinity.h
@@ -19,15 +19,16 @@
     struct Settings
     {
         /// Time constant of the observed demand.
-        Base::Duration demandTime = std::chrono::seconds(10);
+        Base::Duration demandTime = std::chrono::seconds(30);
         /// Shared parts that a server keeps, on average; bounded by its memory.
-        double partsPerServer = 4;
+        double partsPerServer = 3;
+        /// Requests that every part is assumed to have had, and in all, before any was observed.
+        double priorDemand = 1;
+        double priorTotal = 16;
         /// Servers of a part that is rarely used.
         std::size_t minServers = 2;
         /// Relative change of the number of servers below which they are kept.
-        double hysteresis = 0.3;
-        /// Parts with less demand are not shared.
-        double minDemand = 3;
+        double hysteresis = 0.5;
         std::size_t maxParts = 4096;
     };
 
@@ -38,7 +39,7 @@
     void serversChanged(std::vector<Base::ServerId> servers);
     /// Records one request that begins with the part.
     void observe(std::uint64_t part, Base::Instant now);
-    /// The servers that preferably keep the part; null if it is not known to be shared.
+    /// The servers that preferably keep the part; null if it was not observed.
     const std::unordered_set<Base::ServerId> *homesOf(std::uint64_t part, Base::Instant now);
 
 private:
--- a/src/libs/dispatch/requestplacer.cpp
+++ b/src/libs/dispatch/requestplacer.cpp
@@ -183,6 +183,21 @@
     return missing;
 }
 
+std::optional<Base::Duration> RequestPlacer::expectedTimeAt(const Server &server,
+                                                            const std::vector<PromptPart> &prompt,
+                                                            Base::Instant now) const
+{
+    if (!current_) {
+        return std::nullopt;
+    }
+    const double slots = std::max(1U, server.listed.server.slots);
+    const double running = std::min(loadOf(server, now), slots);
+    const double milliseconds
+        = current_->model.baseMs() + current_->model.readingMs(missingAt(server, prompt), running);
+    return std::chrono::duration_cast<Base::Duration>(
+        std::chrono::duration<double, std::milli>(milliseconds));
+}
+
 double RequestPlacer::estimatedCostOf(Server &server,
                                       const std::vector<PromptPart> &prompt,
                                       Base::Instant now)
@@ -267,6 +282,7 @@
                      best->listed.server.slots,
                      cachedAt(*best, prompt),
                      missingAt(*best, prompt),
+                     expectedTimeAt(*best, prompt, now),
                      best->listed.version,
                      hasRoomForNewWork(*best, now),
                      bestRank.isExhausted};
--- a/src/libs/dispatch/requestplacer.h
+++ b/src/libs/dispatch/requestplacer.h
@@ -56,6 +56,8 @@
     Base::Tokens cachedTokens;
     /// Tokens of the prompt that the server is expected to read.
     Base::Tokens missingTokens;
+    /// Expected time to the response; unset if the request is not placed by cost.
+    std::optional<Base::Duration> expectedTime;
     Base::SoftwareVersion version;
     /// The server has more free slots than are reserved for programs in progress.
     bool hasRoomForNewWork = true;
@@ -187,6 +189,9 @@
     double estimatedCostOf(Server &server,
                            const std::vector<PromptPart> &prompt,
                            Base::Instant now);
+    std::optional<Base::Duration> expectedTimeAt(const Server &server,
+                                                 const std::vector<PromptPart> &prompt,
+                                                 Base::Instant now) const;
     Base::Tokens missingAt(const Server &server, const std::vector<PromptPart> &prompt) const;
     Base::Tokens cachedAt(const Server &server, const std::vector<PromptPart> &prompt) const;
 
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -256,6 +256,12 @@
         fields.details.push_back({"load", placement_->load});
         fields.details.push_back({"slots", std::int64_t(placement_->slots)});
         fields.details.push_back({"cached_tokens", placement_->cachedTokens.value()});
+        if (placement_->expectedTime) {
+            fields.details.push_back({"missing_tokens", placement_->missingTokens.value()});
+            fields.details.push_back(
+                {"expected_milliseconds", milliseconds(*placement_->expectedTime)});
+            fields.details.push_back({"first_milliseconds", milliseconds(firstResponseTime_)});
+        }
         fields.details.push_back({"server_version", placement_->version.text()});
     }
     if (traits_.lastEventId) {
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -67,6 +67,7 @@
     void recordStatements(const ResponseTraits &traits);
     void recordLimit(const ResponseTraits &traits);
     void recordResponse(int status);
+    void recordCost();
     void onBody(const std::string &bytes);
     void onEvents(const std::string &bytes);
     void onEnd(ResponseEnd end, const std::string &problem);
@@ -113,6 +114,8 @@
     /// The daemon through which the server of the last attempt is reached.
     std::optional<Base::VmId> relay_;
     Base::Instant sentAt_;
+    /// Time from the last sending to the head of the response.
+    Base::Duration firstResponseTime_{};
     std::vector<Base::ServerId> excludedServers_;
     std::uint32_t attempts_ = 0;
     /// Permits of servers with a request limit that were denied.
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -47,7 +47,7 @@
         events_.setDataCollected();
     }
     if (isEventStream_) {
-        owner_.placer_.costObserved(service_->id, placement_->missingTokens, now() - sentAt_);
+        recordCost();
     }
     if (isHeadForwarded_ && !isEventStream_) {
         releaseServer(false);
@@ -76,6 +76,11 @@
             owner_.placer_.slownessReported(placement_->instance, *traits.load->slowness, now());
         }
     }
+    if (traits.isLoadMalformed) {
+        owner_.metrics_
+            .counter("marjoram_malformed_loads_total", "Responses whose load cannot be read")
+            .add();
+    }
     if (traits.isServerLeaving) {
         owner_.placer_.leavingAnnounced(placement_->instance);
     }
@@ -98,6 +103,22 @@
         {placement_->instance, traits.requestLimit, traits.requestLimit ? now() : sentAt_});
 }
 
+/// Servers send the head of a stream with its first token, so its time shows what reading cost.
+void Exchange::recordCost()
+{
+    firstResponseTime_ = now() - sentAt_;
+    owner_.placer_.costObserved(service_->id, placement_->missingTokens, firstResponseTime_);
+    if (!placement_->expectedTime) {
+        return;
+    }
+    const double expected = Base::toSeconds(*placement_->expectedTime);
+    owner_.metrics_
+        .distribution("marjoram_placement_cost_ratio",
+                      "Actual time to the first token, as a multiple of the expected one",
+                      {{"service", service_->id.text()}})
+        .add(Base::toSeconds(firstResponseTime_) / expected);
+}
+
 /// A server that fails answers sooner than others, so its latency must not attract requests.
 void Exchange::recordResponse(int status)
 {
--- a/src/libs/proxy/requesttraits.h
+++ b/src/libs/proxy/requesttraits.h
@@ -64,6 +64,8 @@
     /// The response carries the proof that it comes from the named server.
     bool isAuthentic = false;
     std::optional<ReportedLoad> load;
+    /// The server states a load that cannot be read.
+    bool isLoadMalformed = false;
     /// The server is about to stop and must get no new requests.
     bool isServerLeaving = false;
     /// Requests that the server takes from all daemons together; unset if it states no limit.
--- a/tests/platform/tst_platformadapter.cpp
+++ b/tests/platform/tst_platformadapter.cpp
@@ -353,6 +353,24 @@
     cr_assert(headerTranslator().readResponse(head).isWrongServer);
 }
 
+/// Guards against reports that are dropped because they also state the slowness of the VM, and
+/// against figures that are no report.
+Test(headers, readsLoadsWithAndWithoutSlowness)
+{
+    const auto traitsOf = [](const char *load) {
+        Proxy::ResponseHead head;
+        head.headers.add("X-Server-Load", load);
+        return headerTranslator().readResponse(head);
+    };
+    cr_assert_eq(traitsOf("3,1,8,140").load->slowness, 140U);
+    cr_assert_eq(traitsOf("3,1,8,140").load->waiting, 1U);
+    cr_assert_not(traitsOf("3,1,8").load->slowness);
+    for (const char *load : {"3,1,8,140,5", "3,1,8,-1", "3,1,8,x", "3,1,-8", "3,1,8.5", ""}) {
+        cr_assert_not(traitsOf(load).load, "%s", load);
+        cr_assert(traitsOf(load).isLoadMalformed, "%s", load);
+    }
+}
+
 Test(callsummary, countsCallsByKindAndStatusOncePerInterval)
 {
     const auto at = [](int seconds) { return Base::Instant(std::chrono::seconds(seconds)); };
