--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -118,6 +118,8 @@
   2: bool isAdmitted
   /** Time until the permit is valid, or, if the request is rejected, until it fits the rate. */
   3: i64 waitUs
+  /** The cold rate of the request is in force; unset by builds that do not know it. */
+  4: optional bool isColdApplied
 }
 
 /** Returns a permit that was not used. Has no response. */
@@ -132,6 +134,10 @@
   3: RequestUrgency urgency
   /** The sender accepts a permit that becomes valid later. */
   4: bool mayWait
+  /** Requests per second that the server takes while it is cold, as known to the sender. */
+  5: optional double coldPerSecond
+  /** Time for which the server stays cold. */
+  6: optional i64 coldLeftMs
 }
 
 /** Returns a permit for a server that was not used. Has no response. */
@@ -201,18 +207,31 @@
 struct StreamNotice {
   1: string attempt
   2: string version
+  /** Hash of what all attempts of the caller at the request have in common. */
+  3: optional i64 requestKey
+  /** The server that began the stream, and its start time in milliseconds since the Unix epoch. */
+  4: optional string server
+  5: optional i64 startedAt
 }
 
 /** Requests the software version of the server that began a stream. */
 struct StreamVersionRequest {
   1: i64 number
+  /** Empty if the caller did not name it; the stream is then found by the key. */
   2: string attempt
+  3: optional i64 requestKey
 }
 
 /** Response to StreamVersionRequest; without a version the sender does not know the stream. */
 struct StreamVersionAnswer {
   1: i64 number
   2: optional string version
+  3: optional string server
+  4: optional i64 startedAt
+  /** Time since the first event of the stream. */
+  5: optional i64 ageMs
+  /** The key belongs to streams of several versions. */
+  6: optional bool isAmbiguous
 }
 
 /** The sender is about to end and connects to no more servers for others. Has no response. */
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -69,9 +69,6 @@
         owner_.placer_.loadReported(
             placement_->instance, traits.load->running, traits.load->waiting, now());
         owner_.load_.loadReported(service_->id, *traits.load, now());
-        if (owner_.load_.isEnabled(service_->id)) {
-            owner_.placer_.placeByCost(service_->id);
-        }
         if (traits.load->slowness) {
             owner_.placer_.slownessReported(placement_->instance, *traits.load->slowness, now());
         }
@@ -166,7 +163,9 @@
     if (!streamVersion_ && events_.eventCount() > 0) {
         streamVersion_ = placement_->version;
         if (route_->isResumable) {
-            owner_.streams_.began(traits_.id, *streamVersion_);
+            streamRecord_ = {placement_->version, placement_->instance, {}};
+            streamRecordedAt_ = now();
+            owner_.streams_.began({traits_.id, streamKey()}, *streamRecord_);
         }
     }
     forwardBody(bytes);
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -42,6 +42,9 @@
     Base::Duration retryAfterBusy = std::chrono::milliseconds(100);
     /// Retry-After of a new program while the servers are full; about the time of two turns.
     Base::Duration retryAfterOverload = std::chrono::milliseconds(500);
+    /// Retry-After while only closed zones have servers; a reopened zone is known to all daemons
+    /// within this time.
+    Base::Duration retryAfterClosed = std::chrono::seconds(1);
     /// Responses up to this size are forwarded only once they are complete.
     std::size_t bufferedResponseBytes = 256 * 1024;
     /// Unsent bytes to a slow caller at which reading from the server pauses.
@@ -111,12 +114,12 @@
 /// Access to the software versions of the servers that began recent streams.
 struct StreamControls
 {
-    using FindCallback = std::function<void(const std::optional<Base::SoftwareVersion> &)>;
+    using FindCallback = std::function<void(const Dispatch::StreamFinding &)>;
 
-    /// The first event of the attempt's stream is about to be sent to the caller.
-    std::function<void(const std::string &attempt, const Base::SoftwareVersion &)> began;
-    /// Calls back once, immediately or later, without a version if the stream is not known.
-    std::function<void(const std::string &attempt, FindCallback)> find;
+    /// The first event of a stream is about to be sent to the caller.
+    std::function<void(const Dispatch::StreamName &, const Dispatch::StreamRecord &)> began;
+    /// Calls back once, immediately or later.
+    std::function<void(const Dispatch::StreamName &, FindCallback)> find;
 };
 
 /// Access to the requests that crash servers.
@@ -155,6 +158,15 @@
     /// Applies the document if its version is newer. Returns whether it was applied.
     bool configure(Contracts::RoutingDocument document);
     void serversChanged(const std::vector<Dispatch::ListedServer> &servers);
+    /// Sets the complete set of closed zones, as of a revision of the store.
+    Dispatch::ClosureChanges applyClosures(const std::vector<Dispatch::ClosedZone> &closed,
+                                           std::uint64_t revision);
+    /// Whether the instance is listed in a closed zone; no request may reach it.
+    bool isInClosedZone(const Dispatch::ServerInstance &instance) const;
+    /// The last list of servers was the current one at the given time.
+    void serversConfirmed(Base::Instant asOf) { serviceVersions_.listConfirmed(asOf); }
+    /// The whole system starts for the first time. Must be called before the first list.
+    void setFleetStart() { serviceVersions_.setFleetStart(); }
 
     /// Sets the other daemons, through which servers can be reached.
     void setRelays(std::vector<RelayAddress> relays) { connector_.setRelays(std::move(relays)); }
@@ -200,7 +212,7 @@
     LimitControls limits_;
     StreamControls streams_;
     QuarantineControls quarantine_;
-    Dispatch::ServiceVersions serviceVersions_;
+    Dispatch::ServiceVersions serviceVersions_{{}};
     Telemetry::Log &log_;
     Telemetry::Metrics &metrics_;
     Dispatch::RequestPlacer placer_;
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -164,6 +164,19 @@
     return std::chrono::milliseconds(std::clamp<std::int64_t>(milliseconds, 0, longestMs));
 }
 
+/// Nothing if the fields are missing or the rate is not one; the sender then uses its even part.
+std::optional<ColdReport> coldFromWire(const Wire::ServerPermitRequest &request)
+{
+    constexpr std::int64_t longestMs = 1000LL * 60 * 60;
+    const bool isUsable = request.__isset.coldPerSecond && request.__isset.coldLeftMs
+                          && std::isfinite(request.coldPerSecond) && request.coldPerSecond > 0;
+    if (!isUsable) {
+        return std::nullopt;
+    }
+    const std::int64_t left = std::clamp<std::int64_t>(request.coldLeftMs, 0, longestMs);
+    return ColdReport{Base::RequestRate(request.coldPerSecond), std::chrono::milliseconds(left)};
+}
+
 std::vector<Wire::QuarantineReport> toWire(const std::vector<QuarantineReport> &reports)
 {
     std::vector<Wire::QuarantineReport> parts;
@@ -205,6 +218,9 @@
     part.number = toWire(response.number);
     part.isAdmitted = verdict.isAdmitted;
     part.waitUs = (verdict.isAdmitted ? verdict.wait : verdict.retryAfter).count();
+    if (response.isColdApplied) {
+        part.__set_isColdApplied(true);
+    }
     return part;
 }
 
@@ -252,6 +268,65 @@
     return Programs::AllocationUnanswered{};
 }
 
+Wire::StreamNotice toWire(const StreamNotice &notice)
+{
+    Wire::StreamNotice part;
+    part.attempt = notice.stream.attempt;
+    part.version = notice.record.version.text();
+    if (notice.stream.key) {
+        part.__set_requestKey(static_cast<std::int64_t>(notice.stream.key->value()));
+    }
+    part.__set_server(notice.record.server.id.text());
+    part.__set_startedAt(static_cast<std::int64_t>(notice.record.server.startedAt));
+    return part;
+}
+
+std::optional<Dispatch::StreamKey> keyFromWire(bool isSet, std::int64_t key)
+{
+    return isSet ? std::optional(Dispatch::StreamKey(static_cast<std::uint64_t>(key)))
+                 : std::nullopt;
+}
+
+/// Fields that a previous build does not set have their default values.
+StreamNotice noticeFromWire(const Wire::StreamNotice &notice)
+{
+    return {{notice.attempt, keyFromWire(notice.__isset.requestKey, notice.requestKey)},
+            {Base::SoftwareVersion(notice.version),
+             {Base::ServerId(notice.server), static_cast<std::uint64_t>(notice.startedAt)},
+             {}}};
+}
+
+Wire::StreamVersionAnswer toWire(const StreamVersionResponse &response)
+{
+    Wire::StreamVersionAnswer part;
+    part.number = toWire(response.number);
+    std::visit(
+        Base::Visitor{[](const Dispatch::UnknownStream &) {},
+                      [&](const Dispatch::AmbiguousStream &) { part.__set_isAmbiguous(true); },
+                      [&](const Dispatch::StreamRecord &record) {
+                          part.__set_version(record.version.text());
+                          part.__set_server(record.server.id.text());
+                          part.__set_startedAt(static_cast<std::int64_t>(record.server.startedAt));
+                          part.__set_ageMs(toMilliseconds(record.age));
+                      }},
+        response.finding);
+    return part;
+}
+
+Dispatch::StreamFinding findingFromWire(const Wire::StreamVersionAnswer &answer)
+{
+    if (answer.__isset.isAmbiguous && answer.isAmbiguous) {
+        return Dispatch::AmbiguousStream{};
+    }
+    if (!answer.__isset.version) {
+        return Dispatch::UnknownStream{};
+    }
+    return Dispatch::StreamRecord{
+        Base::SoftwareVersion(answer.version),
+        {Base::ServerId(answer.server), static_cast<std::uint64_t>(answer.startedAt)},
+        durationFromWire(answer.ageMs)};
+}
+
 Wire::PeerBody toWire(const PeerBody &body)
 {
     Wire::PeerBody wire;
@@ -337,6 +412,10 @@
                 part.report = toWire(request.report);
                 part.urgency = toWire(request.terms.urgency);
                 part.mayWait = request.terms.mayWait;
+                if (request.cold) {
+                    part.__set_coldPerSecond(request.cold->rate.value());
+                    part.__set_coldLeftMs(toMilliseconds(request.cold->left));
+                }
                 wire.__set_serverPermitRequest(part);
             },
             [&](const ServerPermitReturn &permit) {
@@ -344,25 +423,18 @@
                 part.server = permit.server.text();
                 wire.__set_serverPermitReturn(part);
             },
-            [&](const StreamNotice &notice) {
-                Wire::StreamNotice part;
-                part.attempt = notice.attempt;
-                part.version = notice.version.text();
-                wire.__set_streamNotice(part);
-            },
+            [&](const StreamNotice &notice) { wire.__set_streamNotice(toWire(notice)); },
             [&](const StreamVersionRequest &request) {
                 Wire::StreamVersionRequest part;
                 part.number = toWire(request.number);
-                part.attempt = request.attempt;
+                part.attempt = request.stream.attempt;
+                if (request.stream.key) {
+                    part.__set_requestKey(static_cast<std::int64_t>(request.stream.key->value()));
+                }
                 wire.__set_streamVersionRequest(part);
             },
             [&](const StreamVersionResponse &response) {
-                Wire::StreamVersionAnswer part;
-                part.number = toWire(response.number);
-                if (response.version) {
-                    part.__set_version(response.version->text());
-                }
-                wire.__set_streamVersionAnswer(part);
+                wire.__set_streamVersionAnswer(toWire(response));
             },
             [&](const OverdraftNotice &notice) {
                 Wire::OverdraftNotice part;
@@ -432,7 +504,9 @@
     }
     if (wire.__isset.permitAnswer) {
         return PermitResponse{requestNumberFromWire(wire.permitAnswer.number),
-                              verdictFromWire(wire.permitAnswer)};
+                              verdictFromWire(wire.permitAnswer),
+                              wire.permitAnswer.__isset.isColdApplied
+                                  && wire.permitAnswer.isColdApplied};
     }
     if (wire.__isset.permitReturn) {
         return PermitReturn{Base::TeamId(wire.permitReturn.team)};
@@ -481,26 +555,24 @@
         }
         return ServerPermitRequest{requestNumberFromWire(request.number),
                                    *report,
-                                   {urgencyFromWire(request.urgency), request.mayWait}};
+                                   {urgencyFromWire(request.urgency), request.mayWait},
+                                   coldFromWire(request)};
     }
     if (wire.__isset.serverPermitReturn) {
         return ServerPermitReturn{Base::ServerId(wire.serverPermitReturn.server)};
     }
     if (wire.__isset.streamNotice) {
-        return StreamNotice{wire.streamNotice.attempt,
-                            Base::SoftwareVersion(wire.streamNotice.version)};
+        return noticeFromWire(wire.streamNotice);
     }
     if (wire.__isset.streamVersionRequest) {
-        return StreamVersionRequest{requestNumberFromWire(wire.streamVersionRequest.number),
-                                    wire.streamVersionRequest.attempt};
+        const Wire::StreamVersionRequest &request = wire.streamVersionRequest;
+        return StreamVersionRequest{
+            requestNumberFromWire(request.number),
+            {request.attempt, keyFromWire(request.__isset.requestKey, request.requestKey)}};
     }
     if (wire.__isset.streamVersionAnswer) {
-        const Wire::StreamVersionAnswer &answer = wire.streamVersionAnswer;
-        StreamVersionResponse response{requestNumberFromWire(answer.number), {}};
-        if (answer.__isset.version) {
-            response.version = Base::SoftwareVersion(answer.version);
-        }
-        return response;
+        return StreamVersionResponse{requestNumberFromWire(wire.streamVersionAnswer.number),
+                                     findingFromWire(wire.streamVersionAnswer)};
     }
     if (wire.__isset.overdraftNotice) {
         const Wire::OverdraftNotice &notice = wire.overdraftNotice;
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -6,6 +6,7 @@
 #include <base/types.h>
 #include <dispatch/requestplacer.h>
 #include <dispatch/requestquarantine.h>
+#include <dispatch/streamversions.h>
 #include <programs/tokenledger.h>
 
 #include <optional>
@@ -95,6 +96,8 @@
 {
     RequestNumber number;
     Admission::PermitVerdict verdict;
+    /// The cold rate of the request is in force at the sender.
+    bool isColdApplied = false;
 
     bool operator==(const PermitResponse &) const = default;
 };
@@ -107,12 +110,23 @@
     bool operator==(const PermitReturn &) const = default;
 };
 
+/// What a cold server takes, as known to the sender.
+struct ColdReport
+{
+    Base::RequestRate rate;
+    /// Time for which the server stays cold.
+    Base::Duration left{};
+
+    bool operator==(const ColdReport &) const = default;
+};
+
 /// Requests the permit of one request to a backend server; PermitResponse is the response.
 struct ServerPermitRequest
 {
     RequestNumber number;
     LimitReport report;
     Admission::ServerPermitTerms terms;
+    std::optional<ColdReport> cold;
 
     bool operator==(const ServerPermitRequest &) const = default;
 };
@@ -125,11 +139,12 @@
     bool operator==(const ServerPermitReturn &) const = default;
 };
 
-/// The software version of the server that began the stream of an attempt. Has no response.
+/// A stream has begun. Has no response.
 struct StreamNotice
 {
-    std::string attempt;
-    Base::SoftwareVersion version;
+    Dispatch::StreamName stream;
+    /// Without an age, as the notice is sent at once.
+    Dispatch::StreamRecord record;
 
     bool operator==(const StreamNotice &) const = default;
 };
@@ -137,7 +152,7 @@
 struct StreamVersionRequest
 {
     RequestNumber number;
-    std::string attempt;
+    Dispatch::StreamName stream;
 
     bool operator==(const StreamVersionRequest &) const = default;
 };
@@ -145,8 +160,7 @@
 struct StreamVersionResponse
 {
     RequestNumber number;
-    /// Unset if the sender does not know the stream.
-    std::optional<Base::SoftwareVersion> version;
+    Dispatch::StreamFinding finding;
 
     bool operator==(const StreamVersionResponse &) const = default;
 };
--- a/tests/benches/proxybench.cpp
+++ b/tests/benches/proxybench.cpp
@@ -65,6 +65,30 @@
     return microsecondsSince(start) / repetitions;
 }
 
+/// Mean cost of the look-up whether the chosen server's zone is closed.
+double closureCost(std::size_t servers, std::size_t closedZones)
+{
+    Dispatch::RequestPlacer placer(Base::ZoneId("zone-a"), {}, 1);
+    std::vector<Dispatch::ListedServer> listed(servers);
+    for (std::size_t i = 0; i < servers; ++i) {
+        listed[i].server.id = Base::ServerId("i-" + std::to_string(i));
+        listed[i].server.zone = Base::ZoneId("zone-" + std::to_string(i % 3));
+    }
+    placer.serversChanged(listed);
+    std::vector<Dispatch::ClosedZone> closed;
+    for (std::size_t i = 0; i < closedZones; ++i) {
+        closed.push_back({Base::ZoneId("zone-" + std::to_string(i)), 1});
+    }
+    placer.applyClosures(closed, 1, at(0));
+    std::size_t inClosedZone = 0;
+    const Clock::time_point start = Clock::now();
+    for (std::size_t i = 0; i < repetitions; ++i) {
+        inClosedZone += placer.isInClosedZone(listed[i % servers].instance()) ? 1 : 0;
+    }
+    const double cost = microsecondsSince(start) / repetitions;
+    return inClosedZone > 0 || closedZones == 0 ? cost : 0;
+}
+
 /// Mean cost of the decision on one permit of a limited server.
 double permitCost(std::size_t servers, std::size_t members)
 {
@@ -142,6 +166,10 @@
                         placementCost(servers, 1000, hasVersion));
         }
     }
+    std::printf("look-up of closed zones: servers, closed zones, microseconds\n");
+    for (const std::size_t closed : {0, 1, 3}) {
+        std::printf("%6d %6zu %8.2f\n", 600, closed, closureCost(600, closed));
+    }
     std::printf("permit of a limited server: servers, daemons, microseconds\n");
     for (const std::size_t members : {7, 75, 340}) {
         std::printf("%6d %6zu %8.2f\n", 600, members, permitCost(600, members));
@@ -159,12 +187,16 @@
                                     Base::RequestRate(6.5),
                                     std::chrono::milliseconds(80)};
     std::printf("datagrams: bytes\n");
-    std::printf("  stream notice           %zu\n",
-                sizeOf(Proxy::StreamNotice{"85a0980a851388fe", Base::SoftwareVersion("v1.1")}));
+    std::printf(
+        "  stream notice           %zu\n",
+        sizeOf(Proxy::StreamNotice{{"85a0980a851388fe", Dispatch::StreamKey(0x9c41d07be2a35f68)},
+                                   {Base::SoftwareVersion("v1.1"),
+                                    {Base::ServerId("engine-a-17"), 1'700'000'000'000},
+                                    {}}}));
     std::printf("  stream version request  %zu\n",
                 sizeOf(Proxy::StreamVersionRequest{number, "85a0980a851388fe"}));
     std::printf("  permit request (server) %zu\n",
-                sizeOf(Proxy::ServerPermitRequest{number, report, {}}));
+                sizeOf(Proxy::ServerPermitRequest{number, report, {}, {}}));
     std::printf("  permit response         %zu\n", sizeOf(Proxy::PermitResponse{number, {}}));
     std::printf("  limit report            %zu\n", sizeOf(report));
     const auto request = Dispatch::fingerprintsOf(Base::TeamId("xaka200"), "/chat", "body");
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -61,6 +61,8 @@
                     Base::Instant now);
     /// A server states a limit of requests per second from now on; 0 if it has none.
     void serverLimited(const std::string &server, double perSecond, Base::Instant now);
+    /// A server has started; it takes that many requests per second until the given time.
+    void serverRestarted(const std::string &server, double perSecond, Base::Instant coldUntil);
     /// A request has arrived at a server, which may refuse it.
     void requestArrived(const std::string &server, Base::Instant now);
     /// The response to a kept turn has ended, so any caller of the team may continue it.
@@ -90,6 +92,10 @@
     /// Attempts that were neither served nor rejected because of a limit.
     int failedCount() const { return failed_; }
     int runCount() const { return runs_; }
+    /// A caller has tried to resume a stream.
+    void recordResumption(bool isServed) { ++(isServed ? resumed_ : notResumed_); }
+    int resumedCount() const { return resumed_; }
+    int notResumedCount() const { return notResumed_; }
 
 private:
     /// The limit that a server states, and the requests that have arrived since.
@@ -100,9 +106,19 @@
         std::deque<Base::Instant> arrivals;
     };
 
+    /// Requests that have arrived at a cold server.
+    struct ColdServer
+    {
+        double perSecond = 0;
+        Base::Instant until;
+        std::deque<Base::Instant> arrivals;
+    };
+
+    void checkCold(const std::string &server, Base::Instant now);
     void checkRate(const std::string &team, Base::Instant now);
 
     std::map<std::string, ServerLimit> serverLimits_;
+    std::map<std::string, ColdServer> coldServers_;
     std::map<std::string, Attempt> attempts_;
     std::map<std::string, std::vector<KeptChain>> chains_;
     std::map<std::string, std::int64_t> deliveredTokens_;
@@ -117,6 +133,8 @@
     int refused_ = 0;
     int failed_ = 0;
     int runs_ = 0;
+    int resumed_ = 0;
+    int notResumed_ = 0;
 };
 
 } // namespace Soak
--- a/tests/soak/soakenvironment.cpp
+++ b/tests/soak/soakenvironment.cpp
@@ -169,6 +169,7 @@
              {"ready", text(endpoint(daemon.ip, statusPort))},
              {"control", text(endpoint(daemon.ip, peerPort))}}},
            {"seeds", seeds},
+           {"port_range", {turnPort, turnPort + 10}},
            {"bootstrap", isFirstStart},
            {"tolerate", {{"machines", toleratedLosses}}},
            {"bounds", {{"config_apply_ms", configurationBoundMs}, {"grace_s", graceSeconds}}},
@@ -237,7 +238,11 @@
            route("lookups", "idempotent", "app"),
            route("orders", "non_idempotent", "app")}},
          {"services",
-          {{{"name", "engine"}, {"engine", {{"stride", tokensPerEvent}}}}, {{"name", "app"}}}},
+          {{{"name", "engine"},
+            {"engine", {{"stride", tokensPerEvent}}},
+            {"cold_s", Base::toSeconds(coldPeriod)},
+            {"cold_per_s", coldRate}},
+           {{"name", "app"}, {"cold_s", Base::toSeconds(coldPeriod)}, {"cold_per_s", coldRate}}}},
          {"tenants", tenants},
          {"limits",
           {{"header_bytes", 16384},
@@ -419,7 +424,7 @@
 void SoakEnvironment::injectDaemonFault()
 {
     Daemon &daemon = daemons_[random_.below(daemons_.size())];
-    switch (random_.below(8)) {
+    switch (random_.below(9)) {
     case 0:
     case 1:
         killDaemon(daemon);
@@ -432,6 +437,7 @@
         daemon.process->signal(SIGHUP);
         break;
     case 5:
+    case 8: // servers of two versions run all the time, and callers resume their streams
         for (Daemon &each : daemons_) {
             killDaemon(each);
         }
@@ -599,15 +605,22 @@
     }
 }
 
-/// Marks the server as draining, then removes its entry and later adds it again.
+/// Marks the server as draining, then removes its entry; later another process with the same id and
+/// address starts, which is cold for a while.
 void SoakEnvironment::drain(std::size_t index)
 {
     BackendStub &backend = *backends_[index];
     store_.put("servers", backend.id(), backend.entry(true));
     schedule(randomDuration(500, 2500),
              [this, &backend] { store_.erase("servers", backend.id()); });
-    schedule(randomDuration(2600, 3500),
-             [this, &backend] { store_.put("servers", backend.id(), backend.entry(false)); });
+    const auto list
+        = [this, &backend] { store_.put("servers", backend.id(), backend.entry(false)); };
+    const Milliseconds returnsAfter = randomDuration(2600, 3500);
+    schedule(returnsAfter, [&backend, list] {
+        backend.restart();
+        list();
+    });
+    schedule(returnsAfter + std::chrono::duration_cast<Milliseconds>(coldPeriod), list);
 }
 
 void SoakEnvironment::injectCallerFault()
@@ -697,7 +710,9 @@
             ledger_.servedCount(),
             ledger_.refusedCount(),
             ledger_.runCount(),
-            faults_};
+            faults_,
+            ledger_.resumedCount(),
+            ledger_.notResumedCount()};
 }
 
 } // namespace Soak
