--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -92,6 +92,7 @@
 {
     if (connection_ || connecting_) {
         owner_.placer_.requestFailed(placement_->instance, now());
+        owner_.load_.requestTimedOut(service_->id, now());
     }
     if (isHeadForwarded_) {
         abortResponse("deadline", "deadline exceeded during the response");
@@ -174,11 +175,24 @@
     if (hasPermit_) {
         owner_.controls_.returnPermit(team_->team);
     }
+    if (std::exchange(isCountedTurn_, false)) {
+        owner_.load_.turnEnded(service_->id, traits_.program, now());
+        countOutput();
+    }
     --owner_.active_;
     owner_.countResponse(ending.status, now() - request_.arrivedAt);
     writeLog(std::move(ending));
 }
 
+void Exchange::countOutput()
+{
+    const auto tokens
+        = static_cast<std::int64_t>(events_.eventCount()) * service_->tokensPerEvent.value();
+    const bool isInTime
+        = !traits_.programTimeLeft || now() - request_.arrivedAt <= *traits_.programTimeLeft;
+    owner_.load_.countOutput(Base::Tokens(tokens), isInTime);
+}
+
 void Exchange::settle()
 {
     if (!isReserved_ || !isEnded_) {
@@ -242,6 +256,12 @@
         fields.details.push_back({"load", placement_->load});
         fields.details.push_back({"slots", std::int64_t(placement_->slots)});
         fields.details.push_back({"cached_tokens", placement_->cachedTokens.value()});
+        if (placement_->expectedTime) {
+            fields.details.push_back({"missing_tokens", placement_->missingTokens.value()});
+            fields.details.push_back(
+                {"expected_milliseconds", milliseconds(*placement_->expectedTime)});
+            fields.details.push_back({"first_milliseconds", milliseconds(firstResponseTime_)});
+        }
         fields.details.push_back({"server_version", placement_->version.text()});
     }
     if (traits_.lastEventId) {
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -45,6 +45,8 @@
     Dispatch::CrashStage crashStage() const;
     TurnHistory::Turn completedTurn() const;
     Admission::Urgency urgency() const;
+    Admission::ProgramProfile programProfile() const;
+    bool checkLoad();
     void checkRate();
     void onPermitVerdict(const Admission::PermitVerdict &verdict);
     void checkBudget();
@@ -69,6 +71,7 @@
     void recordStatements(const ResponseTraits &traits);
     void recordLimit(const ResponseTraits &traits);
     void recordResponse(int status);
+    void recordCost();
     void onBody(const std::string &bytes);
     void onEvents(const std::string &bytes);
     void onEnd(ResponseEnd end, const std::string &problem);
@@ -92,6 +95,7 @@
                           std::optional<Base::Duration> retryAfter = std::nullopt);
     void abortResponse(const char *outcome, std::string detail);
     void finish(Ending ending);
+    void countOutput();
     void settle();
     void writeLog(Ending ending);
 
@@ -116,6 +120,8 @@
     /// The daemon through which the server of the last attempt is reached.
     std::optional<Base::VmId> relay_;
     Base::Instant sentAt_;
+    /// Time from the last sending to the head of the response.
+    Base::Duration firstResponseTime_{};
     std::vector<Base::ServerId> excludedServers_;
     std::uint32_t attempts_ = 0;
     /// Permits of servers with a request limit that were denied.
@@ -137,6 +143,8 @@
     bool isHeadForwarded_ = false;
     Programs::ReservationId reservation_;
     bool isReserved_ = false;
+    /// The turn counts among the requests of its program.
+    bool isCountedTurn_ = false;
     Admission::Urgency urgency_ = Admission::Urgency::Started;
     /// A permit was granted, and no attempt has been made yet.
     bool hasPermit_ = false;
--- a/src/libs/proxy/exchangeattempts.cpp
+++ b/src/libs/proxy/exchangeattempts.cpp
@@ -34,6 +34,9 @@
                       owner_.settings_.retryAfterBusy);
         return;
     }
+    if (owner_.load_.isEnabled(service_->id)) {
+        owner_.placer_.placeByCost(service_->id);
+    }
     placement_ = owner_.placer_.choose(
         service_->id, traits_.prompt, excludedServers_, now(), streamVersion_);
     if (!placement_ || attempts_ >= owner_.settings_.maxAttempts) {
@@ -77,7 +80,7 @@
 bool Exchange::isOverloaded() const
 {
     return urgency_ == Admission::Urgency::NewProgram && attempts_ == 0
-           && !placement_->hasRoomForNewWork;
+           && !placement_->hasRoomForNewWork && !owner_.load_.isEnabled(service_->id);
 }
 
 /// Requests that find the limit of one server exhausted try others first and wait only then.
@@ -301,7 +304,7 @@
                                    {"response_begun", std::int64_t(hasResponseBegun_)},
                                    {"server_version", placement_->version.text()},
                                    {"events", static_cast<std::int64_t>(events_.eventCount())}}});
-    if (mayRetry()) {
+    if (mayRetry() && owner_.load_.takeRetry(service_->id)) {
         excludedServers_.push_back(placement_->instance.id);
         startAttempt();
     } else if (isHeadForwarded_) {
--- a/src/libs/proxy/requesttraits.h
+++ b/src/libs/proxy/requesttraits.h
@@ -48,6 +48,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// Time that work takes on the server's VM now, in percent of the usual; unset if not stated.
+    std::optional<std::uint32_t> slowness;
 };
 
 /// Properties of a response according to its headers.
@@ -62,6 +64,8 @@
     /// The response carries the proof that it comes from the named server.
     bool isAuthentic = false;
     std::optional<ReportedLoad> load;
+    /// The server states a load that cannot be read.
+    bool isLoadMalformed = false;
     /// The server is about to stop and must get no new requests.
     bool isServerLeaving = false;
     /// Requests that the server takes from all daemons together; unset if it states no limit.
