Serve relays and datagrams only from addresses of listed daemons

Cause: the relay served anyone who reached its port, and a datagram was accepted from any source that named a listed daemon as its sender.

Change: PeerAddresses compares the source of a datagram with the listed address and port of its sender; RequestRelay closes connections from addresses that are not listed. Before the first list, only the reports of seeds are heard.

--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -2,6 +2,8 @@
 
 #include <asio/write.hpp>
 
+#include <netinet/in.h>
+
 #include <charconv>
 
 namespace Proxy {
@@ -56,6 +58,7 @@
             report("no connection before the timeout");
         }
     });
+    bindToSource();
     socket_.async_connect(peer_, [self, report](const std::error_code &error) {
         if (self->isClosed_) {
             return;
@@ -72,6 +75,21 @@
     });
 }
 
+/// A failure is not reported: the peer may accept the address that the system chooses.
+void ClientConnection::bindToSource()
+{
+    if (!source_) {
+        return;
+    }
+    // The port is chosen on connecting, so that connections to different peers may share one.
+    using BindAddressOnly
+        = asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
+    std::error_code ignored;
+    socket_.open(peer_.protocol(), ignored);
+    socket_.set_option(BindAddressOnly(true), ignored);
+    socket_.bind({*source_, 0}, ignored);
+}
+
 void ClientConnection::setUpSocket()
 {
     std::error_code ignored; // a socket without the option still works
--- a/src/libs/proxy/clientconnection.h
+++ b/src/libs/proxy/clientconnection.h
@@ -47,6 +47,8 @@
     ClientConnection(const ClientConnection &) = delete;
     ClientConnection &operator=(const ClientConnection &) = delete;
 
+    /// Connects from this address of the VM; otherwise the system chooses one.
+    void setSource(const asio::ip::address &source) { source_ = source; }
     /// Calls back with an empty string once connected, otherwise with the error.
     void connect(Base::Duration timeout, std::function<void(const std::string &problem)> done);
     /// Must only be called on an idle connection.
@@ -80,9 +82,11 @@
     void fail(ResponseEnd end, const std::string &problem);
     void updateKeepAliveTimeout();
     void setUpSocket();
+    void bindToSource();
 
     asio::ip::tcp::socket socket_;
     asio::ip::tcp::endpoint peer_;
+    std::optional<asio::ip::address> source_;
     std::optional<Base::VmId> relay_;
     asio::steady_timer connectTimer_;
     MessageParser parser_{MessageParser::Kind::Response};
--- a/src/libs/proxy/peerlink.cpp
+++ b/src/libs/proxy/peerlink.cpp
@@ -23,6 +23,12 @@
 
 constexpr std::size_t keeperCount = 3;
 
+Telemetry::Counter &refusedCounter(Telemetry::Metrics &metrics)
+{
+    return metrics.counter("marjoram_peer_refused_total",
+                           "Datagrams whose sender is not listed at their source address");
+}
+
 /// Returns the number of the request that \a body responds to, or nothing if it is no response.
 std::optional<RequestNumber> requestNumberOfResponse(const PeerBody &body)
 {
@@ -56,6 +62,10 @@
     , socket_(context)
     , timer_(context)
     , roster_(std::move(self))
+    , refused_("peer",
+               "datagram of a daemon that is not listed at the source address",
+               log,
+               refusedCounter(metrics))
     // Starts at a random number, so that late responses to an earlier process of this VM match no
     // request.
     , lastRequestNumber_(seed >> 2)
@@ -72,10 +82,10 @@
 
 void PeerLink::setDaemons(const std::vector<PeerAddress> &daemons)
 {
-    endpoints_.clear();
+    addresses_.setDaemons(daemons);
+    seed_.reset();
     std::vector<Base::VmId> names;
     for (const PeerAddress &daemon : daemons) {
-        endpoints_.emplace(daemon.vm, daemon.endpoint);
         names.push_back(daemon.vm);
     }
     roster_.setDaemons(names);
@@ -83,8 +93,11 @@
 
 std::optional<asio::ip::udp::endpoint> PeerLink::endpointOf(const Base::VmId &peer) const
 {
-    const auto entry = endpoints_.find(peer);
-    return entry == endpoints_.end() ? std::nullopt : std::optional(entry->second);
+    const auto entry = addresses_.daemons().find(peer);
+    if (entry != addresses_.daemons().end()) {
+        return entry->second;
+    }
+    return seed_ && seed_->vm == peer ? std::optional(seed_->endpoint) : std::nullopt;
 }
 
 bool PeerLink::isIsolated() const
@@ -135,18 +148,15 @@
 
 void PeerLink::setRecordStores(const std::vector<PeerAddress> &stores)
 {
-    recordStores_.clear();
-    for (const PeerAddress &store : stores) {
-        recordStores_.emplace(store.vm, store.endpoint);
-    }
+    addresses_.setRecordStores(stores);
 }
 
 std::vector<Base::VmId> PeerLink::recordStoresOf(const std::string &subject,
                                                  std::size_t count) const
 {
     std::vector<std::pair<std::uint64_t, Base::VmId>> ranks;
-    ranks.reserve(recordStores_.size());
-    for (const auto &[vm, endpoint] : recordStores_) {
+    ranks.reserve(addresses_.recordStores().size());
+    for (const auto &[vm, endpoint] : addresses_.recordStores()) {
         ranks.emplace_back(Base::hash64(subject, Base::hash64(vm.text())), vm);
     }
     std::sort(ranks.begin(), ranks.end(), std::greater<>());
@@ -168,7 +178,7 @@
 void PeerLink::sendToAll(const PeerBody &body)
 {
     const std::string bytes = encode(body);
-    for (const auto &[vm, endpoint] : endpoints_) {
+    for (const auto &[vm, endpoint] : addresses_.daemons()) {
         if (vm != self_) {
             sendDatagram(vm, bytes);
         }
@@ -192,15 +202,12 @@
 /// A failed send is only counted, as it has the same effect as a lost datagram.
 void PeerLink::sendDatagram(const Base::VmId &peer, const std::string &bytes)
 {
-    auto endpoint = endpoints_.find(peer);
-    if (endpoint == endpoints_.end()) {
-        endpoint = recordStores_.find(peer);
-        if (endpoint == recordStores_.end()) {
-            return;
-        }
+    const auto endpoint = addresses_.endpointOf(peer);
+    if (!endpoint) {
+        return;
     }
     std::error_code error;
-    socket_.send_to(asio::buffer(bytes), endpoint->second, 0, error);
+    socket_.send_to(asio::buffer(bytes), *endpoint, 0, error);
     if (error) {
         metrics_.counter("marjoram_peer_send_failures_total", "Datagrams that could not be sent")
             .add();
@@ -224,34 +231,72 @@
 void PeerLink::onDatagram(std::string_view bytes)
 {
     const std::optional<PeerMessage> message = decodePeerMessage(bytes);
-    if (message && recordStores_.contains(message->sender)) {
-        onRecordStoreMessage(*message);
+    if (!message) {
+        metrics_.counter("marjoram_peer_unusable_total", "Datagrams that cannot be decoded").add();
         return;
     }
-    const bool isKnown = message && endpoints_.contains(message->sender);
-    if (!isKnown) {
-        if (message && onUnknownSender_) {
-            onUnknownSender_();
-        }
-        metrics_
-            .counter("marjoram_peer_unusable_total",
-                     "Datagrams that cannot be decoded or whose sender is unknown")
-            .add();
-        return;
+    switch (addresses_.senderAt(message->sender, sender_)) {
+    case SenderKind::Daemon:
+        onDaemonMessage(*message);
+        break;
+    case SenderKind::RecordStore:
+        onRecordStoreMessage(*message);
+        break;
+    case SenderKind::Seed:
+        onSeedMessage(*message);
+        break;
+    case SenderKind::Unlisted:
+    case SenderKind::OtherAddress:
+        refuse(*message);
+        break;
     }
+}
+
+/// The sender may be a daemon that is new or has moved, so the list is read. Before the first list,
+/// all senders are unknown, which is not worth a log line.
+void PeerLink::refuse(const PeerMessage &message)
+{
+    if (addresses_.hasList()) {
+        refused_.record(sender_.address(), message.sender.text(), now_());
+    } else {
+        refusedCounter(metrics_).add();
+    }
+    if (onUnknownSender_) {
+        onUnknownSender_();
+    }
+}
+
+void PeerLink::report(const PeerMessage &message)
+{
     lastReceivedAt_ = now_();
     if (onReport_) {
-        onReport_(message->sender, message->routingVersion, message->servers);
+        onReport_(message.sender, message.routingVersion, message.servers);
+    }
+}
+
+/// The seed may be any daemon of the list, as its name is not known yet. Grants depend on the list,
+/// so only the report counts.
+void PeerLink::onSeedMessage(const PeerMessage &message)
+{
+    seed_ = PeerAddress{message.sender, sender_};
+    report(message);
+    if (onUnknownSender_) {
+        onUnknownSender_();
     }
-    if (std::holds_alternative<Notice>(message->body)) {
+}
+
+void PeerLink::onDaemonMessage(const PeerMessage &message)
+{
+    report(message);
+    if (std::holds_alternative<Notice>(message.body)) {
         return;
     }
-    if (const auto *working = std::get_if<RequestInProgress>(&message->body)) {
-        extendTimeout(working->number, message->sender);
-    } else if (const auto number = requestNumberOfResponse(message->body)) {
-        completeRequest(*number, message->sender, message->body);
+    if (const auto *working = std::get_if<RequestInProgress>(&message.body)) {
+        extendTimeout(working->number, message.sender);
+    } else if (const auto number = requestNumberOfResponse(message.body)) {
+        completeRequest(*number, message.sender, message.body);
     } else {
-        onRequest_(message->sender, message->body);
+        onRequest_(message.sender, message.body);
     }
 }
 
--- a/src/libs/proxy/peerlink.h
+++ b/src/libs/proxy/peerlink.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "peeraddresses.h"
 #include "peermessages.h"
 #include "peerroster.h"
+#include "refusedsources.h"
 
 #include <telemetry/log.h>
 #include <telemetry/metrics.h>
@@ -18,12 +20,6 @@
 
 namespace Proxy {
 
-struct PeerAddress
-{
-    Base::VmId vm;
-    asio::ip::udp::endpoint endpoint;
-};
-
 /// Requests and responses between daemons in UDP datagrams. A request is retransmitted once.
 class PeerLink
 {
@@ -43,6 +39,11 @@
     /// Throws std::exception if the address cannot be bound.
     void start(RequestHandler onRequest);
     void setDaemons(const std::vector<PeerAddress> &daemons);
+    /// Sets the daemons whose reports are heard until the first call of setDaemons().
+    void setSeeds(std::vector<asio::ip::udp::endpoint> seeds)
+    {
+        addresses_.setSeeds(std::move(seeds));
+    }
     /// Sets the version that every message carries.
     void setRoutingVersion(Base::ConfigVersion version) { routingVersion_ = version; }
     /// Sets the source of the server list report that every message carries.
@@ -54,7 +55,7 @@
     using ReportCallback = std::function<void(
         const Base::VmId &, Base::ConfigVersion, const std::optional<ListReport> &)>;
     void onReport(ReportCallback callback) { onReport_ = std::move(callback); }
-    /// Called for each message of a daemon that is not among those of setDaemons().
+    /// Called for each message of a daemon that is not listed with the address from which it came.
     void onUnknownSender(std::function<void()> callback) { onUnknownSender_ = std::move(callback); }
     /// Sends messages that carry only the routing version and the server list report.
     void notify(const std::vector<Base::VmId> &peers);
@@ -90,6 +91,11 @@
     PeerRoster &roster() { return roster_; }
     const PeerRoster &roster() const { return roster_; }
     std::optional<asio::ip::udp::endpoint> endpointOf(const Base::VmId &peer) const;
+    /// Whether a daemon of setDaemons() is listed at the address.
+    bool isListed(const asio::ip::address &address) const
+    {
+        return addresses_.isDaemonAddress(address);
+    }
 
 private:
     struct PendingRequest
@@ -104,7 +110,11 @@
     std::string encode(PeerBody body) const;
     void receive();
     void onDatagram(std::string_view bytes);
+    void refuse(const PeerMessage &message);
+    void onDaemonMessage(const PeerMessage &message);
     void onRecordStoreMessage(const PeerMessage &message);
+    void onSeedMessage(const PeerMessage &message);
+    void report(const PeerMessage &message);
     void sendDatagram(const Base::VmId &peer, const std::string &bytes);
     void extendTimeout(RequestNumber number, const Base::VmId &sender);
     void completeRequest(RequestNumber number, const Base::VmId &sender, const PeerBody &body);
@@ -124,8 +134,10 @@
     asio::steady_timer timer_;
     bool isTimerArmed_ = false;
     PeerRoster roster_;
-    std::map<Base::VmId, asio::ip::udp::endpoint> endpoints_;
-    std::map<Base::VmId, asio::ip::udp::endpoint> recordStores_;
+    PeerAddresses addresses_;
+    /// The seed whose report is being heard.
+    std::optional<PeerAddress> seed_;
+    RefusedSources refused_;
     std::unordered_map<RequestNumber, PendingRequest> pendingRequests_;
     /// Peers that were logged as unresponsive.
     std::set<Base::VmId> unresponsive_;
--- a/src/libs/proxy/requestrelay.cpp
+++ b/src/libs/proxy/requestrelay.cpp
@@ -1,6 +1,7 @@
 #include "requestrelay.h"
 
 #include "messageparser.h"
+#include "steadyclock.h"
 
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
@@ -224,12 +225,18 @@
                            RelaySettings settings,
                            Lookup lookup,
                            std::function<bool()> isCutOff,
-                           Telemetry::Log &log)
+                           Telemetry::Log &log,
+                           Telemetry::Metrics &metrics)
     : context_(context)
     , settings_(std::move(settings))
     , lookup_(std::move(lookup))
     , isCutOff_(std::move(isCutOff))
     , log_(log)
+    , refused_("relay",
+               "connection from an address that is not listed",
+               log,
+               metrics.counter("marjoram_relay_refused_total",
+                               "Connections to the relay from addresses that are not listed"))
     , acceptor_(context)
 {}
 
@@ -255,14 +262,30 @@
                        "cannot accept a connection of a peer: " + error.message(),
                        {.step = "relay"});
         } else {
-            const auto session = std::make_shared<Session>(*this, std::move(socket));
-            sessions_.insert(session);
-            session->start();
+            serve(std::move(socket));
         }
         accept();
     });
 }
 
+/// A daemon that this one's list lacks yet is refused too; it asks another one.
+void RequestRelay::serve(asio::ip::tcp::socket socket)
+{
+    std::error_code error;
+    const asio::ip::address source = socket.remote_endpoint(error).address();
+    if (error) {
+        return; // the connection has ended
+    }
+    const bool isOwn = source == socket.local_endpoint(error).address();
+    if (!isOwn && !isPeer_(source)) {
+        refused_.record(source, {}, steadyNow());
+        return;
+    }
+    const auto session = std::make_shared<Session>(*this, std::move(socket));
+    sessions_.insert(session);
+    session->start();
+}
+
 bool RequestRelay::mayConnect() const
 {
     return !isStopping_ && !isCutOff_() && sessions_.size() <= settings_.maxSessions;
--- a/src/libs/proxy/requestrelay.h
+++ b/src/libs/proxy/requestrelay.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "refusedsources.h"
+
 #include <base/instant.h>
 #include <dispatch/requestplacer.h>
 #include <telemetry/log.h>
@@ -47,9 +49,16 @@
                  RelaySettings settings,
                  Lookup lookup,
                  std::function<bool()> isCutOff,
-                 Telemetry::Log &log);
+                 Telemetry::Log &log,
+                 Telemetry::Metrics &metrics);
     ~RequestRelay();
 
+    /// Serves connections from addresses for which \a isPeer returns true, and those from this VM.
+    void setPeers(std::function<bool(const asio::ip::address &)> isPeer)
+    {
+        isPeer_ = std::move(isPeer);
+    }
+
     /// Requests to servers for which \a isClosed returns true are refused; those that are already
     /// running end by themselves.
     void setClosedServers(std::function<bool(const Dispatch::ServerInstance &)> isClosed)
@@ -68,6 +77,7 @@
     class Session;
 
     void accept();
+    void serve(asio::ip::tcp::socket socket);
     bool mayConnect() const;
 
     asio::io_context &context_;
@@ -76,7 +86,10 @@
     std::function<bool()> isCutOff_;
     std::function<bool(const Dispatch::ServerInstance &)> isClosed_
         = [](const Dispatch::ServerInstance &) { return false; };
+    std::function<bool(const asio::ip::address &)> isPeer_
+        = [](const asio::ip::address &) { return false; };
     Telemetry::Log &log_;
+    RefusedSources refused_;
     asio::ip::tcp::acceptor acceptor_;
     std::set<std::shared_ptr<Session>> sessions_;
     bool isStopping_ = false;
--- a/src/libs/proxy/serverconnector.cpp
+++ b/src/libs/proxy/serverconnector.cpp
@@ -100,6 +100,9 @@
         tried_.push_back(*relay);
         relay_ = std::make_shared<ClientConnection>(owner_.context_, relay->endpoint);
         relay_->setRelay(relay->vm);
+        if (owner_.settings_.relaySource) {
+            relay_->setSource(*owner_.settings_.relaySource);
+        }
         auto self = shared_from_this();
         relay_->connect(timeLeft(), [self](const std::string &problem) {
             if (self->done_) {
--- a/src/libs/proxy/serverconnector.h
+++ b/src/libs/proxy/serverconnector.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
 struct ServerConnectorSettings
 {
     Base::ZoneId zone;
+    /// Address from which other daemons are asked, as they serve listed addresses only; if unset,
+    /// the system chooses one.
+    std::optional<asio::ip::address> relaySource;
     /// Time of a direct attempt after which another daemon is tried beside it. A reachable server
     /// accepts within one round trip.
     Base::Duration headStart = std::chrono::milliseconds(100);
--- a/tests/libs/loopback.h
+++ b/tests/libs/loopback.h
@@ -18,3 +18,12 @@
     const auto address = firstAddress | static_cast<std::uint32_t>(::getpid());
     return {asio::ip::address_v4(address), static_cast<std::uint16_t>(firstPort + count++)};
 }
+
+/// An endpoint like that of freeEndpoint(), at another address that also is of this process alone.
+template<typename Protocol>
+typename Protocol::endpoint endpointElsewhere()
+{
+    constexpr std::uint32_t addressDistance = 0x00400000;
+    const auto here = freeEndpoint<Protocol>();
+    return {asio::ip::address_v4(here.address().to_v4().to_uint() + addressDistance), here.port()};
+}
--- a/tests/libs/proxy/tst_requestrelay.cpp
+++ b/tests/libs/proxy/tst_requestrelay.cpp
@@ -42,7 +42,8 @@
             {.address = {asio::ip::address_v4::loopback(), 0}},
             [this](const auto &instance) { return reachable(instance); },
             [this] { return isRelayCutOff; },
-            silentLog())
+            silentLog(),
+            relayMetrics_)
     {
         configure();
         relay_.start();
@@ -57,6 +58,28 @@
 
     RequestRelay &relay() { return relay_; }
 
+    /// Asks the relay for a connection to the first server from the given address; returns what
+    /// comes until the relay has responded or closed the connection.
+    std::string requestFrom(const asio::ip::address &source)
+    {
+        asio::ip::tcp::socket socket(context());
+        socket.open(asio::ip::tcp::v4());
+        socket.bind({source, 0});
+        socket.connect(relay_.address());
+        std::error_code ignored; // the relay may have closed the connection
+        asio::write(socket, asio::buffer(relayRequest({Base::ServerId("one"), 0})), ignored);
+        std::array<char, 256> buffer{};
+        std::string response;
+        bool isDone = false;
+        socket.async_read_some(asio::buffer(buffer),
+                               [&](const std::error_code &, std::size_t size) {
+                                   response.assign(buffer.data(), size);
+                                   isDone = true;
+                               });
+        runUntil([&] { return isDone; }, "the relay responds or closes the connection");
+        return response;
+    }
+
     bool isRelayCutOff = false;
 
 private:
@@ -66,6 +89,7 @@
                                                                   : second.address());
     }
 
+    Telemetry::Metrics relayMetrics_;
     RequestRelay relay_;
 };
 
@@ -191,6 +215,44 @@
     fixture.awaitResponse("data: d2");
 }
 
+/// Guards against a relay that connects anyone on the network to the servers.
+Test(requestrelay, aConnectionFromAnUnlistedAddressIsClosedAtOnce)
+{
+    RelayFixture fixture(refusingAddress());
+    const std::string response = fixture.requestFrom(freeEndpoint<asio::ip::tcp>().address());
+    cr_assert(response.empty(), "%s", response.c_str());
+    cr_assert_eq(fixture.relay().sessionCount(), 0U);
+    cr_assert_eq(fixture.first.connectionCount(), 0);
+}
+
+/// Guards against a relay that refuses the daemons of its list.
+Test(requestrelay, aConnectionFromAListedAddressIsServed)
+{
+    RelayFixture fixture(refusingAddress());
+    const asio::ip::address listed = freeEndpoint<asio::ip::tcp>().address();
+    fixture.relay().setPeers([&](const auto &address) { return address == listed; });
+    const std::string response = fixture.requestFrom(listed);
+    cr_assert(response.starts_with("HTTP/1.1 200"), "%s", response.c_str());
+}
+
+/// Guards against a daemon that asks for a relay from another address than its listed one.
+Test(requestrelay, aDaemonAsksFromItsOwnAddress)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    const asio::ip::address own = freeEndpoint<asio::ip::tcp>().address();
+    const auto connection = std::make_shared<ClientConnection>(context, acceptor.local_endpoint());
+    connection->setSource(own);
+    connection->connect(std::chrono::seconds(10), [](const std::string &) {});
+    asio::ip::tcp::endpoint source;
+    acceptor.async_accept([&](const std::error_code &, const asio::ip::tcp::socket &socket) {
+        source = socket.remote_endpoint();
+        context.stop();
+    });
+    context.run();
+    cr_assert(source.address() == own);
+}
+
 Test(requestrelay, requestsThatNameNoServerAreRefused)
 {
     RelayFixture fixture(refusingAddress());
