--- a/src/libs/proxy/peerlink.cpp
+++ b/src/libs/proxy/peerlink.cpp
@@ -85,6 +85,7 @@
     addresses_.setDaemons(daemons);
     seed_.reset();
     std::vector<Base::VmId> names;
+    names.reserve(daemons.size());
     for (const PeerAddress &daemon : daemons) {
         names.push_back(daemon.vm);
     }
--- a/tests/benches/proxybench.cpp
+++ b/tests/benches/proxybench.cpp
@@ -1,6 +1,7 @@
 #include <admission/permitpool.h>
 #include <base/random.h>
 #include <dispatch/requestplacer.h>
+#include <proxy/peeraddresses.h>
 #include <proxy/peermessages.h>
 #include <proxy/peerroster.h>
 
@@ -123,6 +124,26 @@
     return chosen > 0 ? microsecondsSince(start) / repetitions : 0;
 }
 
+/// Mean cost of the check whether a datagram comes from the listed address of its sender.
+double senderCost(std::size_t count)
+{
+    std::vector<Proxy::PeerAddress> listed;
+    std::uint32_t address = 0x0a000001; // 10.0.0.1
+    for (const Base::VmId &vm : daemons(count)) {
+        listed.push_back({vm, {asio::ip::address_v4(address++), 9000}});
+    }
+    Proxy::PeerAddresses addresses;
+    addresses.setDaemons(listed);
+    std::size_t accepted = 0;
+    const Clock::time_point start = Clock::now();
+    for (std::size_t i = 0; i < repetitions; ++i) {
+        const Proxy::PeerAddress &sender = listed[i * 7 % count];
+        const auto kind = addresses.senderAt(sender.vm, sender.endpoint);
+        accepted += kind == Proxy::SenderKind::Daemon ? 1 : 0;
+    }
+    return accepted == repetitions ? microsecondsSince(start) / repetitions : 0;
+}
+
 /// Computes the fingerprints of a request and looks them up.
 double quarantineCost(std::size_t statements, std::size_t bodyBytes)
 {
@@ -166,6 +187,10 @@
                         placementCost(servers, 1000, hasVersion));
         }
     }
+    std::printf("source address of a datagram: daemons, microseconds\n");
+    for (const std::size_t count : {12, 70, 340}) {
+        std::printf("%6zu %8.2f\n", count, senderCost(count));
+    }
     std::printf("look-up of closed zones: servers, closed zones, microseconds\n");
     for (const std::size_t closed : {0, 1, 3}) {
         std::printf("%6d %6zu %8.2f\n", 600, closed, closureCost(600, closed));
