Test that refusals are logged at a bounded rate

Cause: the bound had no test, and others decide how often something is refused.

Change: 300 refusals in 30 s give three lines and a count of 300.

--- a/tests/libs/proxy/tst_peeraddresses.cpp
+++ b/tests/libs/proxy/tst_peeraddresses.cpp
@@ -4,6 +4,11 @@
 
 #include <criterion/criterion.h>
 
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
 using namespace Proxy;
 
 namespace {
@@ -235,3 +240,28 @@
     fixture.runUntil([&] { return fixture.unknownSenders == 5; });
     cr_assert_eq(fixture.versions.size(), 2U);
 }
+
+/// Guards against a log that grows with what others send.
+Test(refusedsources, refusalsAreLoggedAtABoundedRate)
+{
+    const std::filesystem::path file = std::filesystem::temp_directory_path()
+                                       / ("refused-" + std::to_string(::getpid()) + ".log");
+    Telemetry::Metrics metrics;
+    Telemetry::Counter &counter = metrics.counter("refused", "");
+    {
+        Telemetry::Log lines({.file = file.string(), .daemon = {}, .keyPrefixes = {}});
+        RefusedSources refused("peer", "refused", lines, counter);
+        for (int i = 0; i < 300; ++i) {
+            const Base::Instant now(std::chrono::milliseconds(100) * i);
+            refused.record(asio::ip::make_address("10.0.0.7"), "vm-b", now);
+        }
+    }
+    std::ifstream stream(file);
+    int count = 0;
+    for (std::string line; std::getline(stream, line); ++count) {
+        cr_assert(line.find("10.0.0.7") != std::string::npos);
+    }
+    std::filesystem::remove(file);
+    cr_assert_eq(count, 3);
+    cr_assert_eq(counter.value(), 300U);
+}
