--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -153,8 +153,8 @@
     if (!request.previous.turn.empty()) {
         head.headers.add("X-Previous-Turn", request.previous.turn);
     }
-    // Callers may leave out the attempt that brought the first event. Not drawn, so that the seeds of
-    // earlier failures run the same faults.
+    // Callers may leave out the attempt that brought the first event. Not drawn, so that the seeds
+    // of earlier failures run the same faults.
     if (request.isResumption && Base::hash64(request.id) % 2 == 0) {
         head.headers.add("Resumes", request.resumedAttempt);
     }
