--- a/src/libs/admission/permitpool.cpp
+++ b/src/libs/admission/permitpool.cpp
@@ -219,6 +219,7 @@
         entry.cold->until = std::max(entry.cold->until, cold.until);
         entry.cold->rate = std::min(entry.cold->rate, cold.rate);
     }
+    nextColdEnd_ = std::min(nextColdEnd_, entry.cold->until);
     setRate(entry, now);
 }
 
@@ -244,8 +245,13 @@
     refill(bucket, now); // caps the level
 }
 
+/// Every decision calls this, so the servers are searched only when a limit may have ended.
 void PermitPool::endCold(Base::Instant now)
 {
+    if (now < nextColdEnd_) {
+        return;
+    }
+    nextColdEnd_ = Base::Instant::max();
     for (auto entry = serverBuckets_.begin(); entry != serverBuckets_.end();) {
         ServerBucket &server = entry->second;
         const bool hasEnded = server.cold && now >= server.cold->until;
@@ -256,6 +262,8 @@
         if (hasEnded) {
             server.cold.reset();
             setRate(server, now);
+        } else if (server.cold) {
+            nextColdEnd_ = std::min(nextColdEnd_, server.cold->until);
         }
         ++entry;
     }
--- a/src/libs/admission/permitpool.h
+++ b/src/libs/admission/permitpool.h
@@ -151,6 +151,8 @@
     std::map<Base::VmId, Membership> members_;
     std::unordered_map<Base::TeamId, Bucket> buckets_;
     std::unordered_map<Base::ServerId, ServerBucket> serverBuckets_;
+    /// No limit of a cold server ends before this time.
+    Base::Instant nextColdEnd_ = Base::Instant::max();
 };
 
 } // namespace Admission
