Count how each request that was read ends, and log what a closed connection leaves

Callers report requests that end without an answer. A daemon logs a line for each request that it handles, but nothing for one that it reads and never handles, nor for bytes that are left when it closes a connection, and no count shows whether all requests that were read have ended.

RequestAccount counts the requests read, and how each ended for its caller: answered, refused, cut, caller gone, or dropped. A connection reports why it was closed and what was left on it; complete requests among the unhandled bytes count as dropped. The line "stopped" has all counts.

No decision is changed.

--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -79,7 +79,7 @@
 void CallerConnection::onRead(const std::error_code &error, std::size_t size)
 {
     if (error) {
-        close();
+        close(CloseReason::ByCaller);
         return;
     }
     lastActivity_ = handlers_->now();
@@ -239,7 +239,7 @@
 {
     onDisconnected_ = nullptr;
     onDrained_ = nullptr;
-    close();
+    close(CloseReason::ResponseAborted);
 }
 
 void CallerConnection::flush()
@@ -271,7 +271,7 @@
         return;
     }
     if (error) {
-        close();
+        close(CloseReason::ByCaller);
         return;
     }
     flush();
@@ -288,7 +288,7 @@
     auto self = shared_from_this();
     timer_.async_wait([self](const std::error_code &error) {
         if (!error) {
-            self->close();
+            self->close(CloseReason::AfterResponse);
         }
     });
     isHandling_ = true; // drops bytes that still arrive
@@ -341,7 +341,7 @@
         return;
     }
     if (isIdle) {
-        close();
+        close(CloseReason::IdleTimeout);
         return;
     }
     if (messageBegun_ && parser_.state() == ParseState::Body) {
@@ -355,16 +355,37 @@
     const bool isIdle = !isHandling_ && parser_.state() == ParseState::Empty && incoming_.empty()
                         && pendingBytes() == 0;
     if (isIdle) {
-        close();
+        close(CloseReason::Shutdown);
     }
 }
 
-void CallerConnection::close()
+/// Bytes behind the last handled request begin a new message, as each is parsed from its first
+/// byte.
+ConnectionEnd CallerConnection::endNow(CloseReason reason) const
+{
+    ConnectionEnd end;
+    end.reason = reason;
+    end.unhandledBytes = incoming_.size();
+    end.unsentBytes = pendingBytes();
+    std::string_view rest = incoming_;
+    MessageParser parser(MessageParser::Kind::Request);
+    while (!rest.empty() && parser.state() != ParseState::Failed) {
+        rest.remove_prefix(parser.feed(rest));
+        if (parser.state() == ParseState::Complete) {
+            ++end.unhandledRequests;
+            parser.reset();
+        }
+    }
+    return end;
+}
+
+void CallerConnection::close(CloseReason reason)
 {
     if (isClosed_) {
         return;
     }
     isClosed_ = true;
+    const ConnectionEnd end = endNow(reason);
     timer_.cancel();
     std::error_code ignored; // nothing can be done if the close fails
     socket_.close(ignored);
@@ -373,7 +394,7 @@
     if (auto onDisconnected = std::exchange(onDisconnected_, nullptr)) {
         onDisconnected();
     }
-    handlers_->onClosed(self);
+    handlers_->onClosed(self, end);
 }
 
 } // namespace Proxy
--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -25,6 +25,31 @@
     Base::Instant arrivedAt;
 };
 
+/// Why a connection from a caller was closed.
+enum class CloseReason {
+    /// The last response announced it.
+    AfterResponse,
+    IdleTimeout,
+    /// Idle during a shutdown.
+    Shutdown,
+    /// The response in progress cannot be completed.
+    ResponseAborted,
+    /// The caller closed its side, or the connection failed.
+    ByCaller
+};
+
+/// What was left on a connection when it was closed.
+struct ConnectionEnd
+{
+    CloseReason reason = CloseReason::ByCaller;
+    /// Bytes that were read and belong to no handled request.
+    std::size_t unhandledBytes = 0;
+    /// Complete requests among them.
+    std::size_t unhandledRequests = 0;
+    /// Bytes of responses that were not sent.
+    std::size_t unsentBytes = 0;
+};
+
 /// Callbacks of the connections of one listener.
 struct CallerHandlers
 {
@@ -36,7 +61,7 @@
     std::function<Base::Instant()> now;
     /// Whether connections close after the response in progress.
     std::function<bool()> isStopping;
-    std::function<void(const std::shared_ptr<CallerConnection> &)> onClosed;
+    std::function<void(const std::shared_ptr<CallerConnection> &, const ConnectionEnd &)> onClosed;
 };
 
 /// One HTTP/1.1 connection from a caller. Requests are handled one after another. Reading continues
@@ -86,7 +111,8 @@
     void armTimer();
     void onTimer();
     void closeAfterWrites();
-    void close();
+    void close(CloseReason reason);
+    ConnectionEnd endNow(CloseReason reason) const;
 
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
--- a/src/libs/proxy/documentexchange.cpp
+++ b/src/libs/proxy/documentexchange.cpp
@@ -49,7 +49,7 @@
     handlers_->limits = [] { return Contracts::CallerLimits{}; };
     handlers_->now = std::move(now);
     handlers_->isStopping = [] { return false; };
-    handlers_->onClosed = [](const auto &) {};
+    handlers_->onClosed = [](const auto &, const auto &) {};
 }
 
 void DocumentExchange::start()
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -106,7 +106,7 @@
 void Exchange::onCallerDisconnected()
 {
     if (!isEnded_) {
-        finish({0, "caller_gone", "caller closed the connection"});
+        finish({RequestEnding::CallerGone, 0, "caller_gone", "caller closed the connection"});
     }
 }
 
@@ -150,14 +150,14 @@
     }
     releaseServer(false);
     caller_->respond(head, detail + "\n");
-    finish({status, outcome, std::move(detail)});
+    finish({RequestEnding::Refused, status, outcome, std::move(detail)});
 }
 
 void Exchange::abortResponse(const char *outcome, std::string detail)
 {
     releaseServer(false);
     caller_->abort();
-    finish({0, outcome, std::move(detail)});
+    finish({RequestEnding::Cut, 0, outcome, std::move(detail)});
 }
 
 void Exchange::finish(Ending ending)
@@ -180,6 +180,7 @@
         countOutput();
     }
     --owner_.active_;
+    owner_.account_.requestEnded(ending.forCaller);
     owner_.countResponse(ending.status, now() - request_.arrivedAt);
     writeLog(std::move(ending));
 }
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -20,6 +20,7 @@
     /// How the exchange ended, for the log.
     struct Ending
     {
+        RequestEnding forCaller = RequestEnding::Cut;
         int status = 0;
         const char *outcome = "";
         std::string detail;
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -302,7 +302,7 @@
         caller_->write(bufferedBody_);
     }
     caller_->endResponse();
-    finish({head_.status, "answered", {}});
+    finish({RequestEnding::Answered, head_.status, "answered", {}});
 }
 
 } // namespace Proxy
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -21,6 +21,7 @@
     , metrics_(metrics)
     , placer_(settings_.zone, settings_.placement, seed)
     , load_(settings_.loadControl, log, metrics, seed)
+    , account_(log, metrics)
     , pool_(settings_.pool)
     , connector_(context, settings_.connector, log, metrics, seed)
     , crashes_(
@@ -50,7 +51,10 @@
         = [this] { return table_ ? table_->document().limits : Contracts::CallerLimits{}; };
     handlers_->now = [this] { return now(); };
     handlers_->isStopping = [this] { return isStopping_; };
-    handlers_->onClosed = [this](const auto &connection) { connections_.erase(connection); };
+    handlers_->onClosed = [this](const auto &connection, const ConnectionEnd &end) {
+        connections_.erase(connection);
+        account_.connectionClosed(end);
+    };
 }
 
 PassThrough::~PassThrough() = default;
@@ -156,6 +160,7 @@
 
 void PassThrough::onRequest(const std::shared_ptr<CallerConnection> &caller, CallerRequest request)
 {
+    account_.requestRead();
     const auto exchange = std::make_shared<Exchange>(*this, caller, std::move(request));
     exchange->start();
 }
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -6,6 +6,7 @@
 #include "crashverifier.h"
 #include "loadcontrol.h"
 #include "recentprograms.h"
+#include "requestaccount.h"
 #include "requesttraits.h"
 #include "serverconnector.h"
 
@@ -190,6 +191,7 @@
     void closeIdle();
     std::size_t activeRequests() const { return active_; }
     std::size_t openConnections() const { return connections_.size(); }
+    const RequestAccount &account() const { return account_; }
     void addConnection(const std::shared_ptr<CallerConnection> &connection);
 
     Base::Instant now() const;
@@ -217,6 +219,7 @@
     Telemetry::Metrics &metrics_;
     Dispatch::RequestPlacer placer_;
     LoadControl load_;
+    RequestAccount account_;
     ConnectionPool pool_;
     ServerConnector connector_;
     CrashVerifier crashes_;
--- a/src/libs/proxy/proxydaemon.cpp
+++ b/src/libs/proxy/proxydaemon.cpp
@@ -49,7 +49,7 @@
     statusHandlers_->limits = [] { return Contracts::CallerLimits{}; };
     statusHandlers_->now = [this] { return passThrough_.now(); };
     statusHandlers_->isStopping = [] { return false; };
-    statusHandlers_->onClosed = [](const auto &) {};
+    statusHandlers_->onClosed = [](const auto &, const auto &) {};
 }
 
 void ProxyDaemon::start()
@@ -190,7 +190,7 @@
         log_.write(LogLevel::Info,
                    "stopped",
                    {.step = "process",
-                    .details = {{"active", std::int64_t(passThrough_.activeRequests())}}});
+                    .details = passThrough_.account().summary(passThrough_.activeRequests())});
         context_.stop();
         return;
     }
--- a/src/libs/turnstore/turnstoreservice.cpp
+++ b/src/libs/turnstore/turnstoreservice.cpp
@@ -84,7 +84,8 @@
     };
     handlers_->now = now_;
     handlers_->isStopping = [] { return false; };
-    handlers_->onClosed = [this](const auto &connection) { connections_.erase(connection); };
+    handlers_->onClosed
+        = [this](const auto &connection, const auto &) { connections_.erase(connection); };
 }
 
 void TurnStoreService::start()
--- a/tests/platform/platformstore.cpp
+++ b/tests/platform/platformstore.cpp
@@ -31,7 +31,7 @@
     handlers_->limits = [] { return Contracts::CallerLimits{}; };
     handlers_->now = [] { return Base::Instant(); };
     handlers_->isStopping = [] { return false; };
-    handlers_->onClosed = [](const Caller &) {};
+    handlers_->onClosed = [](const Caller &, const auto &) {};
     accept();
 }
 
--- a/tests/soak/backendstub.cpp
+++ b/tests/soak/backendstub.cpp
@@ -96,7 +96,7 @@
     handlers_->limits = [] { return Contracts::CallerLimits{}; };
     handlers_->now = now_;
     handlers_->isStopping = [] { return false; };
-    handlers_->onClosed = [](const Caller &) {};
+    handlers_->onClosed = [](const Caller &, const auto &) {};
     accept();
 }
 
