--- a/tests/soak/soakenvironment.cpp
+++ b/tests/soak/soakenvironment.cpp
@@ -2,6 +2,8 @@
 
 #include <proxy/steadyclock.h>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <csignal>
 #include <fstream>
@@ -317,11 +319,37 @@
                                     daemon.name + " exited unexpectedly, wait status "
                                         + std::to_string(*status));
         }
+        if (daemon.stopDeadline && isClean) {
+            checkRequestAccount(daemon);
+        }
         daemon.stopDeadline.reset();
         schedule(randomDuration(100, 1200), [this, &daemon] { startDaemon(daemon); });
     }
 }
 
+/// Each request that a stopped daemon read completely has ended, in a way that its log names.
+void SoakEnvironment::checkRequestAccount(const Daemon &daemon)
+{
+    std::ifstream log(settings_.folder / (daemon.name + ".log"));
+    nlohmann::json stopped;
+    for (std::string line; std::getline(log, line);) {
+        if (line.find("\"message\":\"stopped\"") != std::string::npos) {
+            stopped = nlohmann::json::parse(line, nullptr, false);
+        }
+    }
+    if (!stopped.is_object()) {
+        ledger_.recordViolation("account", daemon.name + " did not log its stop");
+        return;
+    }
+    std::int64_t ended = 0;
+    for (const char *ending : {"active", "answered", "refused", "cut", "caller_gone", "dropped"}) {
+        ended += stopped.value(ending, std::int64_t(0));
+    }
+    if (stopped.value("read", std::int64_t(-1)) != ended || stopped["dropped"] != 0) {
+        ledger_.recordViolation("account", daemon.name + " stopped with " + stopped.dump());
+    }
+}
+
 void SoakEnvironment::startDaemon(Daemon &daemon)
 {
     daemon.isExitExpected = false;
--- a/tests/soak/soakenvironment.h
+++ b/tests/soak/soakenvironment.h
@@ -91,6 +91,7 @@
     void runFor(std::chrono::milliseconds duration);
     void pollProcesses();
     void checkProcesses();
+    void checkRequestAccount(const Daemon &daemon);
     void schedule(std::chrono::milliseconds delay, std::function<void()> action);
     std::chrono::milliseconds randomDuration(int minMs, int maxMs);
 
