Read no request on a connection that closes, and close none that was not announced

Cause: SIGTERM made a connection close after its current response, also if the head of that response had been sent before and announced nothing. A stream that ends after the signal is followed at once by the caller's next request on the same connection. CallerConnection read it in the 200 ms in which it waits for the caller to read the response, dropped it, and closed. A request that was read together with the one before it was lost in the same way behind a response that did announce the close.

Now the announcement decides. A response that did not announce the close keeps its connection; the next response announces it, or the connection closes while it is idle. A close is announced only once no further request has been read. After that nothing more is read, only the end of the connection is watched for, so what the caller sends too late stays unread and may be repeated. Idle connections of a daemon that stops close the sending side first.

On the code before, the tests fail: aPipelinedRequestIsAnsweredDuringAShutdown, "received: HTTP/1.1 200 OK Request-Id: r1 ... Connection: close ... hello" and nothing of r2; aConnectionThatDidNotAnnounceItsCloseServesTheNextRequest, the stream and nothing behind it.

Ruled out: bytes whose handler is queued while an idle connection closes.

--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -1,5 +1,6 @@
 #include "callerconnection.h"
 
+#include <asio/bind_cancellation_slot.hpp>
 #include <asio/write.hpp>
 
 #include <array>
@@ -60,24 +61,56 @@
     if (isReading_ || isClosed_ || isClosing_ || isFull) {
         return;
     }
-    startRead();
+    if (isCloseAnnounced_) {
+        watchForDisconnect();
+    } else {
+        startRead();
+    }
 }
 
 void CallerConnection::startRead()
 {
     isReading_ = true;
     auto self = shared_from_this();
-    socket_.async_read_some(asio::buffer(buffer_),
-                            [self](const std::error_code &error, std::size_t size) {
-                                self->isReading_ = false;
-                                if (!self->isClosed_) {
-                                    self->onRead(error, size);
-                                }
-                            });
+    auto handler = [self](const std::error_code &error, std::size_t size) {
+        self->isReading_ = false;
+        if (!self->isClosed_) {
+            self->onRead(error, size);
+        }
+    };
+    socket_.async_read_some(
+        asio::buffer(buffer_),
+        asio::bind_cancellation_slot(readCancellation_.slot(), std::move(handler)));
+}
+
+/// Bytes of a later request stay unread: a caller whose request was not read may repeat it.
+void CallerConnection::watchForDisconnect()
+{
+    isReading_ = true;
+    auto self = shared_from_this();
+    socket_.async_wait(asio::socket_base::wait_read, [self](const std::error_code &error) {
+        self->isReading_ = false;
+        if (self->isClosed_) {
+            return;
+        }
+        std::array<char, 1> next{};
+        std::error_code problem = error;
+        if (!problem) {
+            self->socket_.non_blocking(true, problem);
+            self->socket_.receive(asio::buffer(next), asio::socket_base::message_peek, problem);
+        }
+        if (problem && problem != asio::error::would_block) {
+            self->close(self->isClosing_ ? self->closeReason_ : CloseReason::ByCaller);
+        }
+    });
 }
 
 void CallerConnection::onRead(const std::error_code &error, std::size_t size)
 {
+    if (error == asio::error::operation_aborted && isCloseAnnounced_) {
+        watchForDisconnect();
+        return;
+    }
     if (error) {
         close(CloseReason::ByCaller);
         return;
@@ -133,6 +166,7 @@
 {
     const int status = statusOf(parser_.error());
     handlers_->onRejected(status, parser_.problem());
+    incoming_.clear(); // where the next request begins is not known
     isHandling_ = true;
     isKeptAlive_ = false;
     isHeadRequest_ = false;
@@ -155,6 +189,9 @@
     isKeptAlive_ = request.head.isKeepAlive;
     isHeadRequest_ = request.head.method == "HEAD";
     isHttp11_ = request.head.isHttp11;
+    if (!isKeptAlive_) {
+        incoming_.clear(); // no request may follow one that asks to close
+    }
     handlers_->onRequest(shared_from_this(), std::move(request));
 }
 
@@ -172,7 +209,8 @@
     if (isClosed_) {
         return;
     }
-    if (handlers_->isStopping()) {
+    // A request that was read already is handled before the connection closes.
+    if (handlers_->isStopping() && incoming_.empty()) {
         isKeptAlive_ = false;
     }
     if (framing.kind == BodyFraming::Chunked && !isHttp11_) {
@@ -181,6 +219,9 @@
     if (framing.kind == BodyFraming::UntilClose) {
         isKeptAlive_ = false;
     }
+    if (!isKeptAlive_) {
+        announceClose();
+    }
     responseFraming_ = framing;
     outgoing_ += serializeResponse(head, framing, isKeptAlive_);
     flush();
@@ -219,7 +260,7 @@
     onDisconnected_ = nullptr;
     onDrained_ = nullptr;
     lastActivity_ = handlers_->now();
-    if (!isKeptAlive_ || handlers_->isStopping()) {
+    if (isCloseAnnounced_) {
         isClosing_ = true;
         return;
     }
@@ -251,8 +292,8 @@
         if (auto drained = std::exchange(onDrained_, nullptr)) {
             drained();
         }
-        if (isClosing_ && !isHandling_ && outgoing_.empty()) {
-            closeAfterWrites();
+        if (isClosing_ && outgoing_.empty()) {
+            closeAfterWrites(CloseReason::AfterResponse);
         }
         return;
     }
@@ -277,23 +318,32 @@
     flush();
 }
 
+/// From now on, only the end of the connection is of interest.
+void CallerConnection::announceClose()
+{
+    isCloseAnnounced_ = true;
+    readCancellation_.emit(asio::cancellation_type::total);
+}
+
 /// Closes the sending side first, and the socket after a delay in which the caller can read the
 /// response: an immediate close with unread bytes on the socket would reset the connection.
-void CallerConnection::closeAfterWrites()
+void CallerConnection::closeAfterWrites(CloseReason reason)
 {
+    isClosing_ = true;
+    closeReason_ = reason;
+    announceClose();
     std::error_code ignored; // the connection is closed either way
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     constexpr auto lingerTime = std::chrono::milliseconds(200);
     timer_.expires_after(lingerTime);
     auto self = shared_from_this();
     timer_.async_wait([self](const std::error_code &error) {
-        if (!error) {
-            self->close(CloseReason::AfterResponse);
+        if (!error && !self->isClosed_) {
+            self->close(self->closeReason_);
         }
     });
-    isHandling_ = true; // drops bytes that still arrive
     if (!isReading_) {
-        startRead();
+        watchForDisconnect();
     }
 }
 
@@ -329,8 +379,8 @@
     const Base::Instant now = handlers_->now();
     const bool isHeadLate = messageBegun_ && parser_.state() == ParseState::Head
                             && now >= *messageBegun_ + limits.headTimeout;
-    const bool isIdle = now >= lastActivity_ + limits.idleTimeout;
-    if (isHeadLate || (isIdle && messageBegun_)) {
+    const bool isQuiet = now >= lastActivity_ + limits.idleTimeout;
+    if (isHeadLate || (isQuiet && messageBegun_)) {
         handlers_->onRejected(408, "request was not received before the timeout");
         isHandling_ = true;
         isKeptAlive_ = false;
@@ -340,7 +390,7 @@
         respond(head, {});
         return;
     }
-    if (isIdle) {
+    if (isQuiet) {
         close(CloseReason::IdleTimeout);
         return;
     }
@@ -350,12 +400,16 @@
     armTimer();
 }
 
+bool CallerConnection::isIdle() const
+{
+    return !isHandling_ && !isClosing_ && parser_.state() == ParseState::Empty && incoming_.empty()
+           && pendingBytes() == 0;
+}
+
 void CallerConnection::closeIfIdle()
 {
-    const bool isIdle = !isHandling_ && parser_.state() == ParseState::Empty && incoming_.empty()
-                        && pendingBytes() == 0;
-    if (isIdle) {
-        close(CloseReason::Shutdown);
+    if (isIdle()) {
+        closeAfterWrites(CloseReason::Shutdown);
     }
 }
 
--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -5,6 +5,7 @@
 #include <base/instant.h>
 #include <contracts/route.h>
 
+#include <asio/cancellation_signal.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 
@@ -103,6 +104,7 @@
     void onRead(const std::error_code &error, std::size_t size);
     void parse();
     void dispatchRequest();
+    void watchForDisconnect();
     void reject();
     void sendContinueIfExpected();
     void finishResponse();
@@ -110,12 +112,15 @@
     void onWritten(const std::error_code &error);
     void armTimer();
     void onTimer();
-    void closeAfterWrites();
+    void announceClose();
+    void closeAfterWrites(CloseReason reason);
+    bool isIdle() const;
     void close(CloseReason reason);
     ConnectionEnd endNow(CloseReason reason) const;
 
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
+    asio::cancellation_signal readCancellation_;
     std::shared_ptr<const CallerHandlers> handlers_;
     MessageParser parser_{MessageParser::Kind::Request};
     std::vector<char> buffer_;
@@ -130,12 +135,15 @@
     std::optional<Base::Instant> messageBegun_;
     std::optional<Base::Instant> timerDue_;
     Framing responseFraming_;
+    CloseReason closeReason_ = CloseReason::AfterResponse;
     bool isReading_ = false;
     bool isHandling_ = false;
     bool isKeptAlive_ = true;
     bool isHeadRequest_ = false;
     bool isHttp11_ = true;
     bool hasContinued_ = false;
+    /// The response in progress announces that the connection closes, so no later request is read.
+    bool isCloseAnnounced_ = false;
     bool isClosing_ = false;
     bool isClosed_ = false;
     bool isParsing_ = false;
--- /dev/null
+++ b/tests/libs/proxy/tst_callerconnection.cpp
@@ -0,0 +1,68 @@
+#include "passthroughfixture.h"
+
+namespace {
+
+std::string requestText(const std::string &path, const std::string &id)
+{
+    return "POST " + path
+           + " HTTP/1.1\r\nHost: x.example\r\nAuthorization: Bearer secret\r\nRequest-Id: " + id
+           + "\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+std::int64_t droppedRequests(Fixture &fixture)
+{
+    return static_cast<std::int64_t>(fixture.passThrough().account().droppedRequests());
+}
+
+} // namespace
+
+/// Guards against a request that is read together with another one and gets no response because
+/// the connection closes after the first (LOST).
+Test(callerconnection, aPipelinedRequestIsAnsweredDuringAShutdown)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{"", okResponse, okResponse}});
+    fixture.send(requestText("/once/", "r1") + requestText("/once/", "r2"));
+    fixture.runUntil([&] { return requestCount(fixture) == 1; },
+                     "the server has the first request");
+    fixture.passThrough().stop();
+    fixture.first.sendNext("r1");
+    fixture.awaitClose();
+    cr_assert(fixture.received.find("Request-Id: r2") != std::string::npos,
+              "received: %s",
+              fixture.received.c_str());
+    cr_assert_eq(countOf(fixture.received, "Connection: close"), 1);
+    cr_assert_eq(droppedRequests(fixture), 0);
+}
+
+/// Guards against a connection that closes after a response which did not announce it, when the
+/// next request is already on its way.
+Test(callerconnection, aConnectionThatDidNotAnnounceItsCloseServesTheNextRequest)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{streamHead + chunk(event(1)), chunk(event(2)) + "0\r\n\r\n", okResponse}});
+    fixture.request("/stream/", "r1");
+    fixture.awaitResponse("id: 1");
+    fixture.passThrough().stop();
+    fixture.first.sendNext("r1");
+    fixture.awaitResponse("0\r\n\r\n");
+    fixture.request("/once/", "r2");
+    fixture.awaitClose();
+    cr_assert(fixture.received.find("Request-Id: r2") != std::string::npos,
+              "received: %s",
+              fixture.received.c_str());
+    cr_assert(fixture.received.find("Connection: close") != std::string::npos);
+}
