Reset the connection of a broken response that ends with it

Callers of HTTP/1.0 get streams that are framed by the end of the connection. CallerConnection::abort() closed it in the ordinary way, so a stream that had broken off looked complete.

The connection is now reset. On the code before, aBrokenStreamOfAnHttp10CallerIsReset fails with "End of file".

--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -280,6 +280,11 @@
 {
     onDisconnected_ = nullptr;
     onDrained_ = nullptr;
+    if (isHandling_ && responseFraming_.kind == BodyFraming::UntilClose) {
+        // An ordinary close would be the regular end of this response.
+        std::error_code ignored; // the connection is closed either way
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     close(CloseReason::ResponseAborted);
 }
 
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -321,6 +321,7 @@
                                 [this](const std::error_code &error, std::size_t size) {
                                     if (error) {
                                         isClosed = true;
+                                        closeError = error;
                                         return;
                                     }
                                     received.append(buffer_.data(), size);
@@ -345,6 +346,7 @@
     ScriptedServer second;
     std::string received;
     bool isClosed = false;
+    std::error_code closeError;
     /// Urgency of each request for a permit.
     std::vector<Admission::Urgency> urgencies;
 };
--- a/tests/libs/proxy/tst_callerconnection.cpp
+++ b/tests/libs/proxy/tst_callerconnection.cpp
@@ -66,3 +66,20 @@
               fixture.received.c_str());
     cr_assert(fixture.received.find("Connection: close") != std::string::npos);
 }
+
+/// Guards against a broken response that looks complete: HTTP/1.0 frames it by the end of the
+/// connection (MIXED).
+Test(callerconnection, aBrokenStreamOfAnHttp10CallerIsReset)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{streamHead + chunk(event(1))}, true});
+    fixture.send("GET /stream/ HTTP/1.0\r\nHost: x.example\r\nAuthorization: Bearer secret\r\n"
+                 "Request-Id: r1\r\n\r\n");
+    fixture.awaitClose();
+    cr_assert_eq(fixture.closeError,
+                 asio::error::connection_reset,
+                 "%s",
+                 fixture.closeError.message().c_str());
+}
