Answer the requests in progress before the drain time ends

A request that was still in progress at the end of the drain time ended with the process: its caller got neither an answer nor a refusal, and did not learn whether it may have run.

200 ms before that, the daemon now ends the requests in progress: 503 if no server can have run one, otherwise 502; a response that has begun is cut off. Found by reading; the tests requestsInProgressAreAnsweredWhenTheProcessEnds and endsRequestsBeforeTheProcessEnds use functions that did not exist before.

--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -46,7 +46,7 @@
     , table_(owner.table_)
     , timer_(owner.context_)
 {
-    ++owner_.active_;
+    owner_.exchanges_.insert(this);
 }
 
 void Exchange::start()
@@ -103,6 +103,12 @@
     }
 }
 
+void Exchange::onProcessEnding()
+{
+    const bool mayRun = mayHaveRun_ || (connection_ && connection_->hasSent());
+    respondWithError(mayRun ? 502 : 503, "process_ending", "the daemon ends");
+}
+
 void Exchange::onCallerDisconnected()
 {
     if (!isEnded_) {
@@ -179,7 +185,7 @@
         owner_.load_.turnEnded(service_->id, traits_.program, now());
         countOutput();
     }
-    --owner_.active_;
+    owner_.exchanges_.erase(this);
     owner_.account_.requestEnded(ending.forCaller);
     owner_.countResponse(ending.status, now() - request_.arrivedAt);
     writeLog(std::move(ending));
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -15,6 +15,8 @@
     Exchange(PassThrough &owner, std::shared_ptr<CallerConnection> caller, CallerRequest request);
 
     void start();
+    /// Ends the request because the process is about to end.
+    void onProcessEnding();
 
 private:
     /// How the exchange ended, for the log.
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -170,6 +170,17 @@
     isStopping_ = true;
 }
 
+void PassThrough::endRequests()
+{
+    std::vector<std::shared_ptr<Exchange>> open;
+    for (Exchange *exchange : exchanges_) {
+        open.push_back(exchange->shared_from_this());
+    }
+    for (const auto &exchange : open) {
+        exchange->onProcessEnding();
+    }
+}
+
 void PassThrough::closeIdle()
 {
     const std::vector<std::shared_ptr<CallerConnection>> open(connections_.begin(),
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -189,7 +189,9 @@
     void stop();
     /// Closes idle connections during the shutdown.
     void closeIdle();
-    std::size_t activeRequests() const { return active_; }
+    /// Ends all requests in progress; those without a response yet get one.
+    void endRequests();
+    std::size_t activeRequests() const { return exchanges_.size(); }
     std::size_t openConnections() const { return connections_.size(); }
     const RequestAccount &account() const { return account_; }
     void addConnection(const std::shared_ptr<CallerConnection> &connection);
@@ -227,7 +229,8 @@
     std::shared_ptr<CallerHandlers> handlers_;
     std::set<std::shared_ptr<CallerConnection>> connections_;
     RecentPrograms recentPrograms_;
-    std::size_t active_ = 0;
+    /// The requests in progress.
+    std::set<Exchange *> exchanges_;
     bool isStopping_ = false;
 };
 
--- a/src/libs/proxy/proxydaemon.cpp
+++ b/src/libs/proxy/proxydaemon.cpp
@@ -182,6 +182,9 @@
         std::error_code ignored; // the process ends anyway
         callers_.close(ignored);
     }
+    if (state.isEndingRequests) {
+        passThrough_.endRequests();
+    }
     if (state.isClosingIdle) {
         passThrough_.closeIdle();
         state = shutdownState();
--- a/src/libs/proxy/requestaccount.h
+++ b/src/libs/proxy/requestaccount.h
@@ -30,7 +30,6 @@
     /// Logs a connection that the daemon closed with unhandled or unsent bytes on it.
     void connectionClosed(const ConnectionEnd &end);
 
-    std::uint64_t cutRequests() const { return cut_.value(); }
     std::uint64_t droppedRequests() const { return dropped_.value(); }
     /// Counts for the log line at the end of the process; \a active requests have not ended.
     std::vector<Telemetry::LogDetail> summary(std::size_t active) const;
--- a/src/libs/proxy/shutdownschedule.h
+++ b/src/libs/proxy/shutdownschedule.h
@@ -13,6 +13,8 @@
     bool isAccepting = true;
     /// Connections without a request are closed.
     bool isClosingIdle = false;
+    /// Requests in progress are ended, as the process is about to be killed.
+    bool isEndingRequests = false;
     bool isFinished = false;
 };
 
@@ -24,6 +26,8 @@
     Base::Duration balancerDelay = std::chrono::milliseconds(2600);
     /// Maximum time for requests in flight, counted from the start of the shutdown.
     Base::Duration drainTimeout = std::chrono::milliseconds(7400);
+    /// Time in which the responses of ended requests reach their callers.
+    Base::Duration flushTime = std::chrono::milliseconds(200);
 
     ShutdownState stateAt(Base::Duration elapsed,
                           std::size_t requests,
@@ -33,6 +37,7 @@
         const bool isRemoved = elapsed >= balancerDelay;
         state.isAccepting = !isRemoved;
         state.isClosingIdle = isRemoved;
+        state.isEndingRequests = elapsed >= drainTimeout - flushTime;
         state.isFinished
             = (isRemoved && requests == 0 && connections == 0) || elapsed >= drainTimeout;
         return state;
--- a/tests/libs/proxy/tst_callerconnection.cpp
+++ b/tests/libs/proxy/tst_callerconnection.cpp
@@ -67,6 +67,22 @@
     cr_assert(fixture.received.find("Connection: close") != std::string::npos);
 }
 
+/// Guards against requests in progress whose connection ends with the process.
+Test(callerconnection, requestsInProgressAreAnsweredWhenTheProcessEnds)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{""}});
+    fixture.request("/once/", "r1");
+    fixture.runUntil([&] { return requestCount(fixture) == 1; }, "the server has the request");
+    fixture.passThrough().stop();
+    fixture.passThrough().endRequests();
+    fixture.awaitResponse("HTTP/1.1 502");
+    fixture.awaitClose();
+    cr_assert_eq(fixture.passThrough().activeRequests(), 0);
+}
+
 /// Guards against a broken response that looks complete: HTTP/1.0 frames it by the end of the
 /// connection (MIXED).
 Test(callerconnection, aBrokenStreamOfAnHttp10CallerIsReset)
--- a/tests/libs/proxy/tst_shutdownschedule.cpp
+++ b/tests/libs/proxy/tst_shutdownschedule.cpp
@@ -38,3 +38,11 @@
     cr_assert(stateAfter(3000, 0, 0).isFinished);
     cr_assert(stateAfter(7400, 1, 1).isFinished);
 }
+
+/// Guards against a drain time that ends with requests in progress and no response to them.
+Test(shutdownschedule, endsRequestsBeforeTheProcessEnds)
+{
+    cr_assert(!stateAfter(7100, 1, 1).isEndingRequests);
+    cr_assert(stateAfter(7200, 1, 1).isEndingRequests);
+    cr_assert(!stateAfter(7200, 1, 1).isFinished);
+}
