--- a/tests/platform/platformstore.cpp
+++ b/tests/platform/platformstore.cpp
@@ -45,12 +45,18 @@
     });
 }
 
-void PlatformStore::respond(const Caller &caller, int status, const json &body)
+void PlatformStore::respond(const Caller &caller, int status, const json &body) const
 {
+    std::string text = body.dump();
+    for (const auto &[placeholder, spec] : texts_) {
+        if (const std::size_t at = text.find(placeholder); at != std::string::npos) {
+            text.replace(at, placeholder.size(), spec);
+        }
+    }
     Proxy::ResponseHead head;
     head.status = status;
     head.reason = Proxy::reasonOf(status);
-    caller->respond(head, body.dump());
+    caller->respond(head, text);
 }
 
 void PlatformStore::onRequest(const Caller &caller, const Proxy::CallerRequest &request)
@@ -214,6 +220,15 @@
     notifyWatches(kind);
 }
 
+void PlatformStore::putText(const std::string &kind,
+                            const std::string &name,
+                            const std::string &spec)
+{
+    const json placeholder = "text of " + kind + "/" + name;
+    texts_[placeholder.dump()] = spec;
+    put(kind, name, placeholder);
+}
+
 void PlatformStore::erase(const std::string &kind, const std::string &name)
 {
     kinds_[kind].erase(name);
--- a/tests/platform/platformstore.h
+++ b/tests/platform/platformstore.h
@@ -21,6 +21,8 @@
 
     /// Writes an object, as the operator or a server does.
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
+    /// Writes an object whose spec is this text in each response, whether or not it can be parsed.
+    void putText(const std::string &kind, const std::string &name, const std::string &spec);
     void erase(const std::string &kind, const std::string &name);
     nlohmann::json spec(const std::string &kind, const std::string &name) const;
     nlohmann::json status(const std::string &kind, const std::string &name) const;
@@ -60,7 +62,7 @@
     bool respondToWatch(const Watch &watch);
     void notifyWatches(const std::string &kind);
     void store(const std::string &kind, const std::string &name, const nlohmann::json &spec);
-    static void respond(const Caller &caller, int status, const nlohmann::json &body);
+    void respond(const Caller &caller, int status, const nlohmann::json &body) const;
 
     void recordDeletion(const std::string &kind, const std::string &name);
     void finishWatch(const Caller &caller);
@@ -71,6 +73,8 @@
     std::map<std::string, Kind> kinds_;
     /// Revisions of deletions by kind and name.
     std::map<std::string, std::map<std::string, std::uint64_t>> deletions_;
+    /// Specs that are written as they are, by the string that stands for them.
+    std::map<std::string, std::string> texts_;
     std::vector<Watch> watches_;
     std::uint64_t revision_ = 1;
     std::uint64_t oldestRevision_ = 0;
