--- a/tests/platform/tst_oddentries.cpp
+++ b/tests/platform/tst_oddentries.cpp
@@ -201,6 +201,50 @@
     checkOthersHold(nested(excessiveDepth));
 }
 
+/// Guards against a list that no process can follow or start with: the parser rejected all of it
+/// for one number.
+Test(oddentries, aNumberOutOfRangeCostsNoOtherServer)
+{
+    checkOthersHold(entryWith("slots", "1e999"));
+    checkOthersHold(entryWith("born", "-1e999"));
+    checkOthersHold(entryWith("more", "[{\"n\": 1e400}]"));
+}
+
+/// Guards against the same failure by bytes that are not JSON.
+Test(oddentries, unreadableBytesCostNoOtherServer)
+{
+    for (const char *value : {"\"\xff\xfe\"",
+                              "\"\\ud800\"",
+                              "\"\\x\"",
+                              "\"a\nb\"",
+                              "NaN",
+                              "0123",
+                              "{\"\xc3\": {\"a\": 1}}",
+                              "{\"\xc3\": 5, \"b\": 1}"}) {
+        checkOthersHold(entryWith("zone", value));
+    }
+}
+
+/// Guards against the same failure in the lists of servers and daemons that a peer shares.
+Test(oddentries, aNumberOutOfRangeInAPeersListIsNotPassedOn)
+{
+    Fixture fixture;
+    Daemon peer(fixture.context, fixture.refusing);
+    peer.documents.publish("servers",
+                           {7,
+                            R"([{"name": "i-2", "spec": )" + entryWith("slots", "1e999")
+                                + R"(}, {"name": "i-1", "spec": )" + server().dump() + "}]"});
+    Daemon other(fixture.context, fixture.refusing, peer.address);
+    fixture.runUntil([&] { return other.hasServers({"i-1"}); }, "the server");
+    cr_assert_eq(json::parse(fixture.documentOf(other)->body).size(), 1);
+    Telemetry::Metrics metrics;
+    ObjectStore store(fixture.context, fixture.refusing.endpoint(), silentLog(), metrics);
+    const ListedDaemon self{Base::VmId("a"), "10.0.0.1:7", Base::ZoneId("z")};
+    DaemonDirectory directory(fixture.context, store, self, silentLog(), [](const auto &) {});
+    directory.applyDocument(R"({"d": {"address": "10.0.0.4:7"}, "c": {"address": 1e999}})");
+    cr_assert_eq(directory.daemons().size(), 2, "this daemon and the readable one");
+}
+
 Test(oddentries, anUnreadableEntryIsCounted)
 {
     Fixture fixture;
