Bound the numbers that are read from documents of the store

Numbers that do not fit their fields were converted without a check. The slots of a server were cut to 32 bits, so that 2^32 counted as 0 and 10^18 as 2.8 billion. The start of a server beyond 2^63 became negative where it is compared. In the configuration, a time such as 1e300 ms had no defined conversion, and added to an instant gave a deadline in the past; 2^32 attempts counted as none. In the allocations of budgets, tokens beyond 2^63 became negative and a retention beyond the range of a duration overflowed.

The configuration is valid by the contract of the store, so a number in it that is too large acts like the largest: a year for times, 32 bits for counts. An object with allocations out of range cannot be decoded and is left unchanged, as before with other types.

Ruled out: a port out of range.

--- a/tests/platform/tst_feeds.cpp
+++ b/tests/platform/tst_feeds.cpp
@@ -306,6 +306,24 @@
         std::holds_alternative<Programs::GroupUnanswered>(fixture.write(group(0, 100, "w1"))));
 }
 
+/// Guards against tokens that become negative, and times that overflow, when they are read.
+Test(allocationwriter, doesNotReplaceAnObjectWithNumbersOutOfRange)
+{
+    for (const char *entry : {R"([1, 9223372036854775808, "w", 5])",
+                              R"([1, 5, "w", 18446744073709551615])",
+                              R"([1, 5, "w", 9223372036854776])",
+                              R"([1, 1e300, "w", 5])",
+                              R"([1, 1e999, "w", 5])"}) {
+        Fixture fixture;
+        fixture.platform.putText(
+            "token-claims", "group-3", R"({"programs": {"70": )" + std::string(entry) + "}}");
+        cr_assert(
+            std::holds_alternative<Programs::GroupUnanswered>(fixture.write(group(0, 100, "w1"))),
+            "%s",
+            entry);
+    }
+}
+
 Test(allocationwriter, recognizesItsOwnWriteAfterALostResponse)
 {
     Fixture fixture;
--- a/tests/platform/tst_platformadapter.cpp
+++ b/tests/platform/tst_platformadapter.cpp
@@ -223,6 +223,86 @@
     cr_assert_eq(unusable->document.services.at(0).coldPeriod, std::chrono::seconds(3));
 }
 
+/// Guards against an entry whose slots are taken for their remainder of 32 bits, or whose start for
+/// one before 1970.
+Test(documents, rejectsServerEntriesWithNumbersOutOfRange)
+{
+    for (const char *field : {"slots", "born"}) {
+        for (const char *value : {"18446744073709551615",
+                                  "18446744073709551616",
+                                  "9223372036854775808",
+                                  "1e300",
+                                  "-1e300",
+                                  "-9223372036854775809"}) {
+            json entry = serverEntry();
+            entry[field] = json::parse(value);
+            cr_assert(!server(entry), "%s = %s", field, value);
+        }
+    }
+    for (const std::uint64_t slots : {std::uint64_t{1} << 32, (std::uint64_t{1} << 32) + 16}) {
+        json entry = serverEntry();
+        entry["slots"] = slots;
+        cr_assert(!server(entry), "slots = %s", std::to_string(slots).c_str());
+    }
+}
+
+/// An address is used by all that connect to the server: none may get a port cut to 16 bits.
+Test(documents, rejectsServerEntriesWithPortsOutOfRange)
+{
+    for (const char *port : {"70000",
+                             "65536",
+                             "0",
+                             "-1",
+                             "+80",
+                             "99999999999",
+                             "80x",
+                             " 80",
+                             "",
+                             "1e3",
+                             "65536000000000000000000080"}) {
+        json entry = serverEntry();
+        entry["address"] = std::string("10.128.0.9:") + port;
+        cr_assert(!server(entry), "port '%s'", port);
+    }
+}
+
+/// Guards against a deadline in the past and no attempts at all, by numbers that overflow.
+Test(documents, boundsNumbersOfTheConfiguration)
+{
+    for (const char *value : {"18446744073709551615", "1e300"}) {
+        json spec = routing();
+        const json huge = json::parse(value);
+        json &route = spec["routes"][0];
+        for (const char *field : {"timeout_ms", "goal_ms", "retain_s"}) {
+            route[field] = huge;
+        }
+        route["split"] = json::array({{{"service", "s"}, {"weight", huge}}});
+        spec["limits"]["idle_timeout_ms"] = huge;
+        const auto document = decodeRouting(spec)->document;
+        const Contracts::Route &read = document.routes.at(0);
+        const std::vector<std::optional<Base::Duration>> times{
+            read.timeout, read.objective, read.programRetention, document.limits.idleTimeout};
+        for (const auto &time : times) {
+            cr_assert(time == std::chrono::hours(24 * 365));
+        }
+        cr_assert_eq(read.services.at(0).weight, std::numeric_limits<std::uint32_t>::max());
+    }
+    json spec = routing();
+    const std::uint64_t wraps = std::uint64_t{1} << 32;
+    spec["routes"][0]["attempts"] = wraps;
+    spec["routes"][0]["priority"] = wraps;
+    spec["services"][0]["max_conns"] = wraps;
+    spec["services"][0]["engine"]["stride"] = std::numeric_limits<std::uint64_t>::max();
+    spec["tenants"][0]["priority"] = wraps;
+    const auto document = decodeRouting(spec)->document;
+    constexpr std::uint32_t largest = std::numeric_limits<std::uint32_t>::max();
+    cr_assert_eq(document.routes.at(0).attempts, largest);
+    cr_assert_eq(document.routes.at(0).priority, largest);
+    cr_assert_eq(document.services.at(0).maxConnections, largest);
+    cr_assert_eq(document.services.at(0).tokensPerEvent, Base::Tokens(largest));
+    cr_assert(document.teams.at(0).priority == largest);
+}
+
 Test(documents, rejectsInvalidServerEntries)
 {
     const std::vector<std::pair<std::string, json>> bad{{"service", 5},
@@ -234,7 +314,9 @@
                                                         {"state", "happy"},
                                                         {"version", 2},
                                                         {"version", ""},
-                                                        {"born", "x"}};
+                                                        {"born", "x"},
+                                                        {"born", -5},
+                                                        {"born", 1.5}};
     for (const auto &[field, value] : bad) {
         json entry = serverEntry();
         entry[field] = value;
