--- a/tests/platform/tst_oddentries.cpp
+++ b/tests/platform/tst_oddentries.cpp
@@ -59,7 +59,7 @@
 public:
     Daemon(asio::io_context &context,
            const PlatformStore &platform,
-           std::optional<asio::ip::tcp::endpoint> peer = std::nullopt)
+           const std::optional<asio::ip::tcp::endpoint> &peer = std::nullopt)
         : address(freeEndpoint<asio::ip::tcp>())
         , store(context, platform.endpoint(), silentLog(), metrics)
         , documents(context, address, silentLog(), &Proxy::steadyNow)
@@ -91,7 +91,7 @@
     ServerFeed servers;
 
 private:
-    static ServerFeedCallbacks callbacks(std::optional<asio::ip::tcp::endpoint> peer)
+    static ServerFeedCallbacks callbacks(const std::optional<asio::ip::tcp::endpoint> &peer)
     {
         ServerFeedCallbacks result;
         result.readerRank = [] { return Proxy::firstReader; };
@@ -245,6 +245,26 @@
     cr_assert_eq(directory.daemons().size(), 2, "this daemon and the readable one");
 }
 
+/// Entries that can be read but name no server.
+Test(oddentries, anEntryThatNamesNoServerCostsNoOther)
+{
+    const auto entries = {entryWith("address", "\"10.0.0.9:70000\""),
+                          entryWith("address", "\"10.0.0.9:0\""),
+                          entryWith("address", "\"1.2.3.4:99999999999\""),
+                          entryWith("slots", "1000000000000000000"),
+                          entryWith("slots", "1e30"),
+                          entryWith("born", "-1"),
+                          entryWith("born", "1.5"),
+                          entryWith("born", "18446744073709551616"),
+                          entryWith("service", "[5]"),
+                          entryWith("state", "null"),
+                          std::string("7"),
+                          std::string("[]")};
+    for (const std::string &entry : entries) {
+        checkOthersHold(entry);
+    }
+}
+
 Test(oddentries, anUnreadableEntryIsCounted)
 {
     Fixture fixture;
