--- a/tests/platform/platformstore.cpp
+++ b/tests/platform/platformstore.cpp
@@ -6,6 +6,20 @@
 
 namespace {
 
+std::string percentDecoded(const std::string &text)
+{
+    std::string result;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%') {
+            result += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+            i += 2;
+        } else {
+            result += text[i];
+        }
+    }
+    return result;
+}
+
 /// Returns the value of a query parameter; empty if it is absent.
 std::string parameter(const std::string &query, const std::string &name)
 {
@@ -14,7 +28,7 @@
         return {};
     }
     const std::size_t start = at + name.size() + 1;
-    return query.substr(start, query.find('&', start) - start);
+    return percentDecoded(query.substr(start, query.find('&', start) - start));
 }
 
 } // namespace
@@ -229,6 +243,14 @@
     put(kind, name, placeholder);
 }
 
+void PlatformStore::putWithoutName(const std::string &kind,
+                                   const std::string &name,
+                                   const json &spec)
+{
+    put(kind, name, spec);
+    kinds_[kind][name]["meta"]["name"] = nullptr;
+}
+
 void PlatformStore::erase(const std::string &kind, const std::string &name)
 {
     kinds_[kind].erase(name);
--- a/tests/platform/platformstore.h
+++ b/tests/platform/platformstore.h
@@ -23,6 +23,10 @@
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     /// Writes an object whose spec is this text in each response, whether or not it can be parsed.
     void putText(const std::string &kind, const std::string &name, const std::string &spec);
+    /// Writes an object whose name cannot be read in responses.
+    void putWithoutName(const std::string &kind,
+                        const std::string &name,
+                        const nlohmann::json &spec);
     void erase(const std::string &kind, const std::string &name);
     nlohmann::json spec(const std::string &kind, const std::string &name) const;
     nlohmann::json status(const std::string &kind, const std::string &name) const;
--- a/tests/platform/tst_oddentries.cpp
+++ b/tests/platform/tst_oddentries.cpp
@@ -265,6 +265,56 @@
     }
 }
 
+/// Guards against a list that ends at an entry of another writer, which the store pages by name.
+Test(oddentries, theNameOfAnEntryDoesNotEndTheList)
+{
+    for (const char *name : {"i 2", "i&2", "i#2", "i%2", "i\n2", "i\xc3\xa4?after=z"}) {
+        Fixture fixture;
+        fixture.platform.setPageSize(2);
+        fixture.platform.put("servers", "a", server());
+        fixture.platform.put("servers", name, 5);
+        fixture.platform.put("servers", "z", server());
+        Daemon daemon(fixture.context, fixture.platform);
+        fixture.runUntil(
+            [&] {
+                return daemon.hasServers({"a", "z"});
+            },
+            "the page after " + std::string(name));
+    }
+}
+
+/// Guards against servers that count as removed because they are on the pages after an object whose
+/// name cannot be read.
+Test(oddentries, anObjectWithoutANameDoesNotEndTheList)
+{
+    Fixture fixture;
+    fixture.platform.setPageSize(2);
+    fixture.platform.put("servers", "a", server());
+    fixture.platform.putWithoutName("servers", "b", server());
+    fixture.platform.put("servers", "c", server());
+    fixture.platform.put("servers", "d", server());
+    Daemon daemon(fixture.context, fixture.platform);
+    fixture.runUntil([&] { return daemon.hasServers({"a", "c", "d"}); }, "all servers");
+}
+
+Test(oddentries, aListThatCannotBeContinuedRemovesNoServer)
+{
+    Fixture fixture;
+    fixture.platform.setPageSize(1);
+    fixture.platform.put("servers", "b", server());
+    fixture.platform.put("servers", "c", server());
+    Daemon daemon(fixture.context, fixture.platform);
+    fixture.runUntil([&] { return daemon.hasServers({"b", "c"}); }, "the servers");
+    fixture.platform.putWithoutName("servers", "a", server());
+    const int calls = fixture.platform.calls();
+    fixture.runUntil([&] { return fixture.platform.calls() >= calls + 4; },
+                     "lists that end at their first page");
+    cr_assert(daemon.hasServers({"b", "c"}));
+    fixture.platform.erase("servers", "a");
+    fixture.platform.erase("servers", "b");
+    fixture.runUntil([&] { return daemon.hasServers({"c"}); }, "the list");
+}
+
 Test(oddentries, anUnreadableEntryIsCounted)
 {
     Fixture fixture;
