Believe a refusal only if it belongs to the request

Callers were told that a request had not run (503), or it was sent to a second server, although the first server had run it.

Cause: a faulty server writes an earlier refusal once more on a kept connection. Responses with another id were skipped, but a response without an id was taken for the one to the current request, and its mark "not run" (or status 421) was believed.

A response that names no request is now believed only if no other one can have come on the connection: it is the first request of this connection, and no response to another request was skipped. Otherwise the request may have run, so the attempt counts as broken: idempotent requests go to another server, others end with 502. What such a response says of its server (load, limit, leaving) is ignored, as it may be as old as the response; its latency is not recorded either, as a response that was already there would make the server look fast. The server counts as failed instead.

Evidence: tst_staleresponses.

--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -66,9 +66,10 @@
     void refuseQuarantined();
     void connect(const Dispatch::Placement &placement);
     void onConnected(std::shared_ptr<ClientConnection> connection, const std::string &problem);
-    void sendTo(std::shared_ptr<ClientConnection> connection);
+    void sendTo(std::shared_ptr<ClientConnection> connection, bool isKept);
     std::string serializeForServer() const;
     HeadVerdict onHead(const ResponseHead &head, const Framing &framing);
+    void onStaleResponse();
     void recordStatements(const ResponseTraits &traits);
     void recordLimit(const ResponseTraits &traits);
     void recordResponse(int status);
@@ -134,6 +135,9 @@
     /// The limit that the server of the last response states.
     std::optional<Base::RequestRate> requestLimit_;
 
+    /// A response that names no request may belong to another one: the connection of the current
+    /// attempt had one before, or a response to another one came on it.
+    bool isUnnamedUncertain_ = false;
     /// The server of the current attempt has sent the head of its response.
     bool hasResponseBegun_ = false;
     ResponseHead head_;
--- a/src/libs/proxy/exchangeattempts.cpp
+++ b/src/libs/proxy/exchangeattempts.cpp
@@ -172,7 +172,7 @@
 {
     owner_.placer_.requestSent(placement.instance, traits_.prompt);
     if (auto idle = owner_.takeIdle(placement.instance)) {
-        sendTo(std::move(idle));
+        sendTo(std::move(idle), true);
         return;
     }
     const auto endpoint = parseEndpoint(placement.address);
@@ -198,7 +198,7 @@
         return;
     }
     if (connection) {
-        sendTo(std::move(connection));
+        sendTo(std::move(connection), false);
         return;
     }
     owner_.placer_.requestFailed(placement_->instance, now());
@@ -206,9 +206,10 @@
     onNotRun("connect: " + problem);
 }
 
-void Exchange::sendTo(std::shared_ptr<ClientConnection> connection)
+void Exchange::sendTo(std::shared_ptr<ClientConnection> connection, bool isKept)
 {
     connection_ = std::move(connection);
+    isUnnamedUncertain_ = isKept;
     relay_ = connection_->relay();
     sentAt_ = now();
     if (!connection_->relay()) {
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -15,8 +15,13 @@
     }
     const ResponseTraits traits = owner_.translator_.readResponse(head);
     if (!traits.id.empty() && traits.id != traits_.id) {
+        isUnnamedUncertain_ = true;
         return HeadVerdict::Discard;
     }
+    if (traits.id.empty() && isUnnamedUncertain_) {
+        onStaleResponse();
+        return HeadVerdict::Accept;
+    }
     if (!traits.isWrongServer) {
         recordStatements(traits);
     }
@@ -62,6 +67,16 @@
     return HeadVerdict::Accept;
 }
 
+/// Neither a refusal nor what the server says about itself is believed: it may be an earlier
+/// response that the server wrote once more, and the request may have run.
+void Exchange::onStaleResponse()
+{
+    hasResponseBegun_ = true;
+    releaseServer(false);
+    owner_.placer_.requestFailed(placement_->instance, now());
+    onBroken("response on a kept connection does not name the request");
+}
+
 /// Records what the server says about itself.
 void Exchange::recordStatements(const ResponseTraits &traits)
 {
