End the pause of a server connection with its response

Callers waited until the deadline, and a server ran the request: its response was never read.

Cause: reading from a server pauses while bytes to the caller are unsent, and goes on once they are written. If the end of the response comes in the same read as the bytes that caused the pause, the exchange ends and drops that callback. The connection was kept although paused: the next request was sent on it and nothing read its response, nor did an idle connection notice its end.

A pause now ends with its response, and a request starts unpaused. The callback resumes the connection only while the exchange uses it, as it may serve another exchange by then.

Evidence: tst_slowcallers, with a backlog of one byte, so that each read pauses. A stream of several reads went on after each pause before, too.

--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -107,6 +107,7 @@
         parser_.expectNoBody();
     }
     isAwaitingResponse_ = true;
+    isPaused_ = false;
     isHeadSeen_ = false;
     isDiscarding_ = false;
     skippedBytes_ = 0;
@@ -291,6 +292,7 @@
 void ClientConnection::onResponseComplete(bool hasExtraBytes)
 {
     isAwaitingResponse_ = false;
+    isPaused_ = false; // the pause concerns this response only, and nothing else would end it
     // No other request may follow one that the server has not read completely.
     isReusable_ = !hasExtraBytes && !isWriting_ && parser_.response().isKeepAlive;
     const auto handlers = std::exchange(handlers_, nullptr);
--- a/src/libs/proxy/clientconnection.h
+++ b/src/libs/proxy/clientconnection.h
@@ -53,7 +53,8 @@
     void connect(Base::Duration timeout, std::function<void(const std::string &problem)> done);
     /// Must only be called on an idle connection.
     void send(std::string bytes, bool isHeadMethod, Handlers handlers);
-    /// Stops reading until resume(), for callers that are slower than the server.
+    /// Stops reading until resume() or the end of the response, for callers that are slower than
+    /// the server.
     void pause();
     void resume();
     /// Aborts the current request without calling its handlers.
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -303,7 +303,11 @@
     }
     connection_->pause();
     auto self = shared_from_this();
-    caller_->onceDrained([self, connection = connection_] { connection->resume(); });
+    caller_->onceDrained([self, connection = connection_] {
+        if (self->connection_ == connection) {
+            connection->resume();
+        }
+    });
 }
 
 void Exchange::forwardEnd()
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -130,9 +130,9 @@
 class Fixture
 {
 public:
-    Fixture()
+    explicit Fixture(PassThroughSettings settings = {})
         : passThrough_(context_,
-                       {},
+                       std::move(settings),
                        {&readRequest, &readResponse, &prepareForward},
                        controls(),
                        silentLog(),
