Ask further servers if one answers a resumed stream with an error

A stream that had begun and broke off was cut off for the caller as soon as one server responded to its resumption with an error, although the route allowed more attempts and another server could continue it.

Cause: a response that is no event stream aborted the exchange at once. It now counts as a broken attempt, so that the limits of the route, the deadline and the retry budget decide; without a further attempt the connection ends as before. The kind of the response is recorded only after that check, as the stream may go on at the next server.

Evidence: tst_brokenstreams compares every byte that a caller of HTTP/1.1 or HTTP/1.0 reads, on new and kept connections to the next server. On the code before, aFurtherServerIsAskedAfterAnError failed ("timed out: the stream ends; received: ... data: d1").

Ruled out by the three other tests, which passed before: neither the text nor the head of another response comes into a stream that has begun, nor is its last chunk sent, after a refusal, 421, 500, 404, 204, success with JSON, without proof or without id, interim and late responses before these, garbage, a closed connection, or an error right behind the last bytes of the stream. For callers of HTTP/1.0 the tests compare the bytes, but not yet how the connection ends.

--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -46,21 +46,20 @@
         return HeadVerdict::Accept;
     }
     const auto type = head.headers.find("Content-Type");
-    isEventStream_ = route_->kind == RouteKind::Stream && isSuccess && type
-                     && type->starts_with("text/event-stream");
+    const bool isEventStream = route_->kind == RouteKind::Stream && isSuccess && type
+                               && type->starts_with("text/event-stream");
+    if (isHeadForwarded_ && !isEventStream) {
+        releaseServer(false);
+        onBroken("server responded with " + std::to_string(head.status) + " to a resumed stream");
+        return HeadVerdict::Accept;
+    }
+    isEventStream_ = isEventStream;
     if (isEventStream_ && route_->isHistoryKept) {
         events_.setDataCollected();
     }
     if (isEventStream_) {
         recordCost();
     }
-    if (isHeadForwarded_ && !isEventStream_) {
-        releaseServer(false);
-        abortResponse("not_resumed",
-                      "server responded with " + std::to_string(head.status)
-                          + " to a resumed stream");
-        return HeadVerdict::Accept;
-    }
     if (!isResponseBuffered() && !isHeadForwarded_) {
         forwardHead();
     }
