Do not pass on a cut-off response without length as complete

Callers got a response that had been cut off as if it were complete, if it had neither a length nor chunks and came through another daemon.

Cause: such a response is complete with the regular end of its connection, and a relay ended the daemon's connection in that way also after a reset by the server, a failed write or its own error. The system does the same for the connections of a relay process that is killed, so the end shows nothing even if relays behave.

A relay now resets the daemon's connection in these cases, and ends it regularly only if the server did, after all bytes were written. A daemon takes no response without length from a relay for complete: the attempt counts as broken, so idempotent requests and resumable streams go to another server, and others end with 502. This holds for relays of the build before as well; the messages between daemons are unchanged. The cost is that complete responses of this kind are refused, too; all with a length, chunks or no body are passed on as before.

Ruled out for direct connections by the tests that passed before: responses and streams that are reset, streams that end within an event, bodies above the buffer, and HEAD, 204 and 304.

--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -213,6 +213,12 @@
         onBroken("stream ends within an event");
         return;
     }
+    if (relay_ && framing_.kind == BodyFraming::UntilClose) {
+        // The system ends the connections of a killed relay like a server that is done.
+        releaseServer(false);
+        onBroken("end of a response without length through a relay is not certain");
+        return;
+    }
     releaseServer(true);
     owner_.quarantine_.completed(fingerprints_);
     owner_.load_.requestSucceeded(service_->id);
--- a/src/libs/proxy/requestrelay.cpp
+++ b/src/libs/proxy/requestrelay.cpp
@@ -72,6 +72,15 @@
         owner_.sessions_.erase(shared_from_this());
     }
 
+    /// Resets the connection of the daemon. An ordinary end would complete a response without
+    /// length that was cut off.
+    void abort()
+    {
+        std::error_code ignored; // the connection ends anyway
+        daemon_.socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
 private:
     struct Side
     {
@@ -193,15 +202,19 @@
         from.socket.async_read_some(
             asio::buffer(from.buffer),
             [self, &from, &to](const std::error_code &error, std::size_t size) {
+                if (error == asio::error::eof) {
+                    self->close(); // all bytes before it are written
+                    return;
+                }
                 if (error || !self->mayForward(&from == &self->daemon_)) {
-                    self->close();
+                    self->abort();
                     return;
                 }
                 asio::async_write(to.socket,
                                   asio::buffer(from.buffer.data(), size),
                                   [self, &from, &to](const std::error_code &failure, std::size_t) {
                                       if (failure) {
-                                          self->close();
+                                          self->abort();
                                       } else {
                                           self->forward(from, to);
                                       }
--- a/tests/libs/proxy/scriptedserver.cpp
+++ b/tests/libs/proxy/scriptedserver.cpp
@@ -74,6 +74,13 @@
         socket_.close(ignored);
     }
 
+    void reset()
+    {
+        std::error_code ignored;
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
 private:
     void onRead(const std::error_code &error, std::size_t size)
     {
@@ -124,6 +131,13 @@
     }
 }
 
+void ScriptedServer::resetConnections()
+{
+    for (const auto &connection : connections_) {
+        connection->reset();
+    }
+}
+
 void ScriptedServer::crash()
 {
     acceptor_.close();
--- a/tests/libs/proxy/scriptedserver.h
+++ b/tests/libs/proxy/scriptedserver.h
@@ -29,6 +29,8 @@
     void add(Script script) { scripts_.push_back(std::move(script)); }
     std::string address() const;
     void closeConnections();
+    /// Ends all connections with a reset.
+    void resetConnections();
     /// Ends all connections and accepts no more.
     void crash();
     /// Accepts connections again, at the same address.
