--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -15,8 +15,13 @@
     }
     const ResponseTraits traits = owner_.translator_.readResponse(head);
     if (!traits.id.empty() && traits.id != traits_.id) {
+        isUnnamedUncertain_ = true;
         return HeadVerdict::Discard;
     }
+    if (traits.id.empty() && isUnnamedUncertain_) {
+        onStaleResponse();
+        return HeadVerdict::Accept;
+    }
     if (!traits.isWrongServer) {
         recordStatements(traits);
     }
@@ -41,27 +46,36 @@
         return HeadVerdict::Accept;
     }
     const auto type = head.headers.find("Content-Type");
-    isEventStream_ = route_->kind == RouteKind::Stream && isSuccess && type
-                     && type->starts_with("text/event-stream");
+    const bool isEventStream = route_->kind == RouteKind::Stream && isSuccess && type
+                               && type->starts_with("text/event-stream");
+    if (isHeadForwarded_ && !isEventStream) {
+        releaseServer(false);
+        onBroken("server responded with " + std::to_string(head.status) + " to a resumed stream");
+        return HeadVerdict::Accept;
+    }
+    isEventStream_ = isEventStream;
     if (isEventStream_ && route_->isHistoryKept) {
         events_.setDataCollected();
     }
     if (isEventStream_) {
         recordCost();
     }
-    if (isHeadForwarded_ && !isEventStream_) {
-        releaseServer(false);
-        abortResponse("not_resumed",
-                      "server responded with " + std::to_string(head.status)
-                          + " to a resumed stream");
-        return HeadVerdict::Accept;
-    }
     if (!isResponseBuffered() && !isHeadForwarded_) {
         forwardHead();
     }
     return HeadVerdict::Accept;
 }
 
+/// Neither a refusal nor what the server says about itself is believed: it may be an earlier
+/// response that the server wrote once more, and the request may have run.
+void Exchange::onStaleResponse()
+{
+    hasResponseBegun_ = true;
+    releaseServer(false);
+    owner_.placer_.requestFailed(placement_->instance, now());
+    onBroken("response on a kept connection does not name the request");
+}
+
 /// Records what the server says about itself.
 void Exchange::recordStatements(const ResponseTraits &traits)
 {
@@ -199,6 +213,12 @@
         onBroken("stream ends within an event");
         return;
     }
+    if (relay_ && framing_.kind == BodyFraming::UntilClose) {
+        // The system ends the connections of a killed relay like a server that is done.
+        releaseServer(false);
+        onBroken("end of a response without length through a relay is not certain");
+        return;
+    }
     releaseServer(true);
     owner_.quarantine_.completed(fingerprints_);
     owner_.load_.requestSucceeded(service_->id);
@@ -288,7 +308,11 @@
     }
     connection_->pause();
     auto self = shared_from_this();
-    caller_->onceDrained([self, connection = connection_] { connection->resume(); });
+    caller_->onceDrained([self, connection = connection_] {
+        if (self->connection_ == connection) {
+            connection->resume();
+        }
+    });
 }
 
 void Exchange::forwardEnd()
