Ask holders of turns again while their request has time

TurnKeeper asked each holder once. Daemons that restart refuse connections at once, so all holders had failed after 2 to 56 ms and the response was aborted, although its server had completed it, holders were back after half a second and the caller waited for up to 3 s.

The decisions which holder to ask and when are now in TurnWrite, without socket and clock. A write that timed out may be repeated, as holders confirm what they have. A full disk is not asked again, one that leaves is passed over. A request that ends, by its caller or its deadline, ends the attempts; the turns that wait are those of requests that were admitted, and marjoram_turns_pending counts them.

keepsATurnThatEndsWhileAllHoldersRestart on the code before, with the signature of then: "tst_turnkeeper.cpp:145: Assertion Failed: given up while there is time".

--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -170,6 +170,10 @@
     if (rateTimer_) {
         rateTimer_->cancel();
     }
+    if (const auto cancelKeeping = std::exchange(cancelKeeping_, nullptr)) {
+        keepingTime_ = now() - keepingSince_;
+        cancelKeeping();
+    }
     releaseServer(false);
     settle();
     if (hasPermit_) {
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -170,6 +170,8 @@
     /// Time until the history was known.
     Base::Duration historyTime_{};
     Base::Instant keepingSince_;
+    /// Ends the attempts to keep the turn.
+    std::function<void()> cancelKeeping_;
     Base::Duration keepingTime_{};
 };
 
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -247,7 +247,11 @@
 {
     keepingSince_ = now();
     auto self = shared_from_this();
-    owner_.history_.keep(completedTurn(), [self](bool isKept) { self->onTurnKept(isKept); });
+    auto cancel = owner_.history_.keep(
+        completedTurn(), timeLeft(), [self](bool isKept) { self->onTurnKept(isKept); });
+    if (!isEnded_) {
+        cancelKeeping_ = std::move(cancel);
+    }
 }
 
 void Exchange::onTurnKept(bool isKept)
@@ -255,6 +259,7 @@
     if (isEnded_) {
         return;
     }
+    cancelKeeping_ = nullptr;
     keepingTime_ = now() - keepingSince_;
     if (isKept) {
         forwardEnd();
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -92,8 +92,11 @@
     /// Finds the chain that ends with the given turn. Calls back once, immediately or later.
     std::function<void(const TurnHistory::TurnId &, const std::string &placementKey, FindCallback)>
         find;
-    /// Calls back once the turn is durable, or with false if it cannot be kept.
-    std::function<void(TurnHistory::Turn, std::function<void(bool)>)> keep;
+    /// Calls back once the turn is durable, or with false if it cannot be kept in the given time.
+    /// The returned function ends the attempts without calling back.
+    std::function<std::function<void()>(
+        TurnHistory::Turn, Base::Duration timeLeft, std::function<void(bool)>)>
+        keep;
 };
 
 /// Access to the limits that servers state on the requests of all daemons together.
--- a/src/libs/turnstore/turnkeeper.cpp
+++ b/src/libs/turnstore/turnkeeper.cpp
@@ -1,6 +1,7 @@
 #include "turnkeeper.h"
 
 #include <turnhistory/turncodec.h>
+#include <turnhistory/turnwrite.h>
 
 #include <asio/steady_timer.hpp>
 
@@ -40,82 +41,132 @@
 } // namespace
 
 /// Writes one turn. The holders that rank first are asked at once, others as those fail or are
-/// slow.
+/// slow, and all again while there is time: daemons that restart together are away for less time
+/// than callers wait.
 class TurnKeeper::KeepCall : public std::enable_shared_from_this<KeepCall>
 {
 public:
-    KeepCall(TurnKeeper &owner, TurnHistory::Turn turn, std::function<void(bool)> done)
+    KeepCall(TurnKeeper &owner,
+             TurnHistory::Turn turn,
+             Base::Duration timeLeft,
+             std::function<void(bool)> done)
         : owner_(owner)
         , turn_(std::move(turn))
         , body_(TurnHistory::encodeKeepRequest({turn_}))
-        , candidates_(owner.ranked(turn_.placementKey))
-        , timer_(owner.context_)
+        , slowTimer_(owner.context_)
+        , roundTimer_(owner.context_)
         , done_(std::move(done))
         , begin_(owner.now_())
+        , write_({.copies = owner.settings_.copies, .deadline = begin_ + timeLeft})
     {
-        std::stable_partition(candidates_.begin(), candidates_.end(), [&](const auto &vm) {
-            return !owner_.isSuspect(vm);
-        });
+        owner_.setPendingKeeps(owner_.pendingKeeps_ + 1);
     }
 
     void start()
     {
-        for (std::size_t i = 0; i < owner_.settings_.copies; ++i) {
-            askNext();
-        }
-        if (awaited_.empty()) {
-            finish(false);
-            return;
+        armSlowTimer();
+        beginRound();
+    }
+
+    void cancel()
+    {
+        if (done_) {
+            end("cancelled");
+            done_ = nullptr;
         }
-        armTimer();
     }
 
 private:
-    void askNext()
+    void beginRound()
     {
-        if (asked_ >= candidates_.size()) {
-            return;
+        std::vector<Base::VmId> holders = owner_.rankedWithRoom(turn_.placementKey);
+        std::stable_partition(
+            holders.begin(), holders.end(), [&](const auto &vm) { return !owner_.isSuspect(vm); });
+        ask(write_.beginRound(holders, owner_.now_()));
+        proceed();
+    }
+
+    void ask(const std::vector<Base::VmId> &holders)
+    {
+        for (const Base::VmId &vm : holders) {
+            ++calls_;
+            owner_.call(vm,
+                        keepPath,
+                        body_,
+                        [self = shared_from_this(), vm](const Proxy::CallResult &result) {
+                            self->onAnswer(vm, result);
+                        });
         }
-        const Base::VmId vm = candidates_[asked_++];
-        awaited_.insert(vm);
-        owner_.call(
-            vm, keepPath, body_, [self = shared_from_this(), vm](const Proxy::CallResult &result) {
-                self->onAnswer(vm, result);
-            });
     }
 
     void onAnswer(const Base::VmId &vm, const Proxy::CallResult &result)
     {
-        awaited_.erase(vm);
-        const bool isKept = result.status == 200;
-        if (isKept) {
-            owner_.recordSuccess(vm);
-            ++kept_;
+        recordAnswer(vm, result);
+        if (!done_) {
+            return;
+        }
+        if (result.status == 200) {
+            ask(write_.onKept(vm, owner_.now_()));
+        } else if (result.status == diskFullStatus) {
+            ask(write_.onFull(vm, owner_.now_()));
         } else {
-            owner_.recordFailure(vm);
-            if (result.status == diskFullStatus) {
-                owner_.recordFull(vm);
-            }
-            failed_ += " " + vm.text() + ":"
-                       + (result.status == 0 ? result.problem : std::to_string(result.status));
+            ask(write_.onFailed(vm, owner_.now_()));
+        }
+        proceed();
+    }
+
+    void recordAnswer(const Base::VmId &vm, const Proxy::CallResult &result)
+    {
+        if (result.status == 200) {
+            owner_.recordSuccess(vm);
+            return;
+        }
+        owner_.recordFailure(vm);
+        owner_.metrics_
+            .counter("marjoram_turn_write_failures_total",
+                     "Calls to holders that did not confirm a turn")
+            .add();
+        if (result.status == diskFullStatus) {
+            owner_.recordFull(vm);
         }
+        problems_[vm] = result.status == 0 ? result.problem : std::to_string(result.status);
+    }
+
+    void proceed()
+    {
         if (!done_) {
             return;
         }
-        if (kept_ >= owner_.settings_.copies) {
+        switch (write_.state()) {
+        case TurnHistory::TurnWrite::State::Kept:
             finish(true);
-        } else if (!isKept) {
-            askNext();
-        }
-        if (awaited_.empty()) {
+            return;
+        case TurnHistory::TurnWrite::State::NotKept:
             finish(false);
+            return;
+        case TurnHistory::TurnWrite::State::Pending:
+            break;
+        }
+        if (const auto next = write_.nextRoundAt(); next && next != armedRound_) {
+            armedRound_ = next;
+            armRoundTimer(*next - owner_.now_());
         }
     }
 
-    void armTimer()
+    void armRoundTimer(Base::Duration delay)
+    {
+        roundTimer_.expires_after(delay);
+        roundTimer_.async_wait([self = shared_from_this()](const std::error_code &error) {
+            if (!error && self->done_) {
+                self->beginRound();
+            }
+        });
+    }
+
+    void armSlowTimer()
     {
-        timer_.expires_after(slowWrite);
-        timer_.async_wait([self = shared_from_this()](const std::error_code &error) {
+        slowTimer_.expires_after(slowWrite);
+        slowTimer_.async_wait([self = shared_from_this()](const std::error_code &error) {
             if (!error && self->done_) {
                 self->onSlow();
             }
@@ -124,20 +175,29 @@
 
     void onSlow()
     {
-        const std::set<Base::VmId> slow = awaited_;
-        for (const Base::VmId &vm : slow) {
+        for (const Base::VmId &vm : write_.awaited()) {
             owner_.recordSlow(vm);
-            askNext();
         }
-        armTimer();
+        armSlowTimer();
+        ask(write_.onSlow(owner_.now_()));
+        proceed();
     }
 
     void finish(bool isKept)
     {
-        if (!done_) {
-            return;
+        end(isKept ? "kept" : "not_kept");
+        if (isKept) {
+            owner_.cache_.add(TurnHistory::cachedTurn(std::move(turn_)));
         }
-        timer_.cancel();
+        std::exchange(done_, nullptr)(isKept);
+    }
+
+    void end(const std::string &outcome)
+    {
+        slowTimer_.cancel();
+        roundTimer_.cancel();
+        owner_.setPendingKeeps(owner_.pendingKeeps_ - 1);
+        const bool isKept = outcome == "kept";
         const Base::Duration duration = owner_.now_() - begin_;
         owner_.metrics_
             .counter("marjoram_turn_commits_total",
@@ -146,34 +206,46 @@
             .add();
         owner_.metrics_.distribution("marjoram_turn_commit_seconds", "Time to keep a turn")
             .add(Base::toSeconds(duration));
-        if (isKept) {
-            owner_.cache_.add(TurnHistory::cachedTurn(std::move(turn_)));
-        } else {
-            owner_.log_.write(
-                LogLevel::Warning,
-                "turn cannot be kept:" + failed_,
-                {.request = turn_.id.text(),
-                 .step = "keep",
-                 .details
-                 = {{"copies", static_cast<std::int64_t>(kept_)},
-                    {"holders", static_cast<std::int64_t>(candidates_.size())},
-                    {"milliseconds", static_cast<std::int64_t>(duration.count() / 1000)}}});
+        owner_.metrics_
+            .distribution("marjoram_turn_commit_calls", "Calls to holders to keep a turn")
+            .add(static_cast<double>(calls_));
+        if (!isKept || write_.rounds() > 1) {
+            writeLog(outcome, duration);
         }
-        std::exchange(done_, nullptr)(isKept);
+    }
+
+    void writeLog(const std::string &outcome, Base::Duration duration)
+    {
+        std::string problems;
+        for (const auto &[vm, problem] : problems_) {
+            problems += " " + vm.text() + ":" + problem;
+        }
+        const bool isKept = outcome == "kept";
+        owner_.log_.write(
+            isKept ? LogLevel::Info : LogLevel::Warning,
+            (isKept ? "turn kept after failures:" : "turn cannot be kept:") + problems,
+            {.request = turn_.id.text(),
+             .step = "keep",
+             .details = {{"outcome", outcome},
+                         {"copies", static_cast<std::int64_t>(write_.keptCount())},
+                         {"holders", static_cast<std::int64_t>(owner_.holders_.size())},
+                         {"rounds", static_cast<std::int64_t>(write_.rounds())},
+                         {"calls", static_cast<std::int64_t>(calls_)},
+                         {"milliseconds", static_cast<std::int64_t>(duration.count() / 1000)}}});
     }
 
     TurnKeeper &owner_;
     TurnHistory::Turn turn_;
     std::string body_;
-    std::vector<Base::VmId> candidates_;
-    std::size_t asked_ = 0;
-    std::size_t kept_ = 0;
-    std::set<Base::VmId> awaited_;
-    /// The holders that failed, with the reasons, for the log.
-    std::string failed_;
-    asio::steady_timer timer_;
+    /// The last failure of each holder, for the log.
+    std::map<Base::VmId, std::string> problems_;
+    std::size_t calls_ = 0;
+    asio::steady_timer slowTimer_;
+    asio::steady_timer roundTimer_;
+    std::optional<Base::Instant> armedRound_;
     std::function<void(bool)> done_;
     Base::Instant begin_;
+    TurnHistory::TurnWrite write_;
 };
 
 /// Collects one chain, from the cache and from the holders.
@@ -457,6 +529,13 @@
     return TurnHistory::rankHolders(placementKey, holders);
 }
 
+std::vector<Base::VmId> TurnKeeper::rankedWithRoom(const std::string &placementKey) const
+{
+    std::vector<Base::VmId> result = ranked(placementKey);
+    std::erase_if(result, [&](const Base::VmId &vm) { return now_() < holders_.at(vm).fullUntil; });
+    return result;
+}
+
 bool TurnKeeper::isSuspect(const Base::VmId &vm) const
 {
     const auto entry = holders_.find(vm);
@@ -517,9 +596,24 @@
     std::make_shared<FindCall>(*this, id, placementKey, std::move(done))->start();
 }
 
-void TurnKeeper::keep(TurnHistory::Turn turn, std::function<void(bool)> done)
+std::function<void()> TurnKeeper::keep(TurnHistory::Turn turn,
+                                       Base::Duration timeLeft,
+                                       std::function<void(bool)> done)
+{
+    const auto call = std::make_shared<KeepCall>(*this, std::move(turn), timeLeft, std::move(done));
+    call->start();
+    return [weak = std::weak_ptr(call)] {
+        if (const auto pending = weak.lock()) {
+            pending->cancel();
+        }
+    };
+}
+
+void TurnKeeper::setPendingKeeps(std::size_t count)
 {
-    std::make_shared<KeepCall>(*this, std::move(turn), std::move(done))->start();
+    pendingKeeps_ = count;
+    metrics_.gauge("marjoram_turns_pending", "Turns that are being written to holders")
+        .set(static_cast<double>(count));
 }
 
 } // namespace TurnStore
--- a/src/libs/turnstore/turnkeeper.h
+++ b/src/libs/turnstore/turnkeeper.h
@@ -51,8 +51,11 @@
     /// Finds the chain that ends with the turn \a id. Calls back once, immediately or later.
     void find(const TurnHistory::TurnId &id, const std::string &placementKey, LookupDone done);
     /// Calls back with true once the turn is on the required number of disks, and with false if
-    /// that failed.
-    void keep(TurnHistory::Turn turn, std::function<void(bool)> done);
+    /// that failed until \a timeLeft was over. Holders that fail are asked again in that time. The
+    /// returned function ends the attempts without calling back.
+    std::function<void()> keep(TurnHistory::Turn turn,
+                               Base::Duration timeLeft,
+                               std::function<void(bool)> done);
 
 private:
     class KeepCall;
@@ -71,6 +74,9 @@
 
     /// All holders for the key in the order of their rank.
     std::vector<Base::VmId> ranked(const std::string &placementKey) const;
+    /// Those of them that may have room for a turn.
+    std::vector<Base::VmId> rankedWithRoom(const std::string &placementKey) const;
+    void setPendingKeeps(std::size_t count);
     bool isSuspect(const Base::VmId &vm) const;
     bool isInOwnZone(const Base::VmId &vm) const;
     void recordSuccess(const Base::VmId &vm);
@@ -89,6 +95,8 @@
     std::function<Base::Instant()> now_;
     Telemetry::Log &log_;
     Telemetry::Metrics &metrics_;
+    /// Turns that are being written.
+    std::size_t pendingKeeps_ = 0;
     TurnHistory::TurnCache cache_;
     std::map<Base::VmId, HolderState> holders_;
 };
--- a/tests/libs/proxy/tst_keptturns.cpp
+++ b/tests/libs/proxy/tst_keptturns.cpp
@@ -35,9 +35,11 @@
             }
             done(result, chain);
         };
-        controls.keep = [this](const Turn &turn, auto done) {
+        controls.keep = [this](const Turn &turn, Base::Duration left, auto done) {
             kept.push_back(turn);
+            timeLeft = left;
             onKept = done;
+            return [this] { ++cancelled; };
         };
         fixture.passThrough().setHistory(controls);
         fixture.configure();
@@ -49,7 +51,9 @@
     Turn previous = previousTurn("club");
     std::vector<std::string> asked;
     std::vector<Turn> kept;
+    Base::Duration timeLeft{};
     std::function<void(bool)> onKept;
+    int cancelled = 0;
 };
 
 } // namespace
@@ -97,6 +101,22 @@
     cr_assert(fixture.received.find("0\r\n\r\n") == std::string::npos);
 }
 
+/// Attempts to keep a turn whose caller left would load the holders for nothing.
+Test(keptturns, endsTheAttemptsToKeepATurnWhoseCallerLeft)
+{
+    Fixture fixture;
+    History history(fixture);
+    fixture.first.add({{completeStream}});
+    fixture.request("/kept/", "r1");
+    fixture.runUntil([&] { return !history.kept.empty(); }, "the turn is to be kept");
+    cr_assert(history.timeLeft > Base::Duration::zero());
+    cr_assert_eq(history.cancelled, 0);
+    fixture.disconnect();
+    fixture.runUntil([&] { return history.cancelled == 1; }, "the attempts end");
+    history.onKept(true); // comes too late
+    cr_assert_eq(history.cancelled, 1);
+}
+
 Test(keptturns, keepsNoTurnThatBrokeOff)
 {
     Fixture fixture;
--- a/tests/libs/turnstore/storefixture.cpp
+++ b/tests/libs/turnstore/storefixture.cpp
@@ -145,7 +145,7 @@
 bool StoreFixture::keep(const TurnHistory::Turn &turn)
 {
     std::optional<bool> result;
-    keeper->keep(turn, [&](bool isKept) { result = isKept; });
+    keeper->keep(turn, timeLeft, [&](bool isKept) { result = isKept; });
     runUntil(
         context, [&] { return result.has_value(); }, "the turn is kept or not");
     return *result;
--- a/tests/libs/turnstore/storefixture.h
+++ b/tests/libs/turnstore/storefixture.h
@@ -49,6 +49,9 @@
     /// Bytes that each disk may take; applies from the next start() on.
     std::uint64_t capacityBytes = 1'000'000;
 
+    /// Time that a request has left; applies to keep().
+    Base::Duration timeLeft{};
+
     bool keep(const TurnHistory::Turn &turn);
     TurnHistory::LookupResult find(const std::string &id, std::string *joined = nullptr);
     /// A daemon that has nothing in memory.
--- a/tests/libs/turnstore/tst_turnkeeper.cpp
+++ b/tests/libs/turnstore/tst_turnkeeper.cpp
@@ -8,6 +8,15 @@
 using TurnHistory::LookupResult;
 using TurnHistory::Turn;
 
+namespace {
+
+std::uint64_t failedWrites(StoreFixture &fixture)
+{
+    return fixture.metrics.counter("marjoram_turn_write_failures_total", "").value();
+}
+
+} // namespace
+
 Test(turnkeeper, findsAChainFromMemoryAndFromHolders)
 {
     StoreFixture fixture(3, 2);
@@ -116,3 +125,52 @@
     fixture.restartKeeper();
     cr_assert_eq(fixture.find("a"), LookupResult::Found, "kept turns stay");
 }
+
+/// Every turn that ended while the daemons with disks restarted together was cut off.
+Test(turnkeeper, keepsATurnThatEndsWhileAllHoldersRestart)
+{
+    StoreFixture fixture(3, 2);
+    for (std::size_t i = 0; i < 3; ++i) {
+        fixture.stop(i);
+    }
+    std::optional<bool> result;
+    fixture.keeper->keep(
+        makeTurn("a"), std::chrono::seconds(15), [&](bool isKept) { result = isKept; });
+    // The keeper has heard of each holder that it is down before one is back.
+    runUntil(
+        fixture.context,
+        [&] { return failedWrites(fixture) >= 3 || result; },
+        "each holder has refused a call");
+    cr_assert(!result, "given up while there is time");
+    for (std::size_t i = 0; i < 3; ++i) {
+        fixture.start(i, false);
+    }
+    runUntil(
+        fixture.context, [&] { return result.has_value(); }, "the turn is kept or not");
+    cr_assert(*result);
+    fixture.restartKeeper();
+    cr_assert_eq(fixture.find("a"), LookupResult::Found);
+}
+
+Test(turnkeeper, asksNobodyForATurnWhoseRequestEnded)
+{
+    StoreFixture fixture(2, 2);
+    fixture.stop(0);
+    fixture.stop(1);
+    bool hasCalledBack = false;
+    const auto cancel = fixture.keeper->keep(
+        makeTurn("a"), std::chrono::seconds(15), [&](bool) { hasCalledBack = true; });
+    runUntil(
+        fixture.context,
+        [&] { return failedWrites(fixture) >= 2; },
+        "the holders have refused a call");
+    cancel();
+    const std::string metrics = fixture.metrics.prometheusText();
+    cr_assert(metrics.find("marjoram_turns_pending 0") != std::string::npos);
+    fixture.start(0, false);
+    fixture.start(1, false);
+    fixture.timeLeft = std::chrono::seconds(15);
+    cr_assert(fixture.keep(makeTurn("b")));
+    cr_assert(!hasCalledBack);
+    cr_assert_eq(fixture.find("a"), LookupResult::Absent);
+}
