Keep segments of turns that cannot be read at the start

A store daemon that could not read a segment when it started (an error of the disk, no file descriptor) removed the file, as it does with segments without a valid record, and still called itself synchronized. The acknowledged turns in it lost one copy for good, and with a second copy out of reach they were answered 404.

Such segments now stay for the next start. Until then the contents have a new id and are not synchronized, as if the disk had been emptied, so that other holders copy what is missing and absence is not certain. The replication plan takes the id after the segments were read.

keepsASegmentThatCannotBeReadAtTheStart on the code before: "tst_turndisk.cpp:125: Assertion Failed: the turns are removed".

--- a/src/libs/turnhistory/replicationplan.cpp
+++ b/src/libs/turnhistory/replicationplan.cpp
@@ -40,6 +40,12 @@
     updateRing(now);
 }
 
+void ReplicationPlan::setDisk(DiskId disk, bool isSynchronized)
+{
+    disk_ = std::move(disk);
+    isSynchronized_ = isSynchronized;
+}
+
 void ReplicationPlan::setLeaving()
 {
     isLeaving_ = true;
--- a/src/libs/turnhistory/replicationplan.h
+++ b/src/libs/turnhistory/replicationplan.h
@@ -47,6 +47,8 @@
 
     /// Sets the registered holders other than this one.
     void setPeers(const std::vector<Holder> &peers, Base::Instant now);
+    /// Replaces what is known of the disk; before the first offer only.
+    void setDisk(DiskId disk, bool isSynchronized);
     /// From now on this holder keeps no turns; its turns are handed over.
     void setLeaving();
     bool isLeaving() const { return isLeaving_; }
--- a/src/libs/turnstore/turndisk.cpp
+++ b/src/libs/turnstore/turndisk.cpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <random>
+#include <set>
 #include <sstream>
 #include <system_error>
 
@@ -164,19 +165,36 @@
         return;
     }
     id_ = TurnHistory::DiskId(randomId());
-    if (!writeFileDurably(settings_.folder, identityFile, id_.text() + "\n")) {
+    if (!writeIdentity()) {
         throw std::system_error(
             errno, std::generic_category(), settings_.folder + ": cannot write its identity");
     }
 }
 
+bool TurnDisk::writeIdentity()
+{
+    const std::string state = isSynchronized_ ? " synchronized\n" : "\n";
+    return writeFileDurably(settings_.folder, identityFile, id_.text() + state);
+}
+
+void TurnDisk::replaceIdentity()
+{
+    id_ = TurnHistory::DiskId(randomId());
+    isSynchronized_ = false;
+    if (!writeIdentity()) {
+        log_.write(LogLevel::Warning,
+                   std::string("id of the disk cannot be written: ") + std::strerror(errno),
+                   {.step = "disk"});
+    }
+}
+
 void TurnDisk::markSynchronized()
 {
     if (isSynchronized_) {
         return;
     }
     isSynchronized_ = true;
-    if (!writeFileDurably(settings_.folder, identityFile, id_.text() + " synchronized\n")) {
+    if (!writeIdentity()) {
         log_.write(LogLevel::Warning,
                    std::string("state of the disk cannot be written: ") + std::strerror(errno),
                    {.step = "disk"});
@@ -185,12 +203,20 @@
 
 void TurnDisk::load(TurnHistory::TurnIndex &index)
 {
+    std::set<std::uint64_t> unreadable;
     for (const auto &[segment, size] : segmentSizes_) {
-        loadSegment(segment, index);
+        if (!loadSegment(segment, index)) {
+            unreadable.insert(segment);
+        }
+    }
+    if (!unreadable.empty()) {
+        replaceIdentity();
     }
-    // Segments without a valid record have no retention that could end.
+    // Segments without a valid record have no retention that could end. Those that could not be
+    // read may be readable at the next start.
     std::erase_if(segmentSizes_, [&](const auto &entry) {
-        return !index.hasSegment(entry.first) && removeFile(entry.first, entry.second);
+        return !unreadable.contains(entry.first) && !index.hasSegment(entry.first)
+               && removeFile(entry.first, entry.second);
     });
     log_.write(LogLevel::Info,
                "turns loaded",
@@ -201,7 +227,7 @@
                             {"synchronized", std::int64_t(isSynchronized_)}}});
 }
 
-void TurnDisk::loadSegment(std::uint64_t segment, TurnHistory::TurnIndex &index)
+bool TurnDisk::loadSegment(std::uint64_t segment, TurnHistory::TurnIndex &index)
 {
     const int file = readerOf(segment);
     std::string bytes(segmentSizes_[segment], '\0');
@@ -210,7 +236,7 @@
         log_.write(LogLevel::Error,
                    pathOf(segment) + " cannot be read: " + std::strerror(errno),
                    {.step = "disk"});
-        return;
+        return false;
     }
     bytes.resize(*size);
     TurnHistory::SegmentVisitor visitor;
@@ -227,6 +253,7 @@
                                 {"bytes", static_cast<std::int64_t>(length)}}});
     };
     TurnHistory::scanSegment(bytes, visitor);
+    return true;
 }
 
 void TurnDisk::append(const std::vector<TurnHistory::Turn> &turns, Done done)
--- a/src/libs/turnstore/turndisk.h
+++ b/src/libs/turnstore/turndisk.h
@@ -49,7 +49,9 @@
     TurnDisk(const TurnDisk &) = delete;
     TurnDisk &operator=(const TurnDisk &) = delete;
 
-    /// Adds the turns of all segments to the index. Damaged records are logged and left out.
+    /// Adds the turns of all segments to the index. Damaged records are logged and left out. If a
+    /// segment cannot be read, the contents get a new id and are not synchronized, as if the disk
+    /// had been emptied: other holders then copy what is missing.
     void load(TurnHistory::TurnIndex &index);
 
     /// The id of the contents; created with the folder.
@@ -77,7 +79,10 @@
 
     std::string pathOf(std::uint64_t segment) const;
     void loadIdentity();
-    void loadSegment(std::uint64_t segment, TurnHistory::TurnIndex &index);
+    bool writeIdentity();
+    void replaceIdentity();
+    /// Returns whether the segment could be read.
+    bool loadSegment(std::uint64_t segment, TurnHistory::TurnIndex &index);
     bool removeFile(std::uint64_t segment, std::uint64_t size);
     void writeLoop();
     WriteResult writeBatch(const std::vector<Write> &batch,
--- a/src/libs/turnstore/turnstoreservice.cpp
+++ b/src/libs/turnstore/turnstoreservice.cpp
@@ -91,6 +91,7 @@
 void TurnStoreService::start()
 {
     disk_.load(index_);
+    plan_.setDisk(disk_.id(), disk_.isSynchronized());
     acceptor_.open(self_.endpoint.protocol());
     acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
     acceptor_.bind(self_.endpoint);
--- a/tests/libs/turnstore/tst_turndisk.cpp
+++ b/tests/libs/turnstore/tst_turndisk.cpp
@@ -9,6 +9,8 @@
 #include <filesystem>
 #include <fstream>
 
+#include <sys/resource.h>
+
 using namespace TurnStore;
 using TurnHistory::Turn;
 using TurnHistory::TurnId;
@@ -100,6 +102,31 @@
     cr_assert_gt(fixture.segments().size(), 1);
 }
 
+/// A segment that could not be read when the daemon started was removed with all of its turns.
+Test(turndisk, keepsASegmentThatCannotBeReadAtTheStart)
+{
+    DiskFixture fixture;
+    fixture.append(numberedTurn(1));
+    fixture.disk->markSynchronized();
+    const TurnHistory::DiskId id = fixture.disk->id();
+    fixture.disk.reset();
+    TurnDiskSettings settings;
+    settings.folder = fixture.folder.path() + "/turns";
+    settings.capacityBytes = 1'000'000;
+    TurnDisk disk(fixture.context, settings, silentLog(), fixture.metrics);
+    TurnIndex index;
+    rlimit usual{};
+    cr_assert_eq(::getrlimit(RLIMIT_NOFILE, &usual), 0);
+    const rlimit none{0, usual.rlim_max};
+    cr_assert_eq(::setrlimit(RLIMIT_NOFILE, &none), 0);
+    disk.load(index);
+    cr_assert_eq(::setrlimit(RLIMIT_NOFILE, &usual), 0);
+    cr_assert_eq(index.size(), 0);
+    cr_assert_eq(fixture.segments().size(), 1, "the turns are removed");
+    cr_assert(!disk.isSynchronized(), "absent turns are taken for certain");
+    cr_assert_neq(disk.id(), id, "other holders do not copy what is missing");
+}
+
 Test(turndisk, servesWhatIsIntactOfADamagedSegment)
 {
     DiskFixture fixture;
