Count a holder that is removed during a search as left out

A search that ends without the turn reads the list of holders again. A holder that had not answered and was removed from the list by then was forgotten, so that one more silent holder was tolerated: with copies on the removed holder and on one that does not answer, and the replacement copied to a holder after its answer, a kept turn was answered 404.

leavesOutAHolderThatWasRemovedMeanwhile on the code before: "tst_chainsearch.cpp:145: Assertion Failed: (search.state()) == (SearchState::Unknown) is false".

--- a/src/libs/turnhistory/chainsearch.cpp
+++ b/src/libs/turnhistory/chainsearch.cpp
@@ -76,11 +76,16 @@
     isFound_ = true;
 }
 
+/// A holder that was removed meanwhile may have had the turn when those that hold its copies now
+/// answered, so it stays left out; the next search does without it.
 std::vector<Base::VmId> ChainSearch::onRegistered(const std::vector<Base::VmId> &holders)
 {
-    std::erase_if(answers_, [&](const auto &entry) {
-        return std::find(holders.begin(), holders.end(), entry.first) == holders.end();
-    });
+    for (auto &[holder, answer] : answers_) {
+        const bool isRemoved = std::find(holders.begin(), holders.end(), holder) == holders.end();
+        if (isRemoved && answer != Answer::Absent) {
+            answer = Answer::Failed;
+        }
+    }
     for (const Base::VmId &holder : holders) {
         answers_.emplace(holder, Answer::NotAsked);
     }
@@ -99,7 +104,7 @@
         return SearchState::Pending;
     }
     const std::size_t leftOut = answers_.size() - count(Answer::Absent);
-    return !answers_.empty() && leftOut < copies_ ? SearchState::Absent : SearchState::Unknown;
+    return !ranked_.empty() && leftOut < copies_ ? SearchState::Absent : SearchState::Unknown;
 }
 
 } // namespace TurnHistory
--- a/tests/libs/turnhistory/tst_chainsearch.cpp
+++ b/tests/libs/turnhistory/tst_chainsearch.cpp
@@ -130,6 +130,35 @@
     cr_assert_eq(search.state(), SearchState::Found);
 }
 
+/// A turn was called absent whose copies were on a holder that was removed during the search and
+/// on one that did not answer.
+Test(chainsearch, leavesOutAHolderThatWasRemovedMeanwhile)
+{
+    ChainSearch search(vms(3), 2);
+    search.start();
+    search.onAbsent(vm(0), true);
+    search.onFailed(vm(1));
+    search.onAbsent(vm(2), true);
+    cr_assert_eq(search.state(), SearchState::Absent);
+    cr_assert(search.onRegistered({vm(0), vm(2), vm(3)}) == std::vector<Base::VmId>({vm(3)}));
+    search.onFailed(vm(3));
+    cr_assert_eq(search.state(), SearchState::Unknown);
+}
+
+/// The answer of a removed holder that did not have the turn still counts.
+Test(chainsearch, callsATurnAbsentAfterAHolderThatAnsweredWasRemoved)
+{
+    ChainSearch search(vms(3), 2);
+    search.start();
+    search.onAbsent(vm(0), true);
+    search.onAbsent(vm(1), true);
+    search.onFailed(vm(2));
+    cr_assert(search.onRegistered({vm(0), vm(2)}).empty());
+    cr_assert_eq(search.state(), SearchState::Absent);
+    cr_assert(search.onRegistered({}).empty());
+    cr_assert_eq(search.state(), SearchState::Unknown, "a list without holders tells nothing");
+}
+
 Test(chainsearch, knowsNothingWithoutHolders)
 {
     ChainSearch search({}, 2);
