--- a/src/libs/turnstore/turnkeeper.h
+++ b/src/libs/turnstore/turnkeeper.h
@@ -28,7 +28,7 @@
 };
 
 /// Writes completed turns to the daemons that keep them, and reads the chains that requests
-/// continue. Not thread-safe.
+/// continue. Has to outlive its calls to holders. Not thread-safe.
 class TurnKeeper
 {
 public:
--- a/tests/libs/turnstore/storefixture.cpp
+++ b/tests/libs/turnstore/storefixture.cpp
@@ -128,6 +128,9 @@
 
 void StoreFixture::restartKeeper()
 {
+    if (keeper) {
+        formerKeepers_.push_back(std::move(keeper));
+    }
     TurnKeeperSettings settings;
     settings.copies = copies_;
     keeper = std::make_unique<TurnKeeper>(
--- a/tests/libs/turnstore/storefixture.h
+++ b/tests/libs/turnstore/storefixture.h
@@ -74,6 +74,8 @@
     TemporaryFolder folder_;
     std::size_t copies_;
     std::vector<Node> nodes_;
+    /// Keepers that late answers may still reach.
+    std::vector<std::unique_ptr<TurnStore::TurnKeeper>> formerKeepers_;
     /// Services whose callbacks may still be pending.
     std::vector<std::unique_ptr<TurnStore::TurnStoreService>> stopped_;
     std::vector<std::unique_ptr<TurnStore::TurnDisk>> stoppedDisks_;
