Write a turn once if its write is repeated

Each repetition of a write that a holder had queued was appended to the disk again, as a turn is known to be held only once it is durable. With the attempts of up to 3 s a holder that was stopped or whose disk stalls would write each turn several times, and keep it as often for the retention period. A request for turns that one pending write contains now waits for that write and is answered with it.

--- a/src/libs/turnstore/turnstoreservice.cpp
+++ b/src/libs/turnstore/turnstoreservice.cpp
@@ -2,6 +2,7 @@
 
 #include <turnhistory/turncodec.h>
 
+#include <algorithm>
 #include <chrono>
 
 namespace TurnStore {
@@ -221,29 +222,63 @@
         respond(caller, 200);
         return;
     }
+    if (const auto pending = pendingWriteOf(*turns)) {
+        pending->push_back(caller);
+        return;
+    }
     auto shared = std::make_shared<std::vector<Turn>>(std::move(*turns));
+    const auto callers = std::make_shared<std::vector<CallerPtr>>(1, caller);
+    for (const Turn &turn : *shared) {
+        writing_[turn.id] = callers;
+    }
     ++pendingWrites_;
-    disk_.append(*shared, [this, caller, shared](WriteResult result, const auto &positions) {
+    disk_.append(*shared, [this, callers, shared](WriteResult result, const auto &positions) {
         --pendingWrites_;
-        if (result != WriteResult::Durable) {
-            log_.write(LogLevel::Warning,
-                       result == WriteResult::Full ? "turn not kept: disk is full"
-                                                   : "turn not kept: disk failed",
-                       {.request = shared->front().id.text(),
-                        .step = "keep",
-                        .details = {{"used_bytes", static_cast<std::int64_t>(disk_.usedBytes())}}});
-            respond(caller, result == WriteResult::Full ? diskFullStatus : 503);
-            return;
-        }
-        for (std::size_t i = 0; i < positions.size(); ++i) {
-            index_.add((*shared)[i], positions[i]);
+        const int status = writeEnded(*shared, result, positions);
+        for (const CallerPtr &each : *callers) {
+            respond(each, status);
         }
-        metrics_.counter("marjoram_turns_kept_total", "Turns written to disk")
-            .add(positions.size());
-        respond(caller, 200);
     });
 }
 
+/// A write that is repeated while the disk is slow is not written again.
+std::shared_ptr<std::vector<TurnStoreService::CallerPtr>> TurnStoreService::pendingWriteOf(
+    const std::vector<Turn> &turns) const
+{
+    const auto first = writing_.find(turns.front().id);
+    if (first == writing_.end()) {
+        return nullptr;
+    }
+    const bool isSame = std::all_of(turns.begin(), turns.end(), [&](const Turn &turn) {
+        const auto entry = writing_.find(turn.id);
+        return entry != writing_.end() && entry->second == first->second;
+    });
+    return isSame ? first->second : nullptr;
+}
+
+int TurnStoreService::writeEnded(const std::vector<Turn> &turns,
+                                 WriteResult result,
+                                 const std::vector<TurnHistory::TurnPosition> &positions)
+{
+    for (const Turn &turn : turns) {
+        writing_.erase(turn.id);
+    }
+    if (result != WriteResult::Durable) {
+        log_.write(LogLevel::Warning,
+                   result == WriteResult::Full ? "turn not kept: disk is full"
+                                               : "turn not kept: disk failed",
+                   {.request = turns.front().id.text(),
+                    .step = "keep",
+                    .details = {{"used_bytes", static_cast<std::int64_t>(disk_.usedBytes())}}});
+        return result == WriteResult::Full ? diskFullStatus : 503;
+    }
+    for (std::size_t i = 0; i < positions.size(); ++i) {
+        index_.add(turns[i], positions[i]);
+    }
+    metrics_.counter("marjoram_turns_kept_total", "Turns written to disk").add(positions.size());
+    return 200;
+}
+
 ChainResponse TurnStoreService::readChain(const TurnId &id)
 {
     ChainResponse response;
--- a/src/libs/turnstore/turnstoreservice.h
+++ b/src/libs/turnstore/turnstoreservice.h
@@ -54,6 +54,12 @@
     void onRequest(const CallerPtr &caller, const Proxy::CallerRequest &request);
     void updateGauges();
     void keep(const CallerPtr &caller, const std::string &body);
+    std::shared_ptr<std::vector<CallerPtr>> pendingWriteOf(
+        const std::vector<TurnHistory::Turn> &turns) const;
+    /// Returns the response's status.
+    int writeEnded(const std::vector<TurnHistory::Turn> &turns,
+                   WriteResult result,
+                   const std::vector<TurnHistory::TurnPosition> &positions);
     void sendChain(const CallerPtr &caller, const std::string &body);
     void answerOffer(const CallerPtr &caller, const std::string &body);
     TurnHistory::ChainResponse readChain(const TurnHistory::TurnId &id);
@@ -82,6 +88,8 @@
     std::set<Base::VmId> unreachable_;
     /// Writes that are accepted but not indexed yet.
     std::size_t pendingWrites_ = 0;
+    /// Those who wait for the write of a turn.
+    std::map<TurnHistory::TurnId, std::shared_ptr<std::vector<CallerPtr>>> writing_;
     std::function<void()> onHandedOver_;
 };
 
--- a/tests/libs/turnstore/tst_turnkeeper.cpp
+++ b/tests/libs/turnstore/tst_turnkeeper.cpp
@@ -152,6 +152,21 @@
     cr_assert_eq(fixture.find("a"), LookupResult::Found);
 }
 
+/// Writes that are repeated while a disk is slow must not fill it.
+Test(turnkeeper, repeatedWritesOfATurnTakeItsRoomOnce)
+{
+    StoreFixture fixture(1, 1);
+    cr_assert(fixture.keep(makeTurn("a")));
+    const std::uint64_t bytesOfOne = fixture.disk(0).usedBytes();
+    int kept = 0;
+    for (int i = 0; i < 5; ++i) {
+        fixture.keeper->keep(makeTurn("b"), {}, [&](bool isKept) { kept += isKept ? 1 : 0; });
+    }
+    runUntil(
+        fixture.context, [&] { return kept == 5; }, "all are confirmed");
+    cr_assert_eq(fixture.disk(0).usedBytes(), 2 * bytesOfOne);
+}
+
 Test(turnkeeper, asksNobodyForATurnWhoseRequestEnded)
 {
     StoreFixture fixture(2, 2);
