--- a/tests/libs/turnstore/storefixture.cpp
+++ b/tests/libs/turnstore/storefixture.cpp
@@ -128,6 +128,9 @@
 
 void StoreFixture::restartKeeper()
 {
+    if (keeper) {
+        formerKeepers_.push_back(std::move(keeper));
+    }
     TurnKeeperSettings settings;
     settings.copies = copies_;
     keeper = std::make_unique<TurnKeeper>(
@@ -145,7 +148,7 @@
 bool StoreFixture::keep(const TurnHistory::Turn &turn)
 {
     std::optional<bool> result;
-    keeper->keep(turn, [&](bool isKept) { result = isKept; });
+    keeper->keep(turn, timeLeft, [&](bool isKept) { result = isKept; });
     runUntil(
         context, [&] { return result.has_value(); }, "the turn is kept or not");
     return *result;
--- a/tests/libs/turnstore/storefixture.h
+++ b/tests/libs/turnstore/storefixture.h
@@ -49,6 +49,9 @@
     /// Bytes that each disk may take; applies from the next start() on.
     std::uint64_t capacityBytes = 1'000'000;
 
+    /// Time that a request has left; applies to keep().
+    Base::Duration timeLeft{};
+
     bool keep(const TurnHistory::Turn &turn);
     TurnHistory::LookupResult find(const std::string &id, std::string *joined = nullptr);
     /// A daemon that has nothing in memory.
@@ -71,6 +74,8 @@
     TemporaryFolder folder_;
     std::size_t copies_;
     std::vector<Node> nodes_;
+    /// Keepers that late answers may still reach.
+    std::vector<std::unique_ptr<TurnStore::TurnKeeper>> formerKeepers_;
     /// Services whose callbacks may still be pending.
     std::vector<std::unique_ptr<TurnStore::TurnStoreService>> stopped_;
     std::vector<std::unique_ptr<TurnStore::TurnDisk>> stoppedDisks_;
