Do not pass on a promise that the server did not make

Callers got a server's 408, 429 or 503 unchanged although the server had not stated that the request was not run. They take these statuses for that promise and send the request again.

Cause: only the server's mark decided whether another server is tried; without it the response was forwarded like any other error.

Such a response now counts as broken, as the request may have run: idempotent requests go to another server, others end with 502.

Evidence: aRefusalWithoutTheMarkPromisesNothingToTheCaller failed before ("HTTP/1.1 503 Busy, Request-Id: r1" reached the caller).

Also adds a test of unnamed refusals through a relay, whose own response comes first on the connection; it passed without this change.

--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -6,6 +6,12 @@
 
 using Contracts::RouteKind;
 
+/// Whether callers take the status for the promise that their request was not run.
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 429 || status == 503;
+}
+
 } // namespace
 
 HeadVerdict Exchange::onHead(const ResponseHead &head, const Framing &framing)
@@ -45,6 +51,12 @@
                      : "success without proof of its server, or with a content encoding");
         return HeadVerdict::Accept;
     }
+    if (promisesNotRun(head.status)) {
+        releaseServer(false);
+        onBroken("server responded with " + std::to_string(head.status)
+                 + " without stating that the request was not run");
+        return HeadVerdict::Accept;
+    }
     const auto type = head.headers.find("Content-Type");
     const bool isEventStream = route_->kind == RouteKind::Stream && isSuccess && type
                                && type->starts_with("text/event-stream");
--- a/tests/libs/proxy/tst_staleresponses.cpp
+++ b/tests/libs/proxy/tst_staleresponses.cpp
@@ -1,4 +1,4 @@
-#include "passthroughfixture.h"
+#include "relayfixture.h"
 
 namespace {
 
@@ -207,3 +207,41 @@
     fresh.send(request);
     fresh.awaitResponse("HTTP/1.1 503");
 }
+
+/// Guards against a status that promises the caller that its request was not run, from a server
+/// that does not state it (REFUSED).
+Test(staleresponses, aRefusalWithoutTheMarkPromisesNothingToTheCaller)
+{
+    for (const std::string status : {"503 Busy", "429 Busy", "408 Late"}) {
+        Fixture fixture;
+        fixture.configure();
+        fixture.listSecondElsewhere();
+        fixture.first.add(
+            {{"HTTP/1.1 " + status + "\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n"}});
+        fixture.second.add({{okResponse}});
+        fixture.request("/once/", "r1");
+        fixture.awaitResponse("\r\n\r\n");
+        cr_assert(fixture.received.starts_with("HTTP/1.1 502"), "%s", fixture.received.c_str());
+        cr_assert_eq(fixture.second.requests().size(), 0);
+    }
+}
+
+/// Guards against the same faults on connections through another daemon, whose own response comes
+/// first.
+Test(staleresponses, aRefusalThroughARelayIsBelievedOnlyForTheFirstRequest)
+{
+    RelayFixture fresh(refusingAddress());
+    fresh.first.add({{unnamedRefusal}});
+    fresh.second.add({{okResponse}});
+    fresh.request("/once/", "r1");
+    fresh.awaitResponse("hello");
+    cr_assert_eq(fresh.second.requests().size(), 1);
+    RelayFixture kept(refusingAddress());
+    kept.first.add({{okResponse, unnamedRefusal + okResponse}});
+    kept.second.add({{okResponse}});
+    kept.request("/once/", "r1");
+    kept.awaitResponse("hello");
+    kept.request("/once/", "r2");
+    kept.awaitResponse("HTTP/1.1 502");
+    cr_assert_eq(kept.second.requests().size(), 0);
+}
