Handle a request that has arrived before its connection is taken for idle

A request that arrives while the handlers of earlier events run waits in the socket. A connection that closed for idleness or a shutdown at that moment was taken for idle: the request was left unread, and its connection ended. On a slow machine that is later than the time in which a caller may take the end for a close that crossed its request.

The unread bytes of the socket now count: the connection is not idle, and a response announces no close. What is still unread when a connection closes is logged as unread_bytes, so that a request that is left in the socket shows too.

Found in review. aRequestThatHasArrivedKeepsAnIdleConnectionOpen fails without the check in isIdle(): the second request gets no response.

--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -209,8 +209,8 @@
     if (isClosed_) {
         return;
     }
-    // A request that was read already is handled before the connection closes.
-    if (handlers_->isStopping() && incoming_.empty()) {
+    // A request that has arrived already is handled before the connection closes.
+    if (handlers_->isStopping() && incoming_.empty() && unreadBytes() == 0) {
         isKeptAlive_ = false;
     }
     if (framing.kind == BodyFraming::Chunked && !isHttp11_) {
@@ -395,7 +395,9 @@
         respond(head, {});
         return;
     }
-    if (isQuiet) {
+    if (isQuiet && unreadBytes() > 0) {
+        lastActivity_ = now; // the bytes are read next
+    } else if (isQuiet) {
         close(CloseReason::IdleTimeout);
         return;
     }
@@ -408,7 +410,15 @@
 bool CallerConnection::isIdle() const
 {
     return !isHandling_ && !isClosing_ && parser_.state() == ParseState::Empty && incoming_.empty()
-           && pendingBytes() == 0;
+           && pendingBytes() == 0 && unreadBytes() == 0;
+}
+
+/// Bytes that have arrived while the handlers of earlier events ran.
+std::size_t CallerConnection::unreadBytes() const
+{
+    std::error_code error;
+    const std::size_t size = socket_.available(error);
+    return error ? 0 : size;
 }
 
 void CallerConnection::closeIfIdle()
@@ -425,6 +435,7 @@
     ConnectionEnd end;
     end.reason = reason;
     end.unhandledBytes = incoming_.size();
+    end.unreadBytes = unreadBytes();
     end.unsentBytes = pendingBytes();
     std::string_view rest = incoming_;
     MessageParser parser(MessageParser::Kind::Request);
--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -47,6 +47,8 @@
     std::size_t unhandledBytes = 0;
     /// Complete requests among them.
     std::size_t unhandledRequests = 0;
+    /// Bytes that arrived and were not read; their senders may repeat the requests.
+    std::size_t unreadBytes = 0;
     /// Bytes of responses that were not sent.
     std::size_t unsentBytes = 0;
 };
@@ -115,6 +117,7 @@
     void announceClose();
     void closeAfterWrites(CloseReason reason);
     bool isIdle() const;
+    std::size_t unreadBytes() const;
     void close(CloseReason reason);
     ConnectionEnd endNow(CloseReason reason) const;
 
--- a/src/libs/proxy/requestaccount.cpp
+++ b/src/libs/proxy/requestaccount.cpp
@@ -84,6 +84,7 @@
          .details = {{"reason", nameOf(end.reason)},
                      {"unhandled_requests", static_cast<std::int64_t>(end.unhandledRequests)},
                      {"unhandled_bytes", static_cast<std::int64_t>(end.unhandledBytes)},
+                     {"unread_bytes", static_cast<std::int64_t>(end.unreadBytes)},
                      {"unsent_bytes", static_cast<std::int64_t>(end.unsentBytes)}}});
 }
 
--- a/tests/libs/proxy/tst_callerconnection.cpp
+++ b/tests/libs/proxy/tst_callerconnection.cpp
@@ -67,6 +67,25 @@
     cr_assert(fixture.received.find("Connection: close") != std::string::npos);
 }
 
+/// Guards against a connection that is taken for idle while a request waits in its socket.
+Test(callerconnection, aRequestThatHasArrivedKeepsAnIdleConnectionOpen)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{okResponse, okResponse}});
+    fixture.request("/once/", "r1");
+    fixture.awaitResponse("hello");
+    fixture.runUntil([&] { return fixture.passThrough().activeRequests() == 0; },
+                     "the first request ends");
+    fixture.context().poll(); // the response is written, and the connection idle
+    fixture.passThrough().stop();
+    fixture.request("/once/", "r2");
+    fixture.passThrough().closeIdle();
+    fixture.awaitClose();
+    cr_assert(fixture.received.find("Request-Id: r2") != std::string::npos);
+}
+
 /// Guards against requests in progress whose connection ends with the process.
 Test(callerconnection, requestsInProgressAreAnsweredWhenTheProcessEnds)
 {
