Count a holder's confirmation as long as it is registered, and end a write if the disks are full

Found in review of TurnWrite. A holder that confirmed a turn and whose disk then became full was no longer passed to the next round, so its confirmation was dropped and the turn asked of others or refused. The answer of a holder that had been removed since it was asked counted, although its disk may be gone. And a turn that cannot be kept because too few disks have room waited until its request's deadline.

A round now gets all registered holders and, apart from them, those without room. A write ends once fewer holders than copies may confirm it because of full disks.

--- a/src/libs/turnhistory/turnwrite.cpp
+++ b/src/libs/turnhistory/turnwrite.cpp
@@ -28,8 +28,11 @@
 /// Later rounds first ask the holders that were not asked for the longest time, so that none stays
 /// unasked while others fail again and again.
 std::vector<Base::VmId> TurnWrite::beginRound(const std::vector<Base::VmId> &ranked,
-                                              Base::Instant now)
+                                              Base::Instant now,
+                                              const std::set<Base::VmId> &withoutRoom)
 {
+    registered_ = ranked;
+    withoutRoom_ = withoutRoom;
     nextRoundAt_.reset();
     std::erase_if(kept_, [&](const auto &entry) {
         return now - entry.second > confirmationPeriod
@@ -37,7 +40,7 @@
     });
     candidates_.clear();
     for (const Base::VmId &holder : ranked) {
-        if (!kept_.contains(holder) && !awaited_.contains(holder) && !full_.contains(holder)) {
+        if (!kept_.contains(holder) && !awaited_.contains(holder) && hasRoom(holder)) {
             candidates_.push_back(holder);
         }
     }
@@ -86,7 +89,7 @@
     if (kept_.size() >= settings_.copies) {
         return State::Kept;
     }
-    return isTimeOver_ && awaited_.empty() ? State::NotKept : State::Pending;
+    return isLastRound_ && awaited_.empty() ? State::NotKept : State::Pending;
 }
 
 std::vector<Base::VmId> TurnWrite::askUntilEnough(Base::Instant now)
@@ -100,7 +103,7 @@
         askedAt_[holder] = now;
         result.push_back(holder);
     }
-    if (expected() < settings_.copies && !nextRoundAt_) {
+    if (expected() < settings_.copies) {
         planNextRound(now);
     }
     return result;
@@ -108,12 +111,36 @@
 
 void TurnWrite::planNextRound(Base::Instant now)
 {
+    if (areDisksFull()) {
+        nextRoundAt_.reset();
+        isLastRound_ = true;
+        return;
+    }
+    if (nextRoundAt_) {
+        return;
+    }
     if (now + pause_ >= settings_.deadline) {
-        isTimeOver_ = true;
+        isLastRound_ = true;
         return;
     }
     nextRoundAt_ = now + pause_;
     pause_ = std::min(longestPause, 2 * pause_);
 }
 
+bool TurnWrite::hasRoom(const Base::VmId &holder) const
+{
+    return !full_.contains(holder) && !withoutRoom_.contains(holder);
+}
+
+/// Disks stay full for longer than a request lasts, so waiting for them is of no use.
+bool TurnWrite::areDisksFull() const
+{
+    const auto usable
+        = std::count_if(registered_.begin(), registered_.end(), [&](const Base::VmId &holder) {
+              return kept_.contains(holder) || hasRoom(holder);
+          });
+    const bool isAnyFull = !full_.empty() || !withoutRoom_.empty();
+    return isAnyFull && static_cast<std::size_t>(usable) < settings_.copies;
+}
+
 } // namespace TurnHistory
--- a/src/libs/turnhistory/turnwrite.h
+++ b/src/libs/turnhistory/turnwrite.h
@@ -26,15 +26,17 @@
         /// Responses are awaited, or a round is to begin.
         Pending,
         Kept,
-        /// The turn is not on enough disks, and the time is over.
+        /// The turn is not on enough disks, and no round follows.
         NotKept
     };
 
     explicit TurnWrite(Settings settings);
 
-    /// Begins a round with the registered holders that may have room, in the order in which to ask
-    /// them. Like the following, returns the holders to ask now.
-    std::vector<Base::VmId> beginRound(const std::vector<Base::VmId> &ranked, Base::Instant now);
+    /// Begins a round with the registered holders, in the order in which to ask them; those without
+    /// room are not asked. Like the following, returns the holders to ask now.
+    std::vector<Base::VmId> beginRound(const std::vector<Base::VmId> &ranked,
+                                       Base::Instant now,
+                                       const std::set<Base::VmId> &withoutRoom = {});
     std::vector<Base::VmId> onKept(const Base::VmId &holder, Base::Instant now);
     std::vector<Base::VmId> onFailed(const Base::VmId &holder, Base::Instant now);
     /// The holder's disk has no room; it is not asked again.
@@ -52,6 +54,8 @@
 private:
     std::vector<Base::VmId> askUntilEnough(Base::Instant now);
     void planNextRound(Base::Instant now);
+    bool hasRoom(const Base::VmId &holder) const;
+    bool areDisksFull() const;
 
     Settings settings_;
     /// Holders that this round may still ask.
@@ -65,7 +69,10 @@
     std::size_t rounds_ = 0;
     Base::Duration pause_;
     std::optional<Base::Instant> nextRoundAt_;
-    bool isTimeOver_ = false;
+    /// The registered holders, and those of them that have no room, at the start of the round.
+    std::vector<Base::VmId> registered_;
+    std::set<Base::VmId> withoutRoom_;
+    bool isLastRound_ = false;
 };
 
 } // namespace TurnHistory
--- a/src/libs/turnstore/turnkeeper.cpp
+++ b/src/libs/turnstore/turnkeeper.cpp
@@ -79,10 +79,10 @@
 private:
     void beginRound()
     {
-        std::vector<Base::VmId> holders = owner_.rankedWithRoom(turn_.placementKey);
+        std::vector<Base::VmId> holders = owner_.ranked(turn_.placementKey);
         std::stable_partition(
             holders.begin(), holders.end(), [&](const auto &vm) { return !owner_.isSuspect(vm); });
-        ask(write_.beginRound(holders, owner_.now_()));
+        ask(write_.beginRound(holders, owner_.now_(), owner_.holdersWithoutRoom()));
         proceed();
     }
 
@@ -105,7 +105,8 @@
         if (!done_) {
             return;
         }
-        if (result.status == 200) {
+        // The disk of a holder that was removed meanwhile may be gone.
+        if (result.status == 200 && owner_.holders_.contains(vm)) {
             ask(write_.onKept(vm, owner_.now_()));
         } else if (result.status == diskFullStatus) {
             ask(write_.onFull(vm, owner_.now_()));
@@ -529,10 +530,14 @@
     return TurnHistory::rankHolders(placementKey, holders);
 }
 
-std::vector<Base::VmId> TurnKeeper::rankedWithRoom(const std::string &placementKey) const
+std::set<Base::VmId> TurnKeeper::holdersWithoutRoom() const
 {
-    std::vector<Base::VmId> result = ranked(placementKey);
-    std::erase_if(result, [&](const Base::VmId &vm) { return now_() < holders_.at(vm).fullUntil; });
+    std::set<Base::VmId> result;
+    for (const auto &[vm, state] : holders_) {
+        if (now_() < state.fullUntil) {
+            result.insert(vm);
+        }
+    }
     return result;
 }
 
--- a/src/libs/turnstore/turnkeeper.h
+++ b/src/libs/turnstore/turnkeeper.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace TurnStore {
 
@@ -74,8 +75,7 @@
 
     /// All holders for the key in the order of their rank.
     std::vector<Base::VmId> ranked(const std::string &placementKey) const;
-    /// Those of them that may have room for a turn.
-    std::vector<Base::VmId> rankedWithRoom(const std::string &placementKey) const;
+    std::set<Base::VmId> holdersWithoutRoom() const;
     void setPendingKeeps(std::size_t count);
     bool isSuspect(const Base::VmId &vm) const;
     bool isInOwnZone(const Base::VmId &vm) const;
--- a/tests/libs/turnhistory/tst_turnwrite.cpp
+++ b/tests/libs/turnhistory/tst_turnwrite.cpp
@@ -177,6 +177,30 @@
     cr_assert_eq(fleet.calls[VmId("vm2")].size(), 1);
 }
 
+/// Guards against a request that waits for its deadline although its turn cannot be kept.
+Test(turnwrite, endsAtOnceIfTooFewDisksHaveRoom)
+{
+    Fleet fleet(3, 2, 3000, [](const VmId &vm, std::int64_t) {
+        return vm == VmId("vm0") ? Answer::Refused : Answer::Full;
+    });
+    cr_assert_leq(fleet.run(), 10);
+    cr_assert_eq(fleet.write.state(), TurnWrite::State::NotKept);
+}
+
+/// Guards against a confirmed turn that is refused because the disk became full with it.
+Test(turnwrite, countsAHolderThatBecameFullAfterItsConfirmation)
+{
+    const std::vector<VmId> holders{VmId("vm0"), VmId("vm1")};
+    TurnWrite write({.copies = 2, .deadline = Fleet::at(3000)});
+    write.beginRound(holders, Fleet::at(0));
+    write.onKept(holders[0], Fleet::at(1));
+    write.onFailed(holders[1], Fleet::at(1));
+    cr_assert(write.beginRound(holders, Fleet::at(60), {holders[0]})
+              == std::vector<VmId>({holders[1]}));
+    write.onKept(holders[1], Fleet::at(61));
+    cr_assert_eq(write.state(), TurnWrite::State::Kept);
+}
+
 /// A disk that confirmed the turn may be lost before another one has it.
 Test(turnwrite, requestsOldConfirmationsAgain)
 {
