--- a/tests/soak/soakenvironment.cpp
+++ b/tests/soak/soakenvironment.cpp
@@ -456,7 +456,17 @@
     }
 }
 
-/// SIGTERM to one daemon after another, while streams run and the configuration changes.
+/// The loss of one holder is tolerated, so no turn may be cut because of it.
+void SoakEnvironment::stopHolder(Holder &holder)
+{
+    if (areHoldersRunning() && Proxy::steadyNow() - holdersCalmSince_ > catchUpTime) {
+        holder.isExitExpected = true;
+        holder.process->signal(SIGTERM);
+    }
+}
+
+/// SIGTERM to one daemon after another, while streams run and the configuration changes, and to one
+/// holder.
 void SoakEnvironment::stopDaemonsInTurn()
 {
     Milliseconds delay = randomDuration(stopRandom_, 500, 2000);
@@ -474,6 +484,12 @@
         });
         delay += randomDuration(stopRandom_, 100, 1200);
     }
+    Holder &holder = holders_[stopRandom_.below(holders_.size())];
+    schedule(randomDuration(stopRandom_, 0, 3000), [this, &holder] {
+        if (!areFaultsStopped_) {
+            stopHolder(holder);
+        }
+    });
     schedule(delay + std::chrono::seconds(1), [this] {
         if (!areFaultsStopped_) {
             stopDaemonsInTurn();
@@ -820,12 +836,12 @@
     for (Daemon &daemon : daemons_) {
         stopDaemon(daemon);
     }
+    waitForDaemonsToStop();
     for (Holder &holder : holders_) {
         holder.isExitExpected = true;
         holder.process->signal(SIGTERM);
     }
     runFor(Milliseconds(500)); // requests in transit still reach the servers
-    waitForDaemonsToStop();
     ledger_.checkAtEnd();
     return {ledger_.violations(),
             ledger_.servedCount(),
--- a/tests/soak/soakenvironment.h
+++ b/tests/soak/soakenvironment.h
@@ -101,6 +101,7 @@
     static std::chrono::milliseconds randomDuration(Base::Random &random, int minMs, int maxMs);
 
     void stopDaemonsInTurn();
+    void stopHolder(Holder &holder);
     void waitForDaemonsToStop();
     void startFaults();
     void scheduleFault();
