--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -144,6 +144,7 @@
     void checkRate(const std::string &team, Base::Instant now);
     bool wasDisturbed(const std::string &name, Base::Instant from, Base::Instant to) const;
     bool wereServersDisturbed(const Attempt &attempt, Base::Instant now) const;
+    bool wasStopping(const Attempt &attempt, Base::Instant now) const;
     std::string allowedCut(const Attempt &attempt, bool wasRead, Base::Instant now) const;
     void checkGatewayError(const std::string &id, const Attempt &attempt, Base::Instant now);
 
--- a/tests/soak/soakenvironment.h
+++ b/tests/soak/soakenvironment.h
@@ -59,6 +59,8 @@
         std::unique_ptr<DaemonProcess> process;
         /// Time by which a daemon must have exited after SIGTERM.
         std::optional<Base::Instant> stopDeadline;
+        /// Requests may be in progress at the end of a stop if the process was paused within it.
+        bool wasPausedInStop = false;
         bool isExitExpected = false;
         bool isPaused = false;
     };
