Soak: a raw caller sends one batch at a time

A timer that had expired when the connection ended sent a second batch before the first one was answered, so a request that had crossed the end of a connection was reported as read.

--- a/tests/soak/rawcaller.cpp
+++ b/tests/soak/rawcaller.cpp
@@ -24,12 +24,14 @@
     , random_(seed)
     , socket_(context)
     , timer_(context)
+    , pauseTimer_(context)
     , timeoutTimer_(context)
 {}
 
 void RawCaller::sendRequests()
 {
-    if (isStopping_) {
+    // A timer that has expired already cannot be cancelled.
+    if (isStopping_ || !pending_.empty()) {
         return;
     }
     Gateway gateway;
@@ -169,8 +171,8 @@
         return;
     }
     constexpr std::uint64_t maxPauseMs = 1000;
-    timer_.expires_after(std::chrono::milliseconds(random_.below(maxPauseMs)));
-    timer_.async_wait(
+    pauseTimer_.expires_after(std::chrono::milliseconds(random_.below(maxPauseMs)));
+    pauseTimer_.async_wait(
         [self = shared_from_this(), number = connectionNumber_](const std::error_code &) {
             if (number == self->connectionNumber_) {
                 self->read();
--- a/tests/soak/rawcaller.h
+++ b/tests/soak/rawcaller.h
@@ -70,6 +70,7 @@
     Base::Random random_;
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
+    asio::steady_timer pauseTimer_;
     asio::steady_timer timeoutTimer_;
     Proxy::MessageParser parser_{Proxy::MessageParser::Kind::Response};
     std::array<char, 16'384> buffer_{};
