--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -15,6 +15,8 @@
     Exchange(PassThrough &owner, std::shared_ptr<CallerConnection> caller, CallerRequest request);
 
     void start();
+    /// Ends the request because the process is about to end.
+    void onProcessEnding();
 
 private:
     /// How the exchange ended, for the log.
@@ -66,9 +68,10 @@
     void refuseQuarantined();
     void connect(const Dispatch::Placement &placement);
     void onConnected(std::shared_ptr<ClientConnection> connection, const std::string &problem);
-    void sendTo(std::shared_ptr<ClientConnection> connection);
+    void sendTo(std::shared_ptr<ClientConnection> connection, bool isKept);
     std::string serializeForServer() const;
     HeadVerdict onHead(const ResponseHead &head, const Framing &framing);
+    void onStaleResponse();
     void recordStatements(const ResponseTraits &traits);
     void recordLimit(const ResponseTraits &traits);
     void recordResponse(int status);
@@ -134,6 +137,9 @@
     /// The limit that the server of the last response states.
     std::optional<Base::RequestRate> requestLimit_;
 
+    /// A response that names no request may belong to another one: the connection of the current
+    /// attempt had one before, or a response to another one came on it.
+    bool isUnnamedUncertain_ = false;
     /// The server of the current attempt has sent the head of its response.
     bool hasResponseBegun_ = false;
     ResponseHead head_;
@@ -170,6 +176,8 @@
     /// Time until the history was known.
     Base::Duration historyTime_{};
     Base::Instant keepingSince_;
+    /// Ends the attempts to keep the turn.
+    std::function<void()> cancelKeeping_;
     Base::Duration keepingTime_{};
 };
 
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -92,8 +92,11 @@
     /// Finds the chain that ends with the given turn. Calls back once, immediately or later.
     std::function<void(const TurnHistory::TurnId &, const std::string &placementKey, FindCallback)>
         find;
-    /// Calls back once the turn is durable, or with false if it cannot be kept.
-    std::function<void(TurnHistory::Turn, std::function<void(bool)>)> keep;
+    /// Calls back once the turn is durable, or with false if it cannot be kept in the given time.
+    /// The returned function ends the attempts without calling back.
+    std::function<std::function<void()>(
+        TurnHistory::Turn, Base::Duration timeLeft, std::function<void(bool)>)>
+        keep;
 };
 
 /// Access to the limits that servers state on the requests of all daemons together.
@@ -189,7 +192,9 @@
     void stop();
     /// Closes idle connections during the shutdown.
     void closeIdle();
-    std::size_t activeRequests() const { return active_; }
+    /// Ends all requests in progress; those without a response yet get one.
+    void endRequests();
+    std::size_t activeRequests() const { return exchanges_.size(); }
     std::size_t openConnections() const { return connections_.size(); }
     const RequestAccount &account() const { return account_; }
     void addConnection(const std::shared_ptr<CallerConnection> &connection);
@@ -227,7 +232,8 @@
     std::shared_ptr<CallerHandlers> handlers_;
     std::set<std::shared_ptr<CallerConnection>> connections_;
     RecentPrograms recentPrograms_;
-    std::size_t active_ = 0;
+    /// The requests in progress.
+    std::set<Exchange *> exchanges_;
     bool isStopping_ = false;
 };
 
