Reset a response that ends with its connection if the process is killed

A stream to a caller of HTTP/1.0 looked complete if the daemon was killed within it: the system closes the connections of a killed process in the ordinary way.

The connection is now set to be reset when it closes as soon as such a response begins, and back at its regular end. abort() needs no case of its own any more.

--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -222,6 +222,9 @@
     if (!isKeptAlive_) {
         announceClose();
     }
+    if (framing.kind == BodyFraming::UntilClose) {
+        setResetOnClose(true);
+    }
     responseFraming_ = framing;
     outgoing_ += serializeResponse(head, framing, isKeptAlive_);
     flush();
@@ -249,6 +252,8 @@
     }
     if (responseFraming_.kind == BodyFraming::Chunked && !isHeadRequest_) {
         outgoing_ += "0\r\n\r\n";
+    } else if (responseFraming_.kind == BodyFraming::UntilClose) {
+        setResetOnClose(false);
     }
     finishResponse();
     flush();
@@ -280,14 +285,17 @@
 {
     onDisconnected_ = nullptr;
     onDrained_ = nullptr;
-    if (isHandling_ && responseFraming_.kind == BodyFraming::UntilClose) {
-        // An ordinary close would be the regular end of this response.
-        std::error_code ignored; // the connection is closed either way
-        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-    }
     close(CloseReason::ResponseAborted);
 }
 
+/// The regular end of the connection completes a response that is framed by it. Until then the
+/// system resets the connection if it closes, also if the process is killed.
+void CallerConnection::setResetOnClose(bool isReset)
+{
+    std::error_code ignored; // nothing can be done if the option is not supported
+    socket_.set_option(asio::socket_base::linger(isReset, 0), ignored);
+}
+
 void CallerConnection::flush()
 {
     if (isClosed_ || !writing_.empty()) {
--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -107,6 +107,7 @@
     void parse();
     void dispatchRequest();
     void watchForDisconnect();
+    void setResetOnClose(bool isReset);
     void reject();
     void sendContinueIfExpected();
     void finishResponse();
