Let the pending read decide whether an idle connection closes

A daemon that stops closed idle connections while a read had completed and its handler was queued: the request in it was read and dropped.

closeIfIdle() now cancels the read; its handler closes the connection if it was cancelled, and otherwise handles the bytes.

--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -107,8 +107,9 @@
 
 void CallerConnection::onRead(const std::error_code &error, std::size_t size)
 {
-    if (error == asio::error::operation_aborted && isCloseAnnounced_) {
-        watchForDisconnect();
+    const bool isCloseRequested = std::exchange(isIdleCloseRequested_, false);
+    if (error == asio::error::operation_aborted && (isCloseRequested || isCloseAnnounced_)) {
+        onReadCancelled();
         return;
     }
     if (error) {
@@ -121,6 +122,17 @@
     read();
 }
 
+void CallerConnection::onReadCancelled()
+{
+    if (isCloseAnnounced_) {
+        watchForDisconnect();
+    } else if (isIdle()) {
+        closeAfterWrites(CloseReason::Shutdown);
+    } else {
+        read();
+    }
+}
+
 void CallerConnection::parse()
 {
     if (isParsing_) {
@@ -429,10 +441,12 @@
     return error ? 0 : size;
 }
 
+/// The pending read may have completed already, with its handler queued, so it decides.
 void CallerConnection::closeIfIdle()
 {
     if (isIdle()) {
-        closeAfterWrites(CloseReason::Shutdown);
+        isIdleCloseRequested_ = true;
+        readCancellation_.emit(asio::cancellation_type::total);
     }
 }
 
--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -107,6 +107,7 @@
     void parse();
     void dispatchRequest();
     void watchForDisconnect();
+    void onReadCancelled();
     void setResetOnClose(bool isReset);
     void reject();
     void sendContinueIfExpected();
@@ -148,6 +149,8 @@
     bool hasContinued_ = false;
     /// The response in progress announces that the connection closes, so no later request is read.
     bool isCloseAnnounced_ = false;
+    /// The connection closes once its pending read has ended without a byte.
+    bool isIdleCloseRequested_ = false;
     bool isClosing_ = false;
     bool isClosed_ = false;
     bool isParsing_ = false;
