--- a/tests/libs/proxy/tst_brokenstreams.cpp
+++ b/tests/libs/proxy/tst_brokenstreams.cpp
@@ -11,13 +11,16 @@
     = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nProof: p\r\nContent-Length: 5\r\n\r\nstale";
 const std::string lastChunk = "0\r\n\r\n";
 
+const std::string jsonSuccess
+    = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nContent-Type: application/json\r\n"
+      "Content-Length: 2\r\n\r\n{}";
+
 /// Responses of the next server that continue no stream.
 const std::vector<std::string> useless{
     notRunResponse,
     jsonError,
     "HTTP/1.1 404 Not Found\r\nRequest-Id: {id}\r\nProof: p\r\nContent-Length: 4\r\n\r\nnone",
-    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nContent-Type: application/json\r\n"
-    "Content-Length: 2\r\n\r\n{}",
+    jsonSuccess,
     "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Type: text/event-stream\r\n"
     "Transfer-Encoding: chunked\r\n\r\n"
         + chunk(event(2)) + lastChunk,
@@ -149,13 +152,16 @@
 Test(brokenstreams, anErrorBehindTheBytesOfAStreamIsNotPartOfIt)
 {
     const std::string begun = streamHead + chunk(event(1));
+    const std::string next = streamHead + chunk(event(2)) + lastChunk;
+    const std::string completeAndError = begun + lastChunk + jsonError;
+    const std::string eventAndError = chunk(event(2)) + jsonError;
     for (const Variant &variant : variants) {
-        StreamFixture complete(variant, {streamHead + chunk(event(2)) + lastChunk});
-        complete.first.add({{begun + lastChunk + jsonError}});
+        StreamFixture complete(variant, {next});
+        complete.first.add({{completeAndError}});
         complete.requestStream();
         complete.expectEvents({event(1)}, true);
-        StreamFixture broken(variant, {streamHead + chunk(event(2)) + lastChunk});
-        broken.first.add({{begun, chunk(event(2)) + jsonError}});
+        StreamFixture broken(variant, {next});
+        broken.first.add({{begun, eventAndError}});
         broken.requestStream();
         broken.awaitResponse("data: d1");
         broken.first.sendNext("r1");
--- a/tests/libs/proxy/tst_staleresponses.cpp
+++ b/tests/libs/proxy/tst_staleresponses.cpp
@@ -124,8 +124,9 @@
 Test(staleresponses, aLateRefusalOfAnEarlierRequestIsSkipped)
 {
     for (const char *status : {"503 Busy", "429 Busy", "408 Late", "421 Misdirected"}) {
-        KeptFixture fixture(refusalOf("r1", status) + refusalOf("r1", status) + interim
-                            + okResponse);
+        std::string responses = refusalOf("r1", status);
+        responses.append(responses).append(interim).append(okResponse);
+        KeptFixture fixture(responses);
         fixture.request("/once/", "r2");
         fixture.awaitResponse("hello");
         cr_assert(fixture.received.starts_with("HTTP/1.1 200"), "%s", fixture.received.c_str());
--- a/tests/libs/proxy/tst_unframedresponses.cpp
+++ b/tests/libs/proxy/tst_unframedresponses.cpp
@@ -99,11 +99,12 @@
 /// Guards against a stream that ends within an event and looks complete (ORDER).
 Test(unframedresponses, aStreamThatEndsWithinAnEventIsNotComplete)
 {
-    for (const std::string rest : {"id: 2\ndata: d2\n", "id: 2\n", "d", "\r"}) {
+    const std::string begun = unframedStreamHead + event(1);
+    for (const char *rest : {"id: 2\ndata: d2\n", "id: 2\n", "d", "\r"}) {
         Fixture fixture;
         fixture.configure();
         fixture.listServers(false);
-        fixture.first.add({{unframedStreamHead + event(1) + rest}, true});
+        fixture.first.add({{std::string(begun).append(rest)}, true});
         fixture.request("/resumable/", "r1");
         fixture.awaitClose();
         cr_assert(fixture.received.ends_with(chunk(event(1))), "%s", fixture.received.c_str());
@@ -114,11 +115,12 @@
 Test(unframedresponses, aResponseWithoutABodyIsCompleteWithItsHead)
 {
     const std::string end = "\r\nRequest-Id: {id}\r\nProof: p\r\n\r\n";
-    for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+    for (const char *status : {"204 No Content", "304 Not Modified"}) {
+        const std::string response = std::string("HTTP/1.1 ").append(status).append(end);
         Fixture fixture;
         fixture.configure();
         fixture.listServers(false);
-        fixture.first.add({{"HTTP/1.1 " + status + end, "HTTP/1.1 " + status + end}});
+        fixture.first.add({{response, response}});
         for (const std::string id : {"r1", "r2"}) {
             fixture.request("/once/", id);
             fixture.awaitResponse("Request-Id: " + id + "\r\n");
