--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -90,21 +90,24 @@
     auto self = shared_from_this();
     socket_.async_wait(asio::socket_base::wait_read, [self](const std::error_code &error) {
         self->isReading_ = false;
-        if (self->isClosed_) {
-            return;
-        }
-        std::array<char, 1> next{};
-        std::error_code problem = error;
-        if (!problem) {
-            self->socket_.non_blocking(true, problem);
-            self->socket_.receive(asio::buffer(next), asio::socket_base::message_peek, problem);
-        }
-        if (problem && problem != asio::error::would_block) {
-            self->close(self->isClosing_ ? self->closeReason_ : CloseReason::ByCaller);
+        if (!self->isClosed_) {
+            self->onReadable(error);
         }
     });
 }
 
+void CallerConnection::onReadable(std::error_code error)
+{
+    std::array<char, 1> next{};
+    if (!error) {
+        socket_.non_blocking(true, error);
+        socket_.receive(asio::buffer(next), asio::socket_base::message_peek, error);
+    }
+    if (error && error != asio::error::would_block) {
+        close(isClosing_ ? closeReason_ : CloseReason::ByCaller);
+    }
+}
+
 void CallerConnection::onRead(const std::error_code &error, std::size_t size)
 {
     const bool isCloseRequested = std::exchange(isIdleCloseRequested_, false);
@@ -452,7 +455,7 @@
 
 /// Bytes behind the last handled request begin a new message, as each is parsed from its first
 /// byte.
-ConnectionEnd CallerConnection::endNow(CloseReason reason) const
+ConnectionEnd CallerConnection::describeEnd(CloseReason reason) const
 {
     ConnectionEnd end;
     end.reason = reason;
@@ -477,7 +480,7 @@
         return;
     }
     isClosed_ = true;
-    const ConnectionEnd end = endNow(reason);
+    const ConnectionEnd end = describeEnd(reason);
     timer_.cancel();
     std::error_code ignored; // nothing can be done if the close fails
     socket_.close(ignored);
--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -68,7 +68,12 @@
 };
 
 /// One HTTP/1.1 connection from a caller. Requests are handled one after another. Reading continues
-/// while a request is handled, to detect when the caller disconnects. Not thread-safe.
+/// while a request is handled, to detect when the caller disconnects.
+///
+/// A connection closes in this order: a response announces the close, and nothing more is read; the
+/// response ends and is written (closing); the sending side is closed, and shortly after or with
+/// the caller's side the socket (closed). Idle connections of a daemon that stops begin with the
+/// sending side. Not thread-safe.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -107,6 +112,7 @@
     void parse();
     void dispatchRequest();
     void watchForDisconnect();
+    void onReadable(std::error_code error);
     void onReadCancelled();
     void setResetOnClose(bool isReset);
     void reject();
@@ -121,7 +127,7 @@
     bool isIdle() const;
     std::size_t unreadBytes() const;
     void close(CloseReason reason);
-    ConnectionEnd endNow(CloseReason reason) const;
+    ConnectionEnd describeEnd(CloseReason reason) const;
 
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -139,7 +139,7 @@
 
     /// A response that names no request may belong to another one: the connection of the current
     /// attempt had one before, or a response to another one came on it.
-    bool isUnnamedUncertain_ = false;
+    bool mayBeStaleIfUnnamed_ = false;
     /// The server of the current attempt has sent the head of its response.
     bool hasResponseBegun_ = false;
     ResponseHead head_;
--- a/src/libs/proxy/exchangeattempts.cpp
+++ b/src/libs/proxy/exchangeattempts.cpp
@@ -209,7 +209,7 @@
 void Exchange::sendTo(std::shared_ptr<ClientConnection> connection, bool isKept)
 {
     connection_ = std::move(connection);
-    isUnnamedUncertain_ = isKept;
+    mayBeStaleIfUnnamed_ = isKept;
     relay_ = connection_->relay();
     sentAt_ = now();
     if (!connection_->relay()) {
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -21,10 +21,10 @@
     }
     const ResponseTraits traits = owner_.translator_.readResponse(head);
     if (!traits.id.empty() && traits.id != traits_.id) {
-        isUnnamedUncertain_ = true;
+        mayBeStaleIfUnnamed_ = true;
         return HeadVerdict::Discard;
     }
-    if (traits.id.empty() && isUnnamedUncertain_) {
+    if (traits.id.empty() && mayBeStaleIfUnnamed_) {
         onStaleResponse();
         return HeadVerdict::Accept;
     }
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -192,7 +192,8 @@
     void stop();
     /// Closes idle connections during the shutdown.
     void closeIdle();
-    /// Ends all requests in progress; those without a response yet get one.
+    /// Ends all requests in progress; those without a response yet get one. Called again while the
+    /// process ends, for requests that begin meanwhile.
     void endRequests();
     std::size_t activeRequests() const { return exchanges_.size(); }
     std::size_t openConnections() const { return connections_.size(); }
