One fixture for the tests of feeds; no parser for a connection that ends empty

The entry of a server and the silent log stood in two test files. A connection that closes with nothing unhandled, as nearly all do, no longer creates a parser to count requests in no bytes. No check and no behaviour is changed.

--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -462,6 +462,9 @@
     end.unhandledBytes = incoming_.size();
     end.unreadBytes = unreadBytes();
     end.unsentBytes = pendingBytes();
+    if (incoming_.empty()) {
+        return end;
+    }
     std::string_view rest = incoming_;
     MessageParser parser(MessageParser::Kind::Request);
     while (!rest.empty() && parser.state() != ParseState::Failed) {
--- a/tests/platform/tst_closurefeed.cpp
+++ b/tests/platform/tst_closurefeed.cpp
@@ -1,3 +1,4 @@
+#include "feedfixture.h"
 #include "platformstore.h"
 
 #include <platform/closurefeed.h>
@@ -17,23 +18,6 @@
 
 using Names = std::vector<std::string>;
 
-json server()
-{
-    return {{"service", "s"},
-            {"address", "10.0.0.9:80"},
-            {"zone", "a"},
-            {"slots", 4},
-            {"version", "v1"},
-            {"state", "ready"}};
-}
-
-Telemetry::Log &silentLog()
-{
-    static Telemetry::Log silent(
-        {.file = {}, .level = Telemetry::LogLevel::Error, .daemon = {}, .keyPrefixes = {}});
-    return silent;
-}
-
 /// The feeds of one daemon.
 class Daemon
 {
--- a/tests/platform/tst_oddentries.cpp
+++ b/tests/platform/tst_oddentries.cpp
@@ -1,3 +1,4 @@
+#include "feedfixture.h"
 #include "platformstore.h"
 
 #include <platform/daemondirectory.h>
@@ -25,16 +26,6 @@
     return std::string(depth, '[') + std::string(depth, ']');
 }
 
-json server()
-{
-    return {{"service", "s"},
-            {"address", "10.0.0.9:80"},
-            {"zone", "a"},
-            {"slots", 4},
-            {"version", "v1"},
-            {"state", "ready"}};
-}
-
 /// Text of a server's entry with this text as the value of one more or one other field.
 std::string entryWith(const std::string &field, const std::string &value)
 {
@@ -46,13 +37,6 @@
     return text;
 }
 
-Telemetry::Log &silentLog()
-{
-    static Telemetry::Log log(
-        {.file = {}, .level = Telemetry::LogLevel::Error, .daemon = {}, .keyPrefixes = {}});
-    return log;
-}
-
 /// The part of a daemon that follows the list of servers.
 class Daemon
 {
