--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -335,11 +335,20 @@
 {
 public:
     explicit Store(const std::string &ip)
-        : server_(ip, [this](Connection &c) { serve(c); })
+        : server_(ip, [this](Connection &c) { serve(c, nullptr); })
     {}
 
     std::string address() const { return server_.address(); }
 
+    /// A further address of the store, at which calls are answered 503 while `isRejecting` is set
+    /// ("It may reject some machines [...] while it serves the other machines").
+    std::string addAddress(const std::string &ip, const std::atomic<bool> &isRejecting)
+    {
+        others_.push_back(std::make_unique<Server>(
+            ip, [this, &isRejecting](Connection &c) { serve(c, &isRejecting); }));
+        return others_.back()->address();
+    }
+
     /// While set, no call is done or answered ("the platform's store is down", silent).
     void setSilent(bool isSilent)
     {
@@ -392,7 +401,7 @@
         return query.substr(begin, query.find('&', begin) - begin);
     }
 
-    void serve(Connection &connection)
+    void serve(Connection &connection, const std::atomic<bool> *isRejecting)
     {
         bool isDead = false; // a response was lost: nothing more comes
         for (;;) {
@@ -403,6 +412,10 @@
             if (isDead) {
                 continue;
             }
+            if (isRejecting && *isRejecting) {
+                connection.send(answer(503, json::object()));
+                continue;
+            }
             bool isAnswered = false;
             const std::string response = handle(request, isAnswered);
             if (!isAnswered) {
@@ -509,6 +522,7 @@
     std::uint64_t revision_ = 10;
     bool isSilent_ = false;
     std::function<bool(const std::string &, const std::string &)> loses_;
+    std::vector<std::unique_ptr<Server>> others_;
     Server server_;
 };
 
