--- a/review/stand/budget.cpp
+++ b/review/stand/budget.cpp
@@ -1,4 +1,5 @@
-// A program's token budget across an outage of the platform's store and the kill of one process.
+// A program's token budget across an outage of the platform's store and the kill of one process, or of
+// all with the second argument "all".
 #include "stand.h"
 
 using namespace Stand;
@@ -21,8 +22,9 @@
 
 } // namespace
 
-int main(int, char **argv)
+int main(int count, char **argv)
 {
+    const bool areAllKilled = count > 2 && std::string(argv[2]) == "all";
     signal(SIGPIPE, SIG_IGN);
     Processes::all().limit(110'000);
     Record record(argv[1]);
@@ -166,11 +168,25 @@
             }
         }
         if (isTrouble) {
-            front.kill();
-            record.line("DISRUPTION: " + front.name() + " is killed");
+            std::vector<Node *> killed{&front};
+            if (areAllKilled) {
+                killed.clear();
+                for (auto &node : nodes) {
+                    killed.push_back(node.get());
+                }
+            }
+            for (Node *node : killed) {
+                node->signal(SIGKILL);
+                record.line("DISRUPTION: " + node->name() + " is killed");
+            }
+            for (Node *node : killed) {
+                node->kill();
+            }
             sleepMs(1000);
-            front.start(seeds, false);
-            record.line(front.name() + " is started again");
+            for (Node *node : killed) {
+                node->start(seeds, false);
+                record.line(node->name() + " is started again");
+            }
             sleepMs(std::max(0L, begin + 6500 - elapsedMs()));
             store.setSilent(false);
             record.line("the store answers again after " + std::to_string(elapsedMs() - begin)
