--- a/review/stand/joining.cpp
+++ b/review/stand/joining.cpp
@@ -1,4 +1,5 @@
-// A tenant's quota while three machines are added that the platform's store turns away.
+// A tenant's quota while three machines are added: stale reads of the platform's store are seconds
+// behind or, with the second argument "rejected", it turns the new machines away.
 #include "stand.h"
 
 #include <algorithm>
@@ -19,8 +20,9 @@
 
 } // namespace
 
-int main(int, char **argv)
+int main(int count, char **argv)
 {
+    const bool areRejected = count > 2 && std::string(argv[2]) == "rejected";
     signal(SIGPIPE, SIG_IGN);
     Processes::all().limit(110'000);
     Record record(argv[1]);
@@ -76,7 +78,7 @@
         }
         std::vector<std::unique_ptr<Node>> nodes;
         json seeds = json::array();
-        std::atomic<bool> isRejecting = isTrouble;
+        std::atomic<bool> isRejecting = isTrouble && areRejected;
         const std::string otherAddress = store.addAddress(loopback(1), isRejecting);
         for (int i = 0; i < nodeCount; ++i) {
             nodes.push_back(std::make_unique<Node>("front-tas-a-" + std::to_string(i),
@@ -101,15 +103,19 @@
         }
         waitUntilReady(0, oldCount);
         sleepMs(8000); // traffic starts 10 s after the machines do
+        const long addedAt = elapsedMs();
+        if (isRejecting) {
+            record.line("DISRUPTION: the store answers the machines 503 that are added next");
+        } else if (isTrouble) {
+            store.setStale(5500);
+            record.line("DISRUPTION: stale reads are 5.5 s behind from now on");
+        }
         for (int i = oldCount; i < nodeCount; ++i) {
             nodes[i]->start(seeds, false);
         }
-        const long addedAt = elapsedMs();
-        record.line(std::string("three machines are added")
-                    + (isTrouble ? "; DISRUPTION: the store answers them 503" : ""));
+        record.line("three machines are added");
         waitUntilReady(oldCount, newCount);
         record.line("they are ready");
-        sleepMs(1000);
 
         std::atomic<bool> isOver = false;
         std::atomic<int> number = 0;
@@ -147,8 +153,7 @@
             });
         }
         sleepMs(6000);
-        record.line("the store has turned them away for " + std::to_string(elapsedMs() - addedAt)
-                    + " ms");
+        record.line("the machines were added " + std::to_string(elapsedMs() - addedAt) + " ms ago");
         isOver = true;
         for (auto &client : clients) {
             client.join();
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -355,6 +355,12 @@
         const std::lock_guard lock(mutex_);
         isSilent_ = isSilent;
     }
+    /// From now on, lists that may be stale are those of so long ago.
+    void setStale(long ms)
+    {
+        const std::lock_guard lock(mutex_);
+        staleMs_ = ms;
+    }
     /// Decides which writes are done and not answered ("answers of the platform's store are lost").
     void setLoses(std::function<bool(const std::string &method, const std::string &path)> loses)
     {
@@ -376,6 +382,15 @@
     }
 
 private:
+    /// The objects of a kind from a time on.
+    struct State
+    {
+        long atMs;
+        std::uint64_t revision;
+        json items;
+    };
+    static constexpr std::uint64_t firstRevision = 10;
+
     void storeObject(const std::string &kind, const std::string &name, const json &spec)
     {
         json &object = kinds_[kind][name];
@@ -389,6 +404,16 @@
                     {"deleting", false}}},
                   {"spec", spec},
                   {"status", json::object()}};
+        recordState(kind);
+    }
+
+    void recordState(const std::string &kind)
+    {
+        State state{elapsedMs(), revision_, json::array()};
+        for (const auto &[name, object] : kinds_[kind]) {
+            state.items.push_back(object);
+        }
+        history_[kind].push_back(std::move(state));
     }
 
     static std::string parameter(const std::string &query, const std::string &name)
@@ -480,11 +505,20 @@
             isAnswered = !isSilent_;
             return answer(200, {{"events", events}, {"current_rev", revision_}});
         }
+        const bool isStale = staleMs_ > 0 && parameter(query, "allow_stale") == "1";
+        const auto &states = history_[kind];
         json items = json::array();
-        for (const auto &[each, object] : objects) {
-            items.push_back(object);
+        std::uint64_t revision = isStale ? firstRevision : revision_;
+        if (!isStale && !states.empty()) {
+            items = states.back().items;
+        }
+        for (const State &state : states) {
+            if (isStale && state.atMs <= elapsedMs() - staleMs_) {
+                items = state.items;
+                revision = state.revision;
+            }
         }
-        return answer(200, {{"items", items}, {"has_more", false}, {"current_rev", revision_}});
+        return answer(200, {{"items", items}, {"has_more", false}, {"current_rev", revision}});
     }
 
     std::string write(const Message &request, const std::string &kind, std::string name)
@@ -493,6 +527,7 @@
         if (request.method() == "DELETE") {
             const bool existed = objects.erase(name) > 0;
             ++revision_;
+            recordState(kind);
             return answer(existed ? 200 : 404, json::object());
         }
         const json body = json::parse(request.body);
@@ -519,8 +554,10 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, std::map<std::string, json>> kinds_;
-    std::uint64_t revision_ = 10;
+    std::map<std::string, std::vector<State>> history_;
+    std::uint64_t revision_ = firstRevision;
     bool isSilent_ = false;
+    long staleMs_ = 0;
     std::function<bool(const std::string &, const std::string &)> loses_;
     std::vector<std::unique_ptr<Server>> others_;
     Server server_;
