--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -632,6 +632,8 @@
     int callerPort() const { return port_; }
     std::string address(int offset) const { return ip_ + ":" + std::to_string(port_ + offset); }
 
+    void setZone(std::string zone) { zone_ = std::move(zone); }
+
     void start(const json &seeds, bool isFirstStart)
     {
         const json settings = {
@@ -640,7 +642,7 @@
             {"machine_class", "front"},
             {"serves", {"front", "control"}},
             {"ip", ip_},
-            {"zone", "tas-a"},
+            {"zone", zone_},
             {"region", "tas"},
             {"zones", {{"tas-a", "tas"}, {"tas-b", "tas"}, {"tas-c", "tas"}}},
             {"listen", {{"front", address(0)}, {"ready", address(1)}, {"control", address(2)}}},
@@ -751,6 +753,7 @@
 private:
     std::string name_;
     std::string ip_;
+    std::string zone_ = "tas-a";
     int port_;
     std::string store_;
     std::filesystem::path folder_;
