Review case 4: an overdraft is forgotten with a front that starts again

Cause: the record at the next coordinator is not asked by a coordinator that starts again. Change: stand-in and script; case 3 kills one front of seven now, within the share of the site file.

--- a/review/stand/retention.cpp
+++ b/review/stand/retention.cpp
@@ -11,7 +11,8 @@
 constexpr long stride = 10;
 constexpr long turnTokens = 100;
 constexpr long budget = 1'000;
-constexpr int programCount = 24;
+constexpr int programCount = 168;
+constexpr int frontCount = 7;
 constexpr long killAtMs = 26'000;
 constexpr long endMs = 62'000;
 
@@ -85,7 +86,7 @@
     const std::string program = "p" + std::to_string(number);
     std::size_t home = static_cast<std::size_t>(number) % nodes.size();
     int turn = 0;
-    sleepMs(number * 20);
+    sleepMs(number * 10);
     while (elapsedMs() < endMs) {
         const std::string attempt = program + "t" + std::to_string(turn++);
         const std::string first = sendTurn(*nodes[home], program, attempt, record);
@@ -122,7 +123,7 @@
     const auto folder = makeFolder();
     Store store(loopback(9));
     std::vector<std::unique_ptr<Server>> servers;
-    for (int i = 0; i < 2; ++i) {
+    for (int i = 0; i < 4; ++i) {
         const std::string id = "i-" + std::to_string(i);
         servers.push_back(std::make_unique<Server>(
             loopback(1), [id, &record](Connection &c) { serveModel(c, id, record); }));
@@ -143,11 +144,13 @@
                {"limits", limits()}});
     std::vector<std::unique_ptr<Node>> nodes;
     json seeds = json::array();
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < frontCount; ++i) {
         nodes.push_back(std::make_unique<Node>("front-" + std::to_string(i), loopback(11 + i), 20'000,
                                                store.address(), folder));
         nodes.back()->setZone(std::string("tas-") + "abc"[i % 3]);
-        seeds.push_back(nodes.back()->address(2));
+        if (i < 3) {
+            seeds.push_back(nodes.back()->address(2));
+        }
     }
     for (const auto &node : nodes) {
         node->start(seeds, true);
