--- a/review/stand/awoken.cpp
+++ b/review/stand/awoken.cpp
@@ -14,6 +14,8 @@
 constexpr long budget = 1'000;
 constexpr int programCount = 135;
 constexpr int frontCount = 10;
+/// Coordinates some of the eight groups of programs; by the hashes of the names, not each of ten does.
+constexpr std::size_t frozen = 4;
 constexpr long freezeMs = 3'200;
 constexpr long outageAfterMs = 3'000; // after the front has stood still
 constexpr long outageMs = 6'500;
@@ -101,9 +103,9 @@
     const std::size_t home = static_cast<std::size_t>(number) % (nodes.size() - 1);
     const std::size_t next = (home + 1) % (nodes.size() - 1);
     int turn = 0;
-    loop(program, *nodes[1 + home], turn, beginMs + outageAfterMs - 200, record);
+    loop(program, *nodes[(frozen + 1 + home) % nodes.size()], turn, beginMs + outageAfterMs - 200, record);
     sleepMs(beginMs + returnAfterMs - elapsedMs());
-    loop(program, *nodes[1 + next], turn, beginMs + outageAfterMs + outageMs + 8'000, record);
+    loop(program, *nodes[(frozen + 1 + next) % nodes.size()], turn, beginMs + outageAfterMs + outageMs + 8'000, record);
 }
 
 } // namespace
@@ -156,8 +158,8 @@
     sleepMs(5'000); // traffic starts some seconds after the machines
     const long begin = elapsedMs();
     if (isTrouble()) {
-        record.line("front-0 stands still");
-        nodes[0]->signal(SIGSTOP);
+        record.line(nodes[frozen]->name() + " stands still");
+        nodes[frozen]->signal(SIGSTOP);
     }
     sleepMs(200);
     std::vector<std::thread> threads;
@@ -169,8 +171,8 @@
         record.line("the store is down: it answers nothing");
         store.setSilent(true);
         sleepMs(begin + freezeMs - elapsedMs());
-        record.line("front-0 goes on");
-        nodes[0]->signal(SIGCONT);
+        record.line(nodes[frozen]->name() + " goes on");
+        nodes[frozen]->signal(SIGCONT);
         sleepMs(begin + outageAfterMs + outageMs - elapsedMs());
         record.line("the store answers again");
         store.setSilent(false);
