--- a/review/stand/moving.cpp
+++ b/review/stand/moving.cpp
@@ -1,4 +1,4 @@
-// Case: programs that loop, with a turn every ten seconds, each within retain_s of the one before, and
+// Case: programs that loop, with a turn every thirty seconds, each within retain_s of the one before, and
 // through another front each time. No process is disturbed. All turns of a program together must not
 // get more tokens than its budget and the most of one turn.
 #include "stand.h"
@@ -7,14 +7,15 @@
 
 namespace {
 
-constexpr double retainS = 7.5;
-constexpr long periodMs = 10'000;  // from the beginning of a turn to that of the next
-constexpr long eventPauseMs = 280; // a turn takes 2.8 s, so that 7.2 s are between two turns
+constexpr double retainS = 28;
+constexpr long periodMs = 30'000;  // from the beginning of a turn to that of the next
+constexpr long eventPauseMs = 280; // a turn takes 2.8 s, so that 27.2 s are between two turns
 constexpr long stride = 10;
 constexpr long turnTokens = 100;
-constexpr long budget = 200;
+constexpr long budget = 100;
 constexpr int programCount = 120;
-constexpr long endMs = 85'000;
+constexpr long spreadMs = 10'000; // programs begin within this time
+constexpr int turnCount = 3;
 
 std::mutex mutex;
 std::map<std::string, long> tokens; // handed to clients, by program
@@ -83,8 +84,8 @@
 void runProgram(int number, std::vector<std::unique_ptr<Node>> &nodes, Record &record)
 {
     const std::string program = "p" + std::to_string(number);
-    const long begin = elapsedMs() + number * periodMs / programCount;
-    for (int turn = 0; begin + turn * periodMs < endMs; ++turn) {
+    const long begin = elapsedMs() + number * spreadMs / programCount;
+    for (int turn = 0; turn < turnCount; ++turn) {
         sleepMs(std::max(0L, begin + turn * periodMs - elapsedMs()));
         // "Some lines of turns arrive through a different zone from one turn to the next."
         const int zone = number + (isTrouble() ? turn : 0);
--- a/review/stand/retention.cpp
+++ b/review/stand/retention.cpp
@@ -6,15 +6,15 @@
 
 namespace {
 
-constexpr long retainS = 10;
-constexpr long pauseMs = 7'000; // between two turns of a program, less than retain_s
+constexpr long retainS = 25;
+constexpr long pauseMs = 24'000; // between two turns of a program, less than retain_s
 constexpr long stride = 10;
 constexpr long turnTokens = 100;
 constexpr long budget = 1'000;
 constexpr int programCount = 168;
 constexpr int frontCount = 7;
-constexpr long killAtMs = 26'000;
-constexpr long endMs = 62'000;
+constexpr long killAtMs = 66'000;
+constexpr long endMs = 105'000;
 
 std::mutex mutex;
 std::map<std::string, long> tokens; // handed to clients, by program
