--- a/review/stand/retention.cpp
+++ b/review/stand/retention.cpp
@@ -1,5 +1,6 @@
-// Case: programs whose turns follow each other within retain_s, and the loss of one front. All turns
-// of a program together must not get more tokens than its budget and the most of one turn.
+// Case: programs whose turns follow each other within retain_s, and one front that is stopped and started
+// again as planned. All turns of a program together must not get more tokens than its budget and the most
+// of one turn.
 #include "stand.h"
 
 using namespace Stand;
@@ -13,7 +14,8 @@
 constexpr long budget = 1'000;
 constexpr int programCount = 168;
 constexpr int frontCount = 7;
-constexpr long killAtMs = 66'000;
+constexpr long stopAtMs = 66'000;
+constexpr long graceMs = 8'000;
 constexpr long endMs = 105'000;
 
 std::mutex mutex;
@@ -79,8 +81,8 @@
     return response.first;
 }
 
-/// A program that loops: a turn every `pauseMs`, and after the loss of its front one after the other, until it is told that its
-/// budget is spent.
+/// A program that loops: a turn every `pauseMs`, and after the stop of the front one after the other, until
+/// it is told that its budget is spent.
 void runProgram(int number, std::vector<std::unique_ptr<Node>> &nodes, Record &record)
 {
     const std::string program = "p" + std::to_string(number);
@@ -99,7 +101,7 @@
             sleepMs(300);
             continue;
         }
-        const bool isLooping = elapsedMs() > killAtMs + 2'000;
+        const bool isLooping = elapsedMs() > stopAtMs + 2'000;
         sleepMs(isLooping ? 200 : pauseMs);
     }
 }
@@ -107,7 +109,7 @@
 /// Other programs of the same deployment, of one turn each.
 void runOthers(std::vector<std::unique_ptr<Node>> &nodes, Record &record)
 {
-    for (int i = 0; elapsedMs() < killAtMs - 300; ++i) {
+    for (int i = 0; elapsedMs() < stopAtMs - 300; ++i) {
         const std::string program = "other" + std::to_string(i);
         sendTurn(*nodes[static_cast<std::size_t>(i) % nodes.size()], program, program + "t0", record);
         sleepMs(100);
@@ -167,13 +169,17 @@
         threads.emplace_back([&, i] { runProgram(i, nodes, record); });
     }
     threads.emplace_back([&] { runOthers(nodes, record); });
-    while (elapsedMs() < killAtMs) {
+    while (elapsedMs() < stopAtMs) {
         sleepMs(10);
     }
     if (isTrouble()) {
-        record.line("front-0 is killed, and starts again a second later");
+        record.line("front-0 gets SIGTERM");
+        nodes[0]->signal(SIGTERM);
+        const bool hasEnded = nodes[0]->waitForEnd(graceMs);
+        record.line(hasEnded ? "front-0 has ended" : "front-0 gets SIGKILL");
         nodes[0]->kill();
         sleepMs(1'000);
+        record.line("front-0 starts again");
         nodes[0]->start(seeds, false);
     }
     for (std::thread &thread : threads) {
