Leave a small budget one turn after the loss of an allocation

Callers of programs with room for one turn (900 tokens, 580 at most a turn) got 402 on every attempt though nothing had been generated: the coordinator, or the daemon that it had granted the tokens to, was killed or kept them, and its 580 tokens count as spent. After a final kill of all daemons such a program never reaches a server (LOST).

A program may exceed its budget by one turn's maximum. Until now only overdrafts used that room: what a lost coordinator overdrew is on no record. Programs whose budget is below two turns are no longer overdrawn; if tokens of theirs may be lost, one more allocation is confirmed by the store that exceeds the budget by less than a turn. Its total is stored, so the next coordinator refuses. Larger budgets keep the overdraft, as they have room for a turn after the loss of one allocation.

Ruled out: admitting the turn without giving up the overdraft, which two losses take to two turns beyond the budget.

--- a/src/libs/programs/tokenledger.cpp
+++ b/src/libs/programs/tokenledger.cpp
@@ -20,6 +20,18 @@
         static_cast<std::int64_t>(std::ceil(static_cast<double>(amount.value()) * share)));
 }
 
+/// Whether the loss of one allocation would leave no room for a turn.
+bool isSmallBudget(const TurnReservation &turn)
+{
+    return turn.budget < turn.maxTokens + turn.maxTokens;
+}
+
+/// A small budget may be exceeded by the allocation that replaces a lost one instead.
+bool isOverdraftAllowed(const TurnReservation &turn)
+{
+    return turn.mayOverdraw && !isSmallBudget(turn);
+}
+
 } // namespace
 
 TokenLedger::TokenLedger(Base::IncarnationId self, TokenLedgerSettings settings)
@@ -75,6 +87,7 @@
     const Tokens share = shareOf(account.free(), settings_.grantShare);
     const Tokens amount = std::max(turn.maxTokens, share);
     account.used += amount;
+    account.granted += amount;
     answer(turn.id, TurnVerdict::Admitted, amount);
 }
 
@@ -93,7 +106,20 @@
               : turn.maxTokens;
     const Tokens limit = std::max(unrecorded, account.recordedOverdraft);
     const Tokens overdraft = turn.maxTokens - account.free();
-    return turn.mayOverdraw && overdraft <= std::min(limit, account.unallocated());
+    return isOverdraftAllowed(turn) && overdraft <= std::min(limit, account.unallocated());
+}
+
+/// A small budget of which a part may be lost covers one turn more, as a program may exceed its
+/// budget by one turn's maximum.
+bool TokenLedger::isCovered(const Account &account, const TurnReservation &turn) const
+{
+    const Tokens left = account.unallocated();
+    const Tokens available = left + account.free();
+    if (available >= turn.maxTokens) {
+        return true;
+    }
+    return isSmallBudget(turn) && left >= Tokens(0)
+           && available + account.inDoubt() >= turn.maxTokens;
 }
 
 /// Returns whether the turn waits until its overdraft is recorded.
@@ -104,7 +130,7 @@
 {
     const Tokens limit = shareOf(account.budget, settings_.overdraftShare);
     const Tokens overdraft = turn.maxTokens - account.free();
-    const bool isUseful = turn.mayOverdraw && isStoreUnavailable()
+    const bool isUseful = isOverdraftAllowed(turn) && isStoreUnavailable()
                           && account.recordedOverdraft < limit
                           && overdraft <= std::min(limit, account.unallocated());
     if (!isUseful || now < account.nextRecordAt) {
@@ -177,7 +203,7 @@
     const WaitingTurn &first = account.waiting.front();
     const TurnReservation &turn = first.turn;
     if (account.free() < turn.maxTokens) {
-        if (!account.pending && account.unallocated() + account.free() < turn.maxTokens) {
+        if (!account.pending && !isCovered(account, turn)) {
             answer(turn.id, TurnVerdict::Exhausted);
             return true;
         }
--- a/src/libs/programs/tokenledger.h
+++ b/src/libs/programs/tokenledger.h
@@ -205,6 +205,8 @@
         Base::Tokens allocated;
         /// Passed to callers, granted to other daemons, or reserved by turns in progress.
         Base::Tokens used;
+        /// The part of used that other daemons hold.
+        Base::Tokens granted;
         /// Allocations of all daemons as of the store's last response.
         Base::Tokens storedTotal;
         AllocationVersion version;
@@ -229,6 +231,8 @@
         Base::Tokens overdraft() const { return std::max(Base::Tokens(0), used - allocated); }
         /// Budget that no daemon has allocated or is known to have used.
         Base::Tokens unallocated() const;
+        /// Tokens that count as used, though the daemons that hold them may be lost.
+        Base::Tokens inDoubt() const { return storedTotal - allocated + granted; }
     };
     struct Running
     {
@@ -237,6 +241,7 @@
     };
 
     bool mayOverdraw(const Account &account, const TurnReservation &turn) const;
+    bool isCovered(const Account &account, const TurnReservation &turn) const;
     bool recordOverdraft(const Base::ProgramId &program,
                          Account &account,
                          const TurnReservation &turn,
