Return token grants of which nothing was used

Callers whose turn was refused after its tokens were granted (503: the history could not be read, the budget was not known) got 402 from the next daemon that they tried. The grant of one turn's maximum stayed at the first daemon, in case the program's next turn came there, and counts as spent everywhere else.

A daemon returns its last grant to the coordinator that made it if a turn ends without a token, nothing of the grant was used and no other turn of the program runs or waits there. The return names the number of the request; the coordinator counts it once, and only while it remembers the grant, so neither a repeated return nor one to another coordinator frees tokens. A lost return leaves the tokens spent, as before.

The functions that the tests call are new, so they were not run on the code before.

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -164,8 +164,8 @@
 }
 
 /**
- * Response to TokenRequest. Granted tokens belong to the requesting daemon permanently. With
- * Unavailable, the amount is the coordinator's overdraft, which the requesting daemon must count.
+ * Response to TokenRequest. Granted tokens belong to the requesting daemon, unless it returns all
+ * of them. With Unavailable, the amount is the coordinator's overdraft, which the requesting daemon must count.
  */
 struct TokenAnswer {
   1: i64 number
@@ -173,6 +173,14 @@
   3: i64 amount
 }
 
+/**
+ * Returns the tokens that were granted for the TokenRequest with this number, none of which were
+ * used. Counts once. Has no response.
+ */
+struct TokenReturn {
+  1: i64 number
+}
+
 /** Acknowledges a request whose response takes longer, for example due to a write to the store. */
 struct StillWorking {
   1: i64 number
@@ -274,6 +282,7 @@
   20: CrashReport crashReport
   21: QuarantineNotice quarantineNotice
   22: RelayNotice relayNotice
+  23: TokenReturn tokenReturn
 }
 
 struct PeerMessage {
--- a/src/libs/programs/tokengranttable.cpp
+++ b/src/libs/programs/tokengranttable.cpp
@@ -5,6 +5,13 @@
 
 namespace Programs {
 
+namespace {
+
+/// Coordinators remember the grants that they made for longer.
+constexpr Base::Duration returnPeriod = std::chrono::seconds(5);
+
+} // namespace
+
 void TokenGrantTable::reserve(const TurnReservation &turn, Base::Instant now)
 {
     Account &account = accounts_[turn.program];
@@ -55,6 +62,7 @@
     account.lastUse = now;
     if (verdict == TurnVerdict::Admitted) {
         account.free += amount;
+        account.lastGrant = {id, amount, now};
         serve(program, account);
         return;
     }
@@ -86,6 +94,23 @@
     const Base::ProgramId program = run->second.program;
     running_.erase(run);
     serve(program, account);
+    if (used == Base::Tokens(0)) {
+        returnLastGrant(account, now);
+    }
+}
+
+/// The program's next turn may come through another daemon, for which the tokens count as spent.
+void TokenGrantTable::returnLastGrant(Account &account, Base::Instant now)
+{
+    const bool isIdle = account.running == 0 && account.waiting.empty() && !account.pendingRequest;
+    const std::optional<Grant> &grant = account.lastGrant;
+    const bool isUnused = grant && account.free >= grant->amount;
+    if (!isIdle || !isUnused || now - grant->receivedAt >= returnPeriod) {
+        return;
+    }
+    account.free -= grant->amount;
+    actions_.push_back(ReturnGrant{grant->id});
+    account.lastGrant.reset();
 }
 
 void TokenGrantTable::sweep(Base::Instant now)
--- a/src/libs/programs/tokengranttable.h
+++ b/src/libs/programs/tokengranttable.h
@@ -24,7 +24,15 @@
     Base::Tokens coordinatorOverdraft;
 };
 
-using TokenGrantAction = std::variant<AnswerTurn, AskCoordinator, ReserveLocally>;
+/// Returns the tokens that were granted for that reservation to the coordinator that granted them.
+struct ReturnGrant
+{
+    ReservationId grant;
+
+    bool operator==(const ReturnGrant &) const = default;
+};
+
+using TokenGrantAction = std::variant<AnswerTurn, AskCoordinator, ReserveLocally, ReturnGrant>;
 
 /// Admits turns of programs whose coordinator is another daemon, from tokens that it has granted.
 class TokenGrantTable
@@ -46,8 +54,15 @@
     std::vector<TokenGrantAction> takeActions();
 
 private:
+    struct Grant
+    {
+        ReservationId id;
+        Base::Tokens amount;
+        Base::Instant receivedAt;
+    };
     struct Account
     {
+        std::optional<Grant> lastGrant;
         Base::Tokens free;
         Base::Tokens used;
         std::vector<TurnReservation> waiting;
@@ -64,6 +79,7 @@
     };
 
     void serve(const Base::ProgramId &program, Account &account);
+    void returnLastGrant(Account &account, Base::Instant now);
 
     std::unordered_map<Base::ProgramId, Account> accounts_;
     std::unordered_map<ReservationId, Running> running_;
--- a/src/libs/programs/tokenledger.cpp
+++ b/src/libs/programs/tokenledger.cpp
@@ -91,6 +91,20 @@
     answer(turn.id, TurnVerdict::Admitted, amount);
 }
 
+void TokenLedger::returnTokens(const Base::ProgramId &program,
+                               Base::Tokens amount,
+                               Base::Instant now)
+{
+    const auto entry = accounts_.find(program);
+    if (entry == accounts_.end()) {
+        return;
+    }
+    Account &account = entry->second;
+    account.used -= amount;
+    account.granted -= amount;
+    serveWaiting(program, account, now);
+}
+
 void TokenLedger::answer(ReservationId id, TurnVerdict verdict, Tokens amount)
 {
     actions_.push_back(AnswerTurn{id, verdict, amount});
--- a/src/libs/programs/tokenledger.h
+++ b/src/libs/programs/tokenledger.h
@@ -172,6 +172,8 @@
     void reserve(const TurnReservation &turn, Base::Instant now);
     /// The turn has ended or was not run; frees the tokens that it did not use.
     void settle(ReservationId id, Base::Tokens used, Base::Instant now);
+    /// The daemon that the tokens were granted to has used none of them.
+    void returnTokens(const Base::ProgramId &program, Base::Tokens amount, Base::Instant now);
     void allocationAnswered(const Base::ProgramId &program,
                             const AllocationOutcome &outcome,
                             Base::Instant now);
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -365,6 +365,11 @@
                 part.team = permit.team.text();
                 wire.__set_permitReturn(part);
             },
+            [&](const TokenReturn &tokenReturn) {
+                Wire::TokenReturn part;
+                part.number = toWire(tokenReturn.number);
+                wire.__set_tokenReturn(part);
+            },
             [&](const TokenRequest &request) {
                 Wire::TokenRequest part;
                 part.number = toWire(request.number);
@@ -511,6 +516,9 @@
     if (wire.__isset.permitReturn) {
         return PermitReturn{Base::TeamId(wire.permitReturn.team)};
     }
+    if (wire.__isset.tokenReturn) {
+        return TokenReturn{requestNumberFromWire(wire.tokenReturn.number)};
+    }
     if (wire.__isset.tokenRequest) {
         const Wire::TokenRequest &request = wire.tokenRequest;
         return TokenRequest{requestNumberFromWire(request.number),
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -189,6 +189,14 @@
     bool operator==(const TokenResponse &) const = default;
 };
 
+/// Returns the grant that the sender received under this number and did not use. Has no response.
+struct TokenReturn
+{
+    RequestNumber number;
+
+    bool operator==(const TokenReturn &) const = default;
+};
+
 /// Acknowledges a request whose response takes longer, for example due to a write to the store.
 struct RequestInProgress
 {
@@ -264,7 +272,8 @@
                               OverdraftRecorded,
                               Dispatch::CrashReport,
                               QuarantineNotice,
-                              RelayNotice>;
+                              RelayNotice,
+                              TokenReturn>;
 
 /// One datagram between daemons.
 struct PeerMessage
--- a/src/libs/proxy/turnadmission.cpp
+++ b/src/libs/proxy/turnadmission.cpp
@@ -123,12 +123,12 @@
         return;
     }
     const Programs::ReservationId id
-        = addCallback([this, sender, number = request.number](Programs::TurnVerdict verdict,
-                                                              Base::Tokens amount) {
+        = addCallback([this, sender, number = request.number, program = request.program](
+                          Programs::TurnVerdict verdict, Base::Tokens amount) {
               activeRequests_.erase({sender, number});
               const TokenResponse response{number, verdict, amount};
               if (verdict == Programs::TurnVerdict::Admitted) {
-                  recentGrants_[{sender, number}] = {response, now_()};
+                  recentGrants_[{sender, number}] = {response, program, now_()};
               }
               peers_.send(sender, response);
           });
@@ -144,6 +144,25 @@
     }
 }
 
+/// The record of the grant stays, so that a repeated return counts once.
+void TurnAdmission::onTokenReturn(const Base::VmId &sender, const TokenReturn &tokenReturn)
+{
+    const auto known = recentGrants_.find({sender, tokenReturn.number});
+    if (known == recentGrants_.end() || std::exchange(known->second.isReturned, true)) {
+        return;
+    }
+    ledger_.returnTokens(known->second.program, known->second.response.amount, now_());
+    runActions();
+}
+
+void TurnAdmission::returnGrant(Programs::ReservationId grant)
+{
+    const auto received = receivedGrants_.extract(grant);
+    if (!received.empty()) {
+        peers_.send(received.mapped().coordinator, TokenReturn{received.mapped().number});
+    }
+}
+
 void TurnAdmission::runActions()
 {
     runTokenGrantActions();
@@ -154,13 +173,14 @@
 void TurnAdmission::runTokenGrantActions()
 {
     for (const Programs::TokenGrantAction &action : tokenGrants_.takeActions()) {
-        std::visit(
-            Base::Visitor{[this](const Programs::AnswerTurn &answer) { deliverVerdict(answer); },
-                          [this](const Programs::AskCoordinator &ask) {
-                              askCoordinator(ask, peers_.nextRequestNumber(), 1);
-                          },
-                          [this](const Programs::ReserveLocally &local) { reserveLocally(local); }},
-            action);
+        std::visit(Base::Visitor{
+                       [this](const Programs::AnswerTurn &answer) { deliverVerdict(answer); },
+                       [this](const Programs::AskCoordinator &ask) {
+                           askCoordinator(ask, peers_.nextRequestNumber(), 1);
+                       },
+                       [this](const Programs::ReserveLocally &local) { reserveLocally(local); },
+                       [this](const Programs::ReturnGrant &unused) { returnGrant(unused.grant); }},
+                   action);
     }
 }
 
@@ -231,6 +251,9 @@
             runActions();
             return;
         }
+        if (response->verdict == Programs::TurnVerdict::Admitted) {
+            receivedGrants_[ask.id] = {coordinator, number, now_()};
+        }
         respondedBy_[ask.id] = coordinator;
         tokenGrants_.answered(ask.id, response->verdict, response->amount, now_());
         runActions();
@@ -404,6 +427,9 @@
             std::erase_if(recentGrants_, [&](const auto &entry) {
                 return due - entry.second.sentAt >= sweepInterval;
             });
+            std::erase_if(receivedGrants_, [&](const auto &entry) {
+                return due - entry.second.receivedAt >= sweepInterval;
+            });
         }
         ledger_.tick(due);
         groups_.tick(due);
--- a/src/libs/proxy/turnadmission.h
+++ b/src/libs/proxy/turnadmission.h
@@ -46,6 +46,7 @@
     void settle(Programs::ReservationId id, Base::Tokens used);
 
     void onTokenRequest(const Base::VmId &sender, const TokenRequest &request);
+    void onTokenReturn(const Base::VmId &sender, const TokenReturn &tokenReturn);
     void onOverdraftNotice(const Base::VmId &sender, const OverdraftNotice &notice);
     void onAllocationRelay(const Base::VmId &sender, const AllocationRelayRequest &request);
 
@@ -65,6 +66,7 @@
     void runTokenGrantActions();
     void reserveLocally(const Programs::ReserveLocally &local);
     void askCoordinator(const Programs::AskCoordinator &ask, RequestNumber number, int attempt);
+    void returnGrant(Programs::ReservationId grant);
     void deliverVerdict(const Programs::AnswerTurn &answer);
     void writeAllocation(const Programs::WriteAllocation &allocation);
     void relayAllocation(const Programs::WriteAllocation &allocation, int attempt);
@@ -103,9 +105,21 @@
     struct RecentGrant
     {
         TokenResponse response;
+        Base::ProgramId program;
         Base::Instant sentAt;
+        bool isReturned = false;
     };
 
+    struct ReceivedGrant
+    {
+        Base::VmId coordinator;
+        RequestNumber number;
+        Base::Instant receivedAt;
+    };
+
+    /// Recent grants of other daemons by the reservation that requested them.
+    std::map<Programs::ReservationId, ReceivedGrant> receivedGrants_;
+
     /// Grants that were sent recently. They are sent again for repeated requests, whose responses
     /// were lost or late.
     std::map<std::pair<Base::VmId, RequestNumber>, RecentGrant> recentGrants_;
--- a/tests/libs/programs/tst_tokenledger.cpp
+++ b/tests/libs/programs/tst_tokenledger.cpp
@@ -559,8 +559,8 @@
     }
 }
 
-/// A turn of a new program was refused with 402 if the coordinator that had allocated its tokens was
-/// killed, although nothing was generated.
+/// A turn of a new program was refused with 402 if the coordinator that had allocated its tokens
+/// was killed, although nothing was generated.
 Test(tokenledger, anAllocationThatIsLostLeavesASmallBudgetOneTurn)
 {
     AllocationStore store;
@@ -610,8 +610,48 @@
 }
 
 /// Tokens of a turn that did not run count as spent for other daemons until they are returned.
+Test(tokenledger, returnedTokensAreFreeAgain)
+{
+    AllocationStore store;
+    TokenLedger ledger(Base::IncarnationId("a.1"), {});
+    TurnReservation grant = turn(1, 1200, 580);
+    grant.isTokenGrant = true;
+    ledger.reserve(grant, at(0));
+    ledger.allocationAnswered(program, store.write(onlyAllocation(ledger)), at(1));
+    const Tokens granted = onlyAnswer(ledger).amount;
+    ledger.returnTokens(program, granted, at(2));
+    ledger.reserve(turn(2, 1200, 580), at(3));
+    cr_assert_eq(onlyAnswer(ledger).verdict, TurnVerdict::Admitted);
+}
 
+Test(tokengranttable, returnsAGrantOfWhichNothingWasUsed)
+{
+    TokenGrantTable table;
+    table.reserve(turn(1, 900, 580), at(0));
+    table.takeActions();
+    table.answered(ReservationId(1), TurnVerdict::Admitted, Tokens(580), at(5));
+    table.takeActions();
+    table.settle(ReservationId(1), Tokens(0), at(6));
+    const auto actions = table.takeActions();
+    cr_assert_eq(actions.size(), 1);
+    cr_assert(std::get<ReturnGrant>(actions[0]) == ReturnGrant{ReservationId(1)});
+    table.reserve(turn(2, 900, 580), at(7));
+    cr_assert_eq(std::get<AskCoordinator>(table.takeActions().at(0)).needed.value(), 580);
+}
 
+Test(tokengranttable, keepsAGrantThatIsUsed)
+{
+    TokenGrantTable table;
+    table.reserve(turn(1, 6000, 580), at(0));
+    table.reserve(turn(2, 6000, 580), at(0));
+    table.takeActions();
+    table.answered(ReservationId(1), TurnVerdict::Admitted, Tokens(1500), at(5));
+    table.takeActions();
+    table.settle(ReservationId(1), Tokens(0), at(6));
+    cr_assert(table.takeActions().empty(), "the second turn is running");
+    table.settle(ReservationId(2), Tokens(100), at(7));
+    cr_assert(table.takeActions().empty(), "a part of the grant was used");
+}
 
 Test(tokengranttable, sendsOneRequestForSeveralTurns)
 {
--- a/tests/libs/proxy/tst_peers.cpp
+++ b/tests/libs/proxy/tst_peers.cpp
@@ -86,6 +86,7 @@
                      Base::Tokens(40)},
         TokenResponse{number, Programs::TurnVerdict::Exhausted, Base::Tokens(0)},
         TokenResponse{number, Programs::TurnVerdict::Admitted, Base::Tokens(300)},
+        TokenReturn{number},
         RequestInProgress{number},
         AllocationRelayRequest{number,
                                {Base::ProgramId("p"),
--- a/tests/libs/proxy/tst_turnadmission.cpp
+++ b/tests/libs/proxy/tst_turnadmission.cpp
@@ -43,6 +43,9 @@
         own_.start([this](const Base::VmId &sender, const PeerBody &body) {
             if (const auto *request = std::get_if<TokenRequest>(&body)) {
                 turns_.onTokenRequest(sender, *request);
+            } else if (const auto *tokenReturn = std::get_if<TokenReturn>(&body)) {
+                turns_.onTokenReturn(sender, *tokenReturn);
+                ++returnsReceived_;
             }
         });
         coordinator_.start([this](const Base::VmId &sender, const PeerBody &body) {
@@ -52,7 +55,10 @@
             }
             if (request && response) {
                 ++requestCount;
-                coordinator_.send(sender, TokenResponse{request->number, *response, {}});
+                coordinator_.send(sender, TokenResponse{request->number, *response, granted});
+            }
+            if (const auto *tokenReturn = std::get_if<TokenReturn>(&body)) {
+                returns.push_back(tokenReturn->number);
             }
         });
         sendNotice();
@@ -67,7 +73,7 @@
         turn.programBudget = Base::Tokens(1000);
         turn.maxOutput = Base::Tokens(100);
         std::optional<BudgetVerdict> verdict;
-        turns_.reserve(
+        lastReservation = turns_.reserve(
             turn, std::chrono::seconds(60), [&](BudgetVerdict result) { verdict = result; });
         const auto end = std::chrono::steady_clock::now() + guardTime;
         while (!verdict) {
@@ -77,6 +83,21 @@
         return *verdict;
     }
 
+    /// Ends the last turn without a token.
+    void settleUnused()
+    {
+        turns_.settle(lastReservation, {});
+        runUntil([this] { return !returns.empty(); }, "no return of the grant");
+    }
+
+    /// Returns a grant to this daemon, as the other daemon does.
+    void returnGrant(RequestNumber number)
+    {
+        const int received = returnsReceived_;
+        coordinator_.send(self, TokenReturn{number});
+        runUntil([&] { return returnsReceived_ > received; }, "return not received");
+    }
+
     /// Requests a grant of this daemon, as the other daemon does.
     TokenResponse request(RequestNumber number)
     {
@@ -100,11 +121,24 @@
     }
 
     std::set<RequestNumber> requestNumbers;
+    std::vector<RequestNumber> returns;
     std::optional<Programs::TurnVerdict> response;
+    /// Granted with the response.
+    Base::Tokens granted;
+    Programs::ReservationId lastReservation;
     int requestCount = 0;
     int writes = 0;
 
 private:
+    void runUntil(const std::function<bool()> &condition, const char *problem)
+    {
+        const auto end = std::chrono::steady_clock::now() + guardTime;
+        while (!condition()) {
+            cr_assert(std::chrono::steady_clock::now() < end, "%s", problem);
+            context_.run_one_for(std::chrono::milliseconds(20));
+        }
+    }
+
     static Telemetry::Log &log()
     {
         static Telemetry::Log silent(
@@ -144,6 +178,7 @@
     PeerLink coordinator_;
     TurnAdmission turns_;
     asio::steady_timer notice_;
+    int returnsReceived_ = 0;
 };
 
 } // namespace
@@ -179,6 +214,31 @@
     cr_assert(fixture.request(RequestNumber(9)).verdict == Programs::TurnVerdict::Exhausted);
 }
 
+/// A turn that was refused for another reason kept its tokens at this daemon, and its next attempt,
+/// through another daemon, was refused with 402. Seen on fcpm-agents-grown (seed 4301).
+Test(turnadmission, returnsTheGrantOfATurnThatDidNotRun)
+{
+    Fixture fixture;
+    fixture.response = Programs::TurnVerdict::Admitted;
+    fixture.granted = Base::Tokens(100);
+    cr_assert(fixture.reserve() == BudgetVerdict::Admitted);
+    fixture.settleUnused();
+    cr_assert_eq(fixture.returns.size(), 1);
+    cr_assert_eq(fixture.requestNumbers.count(fixture.returns.front()), 1);
+}
+
+Test(turnadmission, takesAReturnedGrantBackOnce)
+{
+    Fixture fixture;
+    cr_assert(fixture.request(RequestNumber(7)).verdict == Programs::TurnVerdict::Admitted);
+    fixture.returnGrant(RequestNumber(7));
+    fixture.returnGrant(RequestNumber(7));
+    fixture.returnGrant(RequestNumber(99));
+    cr_assert(fixture.request(RequestNumber(8)).verdict == Programs::TurnVerdict::Admitted);
+    cr_assert(fixture.request(RequestNumber(9)).verdict == Programs::TurnVerdict::Admitted);
+    cr_assert(fixture.request(RequestNumber(10)).verdict == Programs::TurnVerdict::Exhausted);
+}
+
 Test(turnadmission, repeatsARequestUnderTheSameNumber)
 {
     Fixture fixture;
