--- a/src/libs/programs/tokenledger.h
+++ b/src/libs/programs/tokenledger.h
@@ -172,6 +172,8 @@
     void reserve(const TurnReservation &turn, Base::Instant now);
     /// The turn has ended or was not run; frees the tokens that it did not use.
     void settle(ReservationId id, Base::Tokens used, Base::Instant now);
+    /// The daemon that the tokens were granted to has used none of them.
+    void returnTokens(const Base::ProgramId &program, Base::Tokens amount, Base::Instant now);
     void allocationAnswered(const Base::ProgramId &program,
                             const AllocationOutcome &outcome,
                             Base::Instant now);
@@ -205,6 +207,8 @@
         Base::Tokens allocated;
         /// Passed to callers, granted to other daemons, or reserved by turns in progress.
         Base::Tokens used;
+        /// The part of used that other daemons hold.
+        Base::Tokens granted;
         /// Allocations of all daemons as of the store's last response.
         Base::Tokens storedTotal;
         AllocationVersion version;
@@ -229,6 +233,8 @@
         Base::Tokens overdraft() const { return std::max(Base::Tokens(0), used - allocated); }
         /// Budget that no daemon has allocated or is known to have used.
         Base::Tokens unallocated() const;
+        /// Tokens that count as used, though the daemons that hold them may be lost.
+        Base::Tokens inDoubt() const { return storedTotal - allocated + granted; }
     };
     struct Running
     {
@@ -237,6 +243,7 @@
     };
 
     bool mayOverdraw(const Account &account, const TurnReservation &turn) const;
+    bool isCovered(const Account &account, const TurnReservation &turn) const;
     bool recordOverdraft(const Base::ProgramId &program,
                          Account &account,
                          const TurnReservation &turn,
