Return what is left of a token grant if it does not suffice for a turn

Each daemon that serves a turn is granted the turn's maximum, 580 tokens, and keeps the 350 that an average turn leaves; they do not suffice for the next turn there and count as spent everywhere else.

The rest is returned unless it suffices for another turn. That costs one datagram a turn; a daemon without enough tokens has to ask for the next turn anyway.

theRestOfAGrantIsFreeForOtherDaemons passes eight turns of 200 tokens through eight daemons with a budget of 2,000.

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -164,8 +164,8 @@
 }
 
 /**
- * Response to TokenRequest. Granted tokens belong to the requesting daemon, unless it returns all
- * of them. With Unavailable, the amount is the coordinator's overdraft, which the requesting daemon must count.
+ * Response to TokenRequest. Granted tokens belong to the requesting daemon, unless it returns them.
+ * With Unavailable, the amount is the coordinator's overdraft, which the requesting daemon must count.
  */
 struct TokenAnswer {
   1: i64 number
@@ -174,11 +174,12 @@
 }
 
 /**
- * Returns the tokens that were granted for the TokenRequest with this number, none of which were
- * used. Counts once. Has no response.
+ * Returns unused tokens that were granted for the TokenRequest with this number. Counts once for
+ * each grant. Has no response.
  */
 struct TokenReturn {
   1: i64 number
+  2: i64 amount
 }
 
 /** Acknowledges a request whose response takes longer, for example due to a write to the store. */
--- a/src/libs/programs/tokengranttable.cpp
+++ b/src/libs/programs/tokengranttable.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Coordinators remember the grants that they made for longer.
-constexpr Base::Duration returnPeriod = std::chrono::seconds(5);
+constexpr Base::Duration returnPeriod = std::chrono::seconds(8);
 
 } // namespace
 
@@ -87,30 +87,35 @@
         return;
     }
     Account &account = accounts_[run->second.program];
-    account.free += run->second.maxTokens - used;
-    account.used -= run->second.maxTokens - used;
+    const Base::Tokens maxTokens = run->second.maxTokens;
+    account.free += maxTokens - used;
+    account.used -= maxTokens - used;
     --account.running;
     account.lastUse = now;
     const Base::ProgramId program = run->second.program;
     running_.erase(run);
     serve(program, account);
-    if (used == Base::Tokens(0)) {
-        returnLastGrant(account, now);
+    if (used == Base::Tokens(0) || account.free < maxTokens) {
+        returnUnused(account, now);
     }
 }
 
-/// The program's next turn may come through another daemon, for which the tokens count as spent.
-void TokenGrantTable::returnLastGrant(Account &account, Base::Instant now)
+/// The program's next turn may come through another daemon, for which tokens that are left here
+/// count as spent. What suffices for a turn stays, as most turns come through the same daemon.
+void TokenGrantTable::returnUnused(Account &account, Base::Instant now)
 {
     const bool isIdle = account.running == 0 && account.waiting.empty() && !account.pendingRequest;
-    const std::optional<Grant> &grant = account.lastGrant;
-    const bool isUnused = grant && account.free >= grant->amount;
-    if (!isIdle || !isUnused || now - grant->receivedAt >= returnPeriod) {
+    const bool isReturnable
+        = account.lastGrant && now - account.lastGrant->receivedAt < returnPeriod;
+    if (!isIdle || !isReturnable) {
         return;
     }
-    account.free -= grant->amount;
-    actions_.push_back(ReturnGrant{grant->id});
-    account.lastGrant.reset();
+    const Grant grant = *std::exchange(account.lastGrant, std::nullopt);
+    const Base::Tokens amount = std::min(account.free, grant.amount);
+    if (amount > Base::Tokens(0)) {
+        account.free -= amount;
+        actions_.push_back(ReturnGrant{grant.id, amount});
+    }
 }
 
 void TokenGrantTable::sweep(Base::Instant now)
--- a/src/libs/programs/tokengranttable.h
+++ b/src/libs/programs/tokengranttable.h
@@ -24,10 +24,11 @@
     Base::Tokens coordinatorOverdraft;
 };
 
-/// Returns the tokens that were granted for that reservation to the coordinator that granted them.
+/// Returns unused tokens to the coordinator that granted them for that reservation.
 struct ReturnGrant
 {
     ReservationId grant;
+    Base::Tokens amount;
 
     bool operator==(const ReturnGrant &) const = default;
 };
@@ -79,7 +80,7 @@
     };
 
     void serve(const Base::ProgramId &program, Account &account);
-    void returnLastGrant(Account &account, Base::Instant now);
+    void returnUnused(Account &account, Base::Instant now);
 
     std::unordered_map<Base::ProgramId, Account> accounts_;
     std::unordered_map<ReservationId, Running> running_;
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -368,6 +368,7 @@
             [&](const TokenReturn &tokenReturn) {
                 Wire::TokenReturn part;
                 part.number = toWire(tokenReturn.number);
+                part.amount = tokenReturn.amount.value();
                 wire.__set_tokenReturn(part);
             },
             [&](const TokenRequest &request) {
@@ -517,7 +518,8 @@
         return PermitReturn{Base::TeamId(wire.permitReturn.team)};
     }
     if (wire.__isset.tokenReturn) {
-        return TokenReturn{requestNumberFromWire(wire.tokenReturn.number)};
+        return TokenReturn{requestNumberFromWire(wire.tokenReturn.number),
+                           Base::Tokens(wire.tokenReturn.amount)};
     }
     if (wire.__isset.tokenRequest) {
         const Wire::TokenRequest &request = wire.tokenRequest;
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -189,10 +189,11 @@
     bool operator==(const TokenResponse &) const = default;
 };
 
-/// Returns the grant that the sender received under this number and did not use. Has no response.
+/// Returns unused tokens of the grant that the sender received under this number. Has no response.
 struct TokenReturn
 {
     RequestNumber number;
+    Base::Tokens amount;
 
     bool operator==(const TokenReturn &) const = default;
 };
--- a/src/libs/proxy/turnadmission.cpp
+++ b/src/libs/proxy/turnadmission.cpp
@@ -4,6 +4,8 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
+
 namespace Proxy {
 
 namespace {
@@ -148,18 +150,21 @@
 void TurnAdmission::onTokenReturn(const Base::VmId &sender, const TokenReturn &tokenReturn)
 {
     const auto known = recentGrants_.find({sender, tokenReturn.number});
-    if (known == recentGrants_.end() || std::exchange(known->second.isReturned, true)) {
+    if (known == recentGrants_.end() || tokenReturn.amount < Base::Tokens(0)
+        || std::exchange(known->second.isReturned, true)) {
         return;
     }
-    ledger_.returnTokens(known->second.program, known->second.response.amount, now_());
+    const Base::Tokens amount = std::min(tokenReturn.amount, known->second.response.amount);
+    ledger_.returnTokens(known->second.program, amount, now_());
     runActions();
 }
 
-void TurnAdmission::returnGrant(Programs::ReservationId grant)
+void TurnAdmission::returnGrant(const Programs::ReturnGrant &unused)
 {
-    const auto received = receivedGrants_.extract(grant);
+    const auto received = receivedGrants_.extract(unused.grant);
     if (!received.empty()) {
-        peers_.send(received.mapped().coordinator, TokenReturn{received.mapped().number});
+        peers_.send(received.mapped().coordinator,
+                    TokenReturn{received.mapped().number, unused.amount});
     }
 }
 
@@ -173,14 +178,14 @@
 void TurnAdmission::runTokenGrantActions()
 {
     for (const Programs::TokenGrantAction &action : tokenGrants_.takeActions()) {
-        std::visit(Base::Visitor{
-                       [this](const Programs::AnswerTurn &answer) { deliverVerdict(answer); },
-                       [this](const Programs::AskCoordinator &ask) {
-                           askCoordinator(ask, peers_.nextRequestNumber(), 1);
-                       },
-                       [this](const Programs::ReserveLocally &local) { reserveLocally(local); },
-                       [this](const Programs::ReturnGrant &unused) { returnGrant(unused.grant); }},
-                   action);
+        std::visit(
+            Base::Visitor{[this](const Programs::AnswerTurn &answer) { deliverVerdict(answer); },
+                          [this](const Programs::AskCoordinator &ask) {
+                              askCoordinator(ask, peers_.nextRequestNumber(), 1);
+                          },
+                          [this](const Programs::ReserveLocally &local) { reserveLocally(local); },
+                          [this](const Programs::ReturnGrant &unused) { returnGrant(unused); }},
+            action);
     }
 }
 
--- a/src/libs/proxy/turnadmission.h
+++ b/src/libs/proxy/turnadmission.h
@@ -66,7 +66,7 @@
     void runTokenGrantActions();
     void reserveLocally(const Programs::ReserveLocally &local);
     void askCoordinator(const Programs::AskCoordinator &ask, RequestNumber number, int attempt);
-    void returnGrant(Programs::ReservationId grant);
+    void returnGrant(const Programs::ReturnGrant &unused);
     void deliverVerdict(const Programs::AnswerTurn &answer);
     void writeAllocation(const Programs::WriteAllocation &allocation);
     void relayAllocation(const Programs::WriteAllocation &allocation, int attempt);
--- a/tests/libs/programs/tst_tokenledger.cpp
+++ b/tests/libs/programs/tst_tokenledger.cpp
@@ -634,7 +634,8 @@
     table.settle(ReservationId(1), Tokens(0), at(6));
     const auto actions = table.takeActions();
     cr_assert_eq(actions.size(), 1);
-    cr_assert(std::get<ReturnGrant>(actions[0]) == ReturnGrant{ReservationId(1)});
+    const ReturnGrant expected{ReservationId(1), Tokens(580)};
+    cr_assert(std::get<ReturnGrant>(actions[0]) == expected);
     table.reserve(turn(2, 900, 580), at(7));
     cr_assert_eq(std::get<AskCoordinator>(table.takeActions().at(0)).needed.value(), 580);
 }
@@ -650,7 +651,37 @@
     table.settle(ReservationId(1), Tokens(0), at(6));
     cr_assert(table.takeActions().empty(), "the second turn is running");
     table.settle(ReservationId(2), Tokens(100), at(7));
-    cr_assert(table.takeActions().empty(), "a part of the grant was used");
+    cr_assert(table.takeActions().empty(), "the rest suffices for another turn");
+}
+
+/// A program that had used a third of its budget through seven daemons was refused with 402.
+Test(tokengranttable, theRestOfAGrantIsFreeForOtherDaemons)
+{
+    constexpr std::int64_t used = 200;
+    AllocationStore store;
+    TokenLedger ledger(Base::IncarnationId("a.1"), {});
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        TokenGrantTable table;
+        table.reserve(turn(id, 2000, 580), at(0));
+        const auto ask = std::get<AskCoordinator>(table.takeActions().at(0));
+        TurnReservation grant = turn(id, 2000, ask.needed.value());
+        grant.isTokenGrant = true;
+        ledger.reserve(grant, at(0));
+        for (TokenLedgerAction action : ledger.takeActions()) {
+            if (const auto *allocation = std::get_if<WriteAllocation>(&action)) {
+                ledger.allocationAnswered(program, store.write(*allocation), at(1));
+                action = onlyAnswer(ledger);
+            }
+            const auto answer = std::get<AnswerTurn>(action);
+            cr_assert_eq(answer.verdict, TurnVerdict::Admitted, "turn %lu", id);
+            table.answered(ReservationId(id), answer.verdict, answer.amount, at(2));
+        }
+        table.takeActions();
+        table.settle(ReservationId(id), Tokens(used), at(3));
+        for (const TokenGrantAction &action : table.takeActions()) {
+            ledger.returnTokens(program, std::get<ReturnGrant>(action).amount, at(4));
+        }
+    }
 }
 
 Test(tokengranttable, sendsOneRequestForSeveralTurns)
--- a/tests/libs/proxy/tst_peers.cpp
+++ b/tests/libs/proxy/tst_peers.cpp
@@ -86,7 +86,7 @@
                      Base::Tokens(40)},
         TokenResponse{number, Programs::TurnVerdict::Exhausted, Base::Tokens(0)},
         TokenResponse{number, Programs::TurnVerdict::Admitted, Base::Tokens(300)},
-        TokenReturn{number},
+        TokenReturn{number, Base::Tokens(350)},
         RequestInProgress{number},
         AllocationRelayRequest{number,
                                {Base::ProgramId("p"),
--- a/tests/libs/proxy/tst_turnadmission.cpp
+++ b/tests/libs/proxy/tst_turnadmission.cpp
@@ -94,7 +94,7 @@
     void returnGrant(RequestNumber number)
     {
         const int received = returnsReceived_;
-        coordinator_.send(self, TokenReturn{number});
+        coordinator_.send(self, TokenReturn{number, Base::Tokens(575)});
         runUntil([&] { return returnsReceived_ > received; }, "return not received");
     }
 
@@ -215,7 +215,7 @@
 }
 
 /// A turn that was refused for another reason kept its tokens at this daemon, and its next attempt,
-/// through another daemon, was refused with 402. Seen on fcpm-agents-grown (seed 4301).
+/// through another daemon, was refused with 402.
 Test(turnadmission, returnsTheGrantOfATurnThatDidNotRun)
 {
     Fixture fixture;
