State the maximum of a turn in a request for a part of its tokens

A coordinator judged whether a budget is small, and so not overdrawn, by the tokens that the requesting daemon lacked. A daemon with 300 of 580 tokens asked for 280, and a budget of 900 was overdrawn. No exceeded budget was found in that way; the rule only did not hold. Found by review.

The request states the turn's maximum in an optional field; without it, from builds before, the requested tokens count as before.

smallBudgetsAreNotOverdrawnForAPartOfATurn: the field is new, so the test was not run on the code before.

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -155,6 +155,8 @@
   5: i64 retentionMs
   /** Tokens that the sender has passed to callers so far. */
   6: i64 used
+  /** Maximum of the turn, of which the sender may have a part. */
+  7: optional i64 turnMaximum
 }
 
 enum TokenVerdict {
--- a/src/libs/programs/tokengranttable.cpp
+++ b/src/libs/programs/tokengranttable.cpp
@@ -42,7 +42,8 @@
                                           first.budget,
                                           first.maxTokens - account.free,
                                           first.retention,
-                                          account.used});
+                                          account.used,
+                                          first.maxTokens});
     }
 }
 
--- a/src/libs/programs/tokengranttable.h
+++ b/src/libs/programs/tokengranttable.h
@@ -14,6 +14,8 @@
     Base::Duration retention{};
     /// Tokens that this daemon has passed to callers, or reserved for turns in progress.
     Base::Tokens used;
+    /// Maximum of the turn, of which `needed` is the part that this daemon lacks.
+    Base::Tokens turnMaximum{};
 };
 
 /// Reserves the turn in the daemon's own ledger, as the coordinator cannot grant tokens now.
--- a/src/libs/programs/tokenledger.cpp
+++ b/src/libs/programs/tokenledger.cpp
@@ -23,7 +23,8 @@
 /// Whether the loss of one allocation would leave no room for a turn.
 bool isSmallBudget(const TurnReservation &turn)
 {
-    return turn.budget < turn.maxTokens + turn.maxTokens;
+    const Tokens maximum = std::max(turn.maxTokens, turn.turnMaximum);
+    return turn.budget < maximum + maximum;
 }
 
 /// A small budget may be exceeded by the allocation that replaces a lost one instead.
--- a/src/libs/programs/tokenledger.h
+++ b/src/libs/programs/tokenledger.h
@@ -67,6 +67,9 @@
     std::optional<std::pair<Base::VmId, Base::Tokens>> reportedUse;
     /// Tokens that turns use on another daemon without a confirmed allocation.
     std::optional<std::pair<Base::VmId, Base::Tokens>> remoteOverdraft;
+    /// Maximum of the whole turn if that is more than `maxTokens`: the requesting daemon has the
+    /// rest.
+    Base::Tokens turnMaximum{};
 };
 
 enum class TurnVerdict {
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -381,6 +381,7 @@
                     = std::chrono::duration_cast<std::chrono::milliseconds>(request.retention)
                           .count();
                 part.used = request.used.value();
+                part.__set_turnMaximum(request.turnMaximum.value());
                 wire.__set_tokenRequest(part);
             },
             [&](const TokenResponse &response) {
@@ -528,7 +529,8 @@
                             Base::Tokens(request.budget),
                             Base::Tokens(request.needed),
                             std::chrono::milliseconds(request.retentionMs),
-                            Base::Tokens(request.used)};
+                            Base::Tokens(request.used),
+                            Base::Tokens(request.__isset.turnMaximum ? request.turnMaximum : 0)};
     }
     if (wire.__isset.tokenAnswer) {
         const Wire::TokenAnswer &answer = wire.tokenAnswer;
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -175,6 +175,9 @@
     Base::Duration retention{};
     /// Tokens that the sender has passed to callers so far.
     Base::Tokens used;
+    /// Maximum of the turn, of which `needed` is the part that the sender lacks; 0 from builds that
+    /// do not state it.
+    Base::Tokens turnMaximum{};
 
     bool operator==(const TokenRequest &) const = default;
 };
--- a/src/libs/proxy/turnadmission.cpp
+++ b/src/libs/proxy/turnadmission.cpp
@@ -139,6 +139,7 @@
     reservation.isTokenGrant = true;
     reservation.mayOverdraw = mayOverdraw(request.program);
     reservation.reportedUse = {sender, request.used};
+    reservation.turnMaximum = request.turnMaximum;
     ledger_.reserve(reservation, now_());
     runActions();
     if (callbacks_.contains(id)) {
@@ -248,7 +249,7 @@
         return;
     }
     const TokenRequest request{
-        number, ask.program, ask.budget, ask.needed, ask.retention, ask.used};
+        number, ask.program, ask.budget, ask.needed, ask.retention, ask.used, ask.turnMaximum};
     peers_.sendRequest(coordinator, number, request, [=, this](const PeerBody *body) {
         const auto *response = body ? std::get_if<TokenResponse>(body) : nullptr;
         if (!response) {
--- a/tests/libs/programs/tst_tokenledger.cpp
+++ b/tests/libs/programs/tst_tokenledger.cpp
@@ -609,6 +609,18 @@
     }
 }
 
+/// A daemon that has a part of a turn's tokens requests the rest.
+Test(tokenledger, smallBudgetsAreNotOverdrawnForAPartOfATurn)
+{
+    TokenLedger ledger(Base::IncarnationId("a.1"), {});
+    TurnReservation request = turn(1, 900, 280);
+    request.turnMaximum = Tokens(580);
+    request.isTokenGrant = true;
+    request.mayOverdraw = true;
+    ledger.reserve(request, at(0));
+    cr_assert(onlyAllocation(ledger).isAwaited);
+}
+
 /// Tokens of a turn that did not run count as spent for other daemons until they are returned.
 Test(tokenledger, returnedTokensAreFreeAgain)
 {
