--- a/src/libs/programs/tokengranttable.h
+++ b/src/libs/programs/tokengranttable.h
@@ -14,6 +14,8 @@
     Base::Duration retention{};
     /// Tokens that this daemon has passed to callers, or reserved for turns in progress.
     Base::Tokens used;
+    /// Maximum of the turn, of which `needed` is the part that this daemon lacks.
+    Base::Tokens turnMaximum{};
 };
 
 /// Reserves the turn in the daemon's own ledger, as the coordinator cannot grant tokens now.
@@ -24,10 +26,11 @@
     Base::Tokens coordinatorOverdraft;
 };
 
-/// Returns the tokens that were granted for that reservation to the coordinator that granted them.
+/// Returns unused tokens to the coordinator that granted them for that reservation.
 struct ReturnGrant
 {
     ReservationId grant;
+    Base::Tokens amount;
 
     bool operator==(const ReturnGrant &) const = default;
 };
@@ -79,7 +82,7 @@
     };
 
     void serve(const Base::ProgramId &program, Account &account);
-    void returnLastGrant(Account &account, Base::Instant now);
+    void returnUnused(Account &account, Base::Instant now);
 
     std::unordered_map<Base::ProgramId, Account> accounts_;
     std::unordered_map<ReservationId, Running> running_;
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -368,6 +368,7 @@
             [&](const TokenReturn &tokenReturn) {
                 Wire::TokenReturn part;
                 part.number = toWire(tokenReturn.number);
+                part.amount = tokenReturn.amount.value();
                 wire.__set_tokenReturn(part);
             },
             [&](const TokenRequest &request) {
@@ -380,6 +381,7 @@
                     = std::chrono::duration_cast<std::chrono::milliseconds>(request.retention)
                           .count();
                 part.used = request.used.value();
+                part.__set_turnMaximum(request.turnMaximum.value());
                 wire.__set_tokenRequest(part);
             },
             [&](const TokenResponse &response) {
@@ -517,7 +519,8 @@
         return PermitReturn{Base::TeamId(wire.permitReturn.team)};
     }
     if (wire.__isset.tokenReturn) {
-        return TokenReturn{requestNumberFromWire(wire.tokenReturn.number)};
+        return TokenReturn{requestNumberFromWire(wire.tokenReturn.number),
+                           Base::Tokens(wire.tokenReturn.amount)};
     }
     if (wire.__isset.tokenRequest) {
         const Wire::TokenRequest &request = wire.tokenRequest;
@@ -526,7 +529,8 @@
                             Base::Tokens(request.budget),
                             Base::Tokens(request.needed),
                             std::chrono::milliseconds(request.retentionMs),
-                            Base::Tokens(request.used)};
+                            Base::Tokens(request.used),
+                            Base::Tokens(request.__isset.turnMaximum ? request.turnMaximum : 0)};
     }
     if (wire.__isset.tokenAnswer) {
         const Wire::TokenAnswer &answer = wire.tokenAnswer;
--- a/src/libs/proxy/peermessages.h
+++ b/src/libs/proxy/peermessages.h
@@ -175,6 +175,9 @@
     Base::Duration retention{};
     /// Tokens that the sender has passed to callers so far.
     Base::Tokens used;
+    /// Maximum of the turn, of which `needed` is the part that the sender lacks; 0 from builds that
+    /// do not state it.
+    Base::Tokens turnMaximum{};
 
     bool operator==(const TokenRequest &) const = default;
 };
@@ -189,10 +192,11 @@
     bool operator==(const TokenResponse &) const = default;
 };
 
-/// Returns the grant that the sender received under this number and did not use. Has no response.
+/// Returns unused tokens of the grant that the sender received under this number. Has no response.
 struct TokenReturn
 {
     RequestNumber number;
+    Base::Tokens amount;
 
     bool operator==(const TokenReturn &) const = default;
 };
