--- a/tests/platform/tst_platformadapter.cpp
+++ b/tests/platform/tst_platformadapter.cpp
@@ -102,6 +102,22 @@
     cr_assert_eq(invalid.problems.size(), 1);
 }
 
+/// Guards against a process that does not start because a bound is a fraction.
+Test(nodesettings, acceptsFractionsInTheBounds)
+{
+    json file = nodeFile();
+    file["bounds"] = {{"config_apply_ms", 2000.0}, {"evac_ms", 4500.5}, {"grace_s", 7.5}};
+    const ParsedNodeSettings parsed = parseNodeSettings(file.dump());
+    cr_assert(parsed.problems.empty());
+    cr_assert_eq(parsed.settings.configurationBound, std::chrono::milliseconds(2000));
+    cr_assert(parsed.settings.closureBound == std::chrono::microseconds(4'500'500));
+    cr_assert_eq(parsed.settings.stopGrace, std::chrono::milliseconds(7500));
+    file["bounds"] = {{"grace_s", 0.5}};
+    cr_assert_eq(parseNodeSettings(file.dump()).settings.stopGrace, std::chrono::milliseconds(500));
+    file["bounds"] = {{"grace_s", 0}};
+    cr_assert_eq(parseNodeSettings(file.dump()).problems.size(), 1);
+}
+
 Test(nodesettings, reportsProblems)
 {
     json file = nodeFile();
