Defer signals until their handlers are set

A process that got SIGTERM while it started ended with wait status 15 instead of 0, and a SIGHUP, which has no effect on a running daemon, ended it too.

--- a/src/libs/proxy/proxydaemon.cpp
+++ b/src/libs/proxy/proxydaemon.cpp
@@ -1,5 +1,7 @@
 #include "proxydaemon.h"
 
+#include "processsignals.h"
+
 #include <csignal>
 
 namespace Proxy {
@@ -61,6 +63,7 @@
     signals_.add(SIGTERM);
     signals_.add(SIGINT);
     signals_.add(SIGHUP);
+    deliverSignals();
     waitForSignal();
 }
 
