Read a caller's bytes only when they are handled

A caller that pipelines got no response to a request whose bytes had been read by the system call, but not yet handled, when the response to the one before it announced the end of the connection: the check for a request that has arrived saw neither the socket nor the buffer of parsed bytes, and the bytes were dropped with the connection (LOST).

An asynchronous read takes the bytes when it completes and hands them over in a later handler. The connection now waits until its socket is readable and reads in the handler, so bytes are either in the socket or handled. A pending read need not be cancelled any more before a connection is closed or only watched, which also removes the states of that cancellation.

Requests of callers that do not pipeline were never affected.

--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -1,6 +1,5 @@
 #include "callerconnection.h"
 
-#include <asio/bind_cancellation_slot.hpp>
 #include <asio/write.hpp>
 
 #include <array>
@@ -50,6 +49,12 @@
 {
     std::error_code ignored; // a socket without the option still works
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    std::error_code error;
+    socket_.non_blocking(true, error);
+    if (error) {
+        close(CloseReason::ByCaller);
+        return;
+    }
     lastActivity_ = handlers_->now();
     armTimer();
     read();
@@ -58,81 +63,60 @@
 void CallerConnection::read()
 {
     const bool isFull = isHandling_ && incoming_.size() >= maxPipelinedBytes;
-    if (isReading_ || isClosed_ || isClosing_ || isFull) {
-        return;
+    if (!isWaiting_ && !isClosed_ && !isClosing_ && !isFull) {
+        waitUntilReadable();
     }
-    if (isCloseAnnounced_) {
-        watchForDisconnect();
-    } else {
-        startRead();
-    }
-}
-
-void CallerConnection::startRead()
-{
-    isReading_ = true;
-    auto self = shared_from_this();
-    auto handler = [self](const std::error_code &error, std::size_t size) {
-        self->isReading_ = false;
-        if (!self->isClosed_) {
-            self->onRead(error, size);
-        }
-    };
-    socket_.async_read_some(
-        asio::buffer(buffer_),
-        asio::bind_cancellation_slot(readCancellation_.slot(), std::move(handler)));
 }
 
-/// Bytes of a later request stay unread: a caller whose request was not read may repeat it.
-void CallerConnection::watchForDisconnect()
+/// Bytes are taken from the socket only when they are handled: an asynchronous read could complete
+/// behind a response that announces the end of the connection.
+void CallerConnection::waitUntilReadable()
 {
-    isReading_ = true;
+    isWaiting_ = true;
     auto self = shared_from_this();
     socket_.async_wait(asio::socket_base::wait_read, [self](const std::error_code &error) {
-        self->isReading_ = false;
+        self->isWaiting_ = false;
         if (!self->isClosed_) {
             self->onReadable(error);
         }
     });
 }
 
-void CallerConnection::onReadable(std::error_code error)
+void CallerConnection::onReadable(const std::error_code &error)
 {
-    std::array<char, 1> next{};
-    if (!error) {
-        socket_.non_blocking(true, error);
-        socket_.receive(asio::buffer(next), asio::socket_base::message_peek, error);
-    }
-    if (error && error != asio::error::would_block) {
+    if (error) {
         close(isClosing_ ? closeReason_ : CloseReason::ByCaller);
+    } else if (isCloseAnnounced_) {
+        detectDisconnect();
+    } else {
+        receive();
     }
 }
 
-void CallerConnection::onRead(const std::error_code &error, std::size_t size)
+void CallerConnection::receive()
 {
-    const bool isCloseRequested = std::exchange(isIdleCloseRequested_, false);
-    if (error == asio::error::operation_aborted && (isCloseRequested || isCloseAnnounced_)) {
-        onReadCancelled();
-        return;
-    }
-    if (error) {
+    std::error_code error;
+    const std::size_t size = socket_.read_some(asio::buffer(buffer_), error);
+    if (error && error != asio::error::would_block) {
         close(CloseReason::ByCaller);
         return;
     }
-    lastActivity_ = handlers_->now();
-    incoming_.append(buffer_.data(), size);
-    parse();
+    if (!error) {
+        lastActivity_ = handlers_->now();
+        incoming_.append(buffer_.data(), size);
+        parse();
+    }
     read();
 }
 
-void CallerConnection::onReadCancelled()
+/// Bytes of a later request stay unread: a caller whose request was not read may repeat it.
+void CallerConnection::detectDisconnect()
 {
-    if (isCloseAnnounced_) {
-        watchForDisconnect();
-    } else if (isIdle()) {
-        closeAfterWrites(CloseReason::Shutdown);
-    } else {
-        read();
+    std::array<char, 1> next{};
+    std::error_code error;
+    socket_.receive(asio::buffer(next), asio::socket_base::message_peek, error);
+    if (error && error != asio::error::would_block) {
+        close(isClosing_ ? closeReason_ : CloseReason::ByCaller);
     }
 }
 
@@ -235,7 +219,7 @@
         isKeptAlive_ = false;
     }
     if (!isKeptAlive_) {
-        announceClose();
+        isCloseAnnounced_ = true;
     }
     if (framing.kind == BodyFraming::UntilClose) {
         setResetOnClose(true);
@@ -346,20 +330,13 @@
     flush();
 }
 
-/// From now on, only the end of the connection is of interest.
-void CallerConnection::announceClose()
-{
-    isCloseAnnounced_ = true;
-    readCancellation_.emit(asio::cancellation_type::total);
-}
-
 /// Closes the sending side first, and the socket after a delay in which the caller can read the
 /// response: an immediate close with unread bytes on the socket would reset the connection.
 void CallerConnection::closeAfterWrites(CloseReason reason)
 {
     isClosing_ = true;
     closeReason_ = reason;
-    announceClose();
+    isCloseAnnounced_ = true;
     std::error_code ignored; // the connection is closed either way
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     constexpr auto lingerTime = std::chrono::milliseconds(200);
@@ -370,8 +347,8 @@
             self->close(self->closeReason_);
         }
     });
-    if (!isReading_) {
-        watchForDisconnect();
+    if (!isWaiting_) {
+        waitUntilReadable();
     }
 }
 
@@ -444,12 +421,10 @@
     return error ? 0 : size;
 }
 
-/// The pending read may have completed already, with its handler queued, so it decides.
 void CallerConnection::closeIfIdle()
 {
     if (isIdle()) {
-        isIdleCloseRequested_ = true;
-        readCancellation_.emit(asio::cancellation_type::total);
+        closeAfterWrites(CloseReason::Shutdown);
     }
 }
 
--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -5,7 +5,6 @@
 #include <base/instant.h>
 #include <contracts/route.h>
 
-#include <asio/cancellation_signal.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 
@@ -107,13 +106,12 @@
 
 private:
     void read();
-    void startRead();
-    void onRead(const std::error_code &error, std::size_t size);
+    void waitUntilReadable();
+    void onReadable(const std::error_code &error);
+    void receive();
+    void detectDisconnect();
     void parse();
     void dispatchRequest();
-    void watchForDisconnect();
-    void onReadable(std::error_code error);
-    void onReadCancelled();
     void setResetOnClose(bool isReset);
     void reject();
     void sendContinueIfExpected();
@@ -122,7 +120,6 @@
     void onWritten(const std::error_code &error);
     void armTimer();
     void onTimer();
-    void announceClose();
     void closeAfterWrites(CloseReason reason);
     bool isIdle() const;
     std::size_t unreadBytes() const;
@@ -131,7 +128,6 @@
 
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
-    asio::cancellation_signal readCancellation_;
     std::shared_ptr<const CallerHandlers> handlers_;
     MessageParser parser_{MessageParser::Kind::Request};
     std::vector<char> buffer_;
@@ -147,7 +143,7 @@
     std::optional<Base::Instant> timerDue_;
     Framing responseFraming_;
     CloseReason closeReason_ = CloseReason::AfterResponse;
-    bool isReading_ = false;
+    bool isWaiting_ = false;
     bool isHandling_ = false;
     bool isKeptAlive_ = true;
     bool isHeadRequest_ = false;
@@ -155,8 +151,6 @@
     bool hasContinued_ = false;
     /// The response in progress announces that the connection closes, so no later request is read.
     bool isCloseAnnounced_ = false;
-    /// The connection closes once its pending read has ended without a byte.
-    bool isIdleCloseRequested_ = false;
     bool isClosing_ = false;
     bool isClosed_ = false;
     bool isParsing_ = false;
--- a/tests/libs/proxy/tst_callerconnection.cpp
+++ b/tests/libs/proxy/tst_callerconnection.cpp
@@ -86,6 +86,58 @@
     cr_assert(fixture.received.find("Request-Id: r2") != std::string::npos);
 }
 
+/// Guards against a request whose read completes while the response to the one before it announces
+/// the end of the connection: it got no response (LOST).
+Test(callerconnection, aRequestThatArrivesWithTheHeadOfAClosingResponseIsHandled)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    asio::ip::tcp::socket caller(context);
+    caller.connect(acceptor.local_endpoint());
+    ConnectionEnd end;
+    bool isClosed = false;
+    int requests = 0;
+    auto handlers = std::make_shared<CallerHandlers>();
+    handlers->onRequest
+        = [&](const std::shared_ptr<CallerConnection> &connection, const CallerRequest &) {
+              ++requests;
+              asio::post(context, [connection] {
+                  ResponseHead head;
+                  head.status = 200;
+                  connection->respond(head, {});
+              });
+          };
+    handlers->onRejected = [](int, const std::string &problem) {
+        cr_assert(problem.empty(), "%s", problem.c_str());
+    };
+    handlers->limits = [] { return Contracts::CallerLimits{}; };
+    handlers->now = &steadyNow;
+    handlers->isStopping = [] { return true; };
+    handlers->onClosed = [&](const auto &, const ConnectionEnd &closed) {
+        end = closed;
+        isClosed = true;
+    };
+    const auto connection = std::make_shared<CallerConnection>(acceptor.accept(), handlers);
+
+    // The first request fills one read of the connection.
+    constexpr std::size_t readBytes = 16 * 1024;
+    std::string first = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 16000\r\nX-Fill: ";
+    first += std::string(readBytes - 16000 - first.size() - 4, 'x') + "\r\n\r\n";
+    first += std::string(16000, 'b');
+    asio::write(caller, asio::buffer(first + requestText("/", "r2")));
+    connection->start();
+    const auto limit = std::chrono::steady_clock::now() + guardTime;
+    while (!isClosed && std::chrono::steady_clock::now() < limit) {
+        context.run_one_for(std::chrono::milliseconds(20));
+        if (requests == 2) {
+            caller.close();
+        }
+    }
+    cr_assert(isClosed);
+    cr_assert_eq(end.unhandledBytes, 0, "%zu bytes were dropped", end.unhandledBytes);
+    cr_assert_eq(requests, 2);
+}
+
 /// Guards against requests in progress whose connection ends with the process.
 Test(callerconnection, requestsInProgressAreAnsweredWhenTheProcessEnds)
 {
