Refuse late requests that the end of the process would cut off

A caller whose connection was kept through the begin of a planned stop, as the head of a response in progress announced no close, could send its next request at any time of the grace period. It was passed on whatever it needed, and at 7.2 s of 8 s it was ended: 502 after a server had begun to run it, or a stream cut within its response (LOST).

The stop had rules for connections and none for requests. ShutdownSchedule::isAdmitted() decides now from the time since the stop began, the request's own limit (the route's timeout or the caller's deadline) and whether it is repeatable. Once the load balancer has removed the daemon, a request that is not certain to end before the requests are ended gets 503 at once with the end of the connection announced and Retry-After 0, as it has not run and another daemon can serve it. Before, refused callers may come back to the same daemon, so only requests are refused that may not be repeated and whose limit is over eight times the time left. The same is asked again before each attempt, so that requests which waited for a permit, a budget, the history, a stream's version or a server's permit are not sent late. A request that may have run is never refused this way.

The times follow from the grace period: with 2 s, connections were accepted and requests taken until the process ended, and below 0.6 s it ended with requests in progress. The timer of the shutdown now also fires at the changes of the schedule, not only every 100 ms.

The log line of such a request has the outcome "stopping", the line "stopped" has refused_by_shutdown, and marjoram_shutdown_refusals_total counts them.

--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -66,6 +66,9 @@
         = std::min(route_->timeout, traits_.callerTimeout.value_or(route_->timeout));
     deadline_ = request_.arrivedAt + timeout;
     armDeadline();
+    if (!checkShutdown()) {
+        return;
+    }
     if (owner_.quarantine_.isQuarantined(fingerprints_)) {
         refuseQuarantined();
         return;
@@ -77,6 +80,29 @@
     }
 }
 
+bool Exchange::isRepeatable() const
+{
+    return route_->kind == Contracts::RouteKind::Idempotent
+           || (route_->kind == Contracts::RouteKind::Stream && route_->isResumable);
+}
+
+/// A refusal would promise that the request was not run.
+bool Exchange::mayBeSent() const
+{
+    return mayHaveRun_ || owner_.isAdmitted({timeLeft(), isRepeatable()});
+}
+
+/// Refuses a request that would be cut off when the process ends.
+bool Exchange::checkShutdown()
+{
+    if (mayBeSent()) {
+        return true;
+    }
+    owner_.account_.refusedByShutdown();
+    respondWithError(503, "stopping", "the daemon stops", Base::Duration::zero());
+    return false;
+}
+
 void Exchange::armDeadline()
 {
     auto self = shared_from_this();
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -54,6 +54,9 @@
     void onPermitVerdict(const Admission::PermitVerdict &verdict);
     void checkBudget();
     void onBudgetVerdict(BudgetVerdict verdict);
+    bool isRepeatable() const;
+    bool mayBeSent() const;
+    bool checkShutdown();
     void armDeadline();
     void onDeadline();
     void onCallerDisconnected();
--- a/src/libs/proxy/exchangeattempts.cpp
+++ b/src/libs/proxy/exchangeattempts.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-using Contracts::RouteKind;
 using Telemetry::LogLevel;
 
 /// Minimum time that a server needs; no attempt is made if less is left.
@@ -24,6 +23,9 @@
         onDeadline();
         return;
     }
+    if (!checkShutdown()) {
+        return;
+    }
     if (owner_.quarantine_.isQuarantined(fingerprints_)) {
         refuseQuarantined();
         return;
@@ -115,8 +117,8 @@
         }
         return;
     }
-    if (isZoneClosed()) {
-        // The zone was closed while the permit was on its way.
+    if (isZoneClosed() || !mayBeSent()) {
+        // The zone was closed, or the shutdown went on, while the permit was on its way.
         owner_.limits_.returnPermit(instance);
         startAttempt();
         return;
@@ -128,7 +130,8 @@
     auto self = shared_from_this();
     rateTimer_.emplace(owner_.context_, verdict.wait);
     rateTimer_->async_wait([self, instance](const std::error_code &error) {
-        if (!error && !self->isEnded_ && self->owner_.placer_.isAvailable(instance)) {
+        if (!error && !self->isEnded_ && self->owner_.placer_.isAvailable(instance)
+            && self->mayBeSent()) {
             self->offer();
             return;
         }
@@ -276,9 +279,7 @@
 
 bool Exchange::mayRetry() const
 {
-    const bool isRepeatable = route_->kind == RouteKind::Idempotent
-                              || (route_->kind == RouteKind::Stream && route_->isResumable);
-    if (!isRepeatable || timeLeft() < minAttemptTime) {
+    if (!isRepeatable() || timeLeft() < minAttemptTime) {
         return false;
     }
     if (isHeadForwarded_ && !(isEventStream_ && events_.lastEventId())) {
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -50,7 +50,7 @@
     handlers_->limits
         = [this] { return table_ ? table_->document().limits : Contracts::CallerLimits{}; };
     handlers_->now = [this] { return now(); };
-    handlers_->isStopping = [this] { return isStopping_; };
+    handlers_->isStopping = [this] { return shutdown_.has_value(); };
     handlers_->onClosed = [this](const auto &connection, const ConnectionEnd &end) {
         connections_.erase(connection);
         account_.connectionClosed(end);
@@ -165,9 +165,15 @@
     exchange->start();
 }
 
-void PassThrough::stop()
+void PassThrough::stop(const ShutdownSchedule &schedule)
 {
-    isStopping_ = true;
+    shutdown_ = schedule;
+    shutdownBegan_ = now();
+}
+
+bool PassThrough::isAdmitted(const UnsentRequest &request) const
+{
+    return !shutdown_ || shutdown_->isAdmitted(request, now() - shutdownBegan_);
 }
 
 void PassThrough::endRequests()
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -9,6 +9,7 @@
 #include "requestaccount.h"
 #include "requesttraits.h"
 #include "serverconnector.h"
+#include "shutdownschedule.h"
 
 #include <admission/permitpool.h>
 #include <contracts/routingtable.h>
@@ -188,8 +189,9 @@
     /// Handlers for the connections of callers.
     std::shared_ptr<const CallerHandlers> callerHandlers();
 
-    /// From now on, responses close their connections.
-    void stop();
+    /// From now on, responses close their connections, and requests that would be cut off are
+    /// refused.
+    void stop(const ShutdownSchedule &schedule = {});
     /// Closes idle connections during the shutdown.
     void closeIdle();
     /// Ends all requests in progress; those without a response yet get one. Called again while the
@@ -206,6 +208,7 @@
     friend class Exchange;
 
     void onRequest(const std::shared_ptr<CallerConnection> &caller, CallerRequest request);
+    bool isAdmitted(const UnsentRequest &request) const;
     std::shared_ptr<ClientConnection> takeIdle(const Dispatch::ServerInstance &instance);
     void putIdle(const Dispatch::ServerInstance &instance,
                  const std::shared_ptr<ClientConnection> &connection);
@@ -235,7 +238,8 @@
     RecentPrograms recentPrograms_;
     /// The requests in progress.
     std::set<Exchange *> exchanges_;
-    bool isStopping_ = false;
+    std::optional<ShutdownSchedule> shutdown_;
+    Base::Instant shutdownBegan_;
 };
 
 } // namespace Proxy
--- a/src/libs/proxy/proxydaemon.cpp
+++ b/src/libs/proxy/proxydaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "processsignals.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace Proxy {
@@ -165,15 +166,20 @@
         return;
     }
     shutdownBegan_ = passThrough_.now();
-    passThrough_.stop();
+    passThrough_.stop(settings_.stop);
     hooks_.began();
     logReadiness();
     continueShutdown();
 }
 
+Base::Duration ProxyDaemon::shutdownTime() const
+{
+    return passThrough_.now() - *shutdownBegan_;
+}
+
 ShutdownState ProxyDaemon::shutdownState() const
 {
-    return settings_.stop.stateAt(passThrough_.now() - *shutdownBegan_,
+    return settings_.stop.stateAt(shutdownTime(),
                                   passThrough_.activeRequests(),
                                   passThrough_.openConnections() + hooks_.openSessions());
 }
@@ -200,7 +206,8 @@
         context_.stop();
         return;
     }
-    shutdownTimer_.expires_after(shutdownCheckInterval);
+    shutdownTimer_.expires_after(
+        std::min(shutdownCheckInterval, settings_.stop.untilNextChange(shutdownTime())));
     shutdownTimer_.async_wait([this](const std::error_code &error) {
         if (!error) {
             continueShutdown();
--- a/src/libs/proxy/proxydaemon.h
+++ b/src/libs/proxy/proxydaemon.h
@@ -50,6 +50,7 @@
     void waitForSignal();
     void beginShutdown();
     void continueShutdown();
+    Base::Duration shutdownTime() const;
     ShutdownState shutdownState() const;
     bool isReady() const;
     void logReadiness();
--- a/src/libs/proxy/requestaccount.cpp
+++ b/src/libs/proxy/requestaccount.cpp
@@ -41,6 +41,9 @@
     , cut_(endingCounter(metrics, "cut"))
     , callerGone_(endingCounter(metrics, "caller_gone"))
     , dropped_(endingCounter(metrics, "dropped"))
+    , refusedByShutdown_(metrics.counter(
+          "marjoram_shutdown_refusals_total",
+          "Requests refused because they would be cut off by the end of the process"))
 {}
 
 void RequestAccount::requestEnded(RequestEnding ending)
@@ -98,7 +101,8 @@
             {"refused", number(refused_)},
             {"cut", number(cut_)},
             {"caller_gone", number(callerGone_)},
-            {"dropped", number(dropped_)}};
+            {"dropped", number(dropped_)},
+            {"refused_by_shutdown", number(refusedByShutdown_)}};
 }
 
 } // namespace Proxy
--- a/src/libs/proxy/requestaccount.h
+++ b/src/libs/proxy/requestaccount.h
@@ -27,6 +27,8 @@
 
     void requestRead() { read_.add(); }
     void requestEnded(RequestEnding ending);
+    /// A request was refused that would be cut off when the process ends.
+    void refusedByShutdown() { refusedByShutdown_.add(); }
     /// Logs a connection that the daemon closed with unhandled or unsent bytes on it.
     void connectionClosed(const ConnectionEnd &end);
 
@@ -43,6 +45,7 @@
     Telemetry::Counter &cut_;
     Telemetry::Counter &callerGone_;
     Telemetry::Counter &dropped_;
+    Telemetry::Counter &refusedByShutdown_;
 };
 
 } // namespace Proxy
--- a/src/libs/proxy/shutdownschedule.h
+++ b/src/libs/proxy/shutdownschedule.h
@@ -18,6 +18,15 @@
     bool isFinished = false;
 };
 
+/// A request that no server has yet.
+struct UnsentRequest
+{
+    /// Until the timeout of its route or the deadline of its caller, whichever is first.
+    Base::Duration timeLeft{};
+    /// It may run more than once.
+    bool isRepeatable = false;
+};
+
 /// Schedule of a graceful shutdown. No connections are accepted after balancerDelay, as requests of
 /// late clients would keep the daemon running until drainTimeout cuts them off.
 struct ShutdownSchedule
@@ -29,19 +38,20 @@
     /// Time in which the responses of ended requests reach their callers.
     Base::Duration flushTime = std::chrono::milliseconds(200);
 
+    /// The schedule of a process that is killed after \a grace.
+    static ShutdownSchedule forGrace(Base::Duration grace);
+
     ShutdownState stateAt(Base::Duration elapsed,
                           std::size_t requests,
-                          std::size_t connections) const
-    {
-        ShutdownState state;
-        const bool isRemoved = elapsed >= balancerDelay;
-        state.isAccepting = !isRemoved;
-        state.isClosingIdle = isRemoved;
-        state.isEndingRequests = elapsed >= drainTimeout - flushTime;
-        state.isFinished
-            = (isRemoved && requests == 0 && connections == 0) || elapsed >= drainTimeout;
-        return state;
-    }
+                          std::size_t connections) const;
+    /// Time until stateAt() changes by itself.
+    Base::Duration untilNextChange(Base::Duration elapsed) const;
+    /// Whether the request may be sent to a server. Requests that are refused can be served by
+    /// another daemon at once.
+    bool isAdmitted(const UnsentRequest &request, Base::Duration elapsed) const;
+
+private:
+    Base::Duration requestsEnd() const { return drainTimeout - flushTime; }
 };
 
 } // namespace Proxy
