Leave requests unread behind a response of a daemon that stops

A request that a caller pipelines behind a stream was read while the stream ran, and dropped without an answer when the end of the process cut the stream off (LOST: read whole, never answered). While a daemon stops, the bytes behind a request in progress stay in the socket until its response has ended. If the connection ends first, the request has not been read and its caller may repeat it.

aRequestBehindAStreamThatIsCutOffIsNotRead failed before (one dropped request). Two requests that arrive in one read still share the fate of the first if its response is cut off.

--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -86,7 +86,7 @@
 {
     if (error) {
         close(isClosing_ ? closeReason_ : CloseReason::ByCaller);
-    } else if (isCloseAnnounced_) {
+    } else if (isCloseAnnounced_ || (isHandling_ && handlers_->isStopping())) {
         detectDisconnect();
     } else {
         receive();
@@ -109,7 +109,8 @@
     read();
 }
 
-/// Bytes of a later request stay unread: a caller whose request was not read may repeat it.
+/// Bytes of a later request stay unread, as the connection may end before it is handled: a caller
+/// whose request was not read may repeat it.
 void CallerConnection::detectDisconnect()
 {
     std::array<char, 1> next{};
@@ -269,7 +270,7 @@
         return;
     }
     armTimer();
-    if (incoming_.empty()) {
+    if (incoming_.empty() && isWaiting_) {
         return;
     }
     // Start the next request from the event loop, not from within the current one.
--- a/tests/libs/proxy/tst_lateshutdown.cpp
+++ b/tests/libs/proxy/tst_lateshutdown.cpp
@@ -120,6 +120,19 @@
     cr_assert_eq(fixture.passThrough().account().droppedRequests(), 0);
 }
 
+/// Guards against a request that is read behind a stream and dropped when that is cut off (LOST).
+Test(lateshutdown, aRequestBehindAStreamThatIsCutOffIsNotRead)
+{
+    Fixture fixture;
+    holdStream(fixture, {});
+    fixture.passThrough().stop(removedFor(std::chrono::seconds(5)));
+    fixture.request("/once/", "r2");
+    fixture.context().run_for(std::chrono::milliseconds(50));
+    fixture.passThrough().endRequests();
+    fixture.awaitClose();
+    cr_assert_eq(fixture.passThrough().account().droppedRequests(), 0);
+}
+
 Test(lateshutdown, aRequestWhoseBodyCompletesLateIsRefused)
 {
     Fixture fixture;
