Repeat the notice of a daemon that stops as a relay

A daemon that reaches its servers through another one learned of that one's stop from a single datagram. If it was lost, it went on sending requests through its open connections until the process ended.

The notice is repeated every 500 ms until the process ends.

aLostNoticeOfAStopIsRepeated fails without the repetition: the request after the lost notice reaches the server through the relay that stops. New connections were refused by a relay that stops before as well, and requests in progress through it end as before.

--- a/src/libs/proxy/requestrelay.cpp
+++ b/src/libs/proxy/requestrelay.cpp
@@ -3,7 +3,6 @@
 #include "messageparser.h"
 #include "steadyclock.h"
 
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <array>
@@ -251,6 +250,7 @@
                metrics.counter("marjoram_relay_refused_total",
                                "Connections to the relay from addresses that are not listed"))
     , acceptor_(context)
+    , noticeTimer_(context)
 {}
 
 RequestRelay::~RequestRelay() = default;
@@ -304,9 +304,22 @@
     return !isStopping_ && !isCutOff_() && sessions_.size() <= settings_.maxSessions;
 }
 
-void RequestRelay::stop()
+void RequestRelay::stop(std::function<void()> notifyPeers)
 {
     isStopping_ = true;
+    notifyPeers_ = std::move(notifyPeers);
+    this->notifyPeers();
+}
+
+void RequestRelay::notifyPeers()
+{
+    notifyPeers_();
+    noticeTimer_.expires_after(settings_.stopNoticeInterval);
+    noticeTimer_.async_wait([this](const std::error_code &error) {
+        if (!error) {
+            notifyPeers();
+        }
+    });
 }
 
 } // namespace Proxy
--- a/src/libs/proxy/requestrelay.h
+++ b/src/libs/proxy/requestrelay.h
@@ -8,6 +8,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <functional>
 #include <optional>
@@ -33,6 +34,8 @@
     /// Time for the request of the daemon.
     Base::Duration requestTimeout = std::chrono::seconds(1);
     std::size_t maxSessions = 512;
+    /// Interval at which the other daemons are told that this one stops, as notices may be lost.
+    Base::Duration stopNoticeInterval = std::chrono::milliseconds(500);
 };
 
 /// Connects to backend servers for daemons that do not reach them. Everything that concerns the
@@ -68,8 +71,9 @@
 
     /// Throws std::exception if the address cannot be bound.
     void start();
-    /// Accepts no new sessions.
-    void stop();
+    /// Accepts no new sessions. Calls \a notifyPeers at once and at intervals until the end, so that
+    /// the other daemons send no new requests through open sessions.
+    void stop(std::function<void()> notifyPeers);
     std::size_t sessionCount() const { return sessions_.size(); }
     asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
@@ -78,6 +82,7 @@
 
     void accept();
     void serve(asio::ip::tcp::socket socket);
+    void notifyPeers();
     bool mayConnect() const;
 
     asio::io_context &context_;
@@ -93,6 +98,8 @@
     asio::ip::tcp::acceptor acceptor_;
     std::set<std::shared_ptr<Session>> sessions_;
     bool isStopping_ = false;
+    std::function<void()> notifyPeers_;
+    asio::steady_timer noticeTimer_;
 };
 
 } // namespace Proxy
--- a/tests/libs/proxy/tst_requestrelay.cpp
+++ b/tests/libs/proxy/tst_requestrelay.cpp
@@ -95,8 +95,7 @@
     fixture.first.add({{streamHead + chunk(event(1)), chunk(event(2)) + "0\r\n\r\n"}, false});
     fixture.request("/stream/a", "1");
     fixture.awaitResponse("data: d1");
-    fixture.relay().stop();
-    fixture.passThrough().relayStops(Base::VmId("vm-2"));
+    fixture.relay().stop([&] { fixture.passThrough().relayStops(Base::VmId("vm-2")); });
     cr_assert_eq(fixture.relay().sessionCount(), 1U);
     fixture.first.sendNext("1");
     fixture.awaitResponse("data: d2");
@@ -104,6 +103,27 @@
                      "the connection is not kept");
 }
 
+/// Guards against a request that is sent through a daemon that stops, and ends with it, because the
+/// notice of that was lost.
+Test(requestrelay, aLostNoticeOfAStopIsRepeated)
+{
+    RelayFixture fixture(refusingAddress());
+    fixture.first.add({{okResponse, okResponse}});
+    fixture.request("/once/a", "1");
+    fixture.awaitResponse("hello");
+    int notices = 0;
+    fixture.relay().stop([&] {
+        if (++notices > 1) {
+            fixture.passThrough().relayStops(Base::VmId("vm-2"));
+        }
+    });
+    cr_assert_eq(fixture.relay().sessionCount(), 1U, "the connection is kept");
+    fixture.runUntil([&] { return fixture.relay().sessionCount() == 0; }, "the session ends");
+    fixture.request("/once/b", "2");
+    fixture.awaitResponse("HTTP/1.1 503");
+    cr_assert_eq(requestCount(fixture), 1U);
+}
+
 Test(requestrelay, aServerThatNobodyReachesIsRefusedOnce)
 {
     RelayFixture fixture(refusingAddress());
