--- a/src/libs/proxy/requestrelay.h
+++ b/src/libs/proxy/requestrelay.h
@@ -71,8 +71,8 @@
 
     /// Throws std::exception if the address cannot be bound.
     void start();
-    /// Accepts no new sessions. Calls \a notifyPeers at once and at intervals until the end, so that
-    /// the other daemons send no new requests through open sessions.
+    /// Accepts no new sessions. Calls \a notifyPeers at once and at intervals until the end, so
+    /// that the other daemons send no new requests through open sessions.
     void stop(std::function<void()> notifyPeers);
     std::size_t sessionCount() const { return sessions_.size(); }
     asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
