Complete a request only with its own response

ClientConnection took the end of the connection for the end of the response to the current request, also while it discarded the response. Exchange then sent the head and framing of an earlier attempt, as only some of that state was reset for each attempt. A response with a status below 100 and no length did the same.

A connection now knows whether the message that it reads is the response to the request, and its end completes nothing else; bodies of skipped messages reach nobody. What a server sends in one attempt is one object that is made anew for each attempt, with a head only once it is accepted, and Exchange takes an end without such a head for a broken response. Only what survives the attempts of a resumed stream stays outside of it.

--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -101,15 +101,10 @@
     handlers_ = std::make_shared<Handlers>(std::move(handlers));
     onUnusable_ = nullptr;
     outgoing_ = std::move(bytes);
-    parser_.reset();
     isHeadMethod_ = isHeadMethod;
-    if (isHeadMethod_) {
-        parser_.expectNoBody();
-    }
+    startNextMessage();
     isAwaitingResponse_ = true;
     isPaused_ = false;
-    isHeadSeen_ = false;
-    isDiscarding_ = false;
     skippedBytes_ = 0;
     isReusable_ = false;
     isWriting_ = true;
@@ -188,14 +183,7 @@
         return;
     }
     if (error == asio::error::eof) {
-        parser_.finish();
-        if (parser_.state() == ParseState::Complete) {
-            onResponseComplete(true);
-        } else {
-            fail(ResponseEnd::Disconnected,
-                 parser_.problem().empty() ? "connection closed before the response"
-                                           : parser_.problem());
-        }
+        onEndOfStream();
         return;
     }
     if (error) {
@@ -207,6 +195,17 @@
     }
 }
 
+void ClientConnection::onEndOfStream()
+{
+    parser_.finish();
+    if (message_ == Message::Response && parser_.state() == ParseState::Complete) {
+        onResponseComplete(true);
+        return;
+    }
+    fail(ResponseEnd::Disconnected,
+         parser_.problem().empty() ? "connection closed before the response" : parser_.problem());
+}
+
 /// Returns whether to continue reading.
 bool ClientConnection::consume(std::string_view bytes)
 {
@@ -219,15 +218,16 @@
         }
         const bool hasHead
             = parser_.state() == ParseState::Body || parser_.state() == ParseState::Complete;
-        if (hasHead && !isHeadSeen_ && !onHeadParsed()) {
+        if (hasHead && message_ == Message::Unknown && !onHeadParsed()) {
             return false;
         }
-        skippedBytes_ += isDiscarding_ || isInterim() ? parsed : 0;
+        skippedBytes_ += message_ == Message::Skipped ? parsed : 0;
         if (skippedBytes_ > maxSkippedBytes) {
             fail(ResponseEnd::Broken, "bytes before the response do not end");
             return false;
         }
-        if (std::string body = parser_.takeBody(); !body.empty() && !isDiscarding_) {
+        std::string body = parser_.takeBody();
+        if (!body.empty() && message_ == Message::Response) {
             const auto handlers = handlers_;
             handlers->onBody(std::move(body));
             if (isClosed_) {
@@ -237,35 +237,33 @@
         if (parser_.state() != ParseState::Complete) {
             continue;
         }
-        if (isDiscarding_ || isInterim()) {
-            const bool endsConnection = !isInterim() && !parser_.response().isKeepAlive;
-            if (endsConnection) {
-                fail(ResponseEnd::Broken, "connection closes after a response to another request");
-                return false;
-            }
-            parser_.reset();
-            if (isHeadMethod_) {
-                parser_.expectNoBody();
-            }
-            isHeadSeen_ = false;
-            isDiscarding_ = false;
-            continue;
+        if (message_ == Message::Response) {
+            onResponseComplete(!bytes.empty());
+            return false;
         }
-        onResponseComplete(!bytes.empty());
-        return false;
+        const bool isInterim = parser_.response().status < 200;
+        if (!isInterim && !parser_.response().isKeepAlive) {
+            fail(ResponseEnd::Broken, "connection closes after a response to another request");
+            return false;
+        }
+        startNextMessage();
     }
     return true;
 }
 
-bool ClientConnection::isInterim() const
+void ClientConnection::startNextMessage()
 {
-    return isHeadSeen_ && parser_.response().status < 200;
+    parser_.reset();
+    if (isHeadMethod_) {
+        parser_.expectNoBody();
+    }
+    message_ = Message::Unknown;
 }
 
 /// Returns whether the connection is still in use.
 bool ClientConnection::onHeadParsed()
 {
-    isHeadSeen_ = true;
+    message_ = Message::Skipped;
     const ResponseHead &head = parser_.response();
     if (head.status == 101) {
         fail(ResponseEnd::Broken, "unexpected switch of protocols (status 101)");
@@ -275,8 +273,10 @@
         return true;
     }
     const auto handlers = handlers_;
-    isDiscarding_ = handlers->onHead(head, parser_.framing()) == HeadVerdict::Discard;
-    if (!isClosed_ && !isDiscarding_) {
+    if (handlers->onHead(head, parser_.framing()) == HeadVerdict::Accept) {
+        message_ = Message::Response;
+    }
+    if (!isClosed_ && message_ == Message::Response) {
         updateKeepAliveTimeout();
     }
     return !isClosed_;
--- a/src/libs/proxy/clientconnection.h
+++ b/src/libs/proxy/clientconnection.h
@@ -74,11 +74,22 @@
     std::optional<Base::Duration> keepAliveTimeout() const { return keepAliveTimeout_; }
 
 private:
+    /// What the message that is being read has turned out to be.
+    enum class Message {
+        /// Its head has not arrived.
+        Unknown,
+        /// An interim response, or a response to another request.
+        Skipped,
+        /// The response to the request.
+        Response
+    };
+
     void read();
     void onRead(const std::error_code &error, std::size_t size);
+    void onEndOfStream();
     bool consume(std::string_view bytes);
-    bool isInterim() const;
     bool onHeadParsed();
+    void startNextMessage();
     void onResponseComplete(bool hasExtraBytes);
     void fail(ResponseEnd end, const std::string &problem);
     void updateKeepAliveTimeout();
@@ -101,8 +112,7 @@
     bool isWriting_ = false;
     bool isReading_ = false;
     bool isPaused_ = false;
-    bool isHeadSeen_ = false;
-    bool isDiscarding_ = false;
+    Message message_ = Message::Unknown;
     std::size_t skippedBytes_ = 0;
     bool isHeadMethod_ = false;
     bool isReusable_ = false;
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -28,6 +28,22 @@
         std::string detail;
     };
 
+    /// What the server of one attempt has sent.
+    struct AttemptResponse
+    {
+        /// A response that names no request may belong to another one: the connection had one
+        /// before, or a response to another one came on it.
+        bool mayBeStaleIfUnnamed = false;
+        /// The head of a response that is not known to belong to another request has arrived.
+        bool hasBegun = false;
+        /// The head of the response to forward; unset until it is accepted.
+        std::optional<ResponseHead> head;
+        Framing framing;
+        bool isEventStream = false;
+        /// Held back until the response is complete or exceeds the buffer.
+        std::string bufferedBody;
+    };
+
     Base::Instant now() const { return owner_.now(); }
     Base::Duration timeLeft() const { return deadline_ - now(); }
 
@@ -137,17 +153,11 @@
     /// The limit that the server of the last response states.
     std::optional<Base::RequestRate> requestLimit_;
 
-    /// A response that names no request may belong to another one: the connection of the current
-    /// attempt had one before, or a response to another one came on it.
-    bool mayBeStaleIfUnnamed_ = false;
-    /// The server of the current attempt has sent the head of its response.
-    bool hasResponseBegun_ = false;
-    ResponseHead head_;
-    Framing framing_;
-    std::string bufferedBody_;
+    AttemptResponse response_;
+    /// What was forwarded of the stream, from all attempts.
     EventSplitter events_;
-    bool isEventStream_ = false;
     bool isHeadForwarded_ = false;
+    bool isStreamForwarded_ = false;
     Programs::ReservationId reservation_;
     bool isReserved_ = false;
     /// The turn counts among the requests of its program.
--- a/src/libs/proxy/exchangeattempts.cpp
+++ b/src/libs/proxy/exchangeattempts.cpp
@@ -209,15 +209,14 @@
 void Exchange::sendTo(std::shared_ptr<ClientConnection> connection, bool isKept)
 {
     connection_ = std::move(connection);
-    mayBeStaleIfUnnamed_ = isKept;
+    response_ = {};
+    response_.mayBeStaleIfUnnamed = isKept;
     relay_ = connection_->relay();
     sentAt_ = now();
     if (!connection_->relay()) {
         owner_.connector_.paths().sent(sentAt_);
     }
-    bufferedBody_.clear();
     events_.dropPartialEvent();
-    hasResponseBegun_ = false;
     auto self = shared_from_this();
     ClientConnection::Handlers handlers;
     handlers.onHead = [self](const ResponseHead &head, const Framing &framing) {
@@ -281,7 +280,7 @@
     if (!isRepeatable || timeLeft() < minAttemptTime) {
         return false;
     }
-    if (isHeadForwarded_ && !(isEventStream_ && events_.lastEventId())) {
+    if (isHeadForwarded_ && !(isStreamForwarded_ && events_.lastEventId())) {
         return false;
     }
     return executions_ < std::max(1U, route_->attempts);
@@ -302,7 +301,7 @@
                        .peer = placement_->instance.id.text(),
                        .details = {{"request_hash", fingerprints_.exact.text()},
                                    {"path_hash", fingerprints_.path.text()},
-                                   {"response_begun", std::int64_t(hasResponseBegun_)},
+                                   {"response_begun", std::int64_t(response_.hasBegun)},
                                    {"server_version", placement_->version.text()},
                                    {"events", static_cast<std::int64_t>(events_.eventCount())}}});
     if (mayRetry() && owner_.load_.takeRetry(service_->id)) {
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -21,19 +21,17 @@
     }
     const ResponseTraits traits = owner_.translator_.readResponse(head);
     if (!traits.id.empty() && traits.id != traits_.id) {
-        mayBeStaleIfUnnamed_ = true;
+        response_.mayBeStaleIfUnnamed = true;
         return HeadVerdict::Discard;
     }
-    if (traits.id.empty() && mayBeStaleIfUnnamed_) {
+    if (traits.id.empty() && response_.mayBeStaleIfUnnamed) {
         onStaleResponse();
         return HeadVerdict::Accept;
     }
     if (!traits.isWrongServer) {
         recordStatements(traits);
     }
-    head_ = head;
-    hasResponseBegun_ = true;
-    framing_ = framing;
+    response_.hasBegun = true;
     if (traits.isNotRun || traits.isWrongServer) {
         releaseServer(false);
         onNotRun(traits.isWrongServer ? "address belongs to another server"
@@ -65,11 +63,13 @@
         onBroken("server responded with " + std::to_string(head.status) + " to a resumed stream");
         return HeadVerdict::Accept;
     }
-    isEventStream_ = isEventStream;
-    if (isEventStream_ && route_->isHistoryKept) {
+    response_.head = head;
+    response_.framing = framing;
+    response_.isEventStream = isEventStream;
+    if (isEventStream && route_->isHistoryKept) {
         events_.setDataCollected();
     }
-    if (isEventStream_) {
+    if (isEventStream) {
         recordCost();
     }
     if (!isResponseBuffered() && !isHeadForwarded_) {
@@ -82,7 +82,7 @@
 /// response that the server wrote once more, and the request may have run.
 void Exchange::onStaleResponse()
 {
-    hasResponseBegun_ = true;
+    response_.hasBegun = true;
     releaseServer(false);
     owner_.placer_.requestFailed(placement_->instance, now());
     onBroken("response on a kept connection does not name the request");
@@ -156,11 +156,11 @@
 /// Returns whether the response is held back until it is complete or exceeds the buffer.
 bool Exchange::isResponseBuffered() const
 {
-    if (isEventStream_) {
+    if (response_.isEventStream) {
         return false;
     }
-    return framing_.kind != BodyFraming::Length
-           || framing_.length.value_or(0) <= owner_.settings_.bufferedResponseBytes;
+    return response_.framing.kind != BodyFraming::Length
+           || response_.framing.length.value_or(0) <= owner_.settings_.bufferedResponseBytes;
 }
 
 void Exchange::onBody(const std::string &bytes)
@@ -168,7 +168,7 @@
     if (!relay_) {
         owner_.connector_.paths().received();
     }
-    if (isEventStream_) {
+    if (response_.isEventStream) {
         onEvents(events_.feed(bytes));
         return;
     }
@@ -176,10 +176,10 @@
         forwardBody(bytes);
         return;
     }
-    bufferedBody_ += bytes;
-    if (bufferedBody_.size() > owner_.settings_.bufferedResponseBytes) {
+    response_.bufferedBody += bytes;
+    if (response_.bufferedBody.size() > owner_.settings_.bufferedResponseBytes) {
         forwardHead();
-        forwardBody(std::exchange(bufferedBody_, {}));
+        forwardBody(std::exchange(response_.bufferedBody, {}));
     }
 }
 
@@ -220,12 +220,17 @@
         onBroken(problem);
         return;
     }
-    if (isEventStream_ && events_.hasPartialEvent()) {
+    if (!response_.head) {
+        releaseServer(false);
+        onBroken("connection ended before the response was accepted");
+        return;
+    }
+    if (response_.isEventStream && events_.hasPartialEvent()) {
         releaseServer(false);
         onBroken("stream ends within an event");
         return;
     }
-    if (relay_ && framing_.kind == BodyFraming::UntilClose) {
+    if (relay_ && response_.framing.kind == BodyFraming::UntilClose) {
         // The system ends the connections of a killed relay like a server that is done.
         releaseServer(false);
         onBroken("end of a response without length through a relay is not certain");
@@ -234,7 +239,7 @@
     releaseServer(true);
     owner_.quarantine_.completed(fingerprints_);
     owner_.load_.requestSucceeded(service_->id);
-    if (isEventStream_ && route_->isHistoryKept) {
+    if (response_.isEventStream && route_->isHistoryKept) {
         keepTurn();
     } else {
         forwardEnd();
@@ -250,7 +255,7 @@
     if (route_->kind != RouteKind::Stream) {
         return Dispatch::CrashStage::Unknown;
     }
-    if (!hasResponseBegun_) {
+    if (!response_.hasBegun) {
         return Dispatch::CrashStage::Waiting;
     }
     return events_.eventCount() == 0 ? Dispatch::CrashStage::Begun
@@ -302,13 +307,14 @@
 
 void Exchange::forwardHead()
 {
-    ResponseHead head = head_;
+    ResponseHead head = *response_.head;
     removeConnectionFields(head.headers);
-    Framing framing = framing_;
-    if (isEventStream_ || framing.kind == BodyFraming::UntilClose) {
+    Framing framing = response_.framing;
+    if (response_.isEventStream || framing.kind == BodyFraming::UntilClose) {
         framing = {BodyFraming::Chunked, std::nullopt};
     }
     isHeadForwarded_ = true;
+    isStreamForwarded_ = response_.isEventStream;
     caller_->beginResponse(head, framing);
 }
 
@@ -335,15 +341,16 @@
 void Exchange::forwardEnd()
 {
     if (!isHeadForwarded_) {
-        framing_.kind = BodyFraming::Length;
-        if (request_.head.method != "HEAD" && head_.status != 204 && head_.status != 304) {
-            framing_.length = bufferedBody_.size();
+        response_.framing.kind = BodyFraming::Length;
+        if (request_.head.method != "HEAD" && response_.head->status != 204
+            && response_.head->status != 304) {
+            response_.framing.length = response_.bufferedBody.size();
         }
         forwardHead();
-        caller_->write(bufferedBody_);
+        caller_->write(response_.bufferedBody);
     }
     caller_->endResponse();
-    finish({RequestEnding::Answered, head_.status, "answered", {}});
+    finish({RequestEnding::Answered, response_.head->status, "answered", {}});
 }
 
 } // namespace Proxy
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -126,11 +126,20 @@
     return document;
 }
 
+/// The addresses of a fixture's parts; the system chooses their ports by default.
+struct FixtureAddresses
+{
+    asio::ip::tcp::endpoint proxy{asio::ip::address_v4::loopback(), 0};
+    asio::ip::tcp::endpoint first{asio::ip::address_v4::loopback(), 0};
+    asio::ip::tcp::endpoint second{asio::ip::address_v4::loopback(), 0};
+    asio::ip::tcp::endpoint relay{asio::ip::address_v4::loopback(), 0};
+};
+
 /// A caller, the proxy and two servers on one event loop.
 class Fixture
 {
 public:
-    explicit Fixture(PassThroughSettings settings = {})
+    explicit Fixture(PassThroughSettings settings = {}, const FixtureAddresses &addresses = {})
         : passThrough_(context_,
                        std::move(settings),
                        {&readRequest, &readResponse, &prepareForward},
@@ -143,10 +152,10 @@
         , limits_(vm(), rates_, peers_, silentLog(), metrics_, &steadyNow)
         , streams_(peers_, metrics_, &steadyNow)
         , quarantine_(vm(), rates_, peers_, silentLog(), metrics_, &steadyNow)
-        , acceptor_(context_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , acceptor_(context_, addresses.proxy)
         , caller_(context_)
-        , first(context_)
-        , second(context_)
+        , first(context_, addresses.first)
+        , second(context_, addresses.second)
     {
         passThrough_.setLimits(limitControls(limits_));
         passThrough_.setStreams(streamControls(streams_));
@@ -251,6 +260,14 @@
 
     void disconnect() { caller_.close(); }
 
+    /// Closes the caller's connection with a reset, so that it occupies no port afterwards.
+    void resetCaller()
+    {
+        std::error_code ignored;
+        caller_.set_option(asio::socket_base::linger(true, 0), ignored);
+        caller_.close(ignored);
+    }
+
     /// Continues with a new connection of the caller.
     void reconnect()
     {
--- a/tests/libs/proxy/relayfixture.h
+++ b/tests/libs/proxy/relayfixture.h
@@ -9,14 +9,16 @@
 class RelayFixture : public Fixture
 {
 public:
-    explicit RelayFixture(const std::string &unreachableAddress)
-        : relay_(
-            context(),
-            {.address = {asio::ip::address_v4::loopback(), 0}},
-            [this](const auto &instance) { return reachable(instance); },
-            [this] { return isRelayCutOff; },
-            silentLog(),
-            relayMetrics_)
+    explicit RelayFixture(const std::string &unreachableAddress,
+                          const FixtureAddresses &addresses = {})
+        : Fixture({}, addresses)
+        , relay_(
+              context(),
+              {.address = addresses.relay},
+              [this](const auto &instance) { return reachable(instance); },
+              [this] { return isRelayCutOff; },
+              silentLog(),
+              relayMetrics_)
     {
         configure();
         relay_.start();
--- a/tests/libs/proxy/scriptedserver.cpp
+++ b/tests/libs/proxy/scriptedserver.cpp
@@ -65,6 +65,8 @@
             server_.crash();
         } else if (next_ == script_.responses.size() && script_.closesAfterwards) {
             close();
+        } else if (next_ == script_.responses.size() && script_.resetsAfterwards) {
+            reset();
         }
     }
 
@@ -96,7 +98,12 @@
             const std::string request = incoming_.substr(0, length);
             incoming_.erase(0, length);
             server_.requests_.push_back(request);
-            respond(idOf(request));
+            if (next_ == script_.responses.size() && server_.responder_) {
+                std::error_code ignored;
+                asio::write(socket_, asio::buffer(server_.responder_(request)), ignored);
+            } else {
+                respond(idOf(request));
+            }
         }
         if (socket_.is_open()) {
             read();
@@ -111,9 +118,9 @@
     std::size_t next_ = 0;
 };
 
-ScriptedServer::ScriptedServer(asio::io_context &context)
+ScriptedServer::ScriptedServer(asio::io_context &context, const asio::ip::tcp::endpoint &address)
     : context_(context)
-    , acceptor_(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , acceptor_(context, address)
     , endpoint_(acceptor_.local_endpoint())
 {
     accept();
@@ -157,7 +164,7 @@
 
 std::string ScriptedServer::address() const
 {
-    return "127.0.0.1:" + std::to_string(endpoint_.port());
+    return endpoint_.address().to_string() + ":" + std::to_string(endpoint_.port());
 }
 
 void ScriptedServer::accept()
--- a/tests/libs/proxy/scriptedserver.h
+++ b/tests/libs/proxy/scriptedserver.h
@@ -4,6 +4,7 @@
 #include <asio/ip/tcp.hpp>
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -21,13 +22,23 @@
         bool closesAfterwards = false;
         /// The whole server ends after the last response.
         bool crashesAfterwards = false;
+        /// Resets the connection after the last response.
+        bool resetsAfterwards = false;
     };
 
-    explicit ScriptedServer(asio::io_context &context);
+    explicit ScriptedServer(asio::io_context &context,
+                            const asio::ip::tcp::endpoint &address
+                            = {asio::ip::address_v4::loopback(), 0});
     ~ScriptedServer();
 
     void add(Script script) { scripts_.push_back(std::move(script)); }
+    /// Responds to the requests for which the scripts have no response.
+    void setResponder(std::function<std::string(const std::string &request)> responder)
+    {
+        responder_ = std::move(responder);
+    }
     std::string address() const;
+    const asio::ip::tcp::endpoint &endpoint() const { return endpoint_; }
     void closeConnections();
     /// Ends all connections with a reset.
     void resetConnections();
@@ -52,6 +63,7 @@
     asio::ip::tcp::acceptor acceptor_;
     asio::ip::tcp::endpoint endpoint_;
     std::deque<Script> scripts_;
+    std::function<std::string(const std::string &request)> responder_;
     std::vector<std::string> requests_;
     std::vector<std::shared_ptr<Connection>> connections_;
     int connectionCount_ = 0;
