Don't close a connection whose request was sent

A request got no response until its deadline (LOST, or 504), although its server had responded at once. The process had stood still, or had been busy, from the start of a connection until its time-out had passed.

Then one turn of the event loop finds the connection established and its timer expired. The handler of the connection comes first, and the request is sent in it. Cancelling the timer has no effect on a handler that is queued already, so the timer closed the connection, and close() calls none of the handlers of the request.

The timer now acts only while the connection is being established.

--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -51,9 +51,11 @@
             std::exchange(*callback, nullptr)(problem);
         }
     };
+    isConnecting_ = true;
     connectTimer_.expires_after(timeout);
     connectTimer_.async_wait([self, report](const std::error_code &error) {
-        if (!error && !self->isClosed_) {
+        // A timer that has expired already cannot be cancelled.
+        if (!error && self->isConnecting_) {
             self->close();
             report("no connection before the timeout");
         }
@@ -63,6 +65,7 @@
         if (self->isClosed_) {
             return;
         }
+        self->isConnecting_ = false;
         self->connectTimer_.cancel();
         if (error) {
             self->close();
@@ -147,6 +150,7 @@
         return;
     }
     isClosed_ = true;
+    isConnecting_ = false;
     isReusable_ = false;
     handlers_.reset();
     onUnusable_ = nullptr;
--- a/src/libs/proxy/clientconnection.h
+++ b/src/libs/proxy/clientconnection.h
@@ -108,6 +108,7 @@
     std::shared_ptr<Handlers> handlers_;
     std::function<void()> onUnusable_;
     std::optional<Base::Duration> keepAliveTimeout_;
+    bool isConnecting_ = false;
     bool isAwaitingResponse_ = false;
     bool isWriting_ = false;
     bool isReading_ = false;
