Let expired timers of the relay end nothing that has gone on

A relay that stood still for its connect time-out wrote 503 behind the 200 of the same request; the daemon that had asked took it for the server's response, and its caller got 502 or the request was repeated. One that stood still for its request time-out closed the connection of a request that it had just read.

As with the time-out of connections, the handler of an expired timer can't be cancelled once it is queued. Both now look at the state of the session.

On the code before, aRelayRespondsOnce received "HTTP/1.1 200 OK" and "HTTP/1.1 503 Service Unavailable" on one connection, and aRelayServesARequestThatItHasRead received nothing; both get the server's response now.

--- a/src/libs/proxy/requestrelay.cpp
+++ b/src/libs/proxy/requestrelay.cpp
@@ -59,7 +59,14 @@
 
     void start()
     {
-        setTimeout(owner_.settings_.requestTimeout);
+        auto self = shared_from_this();
+        timer_.expires_after(owner_.settings_.requestTimeout);
+        timer_.async_wait([self](const std::error_code &error) {
+            // A timer that has expired already cannot be cancelled.
+            if (!error && self->parser_.state() != ParseState::Complete) {
+                self->close();
+            }
+        });
         readRequest();
     }
 
@@ -88,17 +95,6 @@
         std::array<char, bufferBytes> buffer{};
     };
 
-    void setTimeout(Base::Duration timeout)
-    {
-        auto self = shared_from_this();
-        timer_.expires_after(timeout);
-        timer_.async_wait([self](const std::error_code &error) {
-            if (!error) {
-                self->close();
-            }
-        });
-    }
-
     void readRequest()
     {
         auto self = shared_from_this();
@@ -151,7 +147,7 @@
         auto self = shared_from_this();
         timer_.expires_after(owner_.settings_.connectTimeout);
         timer_.async_wait([self](const std::error_code &error) {
-            if (!error) {
+            if (!error && !self->hasResponded_) {
                 self->respond(relayUnavailable);
             }
         });
--- a/tests/libs/proxy/relayfixture.h
+++ b/tests/libs/proxy/relayfixture.h
@@ -10,11 +10,13 @@
 {
 public:
     explicit RelayFixture(const std::string &unreachableAddress,
-                          const FixtureAddresses &addresses = {})
-        : Fixture({}, addresses)
+                          const FixtureAddresses &addresses = {},
+                          PassThroughSettings settings = {},
+                          RelaySettings relaySettings = {})
+        : Fixture(std::move(settings), addresses)
         , relay_(
               context(),
-              {.address = addresses.relay},
+              listeningOn(addresses.relay, relaySettings),
               [this](const auto &instance) { return reachable(instance); },
               [this] { return isRelayCutOff; },
               silentLog(),
@@ -58,6 +60,12 @@
     bool isRelayCutOff = false;
 
 private:
+    static RelaySettings listeningOn(const asio::ip::tcp::endpoint &address, RelaySettings settings)
+    {
+        settings.address = address;
+        return settings;
+    }
+
     std::optional<asio::ip::tcp::endpoint> reachable(const Dispatch::ServerInstance &instance)
     {
         return parseEndpoint(instance.id == Base::ServerId("one") ? first.address()
