Ask for a relay once if the direct attempt fails late

A request got 503 although another daemon reached its server, if the direct connection was refused in the same turn of the event loop in which its head start had passed. Both handlers then asked for a relay. The second found no further one and ended the whole attempt, while the first was still connecting.

The timer of the head start now does nothing once a relay has been asked.

aRelayIsAskedOnceIfTheDirectAttemptFailsLate received 503 on the code before, and 200 now.

--- a/src/libs/proxy/serverconnector.cpp
+++ b/src/libs/proxy/serverconnector.cpp
@@ -59,7 +59,7 @@
                          [self](const std::string &problem) { self->onDirect(problem); });
         headStart_.expires_after(owner_.settings_.headStart);
         headStart_.async_wait([self](const std::error_code &error) {
-            if (!error && self->done_) {
+            if (!error && self->done_ && !self->isRelaying_) {
                 self->connectThroughRelay();
             }
         });
--- a/tests/libs/proxy/tst_expiredtimers.cpp
+++ b/tests/libs/proxy/tst_expiredtimers.cpp
@@ -95,3 +95,16 @@
     const std::string received = readFromRelay(fixture);
     cr_assert(received.ends_with("hello"), "%s", received.c_str());
 }
+
+/// Guards against a relay that is given up because the direct attempt failed when its time was up.
+Test(expiredtimers, aRelayIsAskedOnceIfTheDirectAttemptFailsLate)
+{
+    PassThroughSettings settings;
+    settings.connector.headStart = shortTime;
+    RelayFixture fixture(refusingAddress(), {}, settings);
+    fixture.first.add({{okResponse}});
+    fixture.request("/once/", "r1");
+    awaitResponse(fixture, "\r\n\r\n");
+    cr_assert(fixture.received.starts_with("HTTP/1.1 200"), "%s", fixture.received.c_str());
+    cr_assert_eq(fixture.relay().sessionCount(), 1U);
+}
