Send requests only on connections that a relay has provided

A request that may not be repeated got 502 although no server had received it, if the response of a relay had no length and ended with its connection. If bytes of a server came with the response of the relay, they were dropped; what followed them was read as a response, so the body of a response to another request could pass for the response.

ServerConnector looked at the status of the relay's response only. The connection must also be reusable: open, and without bytes behind the response.

aRelayResponseThatIsNotWholeProvidesNoConnection failed in these two cells on the code before (502, and a 200 out of the body of another response); every cut within the relay's own response was right before, and is.

--- a/src/libs/proxy/serverconnector.cpp
+++ b/src/libs/proxy/serverconnector.cpp
@@ -128,7 +128,9 @@
             if (!self->done_) {
                 return;
             }
-            const bool isConnected = end == ResponseEnd::Complete && self->relayStatus_ == 200;
+            // A closed connection reaches no server, and further bytes of a server would be lost.
+            const bool isConnected = end == ResponseEnd::Complete && self->relayStatus_ == 200
+                                     && self->relay_->isReusable();
             if (isConnected) {
                 self->owner_.recordRelayed(self->target_.instance, self->tried_);
                 self->finish(std::exchange(self->relay_, nullptr), {});
--- a/tests/libs/proxy/tst_truncatedresponses.cpp
+++ b/tests/libs/proxy/tst_truncatedresponses.cpp
@@ -706,3 +706,33 @@
         }
     }
 }
+
+/// Guards against a request that is sent, and counts as executed, on a connection that a relay has
+/// not provided, and against bytes of a server that are lost before the first response.
+Test(truncatedresponses, aRelayResponseThatIsNotWholeProvidesNoConnection)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    std::vector<ScriptedServer::Script> scripts;
+    for (std::size_t cut = 0; cut < head.size(); ++cut) {
+        scripts.push_back({{head.substr(0, cut)}, true});
+    }
+    scripts.push_back({{"HTTP/1.1 200 OK\r\n\r\n"}, true});
+    scripts.push_back({{head + foreignHead + "\r\n", okResponse}});
+    for (const ScriptedServer::Script &script : scripts) {
+        Fixture fixture({}, fixedAddresses());
+        fixture.configure();
+        ScriptedServer relay(fixture.context(), fixedAddresses().relay);
+        relay.add(script);
+        fixture.passThrough().setRelays({{Base::VmId("vm-2"), relay.endpoint(), {}}});
+        fixture.listServers(false);
+        fixture.first.crash();
+        fixture.send(requestText("POST", "/once/", "1.1", "r1"));
+        fixture.awaitResponse("\r\n\r\n");
+        cr_expect(fixture.received.starts_with("HTTP/1.1 503"),
+                  "%s after %s",
+                  fixture.received.c_str(),
+                  script.responses.front().c_str());
+        cr_expect_eq(relay.requests().size(), 1U);
+        fixture.resetCaller();
+    }
+}
