--- a/tests/libs/proxy/relayfixture.h
+++ b/tests/libs/proxy/relayfixture.h
@@ -9,14 +9,18 @@
 class RelayFixture : public Fixture
 {
 public:
-    explicit RelayFixture(const std::string &unreachableAddress)
-        : relay_(
-            context(),
-            {.address = {asio::ip::address_v4::loopback(), 0}},
-            [this](const auto &instance) { return reachable(instance); },
-            [this] { return isRelayCutOff; },
-            silentLog(),
-            relayMetrics_)
+    explicit RelayFixture(const std::string &unreachableAddress,
+                          const FixtureAddresses &addresses = {},
+                          PassThroughSettings settings = {},
+                          RelaySettings relaySettings = {})
+        : Fixture(std::move(settings), addresses)
+        , relay_(
+              context(),
+              listeningOn(addresses.relay, relaySettings),
+              [this](const auto &instance) { return reachable(instance); },
+              [this] { return isRelayCutOff; },
+              silentLog(),
+              relayMetrics_)
     {
         configure();
         relay_.start();
@@ -56,6 +60,12 @@
     bool isRelayCutOff = false;
 
 private:
+    static RelaySettings listeningOn(const asio::ip::tcp::endpoint &address, RelaySettings settings)
+    {
+        settings.address = address;
+        return settings;
+    }
+
     std::optional<asio::ip::tcp::endpoint> reachable(const Dispatch::ServerInstance &instance)
     {
         return parseEndpoint(instance.id == Base::ServerId("one") ? first.address()
