Count the pause of a relay that stops from its first notice

The notice of a stop is repeated until the process ends, and each one began the pause of 10 s anew: a daemon that had restarted was no relay for others until 17 s after SIGTERM, 10 s before. Found by review. No test of its own; the tests of the relay pass.

--- a/src/libs/proxy/serverconnector.cpp
+++ b/src/libs/proxy/serverconnector.cpp
@@ -289,15 +289,22 @@
                {.step = "connect", .peer = peer, .details = std::move(more)});
 }
 
+/// The notice of a stop is repeated until the process ends; the pause counts from the first one.
 void ServerConnector::relayStops(const Base::VmId &vm)
 {
-    unusableUntil_[vm] = steadyNow() + settings_.stopPause;
+    Base::Instant &until = stoppingUntil_[vm];
+    if (steadyNow() >= until) {
+        until = steadyNow() + settings_.stopPause;
+    }
 }
 
 bool ServerConnector::isRelayUsable(const Base::VmId &vm) const
 {
-    const auto entry = unusableUntil_.find(vm);
-    return entry == unusableUntil_.end() || steadyNow() >= entry->second;
+    const auto isOver = [&](const std::map<Base::VmId, Base::Instant> &pauses) {
+        const auto entry = pauses.find(vm);
+        return entry == pauses.end() || steadyNow() >= entry->second;
+    };
+    return isOver(unusableUntil_) && isOver(stoppingUntil_);
 }
 
 const RelayAddress *ServerConnector::selectRelay(const std::vector<RelayAddress> &tried)
--- a/src/libs/proxy/serverconnector.h
+++ b/src/libs/proxy/serverconnector.h
@@ -109,7 +109,10 @@
     Base::Random random_;
     Dispatch::ServerPaths paths_;
     std::vector<RelayAddress> relays_;
+    /// Daemons that could not connect for this one.
     std::map<Base::VmId, Base::Instant> unusableUntil_;
+    /// Daemons that have announced their stop.
+    std::map<Base::VmId, Base::Instant> stoppingUntil_;
     std::function<void()> onPathRestored_ = [] {};
     std::function<void()> onCutOff_ = [] {};
 };
