Do not suspect a request of a crash if its server answered another one

The end of the connection within a response to another request, without length, counted as the end of a crashed server and made the request a suspect. Such a response with a length was broken, and no evidence of a crash, already.

--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -206,7 +206,9 @@
         onResponseComplete(true);
         return;
     }
-    fail(ResponseEnd::Disconnected,
+    // A server that sent a response to another request has not crashed on this one.
+    const bool isSkipped = message_ == Message::Skipped;
+    fail(isSkipped ? ResponseEnd::Broken : ResponseEnd::Disconnected,
          parser_.problem().empty() ? "connection closed before the response" : parser_.problem());
 }
 
