Streams: no record of a key if both of its holders may be silent

A resumed stream whose attempt the caller does not name is looked up by the key of its request. Where no daemon keeps turns, three daemons are asked, and each stream is recorded at two of them. A daemon that did not respond counted as one that knows no stream. So with two of the three silent, the third could name the version of an earlier stream of an equal request, and the later one was continued at it: text of two versions in one stream.

A record now counts only if fewer daemons are silent than hold each record. Otherwise the stream is unknown, and the rule of the sole version decides.

With record stores, two are asked. One silent store changes nothing: the other one holds the record unless its notice was lost. To require both would refuse most resumptions of a release while a store is down.

aKeyIsUnknownIfBothOfItsRecordsMayBeSilent failed before: the search found the record of the earlier stream with two of three daemons lost. It also checks that one lost daemon does not make the stream unknown.

--- a/src/libs/proxy/streamversionsharing.cpp
+++ b/src/libs/proxy/streamversionsharing.cpp
@@ -14,7 +14,7 @@
 
 /// With the daemon that forwards the stream, one copy is left after the loss of any two.
 constexpr std::size_t peerCopies = 2;
-constexpr std::size_t recordStoreCopies = 2;
+constexpr std::size_t copiesOfKey = 2;
 
 bool isUnknown(const StreamFinding &finding)
 {
@@ -30,22 +30,30 @@
     StreamFinding finding;
     StreamVersionSharing::FindCallback callback;
     bool isConfirmed = false;
+    std::size_t silent = 0;
 
-    void add(const StreamFinding &response)
+    /// Without a finding, the daemon did not respond.
+    void add(const std::optional<StreamFinding> &response)
     {
         --pending;
-        isConfirmed = isConfirmed || !isUnknown(response);
-        finding = Dispatch::combined(finding, response);
+        if (response) {
+            isConfirmed = isConfirmed || !isUnknown(*response);
+            finding = Dispatch::combined(finding, *response);
+        } else {
+            ++silent;
+        }
         if (callback && (pending == 0 || (isNamed && isConfirmed))) {
             std::exchange(callback, nullptr)(result());
         }
     }
 
-    /// This daemon's own records of a key may lack the stream, and name an earlier one.
+    /// The records of a key name an earlier stream if the later one is recorded elsewhere: in place
+    /// of this daemon's own records, or at daemons that are all silent.
     StreamFinding result() const
     {
-        const bool isIncomplete = !isConfirmed && std::holds_alternative<StreamRecord>(finding);
-        return isIncomplete ? StreamFinding() : finding;
+        const bool isComplete = isConfirmed && (isNamed || silent < copiesOfKey);
+        const bool isRecord = std::holds_alternative<StreamRecord>(finding);
+        return isRecord && !isComplete ? StreamFinding() : finding;
     }
 };
 
@@ -108,10 +116,10 @@
         return recipients;
     }
     const std::string subject = subjectOf(*stream.key);
-    std::vector<Base::VmId> byKey = peers_.recordStoresOf(subject, recordStoreCopies);
+    std::vector<Base::VmId> byKey = peers_.recordStoresOf(subject, copiesOfKey);
     if (byKey.empty()) {
         byKey = peers_.keepersOf(subject);
-        byKey.resize(std::min(byKey.size(), peerCopies));
+        byKey.resize(std::min(byKey.size(), copiesOfKey));
     }
     for (Base::VmId &vm : byKey) {
         if (std::find(recipients.begin(), recipients.end(), vm) == recipients.end()) {
@@ -131,7 +139,7 @@
         return keepers;
     }
     const std::string subject = subjectOf(*stream.key);
-    const std::vector<Base::VmId> stores = peers_.recordStoresOf(subject, recordStoreCopies);
+    const std::vector<Base::VmId> stores = peers_.recordStoresOf(subject, copiesOfKey);
     keepers.insert(keepers.end(), stores.begin(), stores.end());
     if (stores.empty() && stream.attempt.empty()) {
         keepers = peers_.keepersOf(subject);
@@ -162,7 +170,7 @@
         peers_.sendRequest(
             keeper, number, StreamVersionRequest{number, stream}, [search](const PeerBody *body) {
                 const auto *response = body ? std::get_if<StreamVersionResponse>(body) : nullptr;
-                search->add(response ? response->finding : StreamFinding());
+                search->add(response ? std::optional(response->finding) : std::nullopt);
             });
     }
 }
--- a/tests/libs/proxy/tst_streamversionsharing.cpp
+++ b/tests/libs/proxy/tst_streamversionsharing.cpp
@@ -1,5 +1,7 @@
 #include "peerfleet.h"
 
+#include <algorithm>
+
 using namespace Proxy;
 
 namespace {
@@ -149,3 +151,26 @@
         }
     }
 }
+
+/// Guards against the version of an earlier stream where those that may know a later one are
+/// silent.
+Test(streamversionsharing, aKeyIsUnknownIfBothOfItsRecordsMayBeSilent)
+{
+    PeerFleet fleet(6);
+    const Dispatch::StreamKey key(5);
+    const std::vector<std::size_t> keepers = fleet.keepersOf("stream 5");
+    std::size_t asking = 0;
+    while (std::find(keepers.begin(), keepers.end(), asking) != keepers.end() || asking == 0) {
+        ++asking;
+    }
+    cr_assert_eq(keepers.size(), 3);
+    fleet.streams(keepers[0]).streamBegan({"a", key}, {version, {}, {}});
+    const auto isFound = [&] {
+        return std::holds_alternative<Dispatch::StreamRecord>(finding(fleet, asking, {"", key}));
+    };
+    cr_assert(isFound());
+    fleet.lose(keepers[0]);
+    cr_assert(isFound(), "one of the two that are told of each stream responds");
+    fleet.lose(keepers[1]);
+    cr_assert(!isFound());
+}
