Streams: read the server list before the sole version is taken

What callers saw, as reported: during a release, a front daemon was out of step for a few seconds while servers of a new version joined. Streams that these servers had begun through other daemons broke, were resumed at that daemon, and went on at a server of the old version.

Cause: without a record, the sole version of the last lists was taken if they had been confirmed without a gap of over 5 s. A daemon that is cut off or stands still for less knows nothing of the servers that joined meanwhile, and nothing of their streams either, as notices did not reach it and look-ups are not answered. After a standstill, a report that waited in the socket looked fresh. While a VM is suspended the steady clock does not go on, so that there was no gap at all, however long it took.

Now the sole version counts only if a read of the list that began after the request names no other one. Only the response to a call that was made afterwards cannot have waited since before. Requests share a read, at most one begins in 100 ms, a read that fails ends all that wait with 503 and Retry-After, and no read is made where the local rule refuses anyway or the store is known to be unavailable. Records are found without it. A read without news leaves the schedule alone, so that the daemon does not become a reader.

The read cannot show a version that has come and gone. So the period begins again after a gap of 2 s instead of 5 s, less than a crashed server stays listed; gaps count by a clock that goes on while the VM is suspended and up to the arrival of a report; reports count only 1 s after a gap. The request's log line has the age of the list and how it was confirmed.

Ruled out: waiting for the next report (an old one looks the same), and asking the daemon that reads the list (it may have stood still as well).

thePeriodStartsAgainAfterAGapInTheConfirmations: its times follow the shorter gap, 2 s in place of 5 s, so it is stricter than before.

--- a/src/libs/dispatch/serviceversions.cpp
+++ b/src/libs/dispatch/serviceversions.cpp
@@ -2,14 +2,33 @@
 
 namespace Dispatch {
 
-void ServiceVersions::serversChanged(const std::vector<ListedServer> &servers, Base::Instant now)
+namespace {
+
+using VersionsByService = std::map<Base::ServiceId, std::set<Base::SoftwareVersion>>;
+
+VersionsByService versionsByService(const std::vector<ListedServer> &servers)
+{
+    VersionsByService result;
+    for (const ListedServer &server : servers) {
+        result[server.server.service].insert(server.version);
+    }
+    return result;
+}
+
+} // namespace
+
+void ServiceVersions::setListed(const std::vector<ListedServer> &servers)
 {
-    std::map<Base::ServiceId, std::set<Base::SoftwareVersion>> listed;
     servers_.clear();
     for (const ListedServer &server : servers) {
-        listed[server.server.service].insert(server.version);
         servers_[server.server.id] = {server.startedAt, server.version};
     }
+}
+
+void ServiceVersions::serversChanged(const std::vector<ListedServer> &servers, Base::Instant now)
+{
+    VersionsByService listed = versionsByService(servers);
+    setListed(servers);
     std::erase_if(services_, [&](const auto &entry) { return !listed.contains(entry.first); });
     for (auto &[service, versions] : listed) {
         recordHistory(service, versions);
@@ -28,16 +47,67 @@
         = history.hasOther || versions.size() > 1 || *versions.begin() != history.first;
 }
 
-/// Versions may have come and gone while no list was confirmed.
-void ServiceVersions::listConfirmed(Base::Instant asOf)
+/// Versions may have come and gone while no list was confirmed. The time of arrival counts, as an
+/// age that waited unread is too low.
+void ServiceVersions::detectGap(Base::Instant now)
+{
+    if (!reportedAt_ || now - *reportedAt_ <= settings_.maxUnconfirmed) {
+        return;
+    }
+    isAliveSinceFleetStart_ = false;
+    backlogUntil_ = now + settings_.backlogTime;
+    for (auto &[service, entry] : services_) {
+        entry.changedAt = std::max(entry.changedAt, now);
+    }
+}
+
+void ServiceVersions::confirm(Base::Instant asOf, ConfirmedBy by)
+{
+    if (!confirmedAt_ || asOf >= *confirmedAt_) {
+        confirmedAt_ = asOf;
+        confirmedBy_ = by;
+    }
+}
+
+void ServiceVersions::listConfirmed(Base::Instant asOf, Base::Instant now)
+{
+    detectGap(now);
+    reportedAt_ = std::max(reportedAt_.value_or(asOf), asOf);
+    if (now >= backlogUntil_) {
+        confirm(asOf, ConfirmedBy::Report);
+    }
+}
+
+/// The versions stay those of the regular list, which may not have the news yet or may never see
+/// them; only their periods start again.
+void ServiceVersions::listRead(const std::vector<ListedServer> &servers,
+                               Base::Instant begunAt,
+                               Base::Instant now)
 {
-    if (confirmedAt_ && asOf - *confirmedAt_ > settings_.maxUnconfirmed) {
-        isAliveSinceFleetStart_ = false;
-        for (auto &[service, entry] : services_) {
-            entry.changedAt = std::max(entry.changedAt, asOf);
+    detectGap(now);
+    VersionsByService listed = versionsByService(servers);
+    for (const auto &[service, versions] : listed) {
+        recordHistory(service, versions);
+    }
+    for (auto &[service, entry] : services_) {
+        if (entry.versions != listed[service]) {
+            entry.changedAt = now;
         }
     }
-    confirmedAt_ = std::max(confirmedAt_.value_or(asOf), asOf);
+    setListed(servers);
+    reportedAt_ = std::max(reportedAt_.value_or(begunAt), begunAt);
+    confirm(begunAt, ConfirmedBy::Read);
+}
+
+std::optional<ListConfirmation> ServiceVersions::confirmation(Base::Instant now) const
+{
+    return confirmedAt_ ? std::optional(ListConfirmation{now - *confirmedAt_, confirmedBy_})
+                        : std::nullopt;
+}
+
+bool ServiceVersions::isInStep(Base::Instant now) const
+{
+    return confirmedAt_ && now - *confirmedAt_ <= settings_.maxUnconfirmed;
 }
 
 /// The time at which this daemon learnt of a change counts, as the change itself was earlier.
@@ -46,8 +116,7 @@
                                                                   Base::Instant now) const
 {
     const auto entry = services_.find(service);
-    if (entry == services_.end() || entry->second.versions.size() != 1 || !confirmedAt_
-        || now - *confirmedAt_ > settings_.maxUnconfirmed) {
+    if (entry == services_.end() || entry->second.versions.size() != 1 || !isInStep(now)) {
         return std::nullopt;
     }
     const Base::Duration confirmed = *confirmedAt_ - entry->second.changedAt;
--- a/src/libs/dispatch/serviceversions.h
+++ b/src/libs/dispatch/serviceversions.h
@@ -11,15 +11,34 @@
 /// Time in milliseconds since the Unix epoch, as in the start times of servers.
 using UnixMs = Base::StrongNumber<struct UnixMsTag, std::int64_t>;
 
-/// The software versions of the listed servers of each service, leaving ones included.
+/// How this daemon knows that its list of servers was the current one.
+enum class ConfirmedBy {
+    /// Another daemon's message, which may have waited unread, or a read of the usual schedule.
+    Report,
+    /// A read that this daemon began in order to know.
+    Read
+};
+
+struct ListConfirmation
+{
+    /// Time since the list was current.
+    Base::Duration age{};
+    ConfirmedBy by = ConfirmedBy::Report;
+};
+
+/// The software versions of the listed servers of each service, leaving ones included. All times
+/// are of a clock that goes on while the VM is suspended.
 class ServiceVersions
 {
 public:
     struct Settings
     {
-        /// The list is read every 0.7 s, and by each daemon at most 1.3 s after that. A list that
-        /// was not confirmed for longer says nothing about the versions in service.
-        Base::Duration maxUnconfirmed = std::chrono::seconds(5);
+        /// A daemon whose list was not confirmed for longer is out of step. The list is read every
+        /// 0.7 s, and by each daemon at most 1.3 s after that. A server that joins stays listed for
+        /// longer, even if it crashes at once.
+        Base::Duration maxUnconfirmed = std::chrono::seconds(2);
+        /// Messages that have waited while the daemon stood still are read within this time.
+        Base::Duration backlogTime = std::chrono::seconds(1);
         /// Difference between the clocks of a server and of a daemon.
         Base::Duration clockMargin = std::chrono::seconds(1);
     };
@@ -32,10 +51,20 @@
     void setFleetStart() { isAliveSinceFleetStart_ = true; }
     void serversChanged(const std::vector<ListedServer> &servers, Base::Instant now);
     /// The last list was the current one at the given time.
-    void listConfirmed(Base::Instant asOf);
+    void listConfirmed(Base::Instant asOf, Base::Instant now);
+    /// This daemon has read the list in a call that began at the given time.
+    void listRead(const std::vector<ListedServer> &servers,
+                  Base::Instant begunAt,
+                  Base::Instant now);
+
+    /// The last confirmation; nothing if there was none.
+    std::optional<ListConfirmation> confirmation(Base::Instant now) const;
+    /// Whether the list was confirmed recently.
+    bool isInStep(Base::Instant now) const;
 
     /// The version of all servers of the service, if confirmed lists have named no other one for
-    /// the given time, or since the fleet's first start.
+    /// the given time, or since the fleet's first start. Servers that joined since the last
+    /// confirmation are not known.
     std::optional<Base::SoftwareVersion> soleVersion(const Base::ServiceId &service,
                                                      Base::Duration period,
                                                      Base::Instant now) const;
@@ -64,6 +93,9 @@
         bool hasOther = false;
     };
 
+    void detectGap(Base::Instant now);
+    void confirm(Base::Instant asOf, ConfirmedBy by);
+    void setListed(const std::vector<ListedServer> &servers);
     void recordHistory(const Base::ServiceId &service,
                        const std::set<Base::SoftwareVersion> &versions);
     bool isSoleSinceFleetStart(const Base::ServiceId &service) const;
@@ -73,6 +105,11 @@
     std::map<Base::ServiceId, History> histories_;
     std::unordered_map<Base::ServerId, Listed> servers_;
     std::optional<Base::Instant> confirmedAt_;
+    ConfirmedBy confirmedBy_ = ConfirmedBy::Report;
+    /// Time of the last confirmation, even if it may have waited unread.
+    std::optional<Base::Instant> reportedAt_;
+    /// Reports that arrive before this time may have waited unread.
+    Base::Instant backlogUntil_;
     bool isAliveSinceFleetStart_ = false;
 };
 
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -21,6 +21,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+const char *nameOf(Dispatch::ConfirmedBy by)
+{
+    return by == Dispatch::ConfirmedBy::Read ? "read" : "report";
+}
+
 const char *nameOf(Admission::Urgency urgency)
 {
     switch (urgency) {
@@ -279,6 +284,11 @@
         fields.details.push_back({"resumes", traits_.resumedAttempt});
         fields.details.push_back({"last_event", *traits_.lastEventId});
     }
+    if (listConfirmation_) {
+        fields.details.push_back({"version_by", streamRecord_ ? "record" : "sole_version"});
+        fields.details.push_back({"list_age_milliseconds", milliseconds(listConfirmation_->age)});
+        fields.details.push_back({"list_by", nameOf(listConfirmation_->by)});
+    }
     if (requestLimit_) {
         fields.details.push_back({"server_limit", requestLimit_->value()});
     }
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -40,7 +40,12 @@
     void findStreamVersion();
     Dispatch::StreamKey streamKey() const;
     void onStreamFound(const Dispatch::StreamFinding &finding);
+    void findSoleVersion();
+    void onServersReadForSoleVersion(bool isRead);
+    void onStreamVersionKnown();
     void refuseStream(const char *outcome, std::string detail);
+    std::optional<Base::SoftwareVersion> soleVersion() const;
+    void noteServerList();
     bool isStreamUncertain() const;
     void onAdmitted();
     void keepTurn();
@@ -169,6 +174,8 @@
     /// What is known about the first event of the stream, and when that was known.
     std::optional<Dispatch::StreamRecord> streamRecord_;
     Base::Instant streamRecordedAt_;
+    /// What the list of servers rested on when the version was decided on.
+    std::optional<Dispatch::ListConfirmation> listConfirmation_;
     /// The request continues no stream, or its version was found.
     bool isStreamVersionKnown_ = true;
     /// The rate and the budget allow the request.
--- a/src/libs/proxy/exchangeadmission.cpp
+++ b/src/libs/proxy/exchangeadmission.cpp
@@ -154,20 +154,63 @@
         streamRecord_ = *record;
         streamRecordedAt_ = now();
         streamVersion_ = record->version;
-    } else {
-        streamVersion_
-            = owner_.serviceVersions_.soleVersion(service_->id, soleVersionPeriod, now());
+        onStreamVersionKnown();
+        return;
     }
-    if (!streamVersion_) {
+    findSoleVersion();
+}
+
+/// Servers of another version may have joined since the list was confirmed, and may have begun the
+/// stream through other daemons. Only a read that begins now names all of them.
+void Exchange::findSoleVersion()
+{
+    if (!soleVersion()) {
+        noteServerList();
         refuseStream("stream_unknown", "the software version that began the stream is not known");
         return;
     }
+    auto self = shared_from_this();
+    owner_.serverReads_.request([self](bool isRead) {
+        if (!self->isEnded_) {
+            self->onServersReadForSoleVersion(isRead);
+        }
+    });
+}
+
+void Exchange::onServersReadForSoleVersion(bool isRead)
+{
+    noteServerList();
+    if (!isRead) {
+        refuseStream("stream_unknown", "the list of servers could not be read to resume a stream");
+        return;
+    }
+    streamVersion_ = soleVersion();
+    if (!streamVersion_) {
+        refuseStream("stream_unknown", "servers of another software version have joined");
+        return;
+    }
+    onStreamVersionKnown();
+}
+
+void Exchange::onStreamVersionKnown()
+{
     isStreamVersionKnown_ = true;
     if (isAdmitted_) {
         onAdmitted();
     }
 }
 
+std::optional<Base::SoftwareVersion> Exchange::soleVersion() const
+{
+    return owner_.serviceVersions_.soleVersion(
+        service_->id, soleVersionPeriod, owner_.settings_.continuousNow());
+}
+
+void Exchange::noteServerList()
+{
+    listConfirmation_ = owner_.serviceVersions_.confirmation(owner_.settings_.continuousNow());
+}
+
 void Exchange::refuseStream(const char *outcome, std::string detail)
 {
     respondWithError(503, outcome, std::move(detail), owner_.settings_.retryAfterBusy);
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -2,7 +2,6 @@
 
 #include "endpoint.h"
 #include "exchange.h"
-#include "steadyclock.h"
 
 namespace Proxy {
 
@@ -17,6 +16,9 @@
     , settings_(std::move(settings))
     , translator_(std::move(translator))
     , controls_(std::move(controls))
+    , serverReads_(context,
+                   settings_.serverReadInterval,
+                   [this](SharedRead::Done done) { readServers(std::move(done)); })
     , log_(log)
     , metrics_(metrics)
     , placer_(settings_.zone, settings_.placement, seed)
@@ -79,13 +81,39 @@
 void PassThrough::serversChanged(const std::vector<Dispatch::ListedServer> &servers)
 {
     placer_.serversChanged(servers);
-    serviceVersions_.serversChanged(servers, now());
+    serviceVersions_.serversChanged(servers, settings_.continuousNow());
     const auto isListed
         = [this](const Dispatch::ServerInstance &instance) { return placer_.isListed(instance); };
     pool_.retain(isListed);
     connector_.paths().retain(isListed);
 }
 
+void PassThrough::serversConfirmed(Base::Instant asOf)
+{
+    const Base::Instant time = settings_.continuousNow();
+    serviceVersions_.listConfirmed(time - (now() - asOf), time);
+}
+
+void PassThrough::readServers(SharedRead::Done done)
+{
+    if (!streams_.readServers) {
+        done(false);
+        return;
+    }
+    const Base::Instant begunAt = settings_.continuousNow();
+    streams_.readServers([this, begunAt, done = std::move(done)](const auto *servers) {
+        metrics_
+            .counter("marjoram_stream_server_reads_total",
+                     "Reads of the list of servers for streams that are resumed by result",
+                     {{"result", servers ? "read" : "failed"}})
+            .add();
+        if (servers) {
+            serviceVersions_.listRead(*servers, begunAt, settings_.continuousNow());
+        }
+        done(servers != nullptr);
+    });
+}
+
 Dispatch::ClosureChanges PassThrough::applyClosures(const std::vector<Dispatch::ClosedZone> &closed,
                                                     std::uint64_t revision)
 {
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -9,6 +9,8 @@
 #include "requestaccount.h"
 #include "requesttraits.h"
 #include "serverconnector.h"
+#include "sharedread.h"
+#include "steadyclock.h"
 
 #include <admission/permitpool.h>
 #include <contracts/routingtable.h>
@@ -54,6 +56,10 @@
     PoolSettings pool;
     ServerConnectorSettings connector;
     LoadControlMode loadControl = LoadControlMode::Auto;
+    /// Minimum time between two reads of the list of servers for streams that are resumed.
+    Base::Duration serverReadInterval = std::chrono::milliseconds(100);
+    /// Clock that goes on while the VM is suspended.
+    std::function<Base::Instant()> continuousNow = &Proxy::continuousNow;
 };
 
 /// Verdict on one turn of a program.
@@ -124,6 +130,11 @@
     std::function<void(const Dispatch::StreamName &, const Dispatch::StreamRecord &)> began;
     /// Calls back once, immediately or later.
     std::function<void(const Dispatch::StreamName &, FindCallback)> find;
+
+    using ServersCallback = std::function<void(const std::vector<Dispatch::ListedServer> *)>;
+    /// Reads the list of servers from the store, in a call that begins now. Calls back once,
+    /// immediately or later, with null if the list could not be read.
+    std::function<void(ServersCallback)> readServers;
 };
 
 /// Access to the requests that crash servers.
@@ -168,7 +179,7 @@
     /// Whether the instance is listed in a closed zone; no request may reach it.
     bool isInClosedZone(const Dispatch::ServerInstance &instance) const;
     /// The last list of servers was the current one at the given time.
-    void serversConfirmed(Base::Instant asOf) { serviceVersions_.listConfirmed(asOf); }
+    void serversConfirmed(Base::Instant asOf);
     /// The whole system starts for the first time. Must be called before the first list.
     void setFleetStart() { serviceVersions_.setFleetStart(); }
 
@@ -209,6 +220,7 @@
     std::shared_ptr<ClientConnection> takeIdle(const Dispatch::ServerInstance &instance);
     void putIdle(const Dispatch::ServerInstance &instance,
                  const std::shared_ptr<ClientConnection> &connection);
+    void readServers(SharedRead::Done done);
     void probePath();
     void countResponse(int status, Base::Duration latency);
 
@@ -221,6 +233,7 @@
     StreamControls streams_;
     QuarantineControls quarantine_;
     Dispatch::ServiceVersions serviceVersions_{{}};
+    SharedRead serverReads_;
     Telemetry::Log &log_;
     Telemetry::Metrics &metrics_;
     Dispatch::RequestPlacer placer_;
--- a/tests/libs/dispatch/tst_streamversions.cpp
+++ b/tests/libs/dispatch/tst_streamversions.cpp
@@ -3,6 +3,8 @@
 
 #include <criterion/criterion.h>
 
+#include <functional>
+
 using namespace Dispatch;
 
 namespace {
@@ -35,7 +37,7 @@
 void confirm(ServiceVersions &versions, std::int64_t from, std::int64_t to)
 {
     for (std::int64_t now = from; now <= to; ++now) {
-        versions.listConfirmed(at(now));
+        versions.listConfirmed(at(now), at(now));
     }
 }
 
@@ -132,8 +134,8 @@
     versions.setFleetStart();
     versions.serversChanged({listed("a", v1)}, at(0));
     confirm(versions, 0, 20);
-    cr_assert(soleVersion(versions, 24) == v1);
-    cr_assert(!soleVersion(versions, 26), "the list may be stale by now");
+    cr_assert(soleVersion(versions, 22) == v1);
+    cr_assert(!soleVersion(versions, 23), "the list may be stale by now");
     confirm(versions, 40, 49);
     cr_assert(!soleVersion(versions, 49));
     confirm(versions, 50, 50);
@@ -155,6 +157,108 @@
     cr_assert(!soleVersion(versions, 6), "streams of the first version may be resumed");
 }
 
+/// Guards against the version that was the only one before this daemon was out of step, while
+/// servers of another one joined and began streams.
+Test(serviceversions, aDaemonOutOfStepNamesNoFormerVersion)
+{
+    struct Case
+    {
+        const char *name;
+        /// Applied to a daemon whose list was last confirmed at 20 s; the stream is resumed at 23
+        /// s.
+        std::function<void(ServiceVersions &)> events;
+        std::optional<Base::SoftwareVersion> expected;
+        bool isInStep;
+    };
+    const std::vector<ListedServer> former{listed("a", v1)};
+    const std::vector<ListedServer> present{listed("a", v1), listed("b", v2)};
+    const auto report = [](ServiceVersions &versions, Base::Instant asOf, Base::Instant now) {
+        versions.listConfirmed(asOf, now);
+    };
+    const std::vector<Case> cases{
+        {"normal", [&](auto &versions) { confirm(versions, 21, 23); }, v1, true},
+        {"normal, read",
+         [&](auto &versions) {
+             confirm(versions, 21, 22);
+             versions.listRead(former, at(23), at(23));
+         },
+         v1,
+         true},
+        {"normal, a server of another version has joined",
+         [&](auto &versions) {
+             confirm(versions, 21, 22);
+             versions.listRead(present, at(23), at(23));
+         },
+         std::nullopt,
+         true},
+        {"normal, a version that has left again",
+         [&](auto &versions) {
+             confirm(versions, 21, 22);
+             versions.listRead(present, at(22), at(22));
+             versions.listRead(former, at(23), at(23));
+         },
+         std::nullopt,
+         true},
+        {"cut off, or store unavailable", [](auto &) {}, std::nullopt, false},
+        {"cut off, then a read that shows the new version",
+         [&](auto &versions) { versions.listRead(present, at(23), at(23)); },
+         std::nullopt,
+         true},
+        {"cut off, then a read: the new version may have come and gone",
+         [&](auto &versions) { versions.listRead(former, at(23), at(23)); },
+         std::nullopt,
+         true},
+        {"stood still, report that waited unread",
+         [&](auto &versions) { report(versions, at(23), at(23)); },
+         std::nullopt,
+         false},
+        {"stood still, several such reports",
+         [&](auto &versions) {
+             report(versions, Base::Instant(std::chrono::milliseconds(21'500)), at(23));
+             report(versions, Base::Instant(std::chrono::milliseconds(22'900)), at(23));
+         },
+         std::nullopt,
+         false},
+        {"stood still, list that waited unread",
+         [&](auto &versions) {
+             versions.serversChanged({listed("c", v1)}, at(23));
+             report(versions, at(23), at(23));
+         },
+         std::nullopt,
+         false},
+    };
+    for (const Case &each : cases) {
+        for (const bool isFleetStart : {false, true}) {
+            ServiceVersions versions{{}};
+            if (isFleetStart) {
+                versions.setFleetStart();
+            }
+            versions.serversChanged(former, at(0));
+            confirm(versions, 0, 20);
+            each.events(versions);
+            cr_expect(soleVersion(versions, 23) == each.expected, "%s", each.name);
+            cr_expect_eq(versions.isInStep(at(23)), each.isInStep, "%s", each.name);
+        }
+    }
+}
+
+/// Guards against a daemon that stays out of step.
+Test(serviceversions, reportsCountAgainOnceTheBacklogIsRead)
+{
+    ServiceVersions versions{{}};
+    versions.serversChanged({listed("a", v1)}, at(0));
+    confirm(versions, 0, 20);
+    confirm(versions, 30, 30);
+    cr_assert(!versions.isInStep(at(30)));
+    cr_assert(versions.confirmation(at(30))->age == std::chrono::seconds(10));
+    confirm(versions, 31, 31);
+    cr_assert(versions.isInStep(at(31)));
+    confirm(versions, 32, 39);
+    cr_assert(!soleVersion(versions, 39));
+    confirm(versions, 40, 40);
+    cr_assert(soleVersion(versions, 40) == v1);
+}
+
 /// Guards against a list that names the old version for a restarted server.
 Test(serviceversions, aRecordIsUncertainIfItsServerWasRestartedBefore)
 {
--- a/tests/platform/tst_feeds.cpp
+++ b/tests/platform/tst_feeds.cpp
@@ -259,6 +259,44 @@
     fixture.runUntil([&] { return fixture.platform.calls() > before; }, "a read without reports");
 }
 
+/// Guards against a daemon that reads the list for all others after a read of its own, and against
+/// a result that is older than the request.
+Test(feeds, anExtraReadLeavesTheScheduleAlone)
+{
+    Fixture fixture;
+    fixture.isReader = false;
+    fixture.platform.put("servers", "i-1", server("ready"));
+    fixture.servers.start(false);
+    fixture.runUntil([&] { return fixture.listReads > 0; }, "the first read");
+    const auto read = [&fixture] {
+        std::optional<std::size_t> size;
+        bool isDone = false;
+        fixture.servers.readNow([&](const auto *servers) {
+            isDone = true;
+            size = servers ? std::optional(servers->size()) : std::nullopt;
+        });
+        fixture.runUntil([&] { return isDone; }, "the read");
+        return size;
+    };
+    const int calls = fixture.platform.currentCalls();
+    const Proxy::ListReport report = *fixture.servers.report();
+    cr_assert(read() == 1);
+    cr_assert_eq(fixture.platform.currentCalls(), calls + 1);
+    cr_assert(!fixture.servers.isActingReader());
+    cr_assert_eq(fixture.servers.report()->reads, report.reads);
+    fixture.platform.put("servers", "i-2", server("ready"));
+    cr_assert(read() == 2);
+    cr_assert_eq(fixture.listed.size(), 2, "the news is applied before the result is used");
+    fixture.platform.refuseWith(503);
+    cr_assert(!read());
+    cr_assert(!fixture.store.isReachable());
+    const int refused = fixture.platform.calls();
+    bool isRefusedAtOnce = false;
+    fixture.servers.readNow([&](const auto *servers) { isRefusedAtOnce = !servers; });
+    cr_assert(isRefusedAtOnce);
+    cr_assert_eq(fixture.platform.calls(), refused);
+}
+
 /// Guards against the herd at the start of a fleet: 3,361 calls by 259 daemons before the first
 /// request, 13 each.
 Test(feeds, aDaemonOfAFleetThatStartsReadsCheaply)
