Streams: a daemon out of step reads the server list before it continues one

A daemon that was cut off or stood still knows no restarts of that time. If it continues a stream then, the record of the stream may name the version under which the server was listed before it was restarted with another one, and the server that it chooses may be listed with its former version. Text of two versions follows, both for a request that resumes and within one response.

If the list was not confirmed for 2 s, by a clock that goes on while the VM is suspended, it is now read before the attempt. News of the read is applied before the server is chosen, and the check for restarted servers uses it. If the read fails, the stream goes on: while the store is unavailable no daemon can know more, and records are to serve then. A daemon in normal operation makes no such read.

aRecordedStreamIsContinuedByAListReadAfterAStandstill failed without the read: the stream went on at the former version after 3 s of suspension. It covers HTTP/1.1 and 1.0, requests that resume and a response that goes on.

--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -46,6 +46,7 @@
     void refuseStream(const char *outcome, std::string detail);
     std::optional<Base::SoftwareVersion> soleVersion() const;
     void noteServerList();
+    bool readServersIfOutOfStep();
     bool isStreamUncertain() const;
     void onAdmitted();
     void keepTurn();
@@ -176,6 +177,8 @@
     Base::Instant streamRecordedAt_;
     /// What the list of servers rested on when the version was decided on.
     std::optional<Dispatch::ListConfirmation> listConfirmation_;
+    /// The list of servers could not be read to resume the stream.
+    bool isServerReadFailed_ = false;
     /// The request continues no stream, or its version was found.
     bool isStreamVersionKnown_ = true;
     /// The rate and the budget allow the request.
--- a/src/libs/proxy/exchangeadmission.cpp
+++ b/src/libs/proxy/exchangeadmission.cpp
@@ -211,6 +211,28 @@
     listConfirmation_ = owner_.serviceVersions_.confirmation(owner_.settings_.continuousNow());
 }
 
+/// Reads the list of servers before a stream is continued by a daemon that may have missed that
+/// servers were restarted with another version. Returns whether the attempt has to wait. While the
+/// store is unavailable, no daemon can know more.
+bool Exchange::readServersIfOutOfStep()
+{
+    if (!streamVersion_) {
+        return false;
+    }
+    noteServerList();
+    if (isServerReadFailed_ || owner_.serviceVersions_.isInStep(owner_.settings_.continuousNow())) {
+        return false;
+    }
+    auto self = shared_from_this();
+    owner_.serverReads_.request([self](bool isRead) {
+        if (!self->isEnded_) {
+            self->isServerReadFailed_ = !isRead;
+            self->startAttempt();
+        }
+    });
+    return true;
+}
+
 void Exchange::refuseStream(const char *outcome, std::string detail)
 {
     respondWithError(503, outcome, std::move(detail), owner_.settings_.retryAfterBusy);
--- a/src/libs/proxy/exchangeattempts.cpp
+++ b/src/libs/proxy/exchangeattempts.cpp
@@ -28,6 +28,9 @@
         refuseQuarantined();
         return;
     }
+    if (readServersIfOutOfStep()) {
+        return;
+    }
     if (isStreamUncertain()) {
         refuseAttempt("stream_uncertain",
                       "the server that began the stream was restarted with another version",
--- a/tests/libs/proxy/tst_outofstep.cpp
+++ b/tests/libs/proxy/tst_outofstep.cpp
@@ -2,7 +2,7 @@
 
 namespace {
 
-const std::string lastChunk = "0\r\n\r\n";
+const std::string continuation = streamHead + chunk(event(2)) + "0\r\n\r\n";
 
 constexpr Base::Duration standstill = std::chrono::seconds(3);
 
@@ -132,7 +132,7 @@
             for (const char *attempt : {"", "Resumes: r1\r\n"}) {
                 OutOfStepFixture fixture(each.store);
                 for (ScriptedServer *server : {&fixture.first, &fixture.second}) {
-                    server->add({{streamHead + chunk(event(2)) + lastChunk}, true});
+                    server->add({{continuation}, true});
                 }
                 if (each.isSuspended) {
                     fixture.suspend();
@@ -150,3 +150,45 @@
         }
     }
 }
+
+/// Guards against the same where the record names the version under which a server was listed
+/// before it was restarted with another one: in a request that resumes, and within one response.
+Test(outofstep, aRecordedStreamIsContinuedByAListReadAfterAStandstill)
+{
+    struct Case
+    {
+        const char *name;
+        Store store;
+        bool isSuspended;
+        bool isContinued;
+        int reads;
+    };
+    const std::vector<Case> cases{
+        {"normal", Store::FirstRestarted, false, true, 0},
+        {"suspended", Store::AsKnown, true, true, 1},
+        {"suspended, server restarted", Store::FirstRestarted, true, false, 1},
+        {"suspended, store unavailable", Store::Unavailable, true, true, 1}};
+    for (const Case &each : cases) {
+        for (const std::string &version : callerVersions) {
+            for (const bool isWithinResponse : {false, true}) {
+                OutOfStepFixture fixture(each.store);
+                if (each.isSuspended) {
+                    fixture.suspend();
+                }
+                if (isWithinResponse) {
+                    fixture.first.add({{streamHead + chunk(event(1))}, true});
+                }
+                for (ScriptedServer *server : {&fixture.first, &fixture.second}) {
+                    server->add({{continuation}, true});
+                }
+                fixture.finding = Dispatch::StreamRecord{
+                    Base::SoftwareVersion("v1"), {Base::ServerId("one"), 0}, {}};
+                fixture.requestStream(version, isWithinResponse ? "" : "Last-Event-Id: 1\r\n");
+                fixture.awaitEnd();
+                const bool isContinued = fixture.received.find("data: d2") != std::string::npos;
+                cr_expect_eq(isContinued, each.isContinued, "%s", each.name);
+                cr_expect_eq(fixture.reads, each.reads, "%s", each.name);
+            }
+        }
+    }
+}
