Streams: a restarted server stays known after it has left the list

A stream that a server began after a restart, while the list still named its former version, is recorded with that version. The resumption is refused as uncertain once the list shows the restart. But if the server then crashed, its entry was removed seconds later, and a server that is not listed counted as one that was not restarted: the caller, which retries after each 503, was served by the recorded version in the end, with text of two versions.

The last entry of a server now counts for 60 s after it left the list, the time for which streams may be resumed.

aRecordStaysUncertainAfterItsServerHasLeft failed before: the record was certain as soon as the server was missing.

--- a/src/libs/dispatch/serviceversions.cpp
+++ b/src/libs/dispatch/serviceversions.cpp
@@ -1,5 +1,7 @@
 #include "serviceversions.h"
 
+#include <utility>
+
 namespace Dispatch {
 
 namespace {
@@ -17,18 +19,25 @@
 
 } // namespace
 
-void ServiceVersions::setListed(const std::vector<ListedServer> &servers)
+/// Servers that crash leave the list while callers still resume their streams.
+void ServiceVersions::setListed(const std::vector<ListedServer> &servers, Base::Instant now)
 {
-    servers_.clear();
+    std::unordered_map<Base::ServerId, Listed> former = std::exchange(servers_, {});
     for (const ListedServer &server : servers) {
-        servers_[server.server.id] = {server.startedAt, server.version};
+        servers_[server.server.id] = {server.startedAt, server.version, std::nullopt};
+    }
+    for (auto &[id, listed] : former) {
+        listed.leftAt = listed.leftAt.value_or(now);
+        if (now - *listed.leftAt < settings_.retention) {
+            servers_.emplace(id, std::move(listed));
+        }
     }
 }
 
 void ServiceVersions::serversChanged(const std::vector<ListedServer> &servers, Base::Instant now)
 {
     VersionsByService listed = versionsByService(servers);
-    setListed(servers);
+    setListed(servers, now);
     std::erase_if(services_, [&](const auto &entry) { return !listed.contains(entry.first); });
     for (auto &[service, versions] : listed) {
         recordHistory(service, versions);
@@ -94,7 +103,7 @@
             entry.changedAt = now;
         }
     }
-    setListed(servers);
+    setListed(servers, now);
     reportedAt_ = std::max(reportedAt_.value_or(begunAt), begunAt);
     confirm(begunAt, ConfirmedBy::Read);
 }
--- a/src/libs/dispatch/serviceversions.h
+++ b/src/libs/dispatch/serviceversions.h
@@ -39,6 +39,8 @@
         Base::Duration maxUnconfirmed = std::chrono::seconds(2);
         /// Messages that have waited while the daemon stood still are read within this time.
         Base::Duration backlogTime = std::chrono::seconds(1);
+        /// Streams may be resumed for this time, also after their server has left the list.
+        Base::Duration retention = std::chrono::seconds(60);
         /// Difference between the clocks of a server and of a daemon.
         Base::Duration clockMargin = std::chrono::seconds(1);
     };
@@ -69,7 +71,7 @@
                                                      Base::Duration period,
                                                      Base::Instant now) const;
 
-    /// Whether the server of the record is now listed with another version, and may have been
+    /// Whether the server of the record was last listed with another version, and may have been
     /// restarted with it before the stream began.
     bool isUncertain(const StreamRecord &record, UnixMs now) const;
 
@@ -84,6 +86,8 @@
     {
         std::uint64_t startedAt = 0;
         Base::SoftwareVersion version;
+        /// The time of the first list without the server; unset while it is listed.
+        std::optional<Base::Instant> leftAt;
     };
 
     /// Versions of a service since the start of this process.
@@ -95,7 +99,7 @@
 
     void detectGap(Base::Instant now);
     void confirm(Base::Instant asOf, ConfirmedBy by);
-    void setListed(const std::vector<ListedServer> &servers);
+    void setListed(const std::vector<ListedServer> &servers, Base::Instant now);
     void recordHistory(const Base::ServiceId &service,
                        const std::set<Base::SoftwareVersion> &versions);
     bool isSoleSinceFleetStart(const Base::ServiceId &service) const;
@@ -103,6 +107,7 @@
     Settings settings_;
     std::map<Base::ServiceId, Entry> services_;
     std::map<Base::ServiceId, History> histories_;
+    /// The listed servers, and those that left within the retention time.
     std::unordered_map<Base::ServerId, Listed> servers_;
     std::optional<Base::Instant> confirmedAt_;
     ConfirmedBy confirmedBy_ = ConfirmedBy::Report;
--- a/tests/libs/dispatch/tst_streamversions.cpp
+++ b/tests/libs/dispatch/tst_streamversions.cpp
@@ -274,3 +274,20 @@
     cr_assert(!versions.isUncertain({v1, {Base::ServerId("b"), 5}, {}}, UnixMs(115'000)));
     cr_assert(!versions.isUncertain({v1, {}, {}}, UnixMs(115'000)), "of a previous build");
 }
+
+/// Guards against a server that was restarted with another version, crashed, and left the list
+/// while the caller retried.
+Test(serviceversions, aRecordStaysUncertainAfterItsServerHasLeft)
+{
+    ServiceVersions versions({.retention = std::chrono::seconds(60)});
+    ListedServer server = listed("a", v2);
+    server.startedAt = 100'000;
+    versions.serversChanged({server}, at(0));
+    versions.serversChanged({listed("b", v1)}, at(4));
+    const StreamRecord record{v1, {Base::ServerId("a"), 5}, std::chrono::seconds(10)};
+    cr_assert(versions.isUncertain(record, UnixMs(115'000)));
+    versions.listRead({listed("b", v1)}, at(30), at(30));
+    cr_assert(versions.isUncertain(record, UnixMs(115'000)));
+    versions.serversChanged({}, at(65));
+    cr_assert(!versions.isUncertain(record, UnixMs(115'000)), "no stream is that old");
+}
