--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -56,7 +56,13 @@
     void findStreamVersion();
     Dispatch::StreamKey streamKey() const;
     void onStreamFound(const Dispatch::StreamFinding &finding);
+    void findSoleVersion();
+    void onServersReadForSoleVersion(bool isRead);
+    void onStreamVersionKnown();
     void refuseStream(const char *outcome, std::string detail);
+    std::optional<Base::SoftwareVersion> soleVersion() const;
+    void noteServerList();
+    bool readServersIfOutOfStep();
     bool isStreamUncertain() const;
     void onAdmitted();
     void keepTurn();
@@ -182,6 +188,10 @@
     /// What is known about the first event of the stream, and when that was known.
     std::optional<Dispatch::StreamRecord> streamRecord_;
     Base::Instant streamRecordedAt_;
+    /// What the list of servers rested on when the version was decided on.
+    std::optional<Dispatch::ListConfirmation> listConfirmation_;
+    /// The list of servers could not be read to resume the stream.
+    bool isServerReadFailed_ = false;
     /// The request continues no stream, or its version was found.
     bool isStreamVersionKnown_ = true;
     /// The rate and the budget allow the request.
