--- a/tests/libs/proxy/relayfixture.h
+++ b/tests/libs/proxy/relayfixture.h
@@ -16,7 +16,7 @@
         : Fixture(std::move(settings), addresses)
         , relay_(
               context(),
-              listeningOn(addresses.relay, relaySettings),
+              listeningOn(addresses.relay, std::move(relaySettings)),
               [this](const auto &instance) { return reachable(instance); },
               [this] { return isRelayCutOff; },
               silentLog(),
--- a/tests/libs/proxy/tst_truncatedresponses.cpp
+++ b/tests/libs/proxy/tst_truncatedresponses.cpp
@@ -688,7 +688,9 @@
              {"Content-Length: 5\r\n\r\nhowdy",
               "Transfer-Encoding: chunked\r\n\r\n5\r\nhowdy\r\n0\r\n\r\n"}) {
             DirectFixture fixture;
-            fixture.first.add({{"HTTP/1.1 " + status + namedHead + body}});
+            std::string response = "HTTP/1.1 ";
+            response.append(status).append(namedHead).append(body);
+            fixture.first.add({{response}});
             fixture.first.add({{okResponse}});
             fixture.list(true, false);
             fixture.send(requestText("POST", "/once/", "1.1", "r1")
