--- a/src/libs/programs/tokengranttable.cpp
+++ b/src/libs/programs/tokengranttable.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Coordinators remember the grants that they made for longer.
+/// Coordinators remember grants for 10 s.
 constexpr Base::Duration returnPeriod = std::chrono::seconds(8);
 
 } // namespace
--- a/src/libs/proxy/requestrelay.cpp
+++ b/src/libs/proxy/requestrelay.cpp
@@ -304,16 +304,16 @@
 {
     isStopping_ = true;
     notifyPeers_ = std::move(notifyPeers);
-    this->notifyPeers();
+    sendStopNotices();
 }
 
-void RequestRelay::notifyPeers()
+void RequestRelay::sendStopNotices()
 {
     notifyPeers_();
     noticeTimer_.expires_after(settings_.stopNoticeInterval);
     noticeTimer_.async_wait([this](const std::error_code &error) {
         if (!error) {
-            notifyPeers();
+            sendStopNotices();
         }
     });
 }
--- a/src/libs/proxy/requestrelay.h
+++ b/src/libs/proxy/requestrelay.h
@@ -82,7 +82,7 @@
 
     void accept();
     void serve(asio::ip::tcp::socket socket);
-    void notifyPeers();
+    void sendStopNotices();
     bool mayConnect() const;
 
     asio::io_context &context_;
--- a/src/libs/proxy/shutdownschedule.cpp
+++ b/src/libs/proxy/shutdownschedule.cpp
@@ -9,12 +9,12 @@
 /// Time for the process to exit by itself.
 constexpr Base::Duration maxKillMargin = std::chrono::milliseconds(600);
 
-/// Requests rarely take more than this part of their time limit.
-constexpr int usualTimeDivisor = 8;
+/// A request whose limit is a larger multiple of the remaining time is likely to be cut off.
+constexpr int maxLimitFactor = 8;
 
 } // namespace
 
-/// Short grace periods are divided in the proportions of the longest one that needs to be divided.
+/// The margins are shorter in proportion if the grace period is short.
 ShutdownSchedule ShutdownSchedule::forGrace(Base::Duration grace)
 {
     ShutdownSchedule schedule;
@@ -58,7 +58,7 @@
     if (elapsed >= balancerDelay) {
         return false;
     }
-    return request.isRepeatable || request.timeLeft <= remaining * usualTimeDivisor;
+    return request.isRepeatable || request.timeLeft <= remaining * maxLimitFactor;
 }
 
 } // namespace Proxy
