--- a/src/libs/programs/tokengranttable.cpp
+++ b/src/libs/programs/tokengranttable.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Coordinators remember grants for 10 s.
-constexpr Base::Duration returnPeriod = std::chrono::seconds(8);
+/// The return has to arrive while the coordinator remembers the grant.
+constexpr Base::Duration returnPeriod = grantRetention - std::chrono::seconds(2);
 
 } // namespace
 
--- a/src/libs/programs/tokengranttable.h
+++ b/src/libs/programs/tokengranttable.h
@@ -4,6 +4,10 @@
 
 namespace Programs {
 
+/// Time for which a coordinator remembers its grants, so that repeated requests and returns count
+/// once.
+inline constexpr Base::Duration grantRetention = std::chrono::seconds(10);
+
 /// Requests tokens from the program's coordinator; the response is passed to answered().
 struct AskCoordinator
 {
--- a/src/libs/proxy/turnadmission.cpp
+++ b/src/libs/proxy/turnadmission.cpp
@@ -431,10 +431,10 @@
             nextSweep_.reset();
             tokenGrants_.sweep(due);
             std::erase_if(recentGrants_, [&](const auto &entry) {
-                return due - entry.second.sentAt >= sweepInterval;
+                return due - entry.second.sentAt >= Programs::grantRetention;
             });
             std::erase_if(receivedGrants_, [&](const auto &entry) {
-                return due - entry.second.receivedAt >= sweepInterval;
+                return due - entry.second.receivedAt >= Programs::grantRetention;
             });
         }
         ledger_.tick(due);
