--- a/tests/libs/proxy/tst_lateshutdown.cpp
+++ b/tests/libs/proxy/tst_lateshutdown.cpp
@@ -29,6 +29,30 @@
     fixture.received.clear();
 }
 
+/// Sends a request that waits for its history; returns the callback that ends the wait.
+HistoryControls::FindCallback holdSearch(Fixture &fixture)
+{
+    fixture.configure();
+    fixture.listServers(false);
+    const auto found = std::make_shared<HistoryControls::FindCallback>();
+    fixture.passThrough().setHistory(
+        {.isAvailable = [] { return true; },
+         .find
+         = [found](const auto &, const auto &, auto callback) { *found = std::move(callback); },
+         .keep = {}});
+    fixture.request("/kept/", "r1", "Previous: r0\r\n");
+    fixture.runUntil([&] { return bool(*found); }, "the history is looked for");
+    return *found;
+}
+
+/// Lets the connection of the caller outlast the begin of a shutdown.
+void keepConnection(Fixture &fixture, const std::string &laterResponse)
+{
+    holdStream(fixture, {laterResponse});
+    fixture.passThrough().stop(removedFor(std::chrono::seconds(5)));
+    endStream(fixture);
+}
+
 std::string postText(const std::string &path, const std::string &id, const std::string &more)
 {
     return "POST " + path
@@ -82,9 +106,7 @@
         http10Request};
     for (const std::string &request : requests) {
         Fixture fixture;
-        holdStream(fixture, {streamHead});
-        fixture.passThrough().stop(removedFor(std::chrono::seconds(5)));
-        endStream(fixture);
+        keepConnection(fixture, streamHead);
         fixture.send(request);
         fixture.awaitClose();
         assertRefused(fixture);
@@ -95,9 +117,7 @@
 Test(lateshutdown, aRequestThatEndsInTimeIsServed)
 {
     Fixture fixture;
-    holdStream(fixture, {okResponse});
-    fixture.passThrough().stop(removedFor(std::chrono::seconds(5)));
-    endStream(fixture);
+    keepConnection(fixture, okResponse);
     fixture.request("/once/", "r2", "Timeout-Ms: 1000\r\n");
     fixture.awaitResponse("hello");
     fixture.awaitClose();
@@ -108,9 +128,7 @@
 Test(lateshutdown, eachPipelinedRequestIsAnswered)
 {
     Fixture fixture;
-    holdStream(fixture, {streamHead});
-    fixture.passThrough().stop(removedFor(std::chrono::seconds(5)));
-    endStream(fixture);
+    keepConnection(fixture, streamHead);
     fixture.send(postText("/once/", "r2", "") + postText("/safe/", "r3", "")
                  + postText("/stream/", "r4", ""));
     fixture.awaitClose();
@@ -136,10 +154,8 @@
 Test(lateshutdown, aRequestWhoseBodyCompletesLateIsRefused)
 {
     Fixture fixture;
-    holdStream(fixture, {okResponse});
+    keepConnection(fixture, okResponse);
     const std::string request = postText("/once/", "r2", "");
-    fixture.passThrough().stop(removedFor(std::chrono::seconds(5)));
-    endStream(fixture);
     fixture.send(request.substr(0, request.size() - 2));
     fixture.context().run_for(std::chrono::milliseconds(50));
     fixture.passThrough().closeIdle();
@@ -152,15 +168,7 @@
 Test(lateshutdown, aRequestThatHasWaitedIsNotSentLate)
 {
     Fixture fixture;
-    fixture.configure();
-    fixture.listServers(false);
-    HistoryControls::FindCallback found;
-    fixture.passThrough().setHistory(
-        {.isAvailable = [] { return true; },
-         .find = [&](const auto &, const auto &, auto callback) { found = std::move(callback); },
-         .keep = {}});
-    fixture.request("/kept/", "r1", "Previous: r0\r\n");
-    fixture.runUntil([&] { return bool(found); }, "the history is looked for");
+    const HistoryControls::FindCallback found = holdSearch(fixture);
     fixture.passThrough().stop(removedFor(std::chrono::seconds(5)));
     TurnHistory::Chain chain;
     chain.team = Base::TeamId("club");
@@ -175,15 +183,7 @@
 Test(lateshutdown, aRequestThatWaitsIsAnsweredWhenTheProcessEnds)
 {
     Fixture fixture;
-    fixture.configure();
-    fixture.listServers(false);
-    HistoryControls::FindCallback found;
-    fixture.passThrough().setHistory(
-        {.isAvailable = [] { return true; },
-         .find = [&](const auto &, const auto &, auto callback) { found = std::move(callback); },
-         .keep = {}});
-    fixture.request("/kept/", "r1", "Previous: r0\r\n");
-    fixture.runUntil([&] { return bool(found); }, "the history is looked for");
+    const HistoryControls::FindCallback found = holdSearch(fixture);
     fixture.passThrough().stop();
     fixture.passThrough().endRequests();
     fixture.awaitResponse("HTTP/1.1 503");
--- a/tests/libs/proxy/tst_truncatedresponses.cpp
+++ b/tests/libs/proxy/tst_truncatedresponses.cpp
@@ -168,6 +168,21 @@
     return addresses;
 }
 
+using Servers = std::vector<Dispatch::ListedServer>;
+
+/// Places the second of two servers in another availability zone than the proxy.
+Servers selectServers(Servers both, bool hasFirst, bool hasSecond)
+{
+    both.back().server.zone = Base::ZoneId("elsewhere");
+    if (!hasSecond) {
+        both.pop_back();
+    }
+    if (!hasFirst) {
+        both.erase(both.begin());
+    }
+    return both;
+}
+
 class DirectFixture : public Fixture
 {
 public:
@@ -183,15 +198,8 @@
 
     void list(bool hasFirst, bool hasSecond)
     {
-        std::vector<Dispatch::ListedServer> servers;
-        if (hasFirst) {
-            servers.push_back(listed("one", first));
-        }
-        if (hasSecond) {
-            servers.push_back(listed("two", second));
-            servers.back().server.zone = Base::ZoneId("elsewhere");
-        }
-        passThrough().serversChanged(servers);
+        passThrough().serversChanged(
+            selectServers({listed("one", first), listed("two", second)}, hasFirst, hasSecond));
     }
 };
 
@@ -210,14 +218,8 @@
 
     void list(bool hasFirst, bool hasSecond)
     {
-        std::vector<Dispatch::ListedServer> servers;
-        if (hasFirst) {
-            servers.push_back(listed("one", first));
-        }
-        if (hasSecond) {
-            servers.push_back(listed("two", second));
-            servers.back().server.zone = Base::ZoneId("elsewhere");
-        }
+        Servers servers
+            = selectServers({listed("one", first), listed("two", second)}, hasFirst, hasSecond);
         for (auto &each : servers) {
             each.server.address = unreachable();
         }
--- a/tests/libs/proxy/tst_turnadmission.cpp
+++ b/tests/libs/proxy/tst_turnadmission.cpp
@@ -75,11 +75,7 @@
         std::optional<BudgetVerdict> verdict;
         lastReservation = turns_.reserve(
             turn, std::chrono::seconds(60), [&](BudgetVerdict result) { verdict = result; });
-        const auto end = std::chrono::steady_clock::now() + guardTime;
-        while (!verdict) {
-            cr_assert(std::chrono::steady_clock::now() < end, "no verdict");
-            context_.run_one_for(std::chrono::milliseconds(20));
-        }
+        runUntil([&] { return verdict.has_value(); }, "no verdict");
         return *verdict;
     }
 
@@ -112,11 +108,7 @@
             cr_assert_not_null(body);
             result = std::get<TokenResponse>(*body);
         });
-        const auto end = std::chrono::steady_clock::now() + guardTime;
-        while (!result) {
-            cr_assert(std::chrono::steady_clock::now() < end, "no response");
-            context_.run_one_for(std::chrono::milliseconds(20));
-        }
+        runUntil([&] { return result.has_value(); }, "no response");
         return *result;
     }
 
