Memory budgets of a daemon, by purpose

No code knew how much memory its process has, and no log or metric told how many bytes a daemon keeps for others, so a front that runs out of memory could not be told from one that is killed.

Base::MemoryBudget accounts for what holders keep. A holder may grow while it keeps no more than what is free (dynamic threshold): one holder gets half at most, and n that grow without end leave one part in n + 1. Weighed: fixed shares of a server (nine faulty ones of nine use up all), eviction of the largest holder (needs each holder to be interruptible at any time).

Proxy::DaemonMemory divides limits.memory_mb into parts for requests, responses, unread responses and the daemon's own calls, and exports use, peak, limit and denials as metrics. Nothing takes leases yet.

--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -224,6 +224,13 @@
     }
 }
 
+void PassThrough::updateGauges()
+{
+    if (memory_) {
+        memory_->updateGauges(metrics_);
+    }
+}
+
 void PassThrough::countResponse(int status, Base::Duration latency)
 {
     metrics_
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -4,6 +4,7 @@
 
 #include "connectionpool.h"
 #include "crashverifier.h"
+#include "daemonmemory.h"
 #include "loadcontrol.h"
 #include "recentprograms.h"
 #include "requestaccount.h"
@@ -171,6 +172,8 @@
     void setStreams(StreamControls streams) { streams_ = std::move(streams); }
     /// Must be called before the first request.
     void setQuarantine(QuarantineControls quarantine) { quarantine_ = std::move(quarantine); }
+    /// Must be called before the first request; by default, memory is unlimited.
+    void setMemory(DaemonMemory &memory) { memory_ = &memory; }
     /// Applies the document if its version is newer. Returns whether it was applied.
     bool configure(Contracts::RoutingDocument document);
     void serversChanged(const std::vector<Dispatch::ListedServer> &servers);
@@ -211,6 +214,8 @@
     std::size_t activeRequests() const { return exchanges_.size(); }
     std::size_t openConnections() const { return connections_.size(); }
     const RequestAccount &account() const { return account_; }
+    /// Updates the metrics that change too often to be set each time.
+    void updateGauges();
     void addConnection(const std::shared_ptr<CallerConnection> &connection);
 
     Base::Instant now() const;
@@ -235,6 +240,8 @@
     LimitControls limits_;
     StreamControls streams_;
     QuarantineControls quarantine_;
+    /// Null if memory is unlimited.
+    DaemonMemory *memory_ = nullptr;
     Dispatch::ServiceVersions serviceVersions_{{}};
     SharedRead serverReads_;
     Telemetry::Log &log_;
--- a/src/libs/proxy/proxydaemon.cpp
+++ b/src/libs/proxy/proxydaemon.cpp
@@ -135,6 +135,7 @@
         head.status = 200;
         head.reason = reasonOf(200);
         head.headers.add("Content-Type", "text/plain; version=0.0.4");
+        passThrough_.updateGauges();
         caller->respond(head, metrics_.prometheusText());
         return;
     }
--- a/tests/platform/tst_platformadapter.cpp
+++ b/tests/platform/tst_platformadapter.cpp
@@ -79,6 +79,20 @@
     cr_assert_eq(parsed.settings.stopGrace, std::chrono::seconds(8));
 }
 
+/// Guards against a daemon that does not know its limit, is given a fraction, or refuses to start
+/// where none is stated.
+Test(nodesettings, readsTheMemoryOfTheProcess)
+{
+    json file = nodeFile();
+    cr_assert(!parseNodeSettings(file.dump()).settings.memory);
+    file["limits"] = {{"memory_mb", 96}};
+    cr_assert_eq(parseNodeSettings(file.dump()).settings.memory, Base::Bytes(96'000'000));
+    file["limits"] = {{"memory_mb", 109.5}};
+    cr_assert_eq(parseNodeSettings(file.dump()).settings.memory, Base::Bytes(109'500'000));
+    file["limits"] = {{"memory_mb", 0}};
+    cr_assert_eq(parseNodeSettings(file.dump()).problems.front().path, "/limits/memory_mb");
+}
+
 Test(nodesettings, readsWhatADaemonThatKeepsTurnsNeeds)
 {
     json file = nodeFile();
