Search each byte of an event stream once, and stop at a number of events

The splitter keeps the state of its search, so the cost is linear in the bytes read. The events are those of a search of the whole text (findsTheEventsThatASearchOfTheWholeTextFinds: 5,000 random texts and cuts). It can be told how many events with data to accept; nothing uses that yet.

Not measured on the process yet.

--- a/src/libs/proxy/daemonmemory.cpp
+++ b/src/libs/proxy/daemonmemory.cpp
@@ -24,9 +24,9 @@
 
 Bytes partOf(const std::optional<Bytes> &processMemory)
 {
-    return processMemory ? Bytes(std::max(minPartBytes,
-                                          (processMemory->value() - ownBytes) / partCount))
-                         : Base::MemoryBudget::unlimited;
+    return processMemory
+               ? Bytes(std::max(minPartBytes, (processMemory->value() - ownBytes) / partCount))
+               : Base::MemoryBudget::unlimited;
 }
 
 } // namespace
--- a/src/libs/proxy/eventsplitter.cpp
+++ b/src/libs/proxy/eventsplitter.cpp
@@ -6,24 +6,6 @@
 
 namespace {
 
-/// Returns the position after the first blank line that begins at or after `from`, the beginning
-/// of a line, or nothing if there is none.
-std::optional<std::size_t> endOfEvent(std::string_view text, std::size_t from)
-{
-    bool isLineEmpty = true;
-    for (std::size_t i = from; i < text.size(); ++i) {
-        if (text[i] == '\n') {
-            if (isLineEmpty && i > 0) {
-                return i + 1;
-            }
-            isLineEmpty = true;
-        } else if (text[i] != '\r') {
-            isLineEmpty = false;
-        }
-    }
-    return std::nullopt;
-}
-
 /// Returns the value of a line "name: value", or nothing if the line has another name.
 std::optional<std::string_view> fieldValue(std::string_view line, std::string_view name)
 {
@@ -44,52 +26,104 @@
     return line;
 }
 
+/// Removes the first line of the event, without its end, and returns it.
+std::string_view takeLine(std::string_view &event)
+{
+    const std::size_t end = std::min(event.find('\n'), event.size() - 1);
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(end + 1);
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
+    }
+    return line;
+}
+
+bool hasData(std::string_view event)
+{
+    while (!event.empty()) {
+        if (fieldValue(takeLine(event), "data")) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
+/// Returns the position after the blank line that ends the current event, or nothing if the event
+/// goes on. Each byte is searched once.
+std::optional<std::size_t> EventSplitter::findEndOfEvent(std::string_view bytes)
+{
+    std::size_t at = 0;
+    while (at < bytes.size()) {
+        const std::size_t end = bytes.find('\n', at);
+        const std::string_view line = bytes.substr(at, end - at);
+        isLineEmpty_ = isLineEmpty_ && line.find_first_not_of('\r') == std::string_view::npos;
+        const bool isFirstByte = isAtStart_ && end == at;
+        isAtStart_ = false;
+        if (end == std::string_view::npos) {
+            return std::nullopt;
+        }
+        const bool isEnd = isLineEmpty_ && !isFirstByte;
+        isLineEmpty_ = true;
+        at = end + 1;
+        if (isEnd) {
+            isAtStart_ = true;
+            return at;
+        }
+    }
+    return std::nullopt;
+}
+
 std::string EventSplitter::feed(std::string_view bytes)
 {
-    partial_.append(bytes);
     std::string complete;
-    std::string_view rest = partial_;
-    while (const std::optional<std::size_t> end = endOfEvent(rest, scanned_)) {
-        parseEvent(rest.substr(0, *end));
-        complete.append(rest.substr(0, *end));
-        rest.remove_prefix(*end);
-        scanned_ = 0;
+    while (const std::optional<std::size_t> end = findEndOfEvent(bytes)) {
+        std::string event = std::exchange(partial_, {});
+        event.append(bytes.substr(0, *end));
+        bytes.remove_prefix(*end);
+        if (!acceptEvent(event)) {
+            return complete;
+        }
+        complete.append(event);
     }
-    partial_.erase(0, partial_.size() - rest.size());
-    const std::size_t lastLine = partial_.rfind('\n');
-    scanned_ = lastLine == std::string::npos ? 0 : lastLine + 1;
+    partial_.append(bytes);
     return complete;
 }
 
 void EventSplitter::dropPartialEvent()
 {
-    partial_.clear();
-    scanned_ = 0;
+    partial_ = {};
+    isLineEmpty_ = true;
+    isAtStart_ = true;
+}
+
+bool EventSplitter::acceptEvent(std::string_view event)
+{
+    if (events_ >= maxEvents_ && hasData(event)) {
+        hasTooManyEvents_ = true;
+        return false;
+    }
+    parseEvent(event);
+    return true;
 }
 
 void EventSplitter::parseEvent(std::string_view event)
 {
-    bool hasData = false;
+    bool isCounted = false;
     while (!event.empty()) {
-        const std::size_t end = std::min(event.find('\n'), event.size() - 1);
-        std::string_view line = event.substr(0, end);
-        event.remove_prefix(end + 1);
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
+        const std::string_view line = takeLine(event);
         if (const auto id = fieldValue(line, "id")) {
             lastEventId_ = std::string(*id);
         }
         if (const auto data = fieldValue(line, "data")) {
-            hasData = true;
+            isCounted = true;
             if (isDataCollected_) {
                 data_.append(*data).append("\n");
             }
         }
     }
-    events_ += hasData ? 1 : 0;
+    events_ += isCounted ? 1 : 0;
 }
 
 } // namespace Proxy
--- a/src/libs/proxy/eventsplitter.h
+++ b/src/libs/proxy/eventsplitter.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace Proxy {
 
@@ -21,6 +23,9 @@
     /// Whether bytes of an incomplete event are kept.
     bool hasPartialEvent() const { return !partial_.empty(); }
     void dropPartialEvent();
+    /// Events with data beyond the given number are neither returned nor counted.
+    void setMaxEvents(std::uint64_t count) { maxEvents_ = count; }
+    bool hasTooManyEvents() const { return hasTooManyEvents_; }
     bool isEventTooLong() const { return partial_.size() > maxEventBytes; }
 
     /// Number of complete events with data.
@@ -28,16 +33,25 @@
     /// The data of each complete event, each followed by a line feed; empty unless
     /// setDataCollected() was called before.
     const std::string &data() const { return data_; }
+    std::string takeData() { return std::exchange(data_, {}); }
+    /// Bytes of memory that the kept events take.
+    std::size_t heldBytes() const { return partial_.capacity() + data_.capacity(); }
     void setDataCollected() { isDataCollected_ = true; }
     /// The id to send as Last-Event-Id to resume the stream.
     const std::optional<std::string> &lastEventId() const { return lastEventId_; }
 
 private:
+    std::optional<std::size_t> findEndOfEvent(std::string_view bytes);
+    bool acceptEvent(std::string_view event);
     void parseEvent(std::string_view event);
 
     std::string partial_;
-    /// Bytes at the start of partial_ in which no event ends.
-    std::size_t scanned_ = 0;
+    /// Whether the line that the next byte continues has no bytes yet but a carriage return.
+    bool isLineEmpty_ = true;
+    /// Whether the next byte is the first of an event.
+    bool isAtStart_ = true;
+    std::uint64_t maxEvents_ = std::numeric_limits<std::uint64_t>::max();
+    bool hasTooManyEvents_ = false;
     std::string data_;
     bool isDataCollected_ = false;
     std::uint64_t events_ = 0;
--- a/tests/libs/proxy/tst_eventsplitter.cpp
+++ b/tests/libs/proxy/tst_eventsplitter.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <random>
+
 using namespace Proxy;
 
 Test(eventsplitter, returnsOnlyCompleteEvents)
@@ -65,3 +67,55 @@
     cr_assert(!splitter.isEventTooLong());
     cr_assert_eq(splitter.feed("data: d\n\n"), "data: d\n\n");
 }
+
+/// Guards against an event that is searched again at each read: the state of the search must give
+/// the same events as a search of the whole text.
+Test(eventsplitter, findsTheEventsThatASearchOfTheWholeTextFinds)
+{
+    const auto endOfEvent = [](std::string_view text) {
+        bool isLineEmpty = true;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            if (text[i] == '\n' && isLineEmpty && i > 0) {
+                return i + 1;
+            }
+            isLineEmpty = text[i] == '\n' || (isLineEmpty && text[i] == '\r');
+        }
+        return std::string_view::npos;
+    };
+    std::mt19937 random(1);
+    constexpr std::string_view alphabet = "a\n\n\r";
+    for (int round = 0; round < 5000; ++round) {
+        std::string text;
+        while (text.size() < 40) {
+            text += alphabet[random() % alphabet.size()];
+        }
+        std::string_view rest = text;
+        while (endOfEvent(rest) != std::string_view::npos) {
+            rest.remove_prefix(endOfEvent(rest));
+        }
+        EventSplitter splitter;
+        std::string passed;
+        for (std::size_t at = 0; at < text.size();) {
+            const std::size_t size = 1 + random() % 7;
+            passed += splitter.feed(std::string_view(text).substr(at, size));
+            at += size;
+        }
+        cr_assert_eq(passed, text.substr(0, text.size() - rest.size()));
+        cr_assert_eq(splitter.hasPartialEvent(), !rest.empty());
+    }
+}
+
+Test(eventsplitter, ignoresEventsBeyondTheLimit)
+{
+    EventSplitter events;
+    events.setDataCollected();
+    events.setMaxEvents(2);
+    cr_assert_eq(events.feed("id: 1\ndata: a\n\n: note\n\nid: 2\ndata: b\n\n: note\n\n"),
+                 "id: 1\ndata: a\n\n: note\n\nid: 2\ndata: b\n\n: note\n\n");
+    cr_assert(!events.hasTooManyEvents());
+    cr_assert_eq(events.feed(": note\n\nid: 3\ndata: c\n\n: note\n\n"), ": note\n\n");
+    cr_assert(events.hasTooManyEvents());
+    cr_assert_eq(events.eventCount(), 2);
+    cr_assert_eq(events.data(), "a\nb\n");
+    cr_assert_eq(*events.lastEventId(), "2");
+}
