Bound what is kept of servers' responses, for a request, a server and the daemon

Cause: every bound is one of a request, none of the sum. Now - a request: events beyond the most tokens that its caller stated are no response; - a server: the collected output, the partial event and the buffered body of all responses of one process of a server are leased from the daemon's part for responses, in which one holder may keep no more than what is free; - a turn that is kept is moved, not copied, and leased until it is durable. A response that may not grow is broken off, counts as a failure of its server, and is counted by service.

--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -212,6 +212,7 @@
         cancelKeeping();
     }
     releaseServer(false);
+    keptBytes_.release();
     settle();
     if (hasPermit_) {
         owner_.controls_.returnPermit(team_->team);
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -68,7 +68,7 @@
     void keepTurn();
     void onTurnKept(bool isKept);
     Dispatch::CrashStage crashStage() const;
-    TurnHistory::Turn completedTurn() const;
+    TurnHistory::Turn takeCompletedTurn();
     Admission::Urgency urgency() const;
     Admission::ProgramProfile programProfile() const;
     bool checkLoad();
@@ -103,6 +103,11 @@
     void recordCost();
     void onBody(const std::string &bytes);
     void onEvents(const std::string &bytes);
+    std::optional<std::uint64_t> maxEvents() const;
+    const char *streamProblem() const;
+    std::size_t keptBytes() const;
+    bool leaseKeptBytes();
+    void breakResponse(const std::string &problem);
     void onEnd(ResponseEnd end, const std::string &problem);
     bool isZoneClosed() const;
     void onZoneClosed();
@@ -165,6 +170,8 @@
     AttemptResponse response_;
     /// What was forwarded of the stream, from all attempts.
     EventSplitter events_;
+    /// For the bytes of the response that are kept, from the server of the current attempt.
+    Base::MemoryLease keptBytes_;
     bool isHeadForwarded_ = false;
     bool isStreamForwarded_ = false;
     Programs::ReservationId reservation_;
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -69,6 +69,9 @@
     if (isEventStream && route_->isHistoryKept) {
         events_.setDataCollected();
     }
+    if (const auto limit = isEventStream ? maxEvents() : std::nullopt) {
+        events_.setMaxEvents(*limit);
+    }
     if (isEventStream) {
         recordCost();
     }
@@ -181,6 +184,63 @@
         forwardHead();
         forwardBody(std::exchange(response_.bufferedBody, {}));
     }
+    if (!leaseKeptBytes()) {
+        breakResponse("response is too large for the memory that its server may take");
+    }
+}
+
+/// Events that the caller's limit on the output allows; nothing if it is not known.
+std::optional<std::uint64_t> Exchange::maxEvents() const
+{
+    const std::int64_t perEvent = service_->tokensPerEvent.value();
+    if (perEvent <= 0 || traits_.maxOutput <= Base::Tokens(0)) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint64_t>((traits_.maxOutput.value() + perEvent - 1) / perEvent);
+}
+
+/// Returns why the stream cannot go on, or null.
+const char *Exchange::streamProblem() const
+{
+    if (events_.hasTooManyEvents()) {
+        return "stream has more tokens than the caller allows";
+    }
+    if (events_.isEventTooLong()) {
+        return "event does not end";
+    }
+    const bool isOutputTooLong
+        = route_->isHistoryKept && events_.data().size() > table_->document().limits.bodyBytes;
+    return isOutputTooLong ? "output of the turn does not end" : nullptr;
+}
+
+std::size_t Exchange::keptBytes() const
+{
+    return events_.heldBytes() + response_.bufferedBody.capacity();
+}
+
+/// Returns whether the server of the response may take so much memory.
+bool Exchange::leaseKeptBytes()
+{
+    if (keptBytes_.resize(keptBytes())) {
+        return true;
+    }
+    owner_.metrics_
+        .counter("marjoram_memory_broken_responses_total",
+                 "Responses broken off because their server would take too much memory",
+                 {{"service", service_->id.text()}})
+        .add();
+    return false;
+}
+
+/// Breaks off what is no proper response; the server counts as faulty.
+void Exchange::breakResponse(const std::string &problem)
+{
+    releaseServer(false);
+    owner_.placer_.requestFailed(placement_->instance, now());
+    events_.dropPartialEvent();
+    response_.bufferedBody = {};
+    keptBytes_.forceResize(keptBytes());
+    onBroken(problem);
 }
 
 /// The first event determines the software version of the stream.
@@ -195,13 +255,10 @@
         }
     }
     forwardBody(bytes);
-    const bool isOutputTooLong
-        = route_->isHistoryKept && events_.data().size() > table_->document().limits.bodyBytes;
-    if (events_.isEventTooLong() || isOutputTooLong) {
-        releaseServer(false);
-        owner_.placer_.requestFailed(placement_->instance, now());
-        onBroken(events_.isEventTooLong() ? "event does not end"
-                                          : "output of the turn does not end");
+    if (const char *problem = streamProblem()) {
+        breakResponse(problem);
+    } else if (!leaseKeptBytes()) {
+        breakResponse("stream is too large for the memory that its server may take");
     }
 }
 
@@ -262,7 +319,8 @@
                                      : Dispatch::CrashStage::Producing;
 }
 
-TurnHistory::Turn Exchange::completedTurn() const
+/// Leaves neither the body of the request nor the data of the stream behind.
+TurnHistory::Turn Exchange::takeCompletedTurn()
 {
     TurnHistory::Turn turn;
     turn.id = TurnHistory::TurnId(traits_.id);
@@ -273,8 +331,8 @@
     const auto time = std::chrono::system_clock::now().time_since_epoch();
     turn.endedAt = TurnHistory::UnixTime(
         std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-    turn.content.reserve(request_.body.size() + events_.data().size());
-    turn.content.append(request_.body).append(events_.data());
+    turn.content = std::exchange(request_.body, {});
+    turn.content.append(events_.takeData());
     return turn;
 }
 
@@ -283,9 +341,15 @@
 void Exchange::keepTurn()
 {
     keepingSince_ = now();
+    TurnHistory::Turn turn = takeCompletedTurn();
+    // The turn and its encoded form.
+    if (!keptBytes_.resize(2 * turn.content.size())) {
+        abortResponse("not_kept", "the turn is too large for the memory that its server may take");
+        return;
+    }
     auto self = shared_from_this();
     auto cancel = owner_.history_.keep(
-        completedTurn(), timeLeft(), [self](bool isKept) { self->onTurnKept(isKept); });
+        std::move(turn), timeLeft(), [self](bool isKept) { self->onTurnKept(isKept); });
     if (!isEnded_) {
         cancelKeeping_ = std::move(cancel);
     }
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -66,6 +66,11 @@
     return steadyNow();
 }
 
+void PassThrough::setMemory(DaemonMemory &memory)
+{
+    memory_ = &memory;
+}
+
 bool PassThrough::configure(Contracts::RoutingDocument document)
 {
     if (table_ && document.version <= table_->version()) {
@@ -94,6 +99,14 @@
     serviceVersions_.listConfirmed(time - (now() - asOf), time);
 }
 
+/// The responses of one process of a server share what it may take.
+Base::MemoryLease PassThrough::leaseForResponse(const Dispatch::ServerInstance &instance) const
+{
+    return memory_ ? Base::MemoryLease(memory_->responses().holder(
+               instance.id.text() + "/" + std::to_string(instance.startedAt)))
+                   : Base::MemoryLease();
+}
+
 void PassThrough::readServers(SharedRead::Done done)
 {
     if (!streams_.readServers) {
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -173,7 +173,7 @@
     /// Must be called before the first request.
     void setQuarantine(QuarantineControls quarantine) { quarantine_ = std::move(quarantine); }
     /// Must be called before the first request; by default, memory is unlimited.
-    void setMemory(DaemonMemory &memory) { memory_ = &memory; }
+    void setMemory(DaemonMemory &memory);
     /// Applies the document if its version is newer. Returns whether it was applied.
     bool configure(Contracts::RoutingDocument document);
     void serversChanged(const std::vector<Dispatch::ListedServer> &servers);
@@ -228,6 +228,7 @@
     std::shared_ptr<ClientConnection> takeIdle(const Dispatch::ServerInstance &instance);
     void putIdle(const Dispatch::ServerInstance &instance,
                  const std::shared_ptr<ClientConnection> &connection);
+    Base::MemoryLease leaseForResponse(const Dispatch::ServerInstance &instance) const;
     void readServers(SharedRead::Done done);
     void probePath();
     void countResponse(int status, Base::Duration latency);
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -34,6 +34,9 @@
     if (const auto last = head.headers.find("Last-Event-Id")) {
         traits.lastEventId = std::string(*last);
     }
+    if (const auto output = head.headers.find("Max-Output")) {
+        traits.maxOutput = Base::Tokens(std::stoi(std::string(*output)));
+    }
     traits.resumedAttempt = std::string(head.headers.find("Resumes").value_or(""));
     if (const auto timeout = head.headers.find("Timeout-Ms")) {
         traits.callerTimeout = std::chrono::milliseconds(std::stoi(std::string(*timeout)));
@@ -278,6 +281,7 @@
         readCaller();
     }
 
+    asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
     PassThrough &passThrough() { return passThrough_; }
     asio::io_context &context() { return context_; }
 
--- a/tests/libs/proxy/scriptedserver.cpp
+++ b/tests/libs/proxy/scriptedserver.cpp
@@ -67,6 +67,8 @@
             close();
         } else if (next_ == script_.responses.size() && script_.resetsAfterwards) {
             reset();
+        } else if (next_ == script_.responses.size() && !script_.endlessTail.empty()) {
+            writeTail();
         }
     }
 
@@ -84,6 +86,23 @@
     }
 
 private:
+    /// Writes about 64 KB at a time, as fast as the peer reads.
+    void writeTail()
+    {
+        constexpr std::size_t writeBytes = 64 * 1024;
+        while (tail_.size() < writeBytes) {
+            tail_ += script_.endlessTail;
+        }
+        auto self = shared_from_this();
+        asio::async_write(
+            socket_, asio::buffer(tail_), [self](const std::error_code &error, std::size_t size) {
+                self->server_.endlessBytes_ += size;
+                if (!error) {
+                    self->writeTail();
+                }
+            });
+    }
+
     void onRead(const std::error_code &error, std::size_t size)
     {
         if (error == asio::error::operation_aborted) {
@@ -115,6 +134,7 @@
     Script script_;
     std::array<char, 4096> buffer_{};
     std::string incoming_;
+    std::string tail_;
     std::size_t next_ = 0;
 };
 
@@ -174,7 +194,7 @@
             return;
         }
         ++connectionCount_;
-        Script script;
+        Script script = defaultScript_;
         if (!scripts_.empty()) {
             script = std::move(scripts_.front());
             scripts_.pop_front();
--- a/tests/libs/proxy/scriptedserver.h
+++ b/tests/libs/proxy/scriptedserver.h
@@ -24,6 +24,8 @@
         bool crashesAfterwards = false;
         /// Resets the connection after the last response.
         bool resetsAfterwards = false;
+        /// Is written again and again after the last response, until the connection ends.
+        std::string endlessTail = {};
     };
 
     explicit ScriptedServer(asio::io_context &context,
@@ -32,6 +34,8 @@
     ~ScriptedServer();
 
     void add(Script script) { scripts_.push_back(std::move(script)); }
+    /// Each connection for which no script is left follows this one.
+    void setDefaultScript(Script script) { defaultScript_ = std::move(script); }
     /// Responds to the requests for which the scripts have no response.
     void setResponder(std::function<std::string(const std::string &request)> responder)
     {
@@ -53,6 +57,8 @@
     const std::vector<std::string> &requests() const { return requests_; }
     int connectionCount() const { return connectionCount_; }
     int closedByPeer() const { return closedByPeer_; }
+    /// Bytes that were written of endless tails.
+    std::size_t endlessBytes() const { return endlessBytes_; }
 
 private:
     class Connection;
@@ -63,9 +69,11 @@
     asio::ip::tcp::acceptor acceptor_;
     asio::ip::tcp::endpoint endpoint_;
     std::deque<Script> scripts_;
+    Script defaultScript_;
     std::function<std::string(const std::string &request)> responder_;
     std::vector<std::string> requests_;
     std::vector<std::shared_ptr<Connection>> connections_;
     int connectionCount_ = 0;
     int closedByPeer_ = 0;
+    std::size_t endlessBytes_ = 0;
 };
