Count the bytes that callers have not read towards the daemon's memory

The buffers of a caller's connection are leased from the daemon's part for unread bytes. They were read from a server already, so they are always accepted; once the connection may keep no more, reading from its server pauses until the caller has read, as it does at 256 KB. An idle connection keeps no buffer.

callersThatReadLateDoNotTakeTheMemoryOfTheDaemon: 40 callers that do not read, 2 MB for unread bytes.

--- a/src/libs/base/memorybudget.cpp
+++ b/src/libs/base/memorybudget.cpp
@@ -76,10 +76,14 @@
     return *this;
 }
 
+bool MemoryLease::mayGrow(std::size_t more) const
+{
+    return !holder_ || holder_->budget_.mayGrow(*holder_, Bytes(static_cast<std::int64_t>(more)));
+}
+
 bool MemoryLease::resize(std::size_t bytes)
 {
-    const Bytes size(static_cast<std::int64_t>(bytes));
-    if (holder_ && size > size_ && !holder_->budget_.mayGrow(*holder_, size - size_)) {
+    if (bytes > size() && !mayGrow(bytes - size())) {
         ++holder_->budget_.denials_;
         return false;
     }
--- a/src/libs/base/memorybudget.h
+++ b/src/libs/base/memorybudget.h
@@ -87,6 +87,8 @@
     /// Changes the size to what is kept now. Returns false, and keeps the size, if it had to grow
     /// and the holder may keep no more.
     [[nodiscard]] bool resize(std::size_t bytes);
+    /// Whether resize() to that many more bytes would succeed now.
+    bool mayGrow(std::size_t more) const;
     /// Changes the size without asking, for bytes that cannot be given up any more.
     void forceResize(std::size_t bytes);
     void release();
--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -43,7 +43,11 @@
     , timer_(socket_.get_executor())
     , handlers_(std::move(handlers))
     , buffer_(readBufferBytes)
-{}
+{
+    if (handlers_->backlogs) {
+        backlog_ = Base::MemoryLease(handlers_->backlogs->newHolder());
+    }
+}
 
 void CallerConnection::start()
 {
@@ -296,8 +300,15 @@
     socket_.set_option(asio::socket_base::linger(isReset, 0), ignored);
 }
 
+/// The bytes were read from the server already, so they cannot be refused.
+void CallerConnection::leaseBacklog()
+{
+    backlog_.forceResize(outgoing_.capacity() + writing_.capacity());
+}
+
 void CallerConnection::flush()
 {
+    leaseBacklog();
     if (isClosed_ || !writing_.empty()) {
         return;
     }
@@ -320,7 +331,7 @@
 
 void CallerConnection::onWritten(const std::error_code &error)
 {
-    writing_.clear();
+    writing_ = std::string(); // an idle connection keeps no buffer
     if (isClosed_) {
         return;
     }
--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -3,6 +3,7 @@
 #include "messageparser.h"
 
 #include <base/instant.h>
+#include <base/memorybudget.h>
 #include <contracts/route.h>
 
 #include <asio/ip/tcp.hpp>
@@ -64,6 +65,8 @@
     /// Whether connections close after the response in progress.
     std::function<bool()> isStopping;
     std::function<void(const std::shared_ptr<CallerConnection> &, const ConnectionEnd &)> onClosed;
+    /// Memory for bytes that callers have not read; null means unlimited.
+    Base::MemoryBudget *backlogs = nullptr;
 };
 
 /// One HTTP/1.1 connection from a caller. Requests are handled one after another. Reading continues
@@ -94,6 +97,8 @@
 
     /// Bytes that are not yet written to the socket.
     std::size_t pendingBytes() const { return outgoing_.size() + writing_.size(); }
+    /// Whether memory is left for that many more bytes that the caller has not read.
+    bool mayBuffer(std::size_t bytes) const { return backlog_.mayGrow(bytes); }
     /// Called once when pendingBytes() drops to zero.
     void onceDrained(std::function<void()> callback) { onDrained_ = std::move(callback); }
     /// Called if the caller disconnects before the end of the response.
@@ -117,6 +122,7 @@
     void sendContinueIfExpected();
     void finishResponse();
     void flush();
+    void leaseBacklog();
     void onWritten(const std::error_code &error);
     void armTimer();
     void onTimer();
@@ -135,6 +141,7 @@
     std::string incoming_;
     std::string outgoing_;
     std::string writing_;
+    Base::MemoryLease backlog_;
     std::string body_;
     std::function<void()> onDrained_;
     std::function<void()> onDisconnected_;
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -390,7 +390,9 @@
 
 void Exchange::applyBackpressure()
 {
-    if (isEnded_ || !connection_ || caller_->pendingBytes() < owner_.settings_.callerBacklogBytes) {
+    const bool isFull = caller_->pendingBytes() >= owner_.settings_.callerBacklogBytes
+                        || !caller_->mayBuffer(owner_.settings_.memoryStepBytes);
+    if (isEnded_ || !connection_ || caller_->pendingBytes() == 0 || !isFull) {
         return;
     }
     connection_->pause();
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -69,6 +69,7 @@
 void PassThrough::setMemory(DaemonMemory &memory)
 {
     memory_ = &memory;
+    handlers_->backlogs = &memory.backlogs();
 }
 
 bool PassThrough::configure(Contracts::RoutingDocument document)
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -54,6 +54,8 @@
     std::size_t bufferedResponseBytes = 256 * 1024;
     /// Unsent bytes to a slow caller at which reading from the server pauses.
     std::size_t callerBacklogBytes = 256 * 1024;
+    /// Memory that has to be left for a caller's unsent bytes, else reading pauses as well.
+    std::size_t memoryStepBytes = 16 * 1024;
     Dispatch::PlacementSettings placement;
     PoolSettings pool;
     ServerConnectorSettings connector;
--- a/tests/libs/proxy/tst_endlessresponses.cpp
+++ b/tests/libs/proxy/tst_endlessresponses.cpp
@@ -189,6 +189,25 @@
     }
 }
 
+/// Guards against a daemon that runs out of memory as callers read late.
+Test(endlessresponses, callersThatReadLateDoNotTakeTheMemoryOfTheDaemon)
+{
+    constexpr int count = 40;
+    for (const Flood &flood : floods()) {
+        if (flood.path == "/kept/" || std::string(flood.name) == "one event") {
+            continue; // broken off before much is forwarded
+        }
+        DaemonMemory memory(processMemory(2));
+        FloodFixture fixture(memory);
+        const std::size_t before = heapBytes();
+        fixture.sendToFlood(flood, count, false, "Timeout-Ms: 1500\r\n");
+        const std::size_t highest = fixture.serveOthers(flood.name);
+        const std::size_t limit = before + 6 * megabyte + testBytes(count);
+        cr_assert_lt(highest, limit, "%s: %zu bytes more", flood.name, highest - before);
+        cr_assert_lt(memory.backlogs().peak(), Base::Bytes(4 * megabyte), "%s", flood.name);
+    }
+}
+
 /// Guards against output that the caller does not allow: it is neither passed on nor kept.
 Test(endlessresponses, eventsBeyondTheCallersLimitAreNoResponse)
 {
