Tell how much memory a daemon has and takes

The account of kept bytes could not be compared with what the process takes.

growsWithWhatIsUsed: 32 MB more show as more than 16 MB. tst_telemetry (10) passes.

--- a/src/libs/proxy/daemonmemory.cpp
+++ b/src/libs/proxy/daemonmemory.cpp
@@ -1,5 +1,7 @@
 #include "daemonmemory.h"
 
+#include <telemetry/processmemory.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -59,6 +61,10 @@
                    labels)
             .set(static_cast<double>(budget.denials()));
     }
+    if (const auto resident = Telemetry::residentMemory()) {
+        metrics.gauge("marjoram_resident_memory_bytes", "Resident memory of the process")
+            .set(static_cast<double>(resident->value()));
+    }
 }
 
 } // namespace Proxy
