Send no id of an event that a header field cannot carry

A faulty server's id of an event goes into the request that resumes the stream at the next server. One of 100 KB made that server refuse the head, and one with a carriage return could be read as another field. Found in review.

Such an id leaves nothing to resume after, so the stream is cut off if it breaks before the next id. anIdThatCannotBeSentLeavesNothingToResumeAfter failed before.

--- a/src/libs/proxy/eventsplitter.cpp
+++ b/src/libs/proxy/eventsplitter.cpp
@@ -48,6 +48,16 @@
     return false;
 }
 
+/// Whether the id can be sent as a header field: a faulty server may send anything.
+bool isSendable(std::string_view id)
+{
+    constexpr std::size_t maxIdBytes = 256;
+    return id.size() <= maxIdBytes && std::all_of(id.begin(), id.end(), [](char c) {
+               const auto byte = static_cast<unsigned char>(c);
+               return byte >= 0x20 && byte != 0x7f;
+           });
+}
+
 } // namespace
 
 /// Returns the position after the blank line that ends the current event, or nothing if the event
@@ -114,7 +124,10 @@
     while (!event.empty()) {
         const std::string_view line = takeLine(event);
         if (const auto id = fieldValue(line, "id")) {
-            lastEventId_ = std::string(*id);
+            lastEventId_.reset();
+            if (isSendable(*id)) {
+                lastEventId_ = std::string(*id);
+            }
         }
         if (const auto data = fieldValue(line, "data")) {
             isCounted = true;
--- a/src/libs/proxy/eventsplitter.h
+++ b/src/libs/proxy/eventsplitter.h
@@ -37,7 +37,7 @@
     /// Bytes of memory that the kept events take.
     std::size_t heldBytes() const { return partial_.capacity() + data_.capacity(); }
     void setDataCollected() { isDataCollected_ = true; }
-    /// The id to send as Last-Event-Id to resume the stream.
+    /// The id to send as Last-Event-Id to resume the stream; unset if it cannot be sent.
     const std::optional<std::string> &lastEventId() const { return lastEventId_; }
 
 private:
--- a/tests/libs/proxy/tst_eventsplitter.cpp
+++ b/tests/libs/proxy/tst_eventsplitter.cpp
@@ -119,3 +119,16 @@
     cr_assert_eq(events.data(), "a\nb\n");
     cr_assert_eq(*events.lastEventId(), "2");
 }
+
+/// Guards against an id of a faulty server that breaks the request to the next one, or adds a
+/// header field to it.
+Test(eventsplitter, anIdThatCannotBeSentLeavesNothingToResumeAfter)
+{
+    for (const std::string &id : {std::string(257, 'i'), std::string("1\rother: 2")}) {
+        EventSplitter events;
+        events.feed("id: 1\ndata: a\n\nid: " + id + "\ndata: b\n\n");
+        cr_assert(!events.lastEventId());
+        events.feed("id: 3\ndata: c\n\n");
+        cr_assert_eq(*events.lastEventId(), "3");
+    }
+}
