Refuse ids of requests that are longer than any id

Tables of programs, streams and turns are bounded in entries, not in bytes, and their keys are what callers call their requests and programs: up to 16 KB each, sent on to other daemons. Computed: 4,096 recent programs with ids of 15 KB take 130 MB, 60 s of 50 resumable streams/s take 90 MB. Found in review.

An id of a request, a program, a session, a previous turn or a resumed attempt with more than 128 bytes is answered 400. longIdsAreRefused failed before.

--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -62,7 +62,7 @@
         respondWithError(503, "no_configuration", "no routing document is loaded");
         return;
     }
-    if (!findRoute() || !checkKey() || !checkHistoryFields()) {
+    if (!checkIds() || !findRoute() || !checkKey() || !checkHistoryFields()) {
         return;
     }
     fingerprints_ = Dispatch::fingerprintsOf(
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -47,6 +47,7 @@
     Base::Instant now() const { return owner_.now(); }
     Base::Duration timeLeft() const { return deadline_ - now(); }
 
+    bool checkIds();
     bool findRoute();
     bool checkKey();
     bool isTurn() const;
--- a/src/libs/proxy/exchangeadmission.cpp
+++ b/src/libs/proxy/exchangeadmission.cpp
@@ -2,6 +2,8 @@
 
 #include <base/random.h>
 
+#include <algorithm>
+
 namespace Proxy {
 
 namespace {
@@ -25,6 +27,23 @@
 
 } // namespace
 
+/// The ids of requests are kept in tables, here and at other daemons.
+bool Exchange::checkIds()
+{
+    constexpr std::size_t maxIdBytes = 128;
+    const std::size_t longest = std::max({traits_.id.size(),
+                                          traits_.program.text().size(),
+                                          traits_.session.size(),
+                                          traits_.previousTurn.size(),
+                                          traits_.resumedAttempt.size()});
+    if (longest > maxIdBytes) {
+        respondWithError(
+            400, "bad_id", "an id has more than " + std::to_string(maxIdBytes) + " bytes");
+        return false;
+    }
+    return true;
+}
+
 bool Exchange::findRoute()
 {
     const auto host = request_.head.headers.find("Host");
--- a/tests/libs/proxy/tst_endlessresponses.cpp
+++ b/tests/libs/proxy/tst_endlessresponses.cpp
@@ -249,3 +249,21 @@
     cr_assert(!fixture.received.ends_with("0\r\n\r\n"));
     cr_assert(fixture.kept.empty());
 }
+
+/// Guards against tables that grow with the length of what callers call their requests and
+/// programs.
+Test(endlessresponses, longIdsAreRefused)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    const std::string longId(129, 'x');
+    fixture.request("/stream/", longId);
+    fixture.awaitResponse("HTTP/1.1 400");
+    for (const char *field : {"Program", "Previous", "Resumes"}) {
+        fixture.received.clear();
+        fixture.request("/stream/", "r1", std::string(field) + ": " + longId + "\r\n");
+        fixture.awaitResponse("HTTP/1.1 400");
+    }
+    cr_assert_eq(requestCount(fixture), 0);
+}
