Make no sound server or caller pay for the memory that others take

Found in review of the leases of responses: - a turn that had run was cut off at its end if its body alone was more than the daemon would lease. The body is known before the turn runs; a turn that has run is leased without asking; - a response that could not be held back was broken off, and its server counted as faulty. It is passed on as it arrives, as one that is too large to be held back is; - up to 16 KB of a response are always kept, however much other servers take; - the output of an earlier attempt counted for the server that continues the stream. It stays with the server that sent it; - a stream with more events than its caller allows was taken up again at a sound server, which broke off at its first byte. It is cut off, as the caller has all that it allows; - the content of a cached turn could take twice the bytes that the cache counts.

aTurnThatHasRunIsKeptWhateverItsSize replaces aTurnThatIsTooLargeToKeepIsCutOff, which held the first fault to be right: a response must not look complete without its turn being kept, and must not be cut off if it can be kept. It, aResponseIsPassedOnIfItCannotBeHeldBack, bytesOfAnEarlierAttemptStayWithTheirServer and anOverlongStreamIsNotTakenUpAgain failed before. tst_proxy (224) passes.

--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -213,6 +213,7 @@
     }
     releaseServer(false);
     keptBytes_.release();
+    earlierBytes_.clear();
     settle();
     if (hasPermit_) {
         owner_.controls_.returnPermit(team_->team);
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -108,7 +108,10 @@
     const char *streamProblem() const;
     std::size_t keptBytes() const;
     bool leaseKeptBytes();
-    void breakResponse(const std::string &problem);
+    void beginLease();
+    void passOnBufferedBody();
+    void breakStream(const std::string &problem);
+    void endOverlongStream();
     void onEnd(ResponseEnd end, const std::string &problem);
     bool isZoneClosed() const;
     void onZoneClosed();
@@ -171,8 +174,11 @@
     AttemptResponse response_;
     /// What was forwarded of the stream, from all attempts.
     EventSplitter events_;
-    /// For the bytes of the response that are kept, from the server of the current attempt.
+    /// For the bytes that are kept of the response of the current attempt.
     Base::MemoryLease keptBytes_;
+    /// For those of earlier attempts, whose servers they came from.
+    std::vector<Base::MemoryLease> earlierBytes_;
+    std::size_t earlierSize_ = 0;
     bool isHeadForwarded_ = false;
     bool isStreamForwarded_ = false;
     Programs::ReservationId reservation_;
--- a/src/libs/proxy/exchangeattempts.cpp
+++ b/src/libs/proxy/exchangeattempts.cpp
@@ -223,8 +223,7 @@
         owner_.connector_.paths().sent(sentAt_);
     }
     events_.dropPartialEvent();
-    keptBytes_ = owner_.leaseForResponse(placement_->instance);
-    keptBytes_.forceResize(keptBytes());
+    beginLease();
     auto self = shared_from_this();
     ClientConnection::Handlers handlers;
     handlers.onHead = [self](const ResponseHead &head, const Framing &framing) {
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -180,31 +180,34 @@
         return;
     }
     response_.bufferedBody += bytes;
-    if (response_.bufferedBody.size() > owner_.settings_.bufferedResponseBytes) {
-        forwardHead();
-        forwardBody(std::exchange(response_.bufferedBody, {}));
-    }
-    if (!leaseKeptBytes()) {
-        breakResponse("response is too large for the memory that its server may take");
+    if (response_.bufferedBody.size() > owner_.settings_.bufferedResponseBytes
+        || !leaseKeptBytes()) {
+        passOnBufferedBody();
     }
 }
 
+/// From here on the response cannot be replaced by another one.
+void Exchange::passOnBufferedBody()
+{
+    forwardHead();
+    forwardBody(std::exchange(response_.bufferedBody, {}));
+    keptBytes_.release();
+}
+
 /// Events that the caller's limit on the output allows; nothing if it is not known.
 std::optional<std::uint64_t> Exchange::maxEvents() const
 {
     const std::int64_t perEvent = service_->tokensPerEvent.value();
-    if (perEvent <= 0 || traits_.maxOutput <= Base::Tokens(0)) {
+    const std::int64_t tokens = traits_.maxOutput.value();
+    if (perEvent <= 0 || tokens <= 0) {
         return std::nullopt;
     }
-    return static_cast<std::uint64_t>((traits_.maxOutput.value() + perEvent - 1) / perEvent);
+    return static_cast<std::uint64_t>((tokens - 1) / perEvent + 1);
 }
 
 /// Returns why the stream cannot go on, or null.
 const char *Exchange::streamProblem() const
 {
-    if (events_.hasTooManyEvents()) {
-        return "stream has more tokens than the caller allows";
-    }
     if (events_.isEventTooLong()) {
         return "event does not end";
     }
@@ -218,31 +221,54 @@
     return events_.heldBytes() + response_.bufferedBody.capacity();
 }
 
-/// Returns whether the server of the response may take so much memory.
+/// The bytes of earlier attempts stay with the servers that sent them.
+void Exchange::beginLease()
+{
+    if (keptBytes_.size() > 0) {
+        earlierBytes_.push_back(std::move(keptBytes_));
+    }
+    earlierSize_ = keptBytes();
+    keptBytes_ = owner_.leaseForResponse(placement_->instance);
+}
+
+/// Returns whether the server of the response may take so much memory. Small responses are always
+/// kept, however much others take.
 bool Exchange::leaseKeptBytes()
 {
-    if (keptBytes_.resize(keptBytes())) {
+    constexpr std::size_t smallResponseBytes = 16 * 1024;
+    const std::size_t bytes = keptBytes() - std::min(earlierSize_, keptBytes());
+    if (bytes <= smallResponseBytes) {
+        keptBytes_.forceResize(bytes);
+        return true;
+    }
+    if (keptBytes_.resize(bytes)) {
         return true;
     }
     owner_.metrics_
-        .counter("marjoram_memory_broken_responses_total",
-                 "Responses broken off because their server would take too much memory",
+        .counter("marjoram_memory_refusals_total",
+                 "Responses of which no more was kept, as their server would take too much memory",
                  {{"service", service_->id.text()}})
         .add();
     return false;
 }
 
-/// Breaks off what is no proper response; the server counts as faulty.
-void Exchange::breakResponse(const std::string &problem)
+/// Breaks off what is no proper stream; the server counts as faulty.
+void Exchange::breakStream(const std::string &problem)
 {
     releaseServer(false);
     owner_.placer_.requestFailed(placement_->instance, now());
     events_.dropPartialEvent();
-    response_.bufferedBody = {};
-    keptBytes_.forceResize(keptBytes());
     onBroken(problem);
 }
 
+/// The caller has all events that it allows, so no other server could add any.
+void Exchange::endOverlongStream()
+{
+    releaseServer(false);
+    owner_.placer_.requestFailed(placement_->instance, now());
+    abortResponse("broken_answer", "stream has more tokens than the caller allows");
+}
+
 /// The first event determines the software version of the stream.
 void Exchange::onEvents(const std::string &bytes)
 {
@@ -255,10 +281,12 @@
         }
     }
     forwardBody(bytes);
-    if (const char *problem = streamProblem()) {
-        breakResponse(problem);
+    if (events_.hasTooManyEvents()) {
+        endOverlongStream();
+    } else if (const char *problem = streamProblem()) {
+        breakStream(problem);
     } else if (!leaseKeptBytes()) {
-        breakResponse("stream is too large for the memory that its server may take");
+        breakStream("stream is too large for the memory that its server may take");
     }
 }
 
@@ -331,8 +359,8 @@
     const auto time = std::chrono::system_clock::now().time_since_epoch();
     turn.endedAt = TurnHistory::UnixTime(
         std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-    turn.content = std::exchange(request_.body, {});
-    turn.content.append(events_.takeData());
+    turn.content.reserve(request_.body.size() + events_.data().size());
+    turn.content.append(std::exchange(request_.body, {})).append(events_.takeData());
     return turn;
 }
 
@@ -342,11 +370,9 @@
 {
     keepingSince_ = now();
     TurnHistory::Turn turn = takeCompletedTurn();
-    // The turn and its encoded form.
-    if (!keptBytes_.resize(2 * turn.content.size())) {
-        abortResponse("not_kept", "the turn is too large for the memory that its server may take");
-        return;
-    }
+    // The turn and its encoded form. It has run, so it is not given up for want of memory.
+    earlierBytes_.clear();
+    keptBytes_.forceResize(2 * turn.content.size());
     auto self = shared_from_this();
     auto cancel = owner_.history_.keep(
         std::move(turn), timeLeft(), [self](bool isKept) { self->onTurnKept(isKept); });
