Bound what a daemon reads of a message and drops

Empty lines had no bound, for callers neither: they begin no message, so the head timeout did not apply. Interim and late responses were bounded by 256 KB together, which are 10,000 heads. http_parser bounds the extensions of each chunk and the trailers at 80 KB, but not those of all chunks.

A message now has at most 64 bytes of empty lines, and 4 KB of extensions and trailers beyond 16 bytes for each chunk and two for each byte of its data, so that the number of small chunks stays free. The library stops at each chunk, so the result does not depend on how the bytes are split. A response follows at most 16 interim and late ones; their 256 KB now also count heads that arrive in several reads. A server that exceeds a bound sent a broken response, a caller gets 400.

Not measured on the process yet.

--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -17,6 +17,10 @@
 /// other requests. A server may never end them.
 constexpr std::size_t maxSkippedBytes = 256 * 1024;
 
+/// Interim responses and late responses to other requests before the response to the current one.
+/// Sound servers send few of them; each costs more than its bytes show.
+constexpr std::size_t maxSkippedMessages = 16;
+
 /// Parses a Keep-Alive value: "timeout=15, max=100" gives 15 s.
 std::optional<Base::Duration> parseKeepAlive(std::string_view value)
 {
@@ -109,6 +113,7 @@
     isAwaitingResponse_ = true;
     isPaused_ = false;
     skippedBytes_ = 0;
+    skippedMessages_ = 0;
     isReusable_ = false;
     isWriting_ = true;
     hasSent_ = true;
@@ -227,7 +232,7 @@
         if (hasHead && message_ == Message::Unknown && !onHeadParsed()) {
             return false;
         }
-        skippedBytes_ += message_ == Message::Skipped ? parsed : 0;
+        skippedBytes_ += message_ != Message::Response ? parsed : 0;
         if (skippedBytes_ > maxSkippedBytes) {
             fail(ResponseEnd::Broken, "bytes before the response do not end");
             return false;
@@ -276,16 +281,30 @@
         return false;
     }
     if (head.status < 200) {
-        return true;
+        return countSkippedMessage();
     }
     const auto handlers = handlers_;
     if (handlers->onHead(head, parser_.framing()) == HeadVerdict::Accept) {
         message_ = Message::Response;
     }
-    if (!isClosed_ && message_ == Message::Response) {
-        updateKeepAliveTimeout();
+    if (isClosed_) {
+        return false;
+    }
+    if (message_ == Message::Skipped) {
+        return countSkippedMessage();
+    }
+    updateKeepAliveTimeout();
+    return true;
+}
+
+/// Returns whether the connection is still in use.
+bool ClientConnection::countSkippedMessage()
+{
+    if (++skippedMessages_ <= maxSkippedMessages) {
+        return true;
     }
-    return !isClosed_;
+    fail(ResponseEnd::Broken, "too many interim or late responses before the response");
+    return false;
 }
 
 void ClientConnection::updateKeepAliveTimeout()
--- a/src/libs/proxy/clientconnection.h
+++ b/src/libs/proxy/clientconnection.h
@@ -89,6 +89,7 @@
     void onEndOfStream();
     bool consume(std::string_view bytes);
     bool onHeadParsed();
+    bool countSkippedMessage();
     void startNextMessage();
     void onResponseComplete(bool hasExtraBytes);
     void fail(ResponseEnd end, const std::string &problem);
@@ -115,6 +116,7 @@
     bool isPaused_ = false;
     Message message_ = Message::Unknown;
     std::size_t skippedBytes_ = 0;
+    std::size_t skippedMessages_ = 0;
     bool isHeadMethod_ = false;
     bool isReusable_ = false;
     bool isClosed_ = false;
--- a/src/libs/proxy/messageparser.cpp
+++ b/src/libs/proxy/messageparser.cpp
@@ -2,6 +2,8 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace Proxy {
@@ -10,6 +12,19 @@
 
 constexpr std::string_view headEnd = "\r\n\r\n";
 
+/// Empty lines before a message; senders that use them write one or two.
+constexpr std::size_t maxEmptyLineBytes = 64;
+
+/// Chunk extensions and trailers, which are read and dropped. The bound of http_parser is 80 KB
+/// for each chunk, and none for all chunks.
+constexpr std::size_t maxFramingBytes = 4 * 1024;
+
+/// A chunk allows for its size, its line ends and a short extension, and in proportion to its data
+/// for a longer one. Long bodies stay possible, while the cost of framing stays proportional to
+/// the data.
+constexpr std::size_t framingBytesPerChunk = 16;
+constexpr std::uint64_t framingBytesPerDataByte = 2;
+
 /// Describes the first error in a head; empty if the head is valid.
 std::string_view headProblem(std::string_view head)
 {
@@ -75,6 +90,7 @@
         settings_.on_header_value = &Private::onHeaderValue;
         settings_.on_headers_complete = &Private::onHeadersComplete;
         settings_.on_body = &Private::onBody;
+        settings_.on_chunk_header = &Private::onChunkHeader;
         settings_.on_message_complete = &Private::onMessageComplete;
         reset();
     }
@@ -82,6 +98,8 @@
     void reset();
     std::size_t collectHead(std::string_view bytes);
     std::size_t execute(std::string_view bytes);
+    std::size_t executeBody(std::string_view bytes);
+    void allowFraming(std::uint64_t dataBytes);
     void fail(ParseError error, std::string problem);
     void checkFraming();
 
@@ -92,6 +110,7 @@
     static int onHeaderValue(http_parser *parser, const char *at, std::size_t size);
     static int onHeadersComplete(http_parser *parser);
     static int onBody(http_parser *parser, const char *at, std::size_t size);
+    static int onChunkHeader(http_parser *parser);
     static int onMessageComplete(http_parser *parser);
 
     Kind kind_;
@@ -108,6 +127,9 @@
     Framing framing_;
     std::string body_;
     std::size_t bodySize_ = 0;
+    std::size_t emptyLineBytes_ = 0;
+    /// Bytes of a chunked body that are no data, beyond those that its chunks allow.
+    std::size_t framingBytes_ = 0;
     bool hasNoBody_ = false;
     bool isValueOpen_ = false;
 
@@ -130,6 +152,8 @@
     framing_ = {};
     body_.clear();
     bodySize_ = 0;
+    emptyLineBytes_ = 0;
+    framingBytes_ = 0;
     hasNoBody_ = false;
     isValueOpen_ = false;
 }
@@ -150,6 +174,11 @@
         while (used < bytes.size() && (bytes[used] == '\r' || bytes[used] == '\n')) {
             ++used;
         }
+        emptyLineBytes_ += used;
+        if (emptyLineBytes_ > maxEmptyLineBytes) {
+            fail(ParseError::Malformed, "empty lines before the message do not end");
+            return used;
+        }
         if (used == bytes.size()) {
             return used;
         }
@@ -193,6 +222,35 @@
     return used;
 }
 
+/// The library stops after the head of each chunk, so that the framing is counted line by line and
+/// the result does not depend on how the bytes are split.
+std::size_t MessageParser::Private::executeBody(std::string_view bytes)
+{
+    const bool isAtChunk = parser_.http_errno == HPE_PAUSED;
+    if (isAtChunk) {
+        http_parser_pause(&parser_, 0);
+    }
+    const std::size_t sizeBefore = bodySize_;
+    const std::size_t used = execute(bytes);
+    if (framing_.kind != BodyFraming::Chunked || state_ == ParseState::Failed) {
+        return used;
+    }
+    framingBytes_ += used - (bodySize_ - sizeBefore);
+    if (framingBytes_ > maxFramingBytes) {
+        fail(ParseError::Malformed, "chunk extensions or trailers exceed the limit");
+    } else if (state_ == ParseState::Body && parser_.http_errno == HPE_PAUSED) {
+        allowFraming(parser_.content_length);
+    }
+    return used;
+}
+
+void MessageParser::Private::allowFraming(std::uint64_t dataBytes)
+{
+    const std::uint64_t data = std::min<std::uint64_t>(dataBytes, maxFramingBytes);
+    const std::size_t allowed = framingBytesPerChunk + framingBytesPerDataByte * data;
+    framingBytes_ -= std::min(framingBytes_, allowed);
+}
+
 int MessageParser::Private::onUrl(http_parser *parser, const char *at, std::size_t size)
 {
     self(parser).request_.target.append(at, size);
@@ -309,6 +367,12 @@
     return 0;
 }
 
+int MessageParser::Private::onChunkHeader(http_parser *parser)
+{
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
 int MessageParser::Private::onMessageComplete(http_parser *parser)
 {
     self(parser).state_ = ParseState::Complete;
@@ -329,7 +393,7 @@
         if (d_->state_ == ParseState::Empty || d_->state_ == ParseState::Head) {
             used += d_->collectHead(bytes.substr(used));
         } else if (d_->state_ == ParseState::Body) {
-            used += d_->execute(bytes.substr(used));
+            used += d_->executeBody(bytes.substr(used));
         } else {
             break;
         }
--- a/tests/libs/proxy/tst_messageparser.cpp
+++ b/tests/libs/proxy/tst_messageparser.cpp
@@ -154,6 +154,37 @@
                  ParseError::BodyTooLarge);
 }
 
+/// Guards against bytes of no meaning without end, and against bounds that depend on how the bytes
+/// are split.
+Test(messageparser, limitsEmptyLinesExtensionsAndTrailers)
+{
+    const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string longExtension = ";" + std::string(5'000, 'x');
+    const std::string shortExtension = ";" + std::string(100, 'x');
+    std::string emptyLines;
+    std::string extensions;
+    std::string trailers;
+    for (int i = 0; i < 100; ++i) {
+        emptyLines += "\r\n";
+        extensions += "1" + shortExtension + "\r\nx\r\n";
+        trailers += "Name: " + shortExtension + "\r\n";
+    }
+    for (const std::string &text : {emptyLines + chunked + "0\r\n\r\n",
+                                    chunked + "1" + longExtension + "\r\nx\r\n0\r\n\r\n",
+                                    chunked + extensions + "0\r\n\r\n",
+                                    chunked + "1\r\nx\r\n0\r\n" + trailers + "\r\n"}) {
+        cr_assert_eq(stateOf(text), ParseState::Failed, "accepted: %s", text.c_str());
+        cr_assert_eq(parse(request, text, 7).error, ParseError::Malformed);
+    }
+    // A chunk allows for its own framing, whatever the number of chunks.
+    std::string smallChunks;
+    for (int i = 0; i < 5'000; ++i) {
+        smallChunks += "1;a=b\r\nx\r\n";
+    }
+    cr_assert_eq(stateOf("\r\n\r\n" + chunked + smallChunks + "0\r\nA: b\r\n\r\n"),
+                 ParseState::Complete);
+}
+
 Test(messageparser, detectsTruncatedResponses)
 {
     MessageParser whole(response);
