--- a/src/libs/proxy/messageparser.cpp
+++ b/src/libs/proxy/messageparser.cpp
@@ -1,14 +1,29 @@
 #include "messageparser.h"
 
+#include "headcollector.h"
+
 #include <http_parser.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace Proxy {
 
 namespace {
 
-constexpr std::string_view headEnd = "\r\n\r\n";
+/// Empty lines before a message; senders that use them write one or two.
+constexpr std::size_t maxEmptyLineBytes = 64;
+
+/// Chunk extensions and trailers, which are read and dropped. The bound of http_parser is 80 KB
+/// for each chunk, and none for all chunks.
+constexpr std::size_t maxFramingBytes = 4 * 1024;
+
+/// A chunk allows for its size, its line ends and a short extension, and in proportion to its data
+/// for a longer one. Long bodies stay possible, while the cost of framing stays proportional to
+/// the data.
+constexpr std::size_t framingBytesPerChunk = 16;
+constexpr std::uint64_t framingBytesPerDataByte = 2;
 
 /// Describes the first error in a head; empty if the head is valid.
 std::string_view headProblem(std::string_view head)
@@ -75,13 +90,17 @@
         settings_.on_header_value = &Private::onHeaderValue;
         settings_.on_headers_complete = &Private::onHeadersComplete;
         settings_.on_body = &Private::onBody;
+        settings_.on_chunk_header = &Private::onChunkHeader;
         settings_.on_message_complete = &Private::onMessageComplete;
         reset();
     }
 
     void reset();
     std::size_t collectHead(std::string_view bytes);
+    void parseHead(const std::string &head);
     std::size_t execute(std::string_view bytes);
+    std::size_t executeBody(std::string_view bytes);
+    void allowFraming(std::uint64_t dataBytes);
     void fail(ParseError error, std::string problem);
     void checkFraming();
 
@@ -92,6 +111,7 @@
     static int onHeaderValue(http_parser *parser, const char *at, std::size_t size);
     static int onHeadersComplete(http_parser *parser);
     static int onBody(http_parser *parser, const char *at, std::size_t size);
+    static int onChunkHeader(http_parser *parser);
     static int onMessageComplete(http_parser *parser);
 
     Kind kind_;
@@ -101,13 +121,15 @@
     ParseState state_ = ParseState::Empty;
     ParseError error_ = ParseError::None;
     std::string problem_;
-    /// Bytes of an incomplete head.
-    std::string head_;
+    HeadCollector head_;
     RequestHead request_;
     ResponseHead response_;
     Framing framing_;
     std::string body_;
     std::size_t bodySize_ = 0;
+    std::size_t emptyLineBytes_ = 0;
+    /// Bytes of a chunked body that are no data, beyond those that its chunks allow.
+    std::size_t framingBytes_ = 0;
     bool hasNoBody_ = false;
     bool isValueOpen_ = false;
 
@@ -124,12 +146,14 @@
     state_ = ParseState::Empty;
     error_ = ParseError::None;
     problem_.clear();
-    head_.clear();
+    head_ = {};
     request_ = {};
     response_ = {};
     framing_ = {};
     body_.clear();
     bodySize_ = 0;
+    emptyLineBytes_ = 0;
+    framingBytes_ = 0;
     hasNoBody_ = false;
     isValueOpen_ = false;
 }
@@ -150,37 +174,40 @@
         while (used < bytes.size() && (bytes[used] == '\r' || bytes[used] == '\n')) {
             ++used;
         }
+        emptyLineBytes_ += used;
+        if (emptyLineBytes_ > maxEmptyLineBytes) {
+            fail(ParseError::Malformed, "empty lines before the message do not end");
+            return used;
+        }
         if (used == bytes.size()) {
             return used;
         }
         state_ = ParseState::Head;
     }
-    const std::size_t before = head_.size();
-    head_.append(bytes.substr(used));
-    const std::size_t searchFrom = before < headEnd.size() ? 0 : before - headEnd.size() + 1;
-    const std::size_t end = head_.find(headEnd, searchFrom);
-    if (end == std::string::npos) {
-        if (head_.size() > limits_.headBytes) {
-            fail(ParseError::HeadTooLarge, "head exceeds the configured limit");
-        } else if (const std::size_t bare = head_.find("\n\n"); bare != std::string::npos) {
-            fail(ParseError::Malformed, "line feed without carriage return in the head");
-        }
-        return bytes.size();
-    }
-    head_.resize(end + headEnd.size());
-    used += head_.size() - before;
-    if (head_.size() > limits_.headBytes) {
+    used += head_.feed(bytes.substr(used), limits_.headBytes);
+    switch (head_.state()) {
+    case HeadCollector::State::Incomplete:
+        break;
+    case HeadCollector::State::TooLarge:
         fail(ParseError::HeadTooLarge, "head exceeds the configured limit");
-        return used;
+        break;
+    case HeadCollector::State::BareLineFeeds:
+        fail(ParseError::Malformed, "line feed without carriage return in the head");
+        break;
+    case HeadCollector::State::Complete:
+        parseHead(head_.take());
+        break;
     }
-    if (const std::string_view problem = headProblem(head_); !problem.empty()) {
+    return used;
+}
+
+void MessageParser::Private::parseHead(const std::string &head)
+{
+    if (const std::string_view problem = headProblem(head); !problem.empty()) {
         fail(ParseError::Malformed, std::string(problem));
-        return used;
+        return;
     }
-    const std::string head = std::move(head_);
-    head_.clear();
     execute(head);
-    return used;
 }
 
 std::size_t MessageParser::Private::execute(std::string_view bytes)
@@ -193,6 +220,35 @@
     return used;
 }
 
+/// The library stops after the head of each chunk, so that the framing is counted line by line and
+/// the result does not depend on how the bytes are split.
+std::size_t MessageParser::Private::executeBody(std::string_view bytes)
+{
+    const bool isAtChunk = parser_.http_errno == HPE_PAUSED;
+    if (isAtChunk) {
+        http_parser_pause(&parser_, 0);
+    }
+    const std::size_t sizeBefore = bodySize_;
+    const std::size_t used = execute(bytes);
+    if (framing_.kind != BodyFraming::Chunked || state_ == ParseState::Failed) {
+        return used;
+    }
+    framingBytes_ += used - (bodySize_ - sizeBefore);
+    if (framingBytes_ > maxFramingBytes) {
+        fail(ParseError::Malformed, "chunk extensions or trailers exceed the limit");
+    } else if (state_ == ParseState::Body && parser_.http_errno == HPE_PAUSED) {
+        allowFraming(parser_.content_length);
+    }
+    return used;
+}
+
+void MessageParser::Private::allowFraming(std::uint64_t dataBytes)
+{
+    const std::uint64_t data = std::min<std::uint64_t>(dataBytes, maxFramingBytes);
+    const std::size_t allowed = framingBytesPerChunk + framingBytesPerDataByte * data;
+    framingBytes_ -= std::min(framingBytes_, allowed);
+}
+
 int MessageParser::Private::onUrl(http_parser *parser, const char *at, std::size_t size)
 {
     self(parser).request_.target.append(at, size);
@@ -309,6 +365,12 @@
     return 0;
 }
 
+int MessageParser::Private::onChunkHeader(http_parser *parser)
+{
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
 int MessageParser::Private::onMessageComplete(http_parser *parser)
 {
     self(parser).state_ = ParseState::Complete;
@@ -329,7 +391,7 @@
         if (d_->state_ == ParseState::Empty || d_->state_ == ParseState::Head) {
             used += d_->collectHead(bytes.substr(used));
         } else if (d_->state_ == ParseState::Body) {
-            used += d_->execute(bytes.substr(used));
+            used += d_->executeBody(bytes.substr(used));
         } else {
             break;
         }
