--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -2,6 +2,7 @@
 
 #include "eventsplitter.h"
 #include "passthrough.h"
+#include "requestroute.h"
 
 #include <dispatch/requestfingerprint.h>
 
@@ -49,7 +50,6 @@
 
     bool checkIds();
     bool findRoute();
-    bool checkKey();
     bool isTurn() const;
     bool checkHistoryFields();
     void findHistory();
