Bound the bodies that callers send, for a caller and the daemon

A caller that sent a byte within each idle timeout kept its body for ever.

A body is now leased from DaemonMemory::requests(), with a holder for each connection: a stated length at once, when the head is complete, so that a body that does not fit is refused before it is read, and chunks in steps. The capacity of the string is what counts, and the string does not choose it. Without memory the response is 503 with Retry-After, and the request is not run. The lease goes with the request and ends with it; a request that arrives in one read is leased once it is complete, and its connection stays open if it is refused. A body has to be complete within the route's timeout or the idle timeout, whichever is longer, else the response is 408.

--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -57,6 +57,10 @@
     if (handlers_->backlogs) {
         backlog_ = Base::MemoryLease(handlers_->backlogs->newHolder());
     }
+    if (handlers_->bodies) {
+        bodyHolder_ = handlers_->bodies->newHolder();
+        bodyLease_ = Base::MemoryLease(bodyHolder_);
+    }
 }
 
 void CallerConnection::start()
@@ -168,7 +172,7 @@
             parser_.setLimits({limits.headBytes, limits.bodyBytes});
         }
         incoming_.erase(0, parser_.feed(incoming_));
-        body_ += parser_.takeBody();
+        takeBody();
         if (parser_.state() != ParseState::Empty && !messageBegun_) {
             messageBegun_ = lastActivity_;
             armTimer();
@@ -177,28 +181,86 @@
             reject();
         } else if (parser_.state() == ParseState::Complete) {
             dispatchRequest();
-        } else if (parser_.state() == ParseState::Body && !std::exchange(isBodyBegun_, true)) {
-            onBodyBegun();
+        } else if (parser_.state() == ParseState::Body) {
+            continueBody();
         }
     }
     isParsing_ = false;
 }
 
-/// Nothing is kept of a body whose request is refused whatever it contains.
+void CallerConnection::continueBody()
+{
+    if (!std::exchange(isBodyBegun_, true)) {
+        onBodyBegun();
+    } else if (isBodyDenied_) {
+        refuseBody(bodiesFull());
+    }
+}
+
+/// Takes what has arrived of the body, unless there is no memory for it.
+void CallerConnection::takeBody()
+{
+    const std::string arrived = parser_.takeBody();
+    if (isBodyBegun_ && !leaseBody(arrived.size())) {
+        isBodyDenied_ = true;
+        return;
+    }
+    body_ += arrived;
+}
+
+/// Nothing is kept of a body whose request is refused whatever it contains. The time is bounded, as
+/// a caller that sends a few bytes at a time would keep its memory for ever.
 void CallerConnection::onBodyBegun()
 {
-    const RequestHead &head = parser_.request();
-    const auto refusal = handlers_->onHead ? handlers_->onHead(head) : std::nullopt;
-    if (!refusal) {
-        sendContinueIfExpected();
+    const HeadDecision decision
+        = handlers_->onHead ? handlers_->onHead(parser_.request()) : HeadDecision{};
+    if (decision.refusal) {
+        refuseBody(*decision.refusal);
+        return;
+    }
+    if (!leaseBody(0)) {
+        refuseBody(bodiesFull());
         return;
     }
-    handlers_->onRejected(refusal->status, refusal->detail);
-    isHeadRequest_ = head.method == "HEAD";
-    isHttp11_ = head.isHttp11;
-    drainBytes_ = std::min(maxDrainedBytes,
-                           parser_.framing().length.value_or(maxDrainedBytes) - body_.size());
-    refuse(ownResponseHead(refusal->status, refusal->retryAfter), refusal->detail + "\n");
+    bodyDue_ = lastActivity_ + std::max(decision.bodyTimeout, handlers_->limits().idleTimeout);
+    armTimer();
+    sendContinueIfExpected();
+}
+
+/// Leases a stated length at once, so that a body that does not fit is not read, and others in
+/// steps. The capacity counts, so the string must not choose it.
+bool CallerConnection::leaseBody(std::size_t arrived)
+{
+    const std::size_t needed
+        = std::max<std::size_t>(parser_.framing().length.value_or(0), body_.size() + arrived);
+    if (needed <= bodyLease_.size()) {
+        return true;
+    }
+    const bool isLengthKnown = parser_.framing().length.has_value();
+    const std::size_t capacity = isLengthKnown ? needed : needed + needed / 2;
+    if (!bodyLease_.resize(capacity)) {
+        return false;
+    }
+    std::string larger;
+    larger.reserve(capacity);
+    larger += body_;
+    body_.swap(larger);
+    return true;
+}
+
+Refusal CallerConnection::bodiesFull() const
+{
+    return {503, "no_memory", "too many bodies of requests are kept", handlers_->retryAfterFull};
+}
+
+void CallerConnection::refuseBody(const Refusal &refusal)
+{
+    handlers_->onRejected(refusal.status, refusal.detail);
+    isHeadRequest_ = parser_.request().method == "HEAD";
+    isHttp11_ = parser_.request().isHttp11;
+    const std::uint64_t length = parser_.framing().length.value_or(maxDrainedBytes + body_.size());
+    drainBytes_ = std::min(maxDrainedBytes, length - body_.size());
+    refuse(ownResponseHead(refusal.status, refusal.retryAfter), refusal.detail + "\n");
 }
 
 void CallerConnection::sendContinueIfExpected()
@@ -231,21 +293,32 @@
 void CallerConnection::refuse(const ResponseHead &head, std::string_view body)
 {
     incoming_.clear();
-    std::string().swap(body_); // an assignment would keep the buffer
+    dropBody();
     isHandling_ = true;
     isKeptAlive_ = false;
     respond(head, body);
 }
 
+void CallerConnection::dropBody()
+{
+    std::string().swap(body_); // an assignment would keep the buffer
+    bodyLease_.release();
+}
+
 void CallerConnection::dispatchRequest()
 {
     CallerRequest request;
     request.head = parser_.takeRequest();
     request.body = std::exchange(body_, {});
+    const bool isLeased
+        = !isBodyDenied_ && (isBodyBegun_ || bodyLease_.resize(request.body.size()));
+    request.bodyLease = std::exchange(bodyLease_, Base::MemoryLease(bodyHolder_));
     request.arrivedAt = handlers_->now();
     parser_.reset();
     messageBegun_.reset();
+    bodyDue_.reset();
     isBodyBegun_ = false;
+    isBodyDenied_ = false;
     isHandling_ = true;
     isKeptAlive_ = request.head.isKeepAlive;
     isHeadRequest_ = request.head.method == "HEAD";
@@ -253,6 +326,12 @@
     if (!isKeptAlive_) {
         incoming_.clear(); // no request may follow one that asks to close
     }
+    if (!isLeased) {
+        const Refusal refusal = bodiesFull();
+        handlers_->onRejected(refusal.status, refusal.detail);
+        respond(ownResponseHead(refusal.status, refusal.retryAfter), refusal.detail + "\n");
+        return;
+    }
     handlers_->onRequest(shared_from_this(), std::move(request));
 }
 
@@ -441,6 +520,9 @@
     if (messageBegun_) {
         due = std::min(due, *messageBegun_ + limits.headTimeout);
     }
+    if (bodyDue_) {
+        due = std::min(due, *bodyDue_);
+    }
     // An early timeout arms the timer again; moving it with every request would cost more.
     if (timerDue_ && *timerDue_ <= due) {
         return;
@@ -466,7 +548,8 @@
     const bool isHeadLate = messageBegun_ && parser_.state() == ParseState::Head
                             && now >= *messageBegun_ + limits.headTimeout;
     const bool isQuiet = now >= lastActivity_ + limits.idleTimeout;
-    if (isHeadLate || (isQuiet && messageBegun_)) {
+    const bool isBodyLate = bodyDue_ && now >= *bodyDue_;
+    if (isHeadLate || isBodyLate || (isQuiet && messageBegun_)) {
         handlers_->onRejected(408, "request was not received before the timeout");
         ResponseHead head;
         head.status = 408;
@@ -538,6 +621,7 @@
     }
     isClosed_ = true;
     const ConnectionEnd end = describeEnd(reason);
+    dropBody();
     timer_.cancel();
     std::error_code ignored; // nothing can be done if the close fails
     socket_.close(ignored);
--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -23,6 +23,8 @@
 {
     RequestHead head;
     std::string body;
+    /// For the body; to be released with it.
+    Base::MemoryLease bodyLease;
     /// Arrival time of the last byte.
     Base::Instant arrivedAt;
 };
@@ -54,13 +56,22 @@
     std::size_t unsentBytes = 0;
 };
 
+/// What is decided by the head of a request.
+struct HeadDecision
+{
+    /// Set if the request is refused whatever its body is.
+    std::optional<Refusal> refusal;
+    /// Time for the body, if it is longer than the idle timeout.
+    Base::Duration bodyTimeout{};
+};
+
 /// Callbacks of the connections of one listener.
 struct CallerHandlers
 {
     /// Starts the handling of a request; the response is written to the connection.
     std::function<void(const std::shared_ptr<CallerConnection> &, CallerRequest)> onRequest;
-    /// Optional; decides by the head of a request whose body has not arrived whether it is refused.
-    std::function<std::optional<Refusal>(const RequestHead &)> onHead;
+    /// Optional; called for requests whose bodies have not arrived with their heads.
+    std::function<HeadDecision(const RequestHead &)> onHead;
     /// Called for a request that was refused before it was complete, with the response status and
     /// the error.
     std::function<void(int status, const std::string &problem)> onRejected;
@@ -71,6 +82,10 @@
     std::function<void(const std::shared_ptr<CallerConnection> &, const ConnectionEnd &)> onClosed;
     /// Memory for bytes that callers have not read; null means unlimited.
     Base::MemoryBudget *backlogs = nullptr;
+    /// Memory for the bodies of requests; null means unlimited.
+    Base::MemoryBudget *bodies = nullptr;
+    /// Retry-After of requests whose bodies do not fit.
+    Base::Duration retryAfterFull = std::chrono::milliseconds(100);
 };
 
 /// One HTTP/1.1 connection from a caller. Requests are handled one after another. Reading continues
@@ -125,6 +140,12 @@
     void dispatchRequest();
     void setResetOnClose(bool isReset);
     void onBodyBegun();
+    void continueBody();
+    void takeBody();
+    void dropBody();
+    bool leaseBody(std::size_t arrived);
+    void refuseBody(const Refusal &refusal);
+    Refusal bodiesFull() const;
     void reject();
     void refuse(const ResponseHead &head, std::string_view body);
     void sendContinueIfExpected();
@@ -152,6 +173,11 @@
     std::string writing_;
     Base::MemoryLease backlog_;
     std::string body_;
+    std::shared_ptr<Base::MemoryBudget::Holder> bodyHolder_;
+    /// For the body that arrives.
+    Base::MemoryLease bodyLease_;
+    /// When the body has to be complete.
+    std::optional<Base::Instant> bodyDue_;
     std::function<void()> onDrained_;
     std::function<void()> onDisconnected_;
     Base::Instant lastActivity_;
@@ -169,6 +195,8 @@
     bool isHeadRequest_ = false;
     bool isHttp11_ = true;
     bool isBodyBegun_ = false;
+    /// A part of the body was dropped, as there was no memory for it.
+    bool isBodyDenied_ = false;
     /// The response in progress announces that the connection closes, so no later request is read.
     bool isCloseAnnounced_ = false;
     bool isClosing_ = false;
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -192,6 +192,8 @@
     }
     releaseServer(false);
     keptBytes_.release();
+    std::string().swap(request_.body); // callbacks may keep this object longer
+    request_.bodyLease.release();
     settle();
     if (hasPermit_) {
         owner_.controls_.returnPermit(team_->team);
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -46,7 +46,9 @@
         onRequest(caller, std::move(request));
     };
     handlers_->onHead = [this](const RequestHead &head) {
-        return findRoute(table_.get(), head, translator_.readRequest(head)).refusal;
+        RequestRoute found = findRoute(table_.get(), head, translator_.readRequest(head));
+        return HeadDecision{std::move(found.refusal),
+                            found.route ? found.route->timeout : Base::Duration::zero()};
     };
     handlers_->onRejected = [this](int status, const std::string &problem) {
         log_.write(Telemetry::LogLevel::Warning,
@@ -75,6 +77,8 @@
 {
     memory_ = &memory;
     handlers_->backlogs = &memory.backlogs();
+    handlers_->bodies = &memory.requests();
+    handlers_->retryAfterFull = settings_.retryAfterBusy;
 }
 
 bool PassThrough::configure(Contracts::RoutingDocument document)
--- a/tests/libs/proxy/tst_requestbodies.cpp
+++ b/tests/libs/proxy/tst_requestbodies.cpp
@@ -40,6 +40,9 @@
         read();
     }
 
+    void leave() { socket_.close(); }
+    void send(const std::string &bytes) { asio::write(socket_, asio::buffer(bytes)); }
+
     std::string received;
     std::error_code sendError;
     std::error_code closeError;
@@ -213,3 +216,122 @@
     fixture.awaitResponse(statusLine(404));
     cr_assert_eq(requestCount(fixture), 0);
 }
+
+namespace {
+
+/// Memory of which each part gets 6 MB.
+constexpr Base::Bytes processMemory{62 * 1'000'000};
+
+/// How a caller states the length of its body.
+struct HeldBack
+{
+    const char *name;
+    std::string head;
+    std::string body;
+};
+
+/// Requests with bodies of 1 MB without their last bytes.
+std::vector<HeldBack> heldBackRequests()
+{
+    const std::string part(megabyte - 10, 'x');
+    return {{"a stated length", headText("/safe/", "secret", megabyte), part},
+            {"chunks",
+             "POST /safe/ HTTP/1.1\r\nHost: x.example\r\nAuthorization: Bearer secret\r\n"
+             "Request-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n",
+             chunk(part)}};
+}
+
+} // namespace
+
+/// Guards against a daemon that runs out of memory as many callers hold back the ends of their
+/// bodies, and ends the requests of all others with it.
+Test(requestbodies, unfinishedBodiesDoNotTakeTheMemoryOfTheDaemon)
+{
+    constexpr int count = 20;
+    for (const HeldBack &request : heldBackRequests()) {
+        DaemonMemory memory(processMemory);
+        Fixture fixture;
+        fixture.passThrough().setMemory(memory);
+        fixture.passThrough().configure(largeBodies());
+        fixture.listServers(false);
+        fixture.first.add({{okResponse}});
+        std::vector<std::unique_ptr<SendingCaller>> callers;
+        const std::size_t before = heapBytes();
+        std::size_t highest = before;
+        for (int i = 0; i < count; ++i) {
+            callers.push_back(
+                std::make_unique<SendingCaller>(fixture, request.head + request.body));
+            fixture.runUntil([&] { return callers.back()->isSent; }, "the body is sent");
+            fixture.context().poll();
+            highest = std::max(highest, heapBytes());
+        }
+        cr_assert_lt(
+            highest, before + 9 * megabyte, "%s: %zu bytes more", request.name, highest - before);
+        cr_assert_leq(memory.requests().peak(), memory.requests().capacity(), "%s", request.name);
+        cr_assert_gt(memory.requests().used(), Base::Bytes(megabyte), "%s", request.name);
+        const std::string &refusal = callers.back()->received;
+        cr_assert(refusal.starts_with(statusLine(503)), "%s: %s", request.name, refusal.c_str());
+        cr_assert(refusal.find("Retry-After: ") != std::string::npos, "%s", request.name);
+        fixture.request("/safe/", "small");
+        fixture.awaitResponse("hello");
+        for (const auto &caller : callers) {
+            caller->leave();
+        }
+        fixture.runUntil([&] { return memory.requests().used() == Base::Bytes(0); },
+                         "the memory is given back");
+    }
+}
+
+/// Guards against memory that stays leased after a request ended.
+Test(requestbodies, aCompleteRequestGivesItsMemoryBack)
+{
+    for (const HeldBack &request : heldBackRequests()) {
+        DaemonMemory memory(processMemory);
+        Fixture fixture;
+        fixture.passThrough().setMemory(memory);
+        fixture.passThrough().configure(largeBodies());
+        fixture.listServers(false);
+        fixture.first.add({{okResponse}});
+        SendingCaller caller(fixture, request.head + request.body);
+        fixture.runUntil([&] { return caller.isSent; }, "the body is sent");
+        const bool isChunked = std::string(request.name) == "chunks";
+        caller.send(isChunked ? chunk("0123456789") + "0\r\n\r\n" : "0123456789");
+        fixture.runUntil([&] { return caller.received.find("hello") != std::string::npos; },
+                         "the response arrives");
+        cr_assert(fixture.first.requests().back().ends_with("xxx0123456789"), "%s", request.name);
+        cr_assert_geq(memory.requests().peak(), Base::Bytes(megabyte), "%s", request.name);
+        cr_assert_eq(memory.requests().used(), Base::Bytes(0), "%s", request.name);
+    }
+}
+
+/// Guards against a caller that keeps memory for ever by sending its body a byte at a time.
+Test(requestbodies, aBodyThatTricklesEnds)
+{
+    DaemonMemory memory(processMemory);
+    Fixture fixture;
+    fixture.passThrough().setMemory(memory);
+    Contracts::RoutingDocument document = largeBodies();
+    document.limits.idleTimeout = std::chrono::milliseconds(300);
+    for (Contracts::Route &each : document.routes) {
+        each.timeout = std::chrono::milliseconds(600);
+    }
+    fixture.passThrough().configure(document);
+    SendingCaller caller(fixture, headText("/safe/", "secret", megabyte));
+    asio::steady_timer pause(fixture.context());
+    std::function<void()> trickle = [&] {
+        pause.expires_after(std::chrono::milliseconds(50));
+        pause.async_wait([&](const std::error_code &) {
+            if (caller.received.empty() && !caller.isClosed) {
+                caller.send("x");
+                trickle();
+            }
+        });
+    };
+    const auto start = std::chrono::steady_clock::now();
+    trickle();
+    fixture.runUntil([&] { return !caller.received.empty(); }, "the request is refused");
+    cr_assert(caller.received.starts_with(statusLine(408)), "%s", caller.received.c_str());
+    cr_assert_geq((std::chrono::steady_clock::now() - start).count(),
+                  std::chrono::nanoseconds(std::chrono::milliseconds(500)).count());
+    cr_assert_eq(memory.requests().used(), Base::Bytes(0));
+}
