Keep no read buffer with each connection of a caller

Each connection had 16 KB for reads, also while it was idle. The buffer is used only within one synchronous read, so it is a local variable now. No test of its own: all tests of tst_proxy read through it.

--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -52,7 +52,6 @@
     : socket_(std::move(socket))
     , timer_(socket_.get_executor())
     , handlers_(std::move(handlers))
-    , buffer_(readBufferBytes)
 {
     if (handlers_->backlogs) {
         backlog_ = Base::MemoryLease(handlers_->backlogs->newHolder());
@@ -115,15 +114,16 @@
 
 void CallerConnection::receive()
 {
+    std::array<char, readBufferBytes> buffer{};
     std::error_code error;
-    const std::size_t size = socket_.read_some(asio::buffer(buffer_), error);
+    const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
     if (error && error != asio::error::would_block) {
         close(CloseReason::ByCaller);
         return;
     }
     if (!error) {
         lastActivity_ = handlers_->now();
-        incoming_.append(buffer_.data(), size);
+        incoming_.append(buffer.data(), size);
         parse();
     }
     read();
--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -166,7 +166,6 @@
     asio::steady_timer timer_;
     std::shared_ptr<const CallerHandlers> handlers_;
     MessageParser parser_{MessageParser::Kind::Request};
-    std::vector<char> buffer_;
     /// Received bytes that are not parsed yet.
     std::string incoming_;
     std::string outgoing_;
