Bound the histories that requests continue, for a request and the daemon

A request that continues earlier turns keeps a copy of all of them before its body, which nothing counted: a small body could take up to limits.body_bytes more. The copy is now leased with the body before it is made; without memory the response is 503 with Retry-After, and the request is not run. Body and history are freed with the end of the request, also if callbacks keep its object longer.

Before, keptturns/aHistoryWithoutMemoryIsRefused timed out after 10 s, as the request was sent to the server. Now it passes.

--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -192,8 +192,6 @@
     }
     releaseServer(false);
     keptBytes_.release();
-    std::string().swap(request_.body); // callbacks may keep this object longer
-    request_.bodyLease.release();
     settle();
     if (hasPermit_) {
         owner_.controls_.returnPermit(team_->team);
@@ -206,6 +204,10 @@
     owner_.account_.requestEnded(ending.forCaller);
     owner_.countResponse(ending.status, now() - request_.arrivedAt);
     writeLog(std::move(ending));
+    // Callbacks may keep this object longer.
+    std::string().swap(request_.body);
+    std::string().swap(prefix_);
+    request_.bodyLease.release();
 }
 
 void Exchange::countOutput()
--- a/src/libs/proxy/exchangeadmission.cpp
+++ b/src/libs/proxy/exchangeadmission.cpp
@@ -76,6 +76,12 @@
         const Base::TeamId team = team_ ? team_->team.id : Base::TeamId{};
         if (chain.team != team) {
             history_ = TurnHistory::LookupResult::Absent;
+        } else if (!request_.bodyLease.resize(request_.bodyLease.size() + chain.bytes())) {
+            respondWithError(503,
+                             "no_memory",
+                             "too many bodies of requests are kept",
+                             owner_.settings_.retryAfterBusy);
+            return;
         } else {
             prefix_ = chain.joined();
             placementKey_ = chain.placementKey;
--- a/tests/libs/proxy/tst_keptturns.cpp
+++ b/tests/libs/proxy/tst_keptturns.cpp
@@ -199,3 +199,26 @@
     fixture.request("/once/", "r3");
     fixture.awaitResponse("HTTP/1.1 503");
 }
+
+/// Guards against a daemon that runs out of memory as many requests continue long histories.
+Test(keptturns, aHistoryWithoutMemoryIsRefused)
+{
+    DaemonMemory memory(Base::Bytes(0));
+    Fixture fixture;
+    fixture.passThrough().setMemory(memory);
+    History history(fixture);
+    Base::MemoryLease others(memory.requests().newHolder());
+    // Enough for the body of the request, and too little for what it continues.
+    others.forceResize(static_cast<std::size_t>(memory.requests().capacity().value()) - 20);
+    fixture.request("/kept/", "r1", "Previous: r0\r\n");
+    fixture.awaitResponse("\r\n\r\n");
+    cr_assert(fixture.received.starts_with("HTTP/1.1 503 "), "%s", fixture.received.c_str());
+    cr_assert(fixture.received.find("Retry-After: ") != std::string::npos);
+    cr_assert(fixture.first.requests().empty());
+    others.release();
+    cr_assert_eq(memory.requests().used(), Base::Bytes(0));
+    fixture.first.add({{okResponse}});
+    fixture.request("/kept/", "r2", "Previous: r0\r\n");
+    fixture.runUntil([&] { return !fixture.first.requests().empty(); }, "the server is asked");
+    cr_assert_geq(memory.requests().used(), Base::Bytes(14));
+}
