Accept no bodies where documents and the status are served

Both servers read up to 4 MB for each connection although no request to them needs a body. They now refuse bodies with 413 at the head.

Before, requestbodies/requestsForDocumentsHaveNoBodies timed out after 10 s. Now it passes, with all 230 tests of tst_proxy. The status server has the same limit and no test of its own.

--- a/src/libs/proxy/documentexchange.cpp
+++ b/src/libs/proxy/documentexchange.cpp
@@ -46,7 +46,11 @@
                    "document request of a peer rejected: " + problem,
                    {.step = "peer"});
     };
-    handlers_->limits = [] { return Contracts::CallerLimits{}; };
+    handlers_->limits = [] {
+        Contracts::CallerLimits limits;
+        limits.bodyBytes = 0; // peers only fetch
+        return limits;
+    };
     handlers_->now = std::move(now);
     handlers_->isStopping = [] { return false; };
     handlers_->onClosed = [](const auto &, const auto &) {};
--- a/src/libs/proxy/proxydaemon.cpp
+++ b/src/libs/proxy/proxydaemon.cpp
@@ -49,7 +49,11 @@
         respondToStatusRequest(caller, request);
     };
     statusHandlers_->onRejected = [](int, const std::string &) {};
-    statusHandlers_->limits = [] { return Contracts::CallerLimits{}; };
+    statusHandlers_->limits = [] {
+        Contracts::CallerLimits limits;
+        limits.bodyBytes = 0; // no status needs one
+        return limits;
+    };
     statusHandlers_->now = [this] { return passThrough_.now(); };
     statusHandlers_->isStopping = [] { return false; };
     statusHandlers_->onClosed = [](const auto &, const auto &) {};
--- a/tests/libs/proxy/tst_requestbodies.cpp
+++ b/tests/libs/proxy/tst_requestbodies.cpp
@@ -1,5 +1,9 @@
 #include "passthroughfixture.h"
 
+#include <libs/loopback.h>
+#include <proxy/documentexchange.h>
+
+#include <asio/read.hpp>
 #include <malloc.h>
 
 namespace {
@@ -335,3 +339,26 @@
                   std::chrono::nanoseconds(std::chrono::milliseconds(500)).count());
     cr_assert_eq(memory.requests().used(), Base::Bytes(0));
 }
+
+/// Guards against bodies that are kept for requests which need none.
+Test(requestbodies, requestsForDocumentsHaveNoBodies)
+{
+    class SilentFixture : public Fixture
+    {
+    public:
+        using Fixture::silentLog;
+    } fixture;
+    const auto address = freeEndpoint<asio::ip::tcp>();
+    DocumentExchange documents(fixture.context(), address, SilentFixture::silentLog(), &steadyNow);
+    documents.start();
+    asio::ip::tcp::socket caller(fixture.context());
+    caller.connect(address);
+    asio::write(caller, asio::buffer(headText("/documents/main", "secret", 100'000)));
+    std::array<char, 16> start{};
+    bool isAnswered = false;
+    asio::async_read(caller, asio::buffer(start), [&](const std::error_code &, std::size_t) {
+        isAnswered = true;
+    });
+    fixture.runUntil([&] { return isAnswered; }, "the request is refused");
+    cr_assert(std::string(start.data(), start.size()).starts_with(statusLine(413)));
+}
