Bound the requests that a store daemon keeps at a time

A daemon that keeps turns read up to 16 MB for each connection, and nothing bounded the sum of what all daemons send it together; it has 120 to 130 MB. Without memory the response is 503, which writers count as failed, as any status but 200.

turnstoreservice/requestsStayWithinTheMemory uses the new setMemory(), so it has no run on the code before.

--- a/src/libs/turnstore/turnstoreservice.cpp
+++ b/src/libs/turnstore/turnstoreservice.cpp
@@ -74,7 +74,7 @@
 {
     handlers_ = std::make_shared<Proxy::CallerHandlers>();
     handlers_->onRequest
-        = [this](const auto &caller, const auto &request) { onRequest(caller, request); };
+        = [this](const auto &caller, auto request) { onRequest(caller, std::move(request)); };
     handlers_->onRejected = [this](int, const std::string &problem) {
         log_.write(LogLevel::Warning, "request rejected: " + problem, {.step = "peer"});
     };
@@ -172,11 +172,11 @@
     scheduleTick();
 }
 
-void TurnStoreService::onRequest(const CallerPtr &caller, const Proxy::CallerRequest &request)
+void TurnStoreService::onRequest(const CallerPtr &caller, Proxy::CallerRequest request)
 {
     const std::string_view path = request.head.path();
     if (path == keepPath) {
-        keep(caller, request.body);
+        keep(caller, std::move(request));
     } else if (path == chainPath) {
         sendChain(caller, request.body);
     } else if (path == offerPath) {
@@ -205,9 +205,10 @@
 }
 
 /// Responds once the turns are durable; another status tells that they may not be.
-void TurnStoreService::keep(const CallerPtr &caller, const std::string &body)
+void TurnStoreService::keep(const CallerPtr &caller, Proxy::CallerRequest request)
 {
-    auto turns = TurnHistory::decodeKeepRequest(body);
+    auto turns = TurnHistory::decodeKeepRequest(request.body);
+    std::string().swap(request.body); // the lease is for the decoded turns from now on
     if (!turns) {
         log_.write(LogLevel::Warning, "turns cannot be decoded", {.step = "peer"});
         respond(caller, 400);
@@ -232,13 +233,15 @@
         writing_[turn.id] = callers;
     }
     ++pendingWrites_;
-    disk_.append(*shared, [this, callers, shared](WriteResult result, const auto &positions) {
-        --pendingWrites_;
-        const int status = writeEnded(*shared, result, positions);
-        for (const CallerPtr &each : *callers) {
-            respond(each, status);
-        }
-    });
+    const auto lease = std::make_shared<Base::MemoryLease>(std::move(request.bodyLease));
+    disk_.append(*shared,
+                 [this, callers, shared, lease](WriteResult result, const auto &positions) {
+                     --pendingWrites_;
+                     const int status = writeEnded(*shared, result, positions);
+                     for (const CallerPtr &each : *callers) {
+                         respond(each, status);
+                     }
+                 });
 }
 
 /// A write that is repeated while the disk is slow is not written again.
--- a/src/libs/turnstore/turnstoreservice.h
+++ b/src/libs/turnstore/turnstoreservice.h
@@ -27,6 +27,8 @@
                      Telemetry::Log &log,
                      Telemetry::Metrics &metrics);
 
+    /// Must be called before the first request; by default, the memory for requests is unlimited.
+    void setMemory(Base::MemoryBudget &requests) { handlers_->bodies = &requests; }
     /// Throws std::exception if the address cannot be bound.
     void start();
     /// Closes the listener and ends the exchange with other holders.
@@ -51,9 +53,9 @@
     using CallerPtr = std::shared_ptr<Proxy::CallerConnection>;
 
     void accept();
-    void onRequest(const CallerPtr &caller, const Proxy::CallerRequest &request);
+    void onRequest(const CallerPtr &caller, Proxy::CallerRequest request);
     void updateGauges();
-    void keep(const CallerPtr &caller, const std::string &body);
+    void keep(const CallerPtr &caller, Proxy::CallerRequest request);
     std::shared_ptr<std::vector<CallerPtr>> pendingWriteOf(
         const std::vector<TurnHistory::Turn> &turns) const;
     /// Returns the response's status.
--- a/tests/libs/turnstore/tst_turnstoreservice.cpp
+++ b/tests/libs/turnstore/tst_turnstoreservice.cpp
@@ -111,3 +111,21 @@
     cr_assert(metrics.find("marjoram_turns 1") != std::string::npos, "%s", metrics.c_str());
     cr_assert(metrics.find("marjoram_turn_synchronized 1") != std::string::npos);
 }
+
+/// Guards against a daemon that runs out of memory as all others send it turns together.
+Test(turnstoreservice, requestsStayWithinTheMemory)
+{
+    Base::MemoryBudget memory(Base::Bytes(1'000'000));
+    StoreFixture fixture(1, 1);
+    fixture.service(0).setMemory(memory);
+    const auto request = [](const std::string &id, std::size_t size) {
+        return TurnHistory::encodeKeepRequest({makeTurn(id, "", std::string(size, 'x'))});
+    };
+    cr_assert_eq(post(fixture, 0, keepPath, request("large", 600'000)).status, 503);
+    cr_assert_eq(memory.peak(), Base::Bytes(0));
+    cr_assert(!has(fixture, 0, "large"));
+    cr_assert_eq(post(fixture, 0, keepPath, request("small", 100'000)).status, 200);
+    cr_assert_geq(memory.peak(), Base::Bytes(100'000));
+    cr_assert_eq(memory.used(), Base::Bytes(0));
+    cr_assert(has(fixture, 0, "small"));
+}
