--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -205,6 +205,10 @@
     owner_.account_.requestEnded(ending.forCaller);
     owner_.countResponse(ending.status, now() - request_.arrivedAt);
     writeLog(std::move(ending));
+    // Callbacks may keep this object longer.
+    std::string().swap(request_.body);
+    std::string().swap(prefix_);
+    request_.bodyLease.release();
 }
 
 void Exchange::countOutput()
