Bound each response to a daemon's own calls

What callers saw: a connection that reaches something else than it should (an address that was used again) sends without end, and the client that daemons use for the store, for documents of other daemons and for holders of turns appended all of it to one string until the call's timeout. The daemon runs out of memory, and all of its requests end with it.

Cause: HttpCaller had no limit on a body. Now each call states the largest response; a longer body, or a Content-Length beyond it, ends the call like one without a response, with a problem that names the limit, and closes the connection.

--- a/src/libs/proxy/documentexchange.cpp
+++ b/src/libs/proxy/documentexchange.cpp
@@ -9,6 +9,10 @@
 /// Documents have a few kilobytes, and a round trip takes less than 3 ms.
 constexpr Base::Duration fetchTimeout = std::chrono::milliseconds(300);
 
+/// A configuration is one object of the store, of 1 MB at most unless the platform allows more. The
+/// entries of 600 servers take 0.2 MB, and those of 340 daemons less.
+constexpr Base::Bytes maxDocumentBytes(4 * 1024 * 1024);
+
 constexpr const char *basePath = "/documents/";
 
 /// Decodes a response body: the version on the first line, then the document.
@@ -111,7 +115,7 @@
     caller->call("GET",
                  basePath + name,
                  {},
-                 fetchTimeout,
+                 {.timeout = fetchTimeout, .responseBytes = maxDocumentBytes},
                  [callback = std::move(callback)](const CallResult &result) {
                      callback(result.status == 200 ? decode(result.body) : std::nullopt);
                  });
--- a/src/libs/proxy/httpcaller.cpp
+++ b/src/libs/proxy/httpcaller.cpp
@@ -1,5 +1,7 @@
 #include "httpcaller.h"
 
+#include <algorithm>
+
 namespace Proxy {
 
 namespace {
@@ -19,20 +21,24 @@
 class HttpCaller::Call : public std::enable_shared_from_this<HttpCaller::Call>
 {
 public:
-    Call(asio::io_context &context, std::shared_ptr<IdleConnections> idle, Done done)
+    Call(asio::io_context &context,
+         std::shared_ptr<IdleConnections> idle,
+         const CallLimits &limits,
+         Done done)
         : timer_(context)
         , idle_(std::move(idle))
+        , limits_(limits)
+        , maxBodyBytes_(static_cast<std::size_t>(limits.responseBytes.value()))
         , done_(std::move(done))
     {}
 
     void start(asio::io_context &context,
                const asio::ip::tcp::endpoint &server,
                std::string bytes,
-               bool isHead,
-               Base::Duration timeout)
+               bool isHead)
     {
         auto self = shared_from_this();
-        timer_.expires_after(timeout);
+        timer_.expires_after(limits_.timeout);
         timer_.async_wait([self](const std::error_code &error) {
             if (!error) {
                 self->fail("no response before the timeout");
@@ -45,7 +51,7 @@
             return;
         }
         connection_ = std::make_shared<ClientConnection>(context, server);
-        connection_->connect(std::min(connectTimeout, timeout),
+        connection_->connect(std::min(connectTimeout, limits_.timeout),
                              [self, bytes = std::move(bytes), isHead](const std::string &problem) {
                                  if (!problem.empty()) {
                                      self->fail("connect: " + problem);
@@ -60,11 +66,14 @@
     {
         auto self = shared_from_this();
         ClientConnection::Handlers handlers;
-        handlers.onHead = [self](const ResponseHead &head, const Framing &) {
+        handlers.onHead = [self, isHead](const ResponseHead &head, const Framing &framing) {
             self->result_.status = head.status;
+            if (!isHead && framing.length.value_or(0) > self->maxBodyBytes_) {
+                self->failAsTooLarge();
+            }
             return HeadVerdict::Accept;
         };
-        handlers.onBody = [self](const std::string &body) { self->result_.body += body; };
+        handlers.onBody = [self](const std::string &body) { self->append(body); };
         handlers.onEnd = [self](ResponseEnd end, const std::string &problem) {
             if (end != ResponseEnd::Complete) {
                 self->fail(problem);
@@ -76,6 +85,22 @@
         connection_->send(std::move(bytes), isHead, std::move(handlers));
     }
 
+    void append(const std::string &piece)
+    {
+        std::string &body = result_.body;
+        const std::size_t needed = body.size() + piece.size();
+        if (needed > maxBodyBytes_) {
+            failAsTooLarge();
+            return;
+        }
+        if (needed > body.capacity()) {
+            body.reserve(std::min(maxBodyBytes_, std::max(needed, 2 * body.capacity())));
+        }
+        body += piece;
+    }
+
+    void failAsTooLarge() { fail("response exceeds " + std::to_string(maxBodyBytes_) + " bytes"); }
+
     void keepConnection()
     {
         auto connection = std::exchange(connection_, nullptr);
@@ -113,6 +138,8 @@
 
     asio::steady_timer timer_;
     std::shared_ptr<IdleConnections> idle_;
+    CallLimits limits_;
+    std::size_t maxBodyBytes_;
     Done done_;
     std::shared_ptr<ClientConnection> connection_;
     CallResult result_;
@@ -135,7 +162,7 @@
 void HttpCaller::call(std::string method,
                       std::string target,
                       const std::string &body,
-                      Base::Duration timeout,
+                      const CallLimits &limits,
                       Done done)
 {
     RequestHead head;
@@ -145,12 +172,9 @@
     if (!body.empty()) {
         head.headers.add("Content-Type", "application/json");
     }
-    const auto call = std::make_shared<Call>(context_, idle_, std::move(done));
-    call->start(context_,
-                server_,
-                serializeRequest(head, body.size()) + body,
-                head.method == "HEAD",
-                timeout);
+    const auto call = std::make_shared<Call>(context_, idle_, limits, std::move(done));
+    call->start(
+        context_, server_, serializeRequest(head, body.size()) + body, head.method == "HEAD");
 }
 
 } // namespace Proxy
--- a/src/libs/proxy/httpcaller.h
+++ b/src/libs/proxy/httpcaller.h
@@ -20,6 +20,14 @@
     bool isNotSent = false;
 };
 
+/// Limits on one call.
+struct CallLimits
+{
+    Base::Duration timeout{};
+    /// The largest body of a response. A larger one counts as no response, and ends the connection.
+    Base::Bytes responseBytes;
+};
+
 /// Client of one HTTP server with persistent connections. Does not retry calls. Not thread-safe.
 class HttpCaller
 {
@@ -33,7 +41,7 @@
     void call(std::string method,
               std::string target,
               const std::string &body,
-              Base::Duration timeout,
+              const CallLimits &limits,
               Done done);
 
 private:
--- a/src/libs/turnstore/holderaddress.h
+++ b/src/libs/turnstore/holderaddress.h
@@ -15,6 +15,13 @@
     bool operator==(const HolderAddress &) const = default;
 };
 
+/// The largest message with turns between daemons: a batch of copies, or one turn of the largest
+/// size that callers may send.
+constexpr Base::Bytes maxTurnsMessage(16 * 1024 * 1024);
+
+/// The response to turns that are to be kept is a status, with a few words at most.
+constexpr Base::Bytes maxKeepResponse(64 * 1024);
+
 /// Response status of a holder whose disk has no room.
 constexpr int diskFullStatus = 507;
 
--- a/src/libs/turnstore/turnkeeper.cpp
+++ b/src/libs/turnstore/turnkeeper.cpp
@@ -93,6 +93,7 @@
             owner_.call(vm,
                         keepPath,
                         body_,
+                        maxKeepResponse,
                         [self = shared_from_this(), vm](const Proxy::CallResult &result) {
                             self->onAnswer(vm, result);
                         });
@@ -304,6 +305,7 @@
                 vm,
                 chainPath,
                 body,
+                maxTurnsMessage,
                 [self = shared_from_this(), vm, number = searchNumber_](
                     const Proxy::CallResult &result) { self->onAnswer(vm, number, result); });
         }
@@ -584,6 +586,7 @@
 void TurnKeeper::call(const Base::VmId &vm,
                       const char *path,
                       const std::string &body,
+                      Base::Bytes maxResponse,
                       std::function<void(const Proxy::CallResult &)> done)
 {
     const auto entry = holders_.find(vm);
@@ -593,7 +596,11 @@
         done(result);
         return;
     }
-    entry->second.caller->call("POST", path, body, callTimeout, std::move(done));
+    entry->second.caller->call("POST",
+                               path,
+                               body,
+                               {.timeout = callTimeout, .responseBytes = maxResponse},
+                               std::move(done));
 }
 
 void TurnKeeper::find(const TurnId &id, const std::string &placementKey, LookupDone done)
--- a/src/libs/turnstore/turnkeeper.h
+++ b/src/libs/turnstore/turnkeeper.h
@@ -87,6 +87,7 @@
     void call(const Base::VmId &vm,
               const char *path,
               const std::string &body,
+              Base::Bytes maxResponse,
               std::function<void(const Proxy::CallResult &)> done);
 
     asio::io_context &context_;
--- a/src/libs/turnstore/turnstoreservice.cpp
+++ b/src/libs/turnstore/turnstoreservice.cpp
@@ -31,9 +31,6 @@
 constexpr std::uint64_t maxCopyBytes = 1024 * 1024;
 constexpr std::uint64_t maxChainBytes = 2 * 1024 * 1024;
 
-/// Limit on a request: a copy batch, or one turn of the largest size that callers may send.
-constexpr std::size_t maxRequestBytes = 16 * 1024 * 1024;
-
 constexpr const char *metricsPath = "/metrics";
 
 TurnHistory::UnixTime unixNow()
@@ -80,7 +77,7 @@
     };
     handlers_->limits = [] {
         Contracts::CallerLimits limits;
-        limits.bodyBytes = maxRequestBytes;
+        limits.bodyBytes = static_cast<std::size_t>(maxTurnsMessage.value());
         return limits;
     };
     handlers_->now = now_;
@@ -377,7 +374,8 @@
         "POST",
         offerPath,
         TurnHistory::encodeOfferRequest(offer.request),
-        offerTimeout,
+        // The response names no more turns than the request, which has the same limit.
+        {.timeout = offerTimeout, .responseBytes = maxTurnsMessage},
         [this, offer](const Proxy::CallResult &result) { onOfferAnswer(offer, result); });
 }
 
@@ -430,7 +428,7 @@
         "POST",
         keepPath,
         TurnHistory::encodeKeepRequest(batch),
-        copyTimeout,
+        {.timeout = copyTimeout, .responseBytes = maxKeepResponse},
         [this, offer, missing = std::move(missing)](const Proxy::CallResult &result) {
             const auto receiver = peers_.find(offer.peer);
             if (receiver == peers_.end()) {
--- a/tests/libs/proxy/tst_httpcaller.cpp
+++ b/tests/libs/proxy/tst_httpcaller.cpp
@@ -1,10 +1,13 @@
 #include "passthroughfixture.h"
 
+#include <libs/heapuse.h>
 #include <libs/loopback.h>
-#include <proxy/httpcaller.h>
+#include <proxy/documentexchange.h>
 
 namespace {
 
+constexpr std::size_t maxBody = 1000;
+
 const std::string framedHead = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
 const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -17,7 +20,8 @@
     server.add(script);
     HttpCaller caller(context, server.endpoint(), "x.example");
     std::optional<CallResult> result;
-    caller.call("GET", "/", {}, guardTime, [&](CallResult each) { result = std::move(each); });
+    const CallLimits limits{.timeout = guardTime, .responseBytes = Base::Bytes(maxBody)};
+    caller.call("GET", "/", {}, limits, [&](CallResult each) { result = std::move(each); });
     while (!result) {
         context.run_one();
     }
@@ -42,3 +46,62 @@
         cr_assert_eq(call({{response}, true}).body, "howdy");
     }
 }
+
+/// Guards against a limit that refuses a response of the largest size, or lets a larger one pass.
+Test(httpcaller, aResponseBeyondTheLimitIsNoResponse)
+{
+    for (const std::size_t size : {maxBody, maxBody + 1}) {
+        const std::string body(size, 'x');
+        const std::string length = "Content-Length: " + std::to_string(size) + "\r\n\r\n";
+        for (const std::string &response : {"HTTP/1.1 200 OK\r\n" + length + body,
+                                            chunkedHead + chunk(body) + "0\r\n\r\n",
+                                            "HTTP/1.1 200 OK\r\n\r\n" + body}) {
+            const CallResult result = call({{response}, true});
+            const bool isAllowed = size == maxBody;
+            cr_assert_eq(result.status, isAllowed ? 200 : 0, "%zu bytes", size);
+            cr_assert_eq(result.body.size(), isAllowed ? size : 0);
+            cr_assert_eq(result.problem, isAllowed ? "" : "response exceeds 1000 bytes");
+            cr_assert(!result.isNotSent);
+        }
+    }
+    // The stated length is enough.
+    const CallResult result = call({{"HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n"}});
+    cr_assert_eq(result.problem, "response exceeds 1000 bytes");
+}
+
+/// Guards against a daemon that runs out of memory as it fetches a document from an address at
+/// which something else sends without end.
+Test(httpcaller, aDocumentWithoutEndIsNotKept)
+{
+    constexpr std::size_t limit = 16 * 1000 * 1000;
+    const std::string tail(1000, 'x');
+    Telemetry::Log log(
+        {.file = {}, .level = Telemetry::LogLevel::Error, .daemon = {}, .keyPrefixes = {}});
+    for (const std::string &head :
+         {std::string("HTTP/1.1 200 OK\r\n\r\n7\n"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n7\n"),
+          chunkedHead}) {
+        asio::io_context context;
+        ScriptedServer server(context);
+        const bool isChunked = head == chunkedHead;
+        server.add({.responses = {head}, .endlessTail = isChunked ? chunk(tail) : tail});
+        DocumentExchange documents(
+            context, freeEndpoint<asio::ip::tcp>(), log, [] { return steadyNow(); });
+        const std::size_t before = heapBytes();
+        std::size_t highest = before;
+        bool isDone = false;
+        const auto &address = server.endpoint();
+        documents.fetch({address.address(), address.port()}, "servers", [&](const auto &document) {
+            isDone = true;
+            cr_assert(!document);
+        });
+        while (!isDone) {
+            context.run_one();
+            highest = std::max(highest, heapBytes());
+        }
+        cr_assert_lt(highest - before, limit, "%s: %zu bytes", head.c_str(), highest - before);
+        while (server.closedByPeer() == 0) {
+            context.run_one();
+        }
+    }
+}
--- a/tests/libs/turnstore/tst_turnkeeper.cpp
+++ b/tests/libs/turnstore/tst_turnkeeper.cpp
@@ -1,5 +1,7 @@
 #include "storefixture.h"
 
+#include <libs/heapuse.h>
+#include <libs/proxy/scriptedserver.h>
 #include <libs/turnhistory/turns.h>
 
 #include <criterion/criterion.h>
@@ -189,3 +191,41 @@
     cr_assert(!hasCalledBack);
     cr_assert_eq(fixture.find("a"), LookupResult::Absent);
 }
+
+/// Guards against a daemon that runs out of memory as it reads a turn from, or writes one to, an
+/// address at which something else sends without end.
+Test(turnkeeper, responsesWithoutEndAreNotKept)
+{
+    // Two holders are read from at once; a buffer that grows exists beside the one before it.
+    const auto limit = static_cast<std::size_t>(3 * maxTurnsMessage.value()) + 1'000'000;
+    StoreFixture fixture(2, 2);
+    ScriptedServer server(fixture.context);
+    server.setDefaultScript(
+        {.responses = {"HTTP/1.1 200 OK\r\n\r\n"}, .endlessTail = std::string(64 * 1024, 'x')});
+    std::vector<HolderAddress> addresses = fixture.addresses();
+    for (HolderAddress &address : addresses) {
+        address.endpoint = server.endpoint();
+    }
+    fixture.keeper->setHolders(addresses);
+    const std::size_t before = heapBytes();
+    std::size_t highest = before;
+    int ended = 0;
+    fixture.keeper->keep(makeTurn("a"), {}, [&](bool isKept) {
+        cr_assert(!isKept);
+        ++ended;
+    });
+    const auto isEnded = [&] {
+        highest = std::max(highest, heapBytes());
+        return ended > 0;
+    };
+    runUntil(fixture.context, isEnded, "the turn is kept or not");
+    cr_assert_lt(highest - before, 4 * 1000 * 1000, "write: %zu bytes", highest - before);
+    ended = 0;
+    highest = before;
+    fixture.keeper->find(TurnHistory::TurnId("a"), "program", [&](auto found, const auto &) {
+        cr_assert_eq(found, LookupResult::Unavailable);
+        ++ended;
+    });
+    runUntil(fixture.context, isEnded, "the chain is found or not");
+    cr_assert_lt(highest - before, limit, "read: %zu bytes", highest - before);
+}
--- a/tests/libs/turnstore/tst_turnstoreservice.cpp
+++ b/tests/libs/turnstore/tst_turnstoreservice.cpp
@@ -28,9 +28,12 @@
     const auto endpoint = fixture.addresses()[holder].endpoint;
     Proxy::HttpCaller caller(fixture.context, endpoint, "test");
     std::optional<Proxy::CallResult> result;
-    caller.call("POST", path, body, std::chrono::seconds(5), [&](Proxy::CallResult answer) {
-        result = std::move(answer);
-    });
+    const Proxy::CallLimits limits{
+        .timeout = std::chrono::seconds(5),
+        .responseBytes = maxTurnsMessage,
+    };
+    caller.call(
+        "POST", path, body, limits, [&](Proxy::CallResult answer) { result = std::move(answer); });
     runUntil(
         fixture.context, [&] { return result.has_value(); }, "the call ends");
     return *result;
--- a/tests/platform/tst_oddentries.cpp
+++ b/tests/platform/tst_oddentries.cpp
@@ -379,3 +379,21 @@
     cr_assert_eq(directory.daemons().size(), 2);
     cr_assert_eq(directory.daemons().back().vm, Base::VmId("b"));
 }
+
+/// Guards against a limit on documents that a daemon without the store cannot get a long list
+/// under.
+Test(oddentries, theListOfALargeDeploymentIsFarBelowTheLimit)
+{
+    constexpr std::size_t count = 600;
+    constexpr std::size_t documentLimit = 4 * 1024 * 1024;
+    Fixture fixture;
+    for (std::size_t i = 0; i < count; ++i) {
+        fixture.platform.put("servers", "server-of-a-long-name-" + std::to_string(i), server());
+    }
+    Daemon starting(fixture.context, fixture.platform);
+    fixture.runUntil([&] { return starting.listed.size() == count; }, "the servers");
+    Daemon cutOff(fixture.context, fixture.refusing, starting.address);
+    fixture.runUntil([&] { return cutOff.listed.size() == count; }, "the list of another daemon");
+    const std::size_t size = fixture.documentOf(starting)->body.size();
+    cr_assert_lt(size, documentLimit / 8, "%zu bytes", size);
+}
--- a/tests/platform/tst_platformadapter.cpp
+++ b/tests/platform/tst_platformadapter.cpp
@@ -93,6 +93,16 @@
     cr_assert_eq(parseNodeSettings(file.dump()).problems.front().path, "/limits/memory_mb");
 }
 
+/// Guards against a limit on responses of the store that does not follow what the platform allows.
+Test(nodesettings, readsTheLargestObjectOfTheStore)
+{
+    json file = nodeFile();
+    file["platform"].erase("value_bytes");
+    cr_assert_eq(parseNodeSettings(file.dump()).settings.maxStoreObject, Base::Bytes(1024 * 1024));
+    file["platform"]["value_bytes"] = 3'000'000;
+    cr_assert_eq(parseNodeSettings(file.dump()).settings.maxStoreObject, Base::Bytes(3'000'000));
+}
+
 Test(nodesettings, readsWhatADaemonThatKeepsTurnsNeeds)
 {
     json file = nodeFile();
