Bound the sum of responses to a daemon's own calls

What callers saw: each response to a call of the daemon is bounded, but many holders of turns that send large responses at once still take the memory of the daemon, and all of its requests end with it.

Cause: nothing counted the responses in progress together. A body that may not grow ends its call like one whose connection broke. Calls to holders of turns also leave an eighth of the part free on growing, so that the store and documents of other daemons get theirs. Daemons that keep turns have no budget yet.

--- a/src/libs/proxy/documentexchange.cpp
+++ b/src/libs/proxy/documentexchange.cpp
@@ -111,6 +111,9 @@
     std::shared_ptr<HttpCaller> &caller = callers_[server];
     if (!caller) {
         caller = std::make_shared<HttpCaller>(context_, server, server.address().to_string());
+        if (memory_) {
+            caller->setMemory(*memory_);
+        }
     }
     caller->call("GET",
                  basePath + name,
--- a/src/libs/proxy/documentexchange.h
+++ b/src/libs/proxy/documentexchange.h
@@ -29,6 +29,8 @@
                      Telemetry::Log &log,
                      std::function<Base::Instant()> now);
 
+    /// Documents of peers are leased from the budget, which must outlive the calls to them.
+    void setMemory(Base::MemoryBudget &budget) { memory_ = &budget; }
     /// Throws std::exception if the address cannot be bound.
     void start();
     /// Ignores \a document unless its version is newer.
@@ -45,6 +47,8 @@
     asio::io_context &context_;
     asio::ip::tcp::endpoint address_;
     Telemetry::Log &log_;
+    /// Null means unlimited.
+    Base::MemoryBudget *memory_ = nullptr;
     asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<CallerHandlers> handlers_;
     std::map<std::string, VersionedDocument> documents_;
--- a/src/libs/proxy/httpcaller.cpp
+++ b/src/libs/proxy/httpcaller.cpp
@@ -32,6 +32,12 @@
         , done_(std::move(done))
     {}
 
+    void setMemory(std::shared_ptr<Base::MemoryBudget::Holder> holder, Base::Bytes reserve)
+    {
+        lease_ = Base::MemoryLease(std::move(holder));
+        reserve_ = static_cast<std::size_t>(reserve.value());
+    }
+
     void start(asio::io_context &context,
                const asio::ip::tcp::endpoint &server,
                std::string bytes,
@@ -94,11 +100,21 @@
             return;
         }
         if (needed > body.capacity()) {
-            body.reserve(std::min(maxBodyBytes_, std::max(needed, 2 * body.capacity())));
+            const std::size_t size = std::min(maxBodyBytes_, std::max(needed, 2 * body.capacity()));
+            if (!mayKeep(size)) {
+                fail("no memory for the response");
+                return;
+            }
+            body.reserve(size);
         }
         body += piece;
     }
 
+    bool mayKeep(std::size_t size)
+    {
+        return lease_.mayGrow(size - lease_.size() + reserve_) && lease_.resize(size);
+    }
+
     void failAsTooLarge() { fail("response exceeds " + std::to_string(maxBodyBytes_) + " bytes"); }
 
     void keepConnection()
@@ -143,6 +159,8 @@
     Done done_;
     std::shared_ptr<ClientConnection> connection_;
     CallResult result_;
+    Base::MemoryLease lease_;
+    std::size_t reserve_ = 0;
 };
 
 HttpCaller::HttpCaller(asio::io_context &context, asio::ip::tcp::endpoint server, std::string host)
@@ -159,6 +177,12 @@
     }
 }
 
+void HttpCaller::setMemory(Base::MemoryBudget &budget, Base::Bytes reserve)
+{
+    memory_ = budget.holder(server_.address().to_string() + ":" + std::to_string(server_.port()));
+    reserve_ = reserve;
+}
+
 void HttpCaller::call(std::string method,
                       std::string target,
                       const std::string &body,
@@ -173,6 +197,7 @@
         head.headers.add("Content-Type", "application/json");
     }
     const auto call = std::make_shared<Call>(context_, idle_, limits, std::move(done));
+    call->setMemory(memory_, reserve_);
     call->start(
         context_, server_, serializeRequest(head, body.size()) + body, head.method == "HEAD");
 }
--- a/src/libs/proxy/httpcaller.h
+++ b/src/libs/proxy/httpcaller.h
@@ -2,6 +2,8 @@
 
 #include "clientconnection.h"
 
+#include <base/memorybudget.h>
+
 #include <asio/io_context.hpp>
 
 #include <deque>
@@ -37,6 +39,11 @@
     HttpCaller(asio::io_context &context, asio::ip::tcp::endpoint server, std::string host);
     ~HttpCaller();
 
+    /// Leases the bodies of responses from the budget, as a holder with the address of the server.
+    /// A body that may not grow counts as no response. That many bytes stay free for calls to other
+    /// servers. The budget must outlive the calls.
+    void setMemory(Base::MemoryBudget &budget, Base::Bytes reserve = {});
+
     /// Always calls back, at the latest after the timeout.
     void call(std::string method,
               std::string target,
@@ -50,6 +57,8 @@
     asio::io_context &context_;
     asio::ip::tcp::endpoint server_;
     std::string host_;
+    std::shared_ptr<Base::MemoryBudget::Holder> memory_;
+    Base::Bytes reserve_;
     /// Shared with calls in flight, which may outlive this object.
     std::shared_ptr<std::deque<std::shared_ptr<ClientConnection>>> idle_;
 };
--- a/src/libs/turnstore/turnkeeper.cpp
+++ b/src/libs/turnstore/turnkeeper.cpp
@@ -38,6 +38,12 @@
 constexpr Base::Duration lookupTime = std::chrono::milliseconds(350);
 constexpr Base::Duration lookupInterval = std::chrono::milliseconds(100);
 
+/// What chains leave free for the store and for documents of other daemons.
+Base::Bytes reserveOf(const Base::MemoryBudget &budget)
+{
+    return Base::Bytes(budget.capacity().value() / 8);
+}
+
 } // namespace
 
 /// Writes one turn. The holders that rank first are asked at once, others as those fail or are
@@ -501,6 +507,9 @@
         state.address = address;
         state.caller = std::make_shared<Proxy::HttpCaller>(
             context_, address.endpoint, address.endpoint.address().to_string());
+        if (memory_) {
+            state.caller->setMemory(*memory_, reserveOf(*memory_));
+        }
         state.nextBackoff = firstBackoff;
         next.emplace(address.holder.vm, std::move(state));
     }
--- a/src/libs/turnstore/turnkeeper.h
+++ b/src/libs/turnstore/turnkeeper.h
@@ -45,6 +45,9 @@
                Telemetry::Log &log,
                Telemetry::Metrics &metrics);
 
+    /// Responses of holders are leased from the budget, which must outlive the calls to them.
+    /// Applies to the holders that are set later.
+    void setMemory(Base::MemoryBudget &budget) { memory_ = &budget; }
     void setHolders(const Holders &holders);
     /// Whether enough holders with room on their disks are known to keep a turn.
     bool isAvailable() const;
@@ -96,6 +99,8 @@
     std::function<Base::Instant()> now_;
     Telemetry::Log &log_;
     Telemetry::Metrics &metrics_;
+    /// Null means unlimited.
+    Base::MemoryBudget *memory_ = nullptr;
     /// Turns that are being written.
     std::size_t pendingKeeps_ = 0;
     TurnHistory::TurnCache cache_;
--- a/tests/libs/proxy/tst_httpcaller.cpp
+++ b/tests/libs/proxy/tst_httpcaller.cpp
@@ -52,10 +52,11 @@
 {
     for (const std::size_t size : {maxBody, maxBody + 1}) {
         const std::string body(size, 'x');
-        const std::string length = "Content-Length: " + std::to_string(size) + "\r\n\r\n";
-        for (const std::string &response : {"HTTP/1.1 200 OK\r\n" + length + body,
-                                            chunkedHead + chunk(body) + "0\r\n\r\n",
-                                            "HTTP/1.1 200 OK\r\n\r\n" + body}) {
+        std::string framed = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size);
+        framed += "\r\n\r\n";
+        framed += body;
+        for (const std::string &response :
+             {framed, chunkedHead + chunk(body) + "0\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n" + body}) {
             const CallResult result = call({{response}, true});
             const bool isAllowed = size == maxBody;
             cr_assert_eq(result.status, isAllowed ? 200 : 0, "%zu bytes", size);
@@ -105,3 +106,49 @@
         }
     }
 }
+
+/// Guards against a daemon that runs out of memory as many holders of turns send large responses at
+/// once, and against such holders that leave no memory for the responses of the store.
+Test(httpcaller, theSumOfResponsesIsLimited)
+{
+    constexpr int holderCount = 8;
+    constexpr std::size_t sent = 300'000;
+    const Base::Bytes capacity(2'000'000);
+    const Base::Bytes reserve(capacity.value() / 8);
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: ";
+    Base::MemoryBudget budget(capacity);
+    {
+        asio::io_context context;
+        const CallLimits limits{std::chrono::seconds(1), Base::Bytes(16'000'000)};
+        std::vector<std::unique_ptr<ScriptedServer>> servers;
+        std::vector<std::unique_ptr<HttpCaller>> callers;
+        std::vector<std::string> problems;
+        const auto call
+            = [&](const std::string &response, Base::Bytes left, HttpCaller::Done done) {
+                  servers.push_back(std::make_unique<ScriptedServer>(context));
+                  servers.back()->add({{response}});
+                  callers.push_back(std::make_unique<HttpCaller>(
+                      context, servers.back()->endpoint(), "x.example"));
+                  callers.back()->setMemory(budget, left);
+                  callers.back()->call("GET", "/", {}, limits, std::move(done));
+              };
+        for (int i = 0; i < holderCount; ++i) {
+            call(head + "10000000\r\n\r\n" + std::string(sent, 'x'), reserve, [&](auto result) {
+                problems.push_back(result.problem);
+            });
+        }
+        context.run_for(std::chrono::milliseconds(300));
+        cr_assert_leq(budget.peak(), capacity, "%ld bytes", long(budget.peak().value()));
+        cr_assert(!problems.empty() && problems.size() < holderCount);
+        cr_assert_eq(problems.front(), "no memory for the response");
+        std::optional<CallResult> page;
+        call(head + "100000\r\n\r\n" + std::string(100'000, 'x'), {}, [&](auto result) {
+            page = std::move(result);
+        });
+        context.run_for(std::chrono::milliseconds(200));
+        cr_assert(page && page->status == 200 && problems.size() < holderCount);
+        context.run_for(std::chrono::milliseconds(800));
+        cr_assert_eq(problems.size(), holderCount);
+    }
+    cr_assert_eq(budget.used(), Base::Bytes(0));
+}
