--- a/src/libs/turnstore/turnkeeper.cpp
+++ b/src/libs/turnstore/turnkeeper.cpp
@@ -38,6 +38,12 @@
 constexpr Base::Duration lookupTime = std::chrono::milliseconds(350);
 constexpr Base::Duration lookupInterval = std::chrono::milliseconds(100);
 
+/// What chains leave free for the store and for documents of other daemons.
+Base::Bytes reserveOf(const Base::MemoryBudget &budget)
+{
+    return Base::Bytes(budget.capacity().value() / 8);
+}
+
 } // namespace
 
 /// Writes one turn. The holders that rank first are asked at once, others as those fail or are
@@ -93,6 +99,7 @@
             owner_.call(vm,
                         keepPath,
                         body_,
+                        maxKeepResponse,
                         [self = shared_from_this(), vm](const Proxy::CallResult &result) {
                             self->onAnswer(vm, result);
                         });
@@ -304,6 +311,7 @@
                 vm,
                 chainPath,
                 body,
+                maxTurnsMessage,
                 [self = shared_from_this(), vm, number = searchNumber_](
                     const Proxy::CallResult &result) { self->onAnswer(vm, number, result); });
         }
@@ -499,6 +507,9 @@
         state.address = address;
         state.caller = std::make_shared<Proxy::HttpCaller>(
             context_, address.endpoint, address.endpoint.address().to_string());
+        if (memory_) {
+            state.caller->setMemory(*memory_, reserveOf(*memory_));
+        }
         state.nextBackoff = firstBackoff;
         next.emplace(address.holder.vm, std::move(state));
     }
@@ -584,6 +595,7 @@
 void TurnKeeper::call(const Base::VmId &vm,
                       const char *path,
                       const std::string &body,
+                      Base::Bytes maxResponse,
                       std::function<void(const Proxy::CallResult &)> done)
 {
     const auto entry = holders_.find(vm);
@@ -593,7 +605,11 @@
         done(result);
         return;
     }
-    entry->second.caller->call("POST", path, body, callTimeout, std::move(done));
+    entry->second.caller->call("POST",
+                               path,
+                               body,
+                               {.timeout = callTimeout, .responseBytes = maxResponse},
+                               std::move(done));
 }
 
 void TurnKeeper::find(const TurnId &id, const std::string &placementKey, LookupDone done)
