Eject a server at once that breaks the protocol

What callers saw: a server whose responses begin well and then break gets the next requests too, although a sound server of the service is there.

The head of a response counted as a success: it cleared the failures of the server, so three in a row were never reached, and its short latency attracted requests. A failure adds 150 ms to the expected cost, less than what a sound server with some work costs.

protocolViolated ejects the server at once, for 500 ms and up to 4 s if it is repeated. Heads of other responses do not end that, and responses that break meanwhile do not prolong it, as their requests were sent before. A service whose only server is ejected still uses it. Exchange reports each broken response of a connection so.

Both tests failed before: aServerThatBreaksTheProtocolLosesItsPlaceAtOnce, with the calls of before (the faulty server is chosen), and aServerThatBreaksAResponseDoesNotGetTheNextRequest (it got the next request). tst_dispatch (93) passes. tst_proxy (228) passes, linked while test files that include the changed header were still being compiled again. Not measured on the process; the effect of single broken responses of several sound servers under load is not measured either.

--- a/src/libs/dispatch/requestplacer.cpp
+++ b/src/libs/dispatch/requestplacer.cpp
@@ -22,6 +22,9 @@
     double failureRate = 0;
     Base::Instant ratedAt;
     std::optional<Base::Instant> ejectedUntil;
+    /// End and length of the last ejection for a violation of the protocol.
+    std::optional<Base::Instant> violatorUntil;
+    Base::Duration violatorTime{};
     bool hasAnnouncedLeaving = false;
     bool isZoneClosed = false;
     /// End of the last period without permits of the server's request limit.
@@ -355,7 +358,8 @@
                                           Base::Instant now)
 {
     Rank rank;
-    rank.isEjected = server.ejectedUntil && now < *server.ejectedUntil;
+    rank.isEjected = (server.ejectedUntil && now < *server.ejectedUntil)
+                     || (server.violatorUntil && now < *server.violatorUntil);
     rank.isExhausted = now < server.exhaustedUntil;
     rank.cost = rank.isExhausted ? Base::toSeconds(server.exhaustedUntil - now)
                                  : costOf(server, prompt, now);
@@ -418,6 +422,26 @@
     server->failures = 0;
 }
 
+/// A response begins with a valid head before it breaks, so the heads of other responses do not end
+/// the ejection.
+void RequestPlacer::protocolViolated(const ServerInstance &instance, Base::Instant now)
+{
+    Server *server = find(instance);
+    if (!server) {
+        return;
+    }
+    recordOutcome(*server, true, now);
+    if (server->violatorUntil && now < *server->violatorUntil) {
+        return; // the request was sent before the ejection
+    }
+    const bool isRepeated
+        = server->violatorUntil && now - *server->violatorUntil < settings_.longestEjection;
+    server->violatorTime = isRepeated
+                               ? std::min(settings_.longestEjection, 2 * server->violatorTime)
+                               : settings_.firstEjection;
+    server->violatorUntil = now + server->violatorTime;
+}
+
 void RequestPlacer::permitDenied(const ServerInstance &instance, Base::Instant until)
 {
     if (Server *server = find(instance)) {
--- a/src/libs/dispatch/requestplacer.h
+++ b/src/libs/dispatch/requestplacer.h
@@ -137,6 +137,9 @@
                           Base::Instant now);
     /// No connection, an error or an invalid response, or no response before the timeout.
     void requestFailed(const ServerInstance &instance, Base::Instant now);
+    /// The server sent bytes that are no response. It comes after all others for a limited time,
+    /// whatever the heads of its other responses say.
+    void protocolViolated(const ServerInstance &instance, Base::Instant now);
     /// Running and waiting requests of all daemons, as reported in a response.
     void loadReported(const ServerInstance &instance,
                       std::uint32_t running,
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -273,7 +273,11 @@
                 {fingerprints_, placement_->instance, crashStage(), now() - sentAt_});
         }
         releaseServer(false);
-        owner_.placer_.requestFailed(placement_->instance, now());
+        if (end == ResponseEnd::Broken) {
+            owner_.placer_.protocolViolated(placement_->instance, now());
+        } else {
+            owner_.placer_.requestFailed(placement_->instance, now());
+        }
         onBroken(problem);
         return;
     }
--- a/tests/libs/dispatch/tst_requestplacer.cpp
+++ b/tests/libs/dispatch/tst_requestplacer.cpp
@@ -160,6 +160,44 @@
     cr_assert_eq(chosen(placer), "s2");
 }
 
+/// Guards against a server whose responses begin at once and break, and which is chosen for its
+/// latency although a sound server is there.
+Test(requestplacer, aServerThatBreaksTheProtocolLosesItsPlaceAtOnce)
+{
+    RequestPlacer placer(here, withoutJitter(), 1);
+    placer.serversChanged({server("s1"), server("s2")});
+    const ServerInstance faulty{Base::ServerId("s1"), 1};
+    const ServerInstance sound{Base::ServerId("s2"), 1};
+    const auto breakResponse = [&](std::int64_t now) {
+        placer.responseReceived(faulty, std::chrono::milliseconds(1), at(now));
+        placer.protocolViolated(faulty, at(now));
+    };
+    placer.responseReceived(sound, std::chrono::seconds(1), at(0));
+    breakResponse(0);
+    cr_assert_eq(chosen(placer), "s2");
+    // The head of another response does not show that the server is sound again.
+    placer.responseReceived(faulty, std::chrono::milliseconds(1), at(100));
+    cr_assert_eq(chosen(placer, {}, 499), "s2");
+    // Responses that break meanwhile are those of requests that were sent before.
+    breakResponse(400);
+    cr_assert_eq(chosen(placer, {}, 501), "s1", "the server is tried again");
+    breakResponse(510);
+    cr_assert_eq(chosen(placer, {}, 1'509), "s2", "the second time is longer");
+    cr_assert_eq(chosen(placer, {}, 1'511), "s1");
+    breakResponse(9'000);
+    cr_assert_eq(chosen(placer, {}, 9'499), "s2");
+    cr_assert_eq(chosen(placer, {}, 9'501), "s1", "an old violation does not count");
+}
+
+/// Guards against a service without a server because its only one broke a response.
+Test(requestplacer, aServerThatBreaksTheProtocolIsChosenIfThereIsNoOther)
+{
+    RequestPlacer placer(here, withoutJitter(), 1);
+    placer.serversChanged({server("s1")});
+    placer.protocolViolated({Base::ServerId("s1"), 1}, at(0));
+    cr_assert_eq(chosen(placer), "s1");
+}
+
 Test(requestplacer, ejectsAFailingServerForALimitedTime)
 {
     PlacementSettings settings = withoutJitter();
--- a/tests/libs/proxy/tst_skippedbytes.cpp
+++ b/tests/libs/proxy/tst_skippedbytes.cpp
@@ -159,3 +159,27 @@
                   request.substr(0, 200).c_str());
     }
 }
+
+/// Guards against a server that breaks the protocol and gets the next request although another one
+/// is there, because that one has more to do.
+Test(skippedbytes, aServerThatBreaksAResponseDoesNotGetTheNextRequest)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.second.add({{"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nProof: p\r\nRunning: 90\r\n"
+                         "Content-Length: 5\r\n\r\nhello",
+                         okResponse}});
+    fixture.first.add({{chunkedHead + "5" + extension(6'000)}});
+    fixture.first.add({{okResponse}});
+    fixture.listSecondOnly();
+    fixture.request("/once/", "r1");
+    fixture.awaitResponse("Request-Id: r1");
+    fixture.awaitResponse("hello");
+    fixture.listSecondElsewhere();
+    fixture.request("/once/", "r2");
+    fixture.awaitResponse("HTTP/1.1 502");
+    cr_assert_eq(fixture.first.requests().size(), 1);
+    fixture.request("/once/", "r3");
+    fixture.awaitResponse("Request-Id: r3");
+    cr_assert_eq(fixture.first.requests().size(), 1, "the faulty server got the next request");
+}
