--- a/tests/libs/proxy/tst_messageparser.cpp
+++ b/tests/libs/proxy/tst_messageparser.cpp
@@ -169,10 +169,13 @@
         extensions += "1" + shortExtension + "\r\nx\r\n";
         trailers += "Name: " + shortExtension + "\r\n";
     }
-    for (const std::string &text : {emptyLines + chunked + "0\r\n\r\n",
-                                    chunked + "1" + longExtension + "\r\nx\r\n0\r\n\r\n",
-                                    chunked + extensions + "0\r\n\r\n",
-                                    chunked + "1\r\nx\r\n0\r\n" + trailers + "\r\n"}) {
+    const std::vector<std::string> excessive{
+        emptyLines + chunked + "0\r\n\r\n",
+        chunked + "1" + longExtension + "\r\nx\r\n0\r\n\r\n",
+        chunked + extensions + "0\r\n\r\n",
+        chunked + "1\r\nx\r\n0\r\n" + trailers + "\r\n",
+    };
+    for (const std::string &text : excessive) {
         cr_assert_eq(stateOf(text), ParseState::Failed, "accepted: %s", text.c_str());
         cr_assert_eq(parse(request, text, 7).error, ParseError::Malformed);
     }
