Soak: measure daemons that receive bytes without end

What callers saw: a faulty server or callers send bytes without end, a daemon runs out of memory, and all of its requests end with it. The tests of the parts count the heap of one process; nothing measured a daemon as a whole.

--- a/tests/soak/daemonprocess.cpp
+++ b/tests/soak/daemonprocess.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <csignal>
+#include <fstream>
 #include <system_error>
 
 namespace Soak {
@@ -67,4 +68,16 @@
     return status;
 }
 
+std::int64_t DaemonProcess::peakKilobytes() const
+{
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    const std::string name = "VmHWM:";
+    for (std::string line; isRunning() && std::getline(status, line);) {
+        if (line.starts_with(name)) {
+            return std::stoll(line.substr(name.size()));
+        }
+    }
+    return 0;
+}
+
 } // namespace Soak
--- /dev/null
+++ b/tests/soak/floodenvironment.cpp
@@ -0,0 +1,259 @@
+#include "floodenvironment.h"
+
+#include <map>
+
+#include <csignal>
+#include <fstream>
+
+namespace Soak {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int callerPort = 7080;
+constexpr int statusPort = 7081;
+constexpr int peerPort = 7082;
+constexpr int firstFreePort = 7083;
+constexpr std::size_t writeBytes = 65536;
+constexpr std::size_t maxBodyBytes = 4 * 1024 * 1024;
+constexpr int kilobytesPerMegabyte = 1000;
+constexpr int timeoutMs = 2500;
+
+const std::string plainHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: flood\r\n";
+const std::string streamHead
+    = plainHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Repeats the text up to the size of one write.
+std::string repeated(const std::string &text)
+{
+    std::string result;
+    while (result.size() + text.size() <= writeBytes) {
+        result += text;
+    }
+    return result;
+}
+
+/// 0x10000 bytes are one write.
+std::string chunk(std::string content)
+{
+    content.resize(writeBytes, '\n');
+    return "10000\r\n" + content + "\r\n";
+}
+
+struct Flood
+{
+    FloodRequest request;
+    FloodResponse response;
+};
+
+std::map<std::string, Flood> floods()
+{
+    constexpr std::size_t eventBytes = 1000;
+    const std::string events = chunk(repeated("data: " + std::string(eventBytes, 'x') + "\n\n"));
+    const std::string filling = std::string(writeBytes, 'x');
+    const FloodRequest stream{"POST", "/events/x", "flood-key", 4};
+    const FloodRequest plain{"GET", "/plain/x", "flood-key"};
+    const FloodRequest body{"POST", "/plain/x", "flood-key", maxBodyBytes, 1000};
+    FloodRequest kept = stream;
+    kept.target = "/kept/x";
+    FloodRequest late = stream;
+    late.isReading = false;
+    FloodRequest badKey = body;
+    badKey.key = "unknown-key";
+    return {{"events", {stream, {streamHead, events}}},
+            {"kept", {kept, {streamHead, events}}},
+            {"event", {stream, {streamHead + "6\r\ndata: \r\n", chunk(filling)}}},
+            {"body", {plain, {plainHead + "\r\n", filling}}},
+            {"interim", {plain, {"", repeated("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n")}}},
+            {"blank", {plain, {"", repeated("\r\n")}}},
+            {"late", {late, {streamHead, events}}},
+            {"bodies", {body, {plainHead + "\r\n", {}}}},
+            {"badkey", {badKey, {plainHead + "\r\n", {}}}}};
+}
+
+FloodResponse soundResponse()
+{
+    constexpr auto runTime = std::chrono::milliseconds(50);
+    return {plainHead + "Content-Length: 2\r\n\r\nok", {}, runTime};
+}
+
+json route(const char *name, const char *kind, const char *service)
+{
+    return {{"name", name},
+            {"host", "soak.example"},
+            {"path_prefix", std::string("/") + name + "/"},
+            {"kind", kind},
+            {"service", service},
+            {"attempts", 3},
+            {"timeout_ms", timeoutMs},
+            {"goal_ms", 250}};
+}
+
+} // namespace
+
+std::vector<std::string> floodKinds()
+{
+    std::vector<std::string> names;
+    for (const auto &[name, flood] : floods()) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+FloodEnvironment::FloodEnvironment(FloodSettings settings)
+    : settings_(std::move(settings))
+    , store_(context_)
+    , faulty_("i-faulty", "faulty", floods().at(settings_.kind).response)
+    , sound_("i-sound", "sound", soundResponse())
+{
+    store_.put("servers", faulty_.id(), faulty_.entry());
+    store_.put("servers", sound_.id(), sound_.entry());
+    store_.put("config", "main", configuration());
+}
+
+json FloodEnvironment::configuration() const
+{
+    json kept = route("kept", "stream", "faulty");
+    kept["retained"] = true;
+    kept["retain_s"] = 60;
+    json routes = {route("events", "stream", "faulty"),
+                   route("plain", "idempotent", "faulty"),
+                   route("sound", "idempotent", "sound")};
+    if (keepsTurns()) {
+        routes.push_back(kept);
+    }
+    return {{"version", 1},
+            {"routes", routes},
+            {"services", {{{"name", "faulty"}, {"engine", {{"stride", 20}}}}, {{"name", "sound"}}}},
+            {"tenants",
+             {{{"name", "flood"}, {"api_keys", {"flood-key"}}},
+              {{"name", "sound"}, {"api_keys", {"sound-key"}}}}},
+            {"limits",
+             {{"header_bytes", 16384},
+              {"body_bytes", maxBodyBytes},
+              {"header_timeout_ms", 5000},
+              {"idle_timeout_ms", 10000}}}};
+}
+
+json FloodEnvironment::daemonSettings(const Daemon &daemon) const
+{
+    const auto store = store_.endpoint();
+    const auto address = [&](int port) { return daemon.ip + ":" + std::to_string(port); };
+    json settings
+        = {{"node_name", daemon.name},
+           {"ip", daemon.ip},
+           {"listen", json::object()},
+           {"port_range", {firstFreePort, firstFreePort + 10}},
+           {"bootstrap", true},
+           {"tolerate", {{"machines", 1}}},
+           {"bounds", {{"config_apply_ms", 2000}, {"grace_s", 8}}},
+           {"limits", {{"memory_mb", settings_.memoryMegabytes}}},
+           {"platform",
+            {{"address", store.address().to_string() + ":" + std::to_string(store.port())}}}};
+    if (daemon.role == "store") {
+        const std::filesystem::path data = settings_.folder / (daemon.name + "-data");
+        std::filesystem::create_directories(data);
+        settings["zone"] = "zone-" + daemon.name;
+        settings["data_dir"] = data.string();
+        settings["limits"]["disk_mb"] = 400;
+        return settings;
+    }
+    settings["zone"] = "zone-a";
+    settings["zones"] = {{"zone-a", "region"}};
+    settings["listen"] = {{"front", address(callerPort)},
+                          {"ready", address(statusPort)},
+                          {"control", address(peerPort)}};
+    settings["seeds"] = json::array();
+    for (const Daemon &other : daemons_) {
+        if (other.role == "front") {
+            settings["seeds"].push_back(other.ip + ":" + std::to_string(peerPort));
+        }
+    }
+    return settings;
+}
+
+void FloodEnvironment::startDaemons(const std::string &role, int count, int firstAddress)
+{
+    // The soak uses third numbers below 250, and runs in parallel have different process ids.
+    const std::string network = "127." + std::to_string(64 + getpid() % 128) + ".251.";
+    for (int i = 0; i < count; ++i) {
+        daemons_.push_back({role + "-" + std::to_string(i),
+                            role,
+                            network + std::to_string(firstAddress + i),
+                            nullptr});
+    }
+    for (Daemon &daemon : daemons_) {
+        if (daemon.process) {
+            continue;
+        }
+        const std::filesystem::path file = settings_.folder / (daemon.name + ".json");
+        std::ofstream(file) << daemonSettings(daemon).dump(2);
+        daemon.process = std::make_unique<DaemonProcess>(
+            settings_.program, role, file, settings_.folder / (daemon.name + ".log"));
+        daemon.process->start();
+    }
+}
+
+void FloodEnvironment::watchDaemons()
+{
+    constexpr auto interval = std::chrono::milliseconds(50);
+    for (Daemon &daemon : daemons_) {
+        daemon.peakKilobytes = std::max(daemon.peakKilobytes, daemon.process->peakKilobytes());
+        if (const std::optional<int> status = daemon.process->poll()) {
+            exited_.push_back(daemon.name + ", wait status " + std::to_string(*status));
+        }
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(context_, interval);
+    timer->async_wait([this, timer](const std::error_code &) { watchDaemons(); });
+}
+
+double FloodEnvironment::peak(const std::string &role) const
+{
+    std::int64_t highest = 0;
+    for (const Daemon &daemon : daemons_) {
+        highest = std::max(highest, daemon.role == role ? daemon.peakKilobytes : 0);
+    }
+    return static_cast<double>(highest) * 1.024 / kilobytesPerMegabyte;
+}
+
+FloodResult FloodEnvironment::run()
+{
+    constexpr auto startTime = std::chrono::seconds(2); // until the daemons know each other
+    constexpr auto endTime = std::chrono::seconds(5);
+    constexpr int soundCallers = 8;
+    if (keepsTurns()) {
+        startDaemons("store", 3, 50);
+    }
+    startDaemons("front", 2, 10);
+    watchDaemons();
+    context_.run_for(startTime);
+    std::vector<asio::ip::tcp::endpoint> fronts;
+    for (const Daemon &daemon : daemons_) {
+        if (daemon.role == "front") {
+            fronts.emplace_back(asio::ip::make_address(daemon.ip), callerPort);
+        }
+    }
+    FloodResult result;
+    FloodCallers sound("s", {"GET", "/sound/x", "sound-key"}, fronts, soundCallers);
+    context_.run_for(std::min(settings_.length, std::chrono::seconds(2)));
+    result.soundBefore = sound.served();
+    FloodCallers flood("f", floods().at(settings_.kind).request, fronts, settings_.callers);
+    context_.run_for(settings_.length);
+    result.soundDuring = sound.served() - result.soundBefore;
+    flood.stop();
+    context_.run_for(std::min(settings_.length, std::chrono::seconds(5)));
+    result.soundAfter = sound.served() - result.soundBefore - result.soundDuring;
+    const auto end = std::chrono::steady_clock::now() + endTime;
+    while (flood.open() > 0 && std::chrono::steady_clock::now() < end) {
+        context_.run_for(std::chrono::milliseconds(100));
+    }
+    result.ended = flood.ended();
+    result.withoutEnd = flood.open();
+    result.frontPeakMegabytes = peak("front");
+    result.storePeakMegabytes = peak("store");
+    result.exited = exited_;
+    return result;
+}
+
+} // namespace Soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,7 +1,9 @@
+#include "floodenvironment.h"
 #include "soakenvironment.h"
 
 #include <CLI/CLI.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -50,6 +52,32 @@
     return result.violations.empty();
 }
 
+bool runFlood(Soak::FloodSettings settings)
+{
+    settings.folder = std::filesystem::temp_directory_path()
+                      / ("marjoram-flood-" + std::to_string(getpid()) + "-" + settings.kind);
+    std::filesystem::remove_all(settings.folder);
+    std::filesystem::create_directories(settings.folder);
+    const Soak::FloodResult result = Soak::FloodEnvironment(settings).run();
+    const bool isPassed = result.isPassed(settings.memoryMegabytes);
+    std::cout << (isPassed ? "passed " : "FAILED ") << settings.kind << ", " << settings.callers
+              << " callers, " << settings.length.count() << " s, " << settings.memoryMegabytes
+              << " MB: peak of a front " << result.frontPeakMegabytes << " MB, of a store daemon "
+              << result.storePeakMegabytes << " MB; sound service " << result.soundBefore
+              << " before, " << result.soundDuring << " during, " << result.soundAfter << " after; "
+              << result.ended << " requests ended, " << result.withoutEnd << " without an end"
+              << std::endl;
+    for (const std::string &exited : result.exited) {
+        std::cout << "  exited: " << exited << std::endl;
+    }
+    if (isPassed) {
+        std::filesystem::remove_all(settings.folder);
+    } else {
+        std::cout << "  logs are kept in " << settings.folder.string() << std::endl;
+    }
+    return isPassed;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -65,8 +93,25 @@
     app.add_option("--seed", first, "the first seed");
     app.add_option("--count", count, "number of consecutive seeds");
     app.add_option("--seconds", seconds, "duration of fault injection for each seed");
+    Soak::FloodSettings flood;
+    flood.callers = 60;
+    flood.memoryMegabytes = 96;
+    std::vector<std::string> kinds;
+    app.add_option("--flood", kinds, "measures daemons that receive bytes without end")
+        ->check(CLI::IsMember(Soak::floodKinds()));
+    app.add_option("--callers", flood.callers, "number of callers of a flood");
+    app.add_option("--memory-mb", flood.memoryMegabytes, "memory of a daemon in a flood");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
+    if (!kinds.empty()) {
+        flood.program = program;
+        flood.length = std::chrono::seconds(seconds);
+        const auto failed = std::count_if(kinds.begin(), kinds.end(), [&flood](const auto &kind) {
+            flood.kind = kind;
+            return !runFlood(flood);
+        });
+        return failed == 0 ? 0 : 1;
+    }
     std::vector<std::uint64_t> seeds = readSeeds(file);
     for (std::uint64_t i = 0; i < count; ++i) {
         seeds.push_back(first + i);
