Soak: callers of a flood that read late have small receive buffers

The buffers of the system hold a part of what a daemon sends to callers that do not read, so that kind "late" showed less than what the daemon keeps.

--- a/tests/soak/floodpeers.cpp
+++ b/tests/soak/floodpeers.cpp
@@ -146,7 +146,12 @@
 
     void start()
     {
-        socket_ = asio::ip::tcp::socket(group_.context_);
+        socket_ = asio::ip::tcp::socket(group_.context_, daemon_.protocol());
+        if (!group_.request_.isReading) {
+            // What the daemon has sent is left to the daemon, not to the system's buffers.
+            constexpr int smallBuffer = 8192;
+            socket_.set_option(asio::socket_base::receive_buffer_size(smallBuffer));
+        }
         socket_.async_connect(daemon_, [self = shared_from_this()](const std::error_code &error) {
             if (error) {
                 self->startLater();
