Free the buffers of idle connections, and eject servers whose streams do not end

Assigning an empty string keeps the buffer of the one before, so idle connections of callers kept the last buffer that was written, and its share of the memory for unread bytes.

A stream with an event that does not end, or with more tokens than its caller allows, breaks the protocol like a malformed response: its server gets nothing more for a while, where requestFailed alone was undone by the next head. A stream that is broken off for want of memory still counts as a failure only.

--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -467,7 +467,8 @@
 
 void CallerConnection::onWritten(const std::error_code &error)
 {
-    writing_ = std::string(); // an idle connection keeps no buffer
+    std::string().swap(writing_); // an assignment would keep the buffer
+    leaseBacklog();
     if (isClosed_) {
         return;
     }
--- a/src/libs/proxy/eventsplitter.cpp
+++ b/src/libs/proxy/eventsplitter.cpp
@@ -103,7 +103,7 @@
 
 void EventSplitter::dropPartialEvent()
 {
-    partial_ = {};
+    std::string().swap(partial_); // an assignment would keep the buffer
     isLineEmpty_ = true;
     isAtStart_ = true;
 }
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -252,11 +252,9 @@
     return false;
 }
 
-/// Breaks off what is no proper stream; the server counts as faulty.
 void Exchange::breakStream(const std::string &problem)
 {
     releaseServer(false);
-    owner_.placer_.requestFailed(placement_->instance, now());
     events_.dropPartialEvent();
     onBroken(problem);
 }
@@ -264,8 +262,7 @@
 /// The caller has all events that it allows, so no other server could add any.
 void Exchange::endOverlongStream()
 {
-    releaseServer(false);
-    owner_.placer_.requestFailed(placement_->instance, now());
+    owner_.placer_.protocolViolated(placement_->instance, now());
     abortResponse("broken_answer", "stream has more tokens than the caller allows");
 }
 
@@ -284,8 +281,10 @@
     if (events_.hasTooManyEvents()) {
         endOverlongStream();
     } else if (const char *problem = streamProblem()) {
+        owner_.placer_.protocolViolated(placement_->instance, now());
         breakStream(problem);
     } else if (!leaseKeptBytes()) {
+        owner_.placer_.requestFailed(placement_->instance, now());
         breakStream("stream is too large for the memory that its server may take");
     }
 }
