Bound the responses that marjoramd collects

The load report of an engine, and objects and lists of the platform's store, were collected without a limit, and the heads of a response had only that of libcurl for a line: an engine that sends without end, or something else at its address, takes the memory of the daemon until the time-out.

A request can state the most bytes of its response: 4 MB for a load report, 64 MB for the store. The heads of an exchange, interim responses and trailers included, have 64 KB. Beyond that the exchange is broken, with the limit in its message. Streams keep the limits of their lines and events.

--- a/src/libs/backends/engineclient.cpp
+++ b/src/libs/backends/engineclient.cpp
@@ -14,6 +14,9 @@
 constexpr Timeout orderTimeout{2000};
 constexpr Timeout connectTimeout{500};
 
+/// A report names the programs whose prompts the engine keeps.
+constexpr std::size_t maxReportBytes = 4 * 1024 * 1024;
+
 std::string chatBody(const ModelCall &call)
 {
     Json messages = Json::array();
@@ -137,6 +140,7 @@
     request.mayRepeat = true;
     request.connectTimeout = connectTimeout;
     request.totalTimeout = orderTimeout;
+    request.maxResponseBytes = maxReportBytes;
     const auto body = std::make_shared<std::string>();
     HttpHandlers handlers;
     handlers.onData = [body](std::string_view data) {
--- a/src/libs/backends/httpclient.h
+++ b/src/libs/backends/httpclient.h
@@ -36,6 +36,8 @@
     Timeout totalTimeout{30'000};
     /// Maximum time between two pieces of the response; 0 means none. Paused time does not count.
     Timeout idleTimeout{0};
+    /// Maximum size of the response's body, in bytes; 0 means none. A longer one is broken.
+    std::size_t maxResponseBytes = 0;
 };
 
 struct HttpReplyHead
--- a/src/libs/backends/httptransfer.cpp
+++ b/src/libs/backends/httptransfer.cpp
@@ -8,6 +8,9 @@
 
 constexpr long receiveBufferBytes = 64 * 1024;
 
+/// Limit on the heads of an exchange; a server may never end them.
+constexpr std::size_t maxHeadBytes = 64 * 1024;
+
 /// Servers close idle connections after some seconds. A request that is sent while the server
 /// closes the connection may or may not run, so requests that must not be repeated use only
 /// connections that were idle for a shorter time.
@@ -169,7 +172,10 @@
     }
     outcome.message = errorText_[0] != 0 ? errorText_ : curl_easy_strerror(code);
     outcome.end = brokenAs;
-    if (brokenAs == HttpEnd::Cancelled || isStopped_) {
+    if (!excess_.empty()) {
+        outcome.end = HttpEnd::Broken;
+        outcome.message = excess_;
+    } else if (brokenAs == HttpEnd::Cancelled || isStopped_) {
         outcome.end = HttpEnd::Cancelled;
         outcome.message = "cancelled";
     } else if (brokenAs == HttpEnd::TimedOut) {
@@ -184,9 +190,26 @@
     return outcome;
 }
 
+/// Adds to what was received, and tells whether that is too much. A limit of 0 means none.
+bool HttpTransfer::exceeds(std::size_t &received,
+                           std::size_t more,
+                           std::size_t limit,
+                           const char *part)
+{
+    received += more;
+    if (limit == 0 || received <= limit) {
+        return false;
+    }
+    excess_ = std::string(part) + " of the response exceeds " + std::to_string(limit) + " bytes";
+    return true;
+}
+
 std::size_t HttpTransfer::handleHeaderLine(std::string_view line)
 {
     lastActivity_ = Clock::now();
+    if (exceeds(headBytes_, line.size(), maxHeadBytes, "head")) {
+        return 0;
+    }
     if (line.starts_with("HTTP/")) {
         head_ = {statusOf(line), {}};
         return line.size();
@@ -217,6 +240,9 @@
         isInPausedWrite_ = true;
         return CURL_WRITEFUNC_PAUSE;
     }
+    if (exceeds(bodyBytes_, data.size(), request_.maxResponseBytes, "body")) {
+        return CURL_WRITEFUNC_ERROR;
+    }
     const FlowControl flow = handlers_.onData ? handlers_.onData(data) : FlowControl::Continue;
     isPaused_ = flow == FlowControl::Pause;
     isStopped_ = flow == FlowControl::Stop;
--- a/src/libs/backends/httptransfer.h
+++ b/src/libs/backends/httptransfer.h
@@ -36,6 +36,7 @@
     void setUpHeaders();
     HttpOutcome outcome(CURLcode code, HttpEnd brokenAs) const;
 
+    bool exceeds(std::size_t &received, std::size_t more, std::size_t limit, const char *part);
     std::size_t handleHeaderLine(std::string_view line);
     std::size_t handleData(std::string_view data);
     int beforeSending();
@@ -55,6 +56,11 @@
     bool isStopped_ = false;
     bool isInPausedWrite_ = false;
     int sendCount_ = 0;
+    /// Bytes of all heads, also of interim responses and trailers.
+    std::size_t headBytes_ = 0;
+    std::size_t bodyBytes_ = 0;
+    /// Set if the response exceeds a limit.
+    std::string excess_;
     Clock::time_point lastActivity_ = Clock::now();
     char errorText_[CURL_ERROR_SIZE] = {};
 };
--- a/src/libs/backends/platformcodec.cpp
+++ b/src/libs/backends/platformcodec.cpp
@@ -71,6 +71,9 @@
     return collectionUrl(options, key.kind) + "/" + percentEncoded(key.name);
 }
 
+/// A list of all objects of a kind; single objects are far smaller.
+constexpr std::size_t maxResponseBytes = 64 * 1024 * 1024;
+
 HttpRequest request(const PlatformOptions &options, const char *method, std::string url)
 {
     HttpRequest request;
@@ -79,6 +82,7 @@
     request.connectTimeout = options.connectTimeout;
     request.totalTimeout = options.requestTimeout;
     request.mayRepeat = request.method == "GET";
+    request.maxResponseBytes = maxResponseBytes;
     return request;
 }
 
@@ -219,6 +223,7 @@
     }
     HttpRequest watch = request(options, "GET", std::move(url));
     watch.totalTimeout = Timeout(0);
+    watch.maxResponseBytes = 0; // the stream has no end, and each line has a limit
     watch.idleTimeout = options.watchIdleTimeout;
     return watch;
 }
