Free a sent request before its connection rests

The bytes of a request stayed with its connection through the whole response, and then while the connection was idle: after a burst of turns of 4 MB to three holders up to 48 MB (computed), without an account. Found in review.

--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -121,6 +121,7 @@
     asio::async_write(
         socket_, asio::buffer(outgoing_), [self](const std::error_code &error, std::size_t) {
             self->isWriting_ = false;
+            std::string().swap(self->outgoing_); // the connection may stay open for long
             if (self->isClosed_ || !error) {
                 return;
             }
--- a/tests/libs/proxy/tst_endlessresponses.cpp
+++ b/tests/libs/proxy/tst_endlessresponses.cpp
@@ -334,3 +334,37 @@
     }
     cr_assert_eq(requestCount(fixture), 0);
 }
+
+/// Guards against idle connections that keep the last request that was sent on them.
+Test(endlessresponses, anIdleConnectionKeepsNoRequest)
+{
+    constexpr std::size_t requestBytes = 4 * megabyte;
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    const auto connection = std::make_shared<ClientConnection>(context, acceptor.local_endpoint());
+    std::string problem = "not connected";
+    connection->connect(guardTime, [&](const std::string &result) { problem = result; });
+    asio::ip::tcp::socket server = acceptor.accept();
+    while (problem == "not connected") {
+        context.run_one();
+    }
+    cr_assert(problem.empty());
+    const std::size_t before = heapBytes();
+    std::optional<ResponseEnd> end;
+    ClientConnection::Handlers handlers;
+    handlers.onHead = [](const auto &, const auto &) { return HeadVerdict::Accept; };
+    handlers.onBody = [](const std::string &) {};
+    handlers.onEnd = [&](ResponseEnd result, const std::string &) { end = result; };
+    connection->send(std::string(requestBytes, 'x'), false, std::move(handlers));
+    std::array<char, 4096> discarded{};
+    for (std::size_t received = 0; received < requestBytes; context.poll()) {
+        received += server.read_some(asio::buffer(discarded));
+    }
+    asio::write(server, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 38));
+    while (!end) {
+        context.run_one();
+    }
+    cr_assert_eq(*end, ResponseEnd::Complete);
+    cr_assert(connection->isReusable());
+    cr_assert_lt(heapBytes(), before + megabyte);
+}
