--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -15,29 +15,12 @@
 /// Bytes of later requests that are buffered while one is handled.
 constexpr std::size_t maxPipelinedBytes = 64 * 1024;
 
-/// Bytes of a refused request that are read and dropped: a body of the usual limit.
-constexpr std::uint64_t maxDrainedBytes = 4 * 1024 * 1024;
-
-/// Time in which they are read.
+/// Time for which the rest of a refused request is read and dropped.
 constexpr auto maxDrainTime = std::chrono::seconds(1);
 
 /// Time without bytes of the caller after which the connection is closed behind its last response.
 constexpr auto lingerTime = std::chrono::milliseconds(200);
 
-int statusOf(ParseError error)
-{
-    switch (error) {
-    case ParseError::HeadTooLarge:
-        return 431;
-    case ParseError::BodyTooLarge:
-        return 413;
-    case ParseError::None:
-    case ParseError::Malformed:
-        break;
-    }
-    return 400;
-}
-
 std::string chunkHead(std::size_t size)
 {
     std::array<char, 24> text{};
@@ -141,25 +124,6 @@
     }
 }
 
-/// Reads and drops what follows the head of a refused request, and no byte of a later one.
-void CallerConnection::drain()
-{
-    std::array<char, readBufferBytes> dropped{};
-    const auto size
-        = static_cast<std::size_t>(std::min<std::uint64_t>(dropped.size(), drainBytes_));
-    std::error_code error;
-    const std::size_t read = socket_.read_some(asio::buffer(dropped.data(), size), error);
-    if (error && error != asio::error::would_block) {
-        close(closeReason_);
-        return;
-    }
-    if (!error) {
-        drainBytes_ -= read;
-        lastActivity_ = handlers_->now();
-    }
-    waitUntilReadable();
-}
-
 void CallerConnection::parse()
 {
     if (isParsing_) {
@@ -188,123 +152,6 @@
     isParsing_ = false;
 }
 
-void CallerConnection::continueBody()
-{
-    if (!std::exchange(isBodyBegun_, true)) {
-        onBodyBegun();
-    } else if (isBodyDenied_) {
-        refuseBody(bodiesFull());
-    }
-}
-
-/// Takes what has arrived of the body, unless there is no memory for it.
-void CallerConnection::takeBody()
-{
-    const std::string arrived = parser_.takeBody();
-    if (isBodyBegun_ && !leaseBody(arrived.size())) {
-        isBodyDenied_ = true;
-        return;
-    }
-    body_ += arrived;
-}
-
-/// Nothing is kept of a body whose request is refused whatever it contains. The time is bounded, as
-/// a caller that sends a few bytes at a time would keep its memory for ever.
-void CallerConnection::onBodyBegun()
-{
-    const HeadDecision decision
-        = handlers_->onHead ? handlers_->onHead(parser_.request()) : HeadDecision{};
-    if (decision.refusal) {
-        refuseBody(*decision.refusal);
-        return;
-    }
-    if (!leaseBody(0)) {
-        refuseBody(bodiesFull());
-        return;
-    }
-    bodyDue_ = lastActivity_ + std::max(decision.bodyTimeout, handlers_->limits().idleTimeout);
-    armTimer();
-    sendContinueIfExpected();
-}
-
-/// Leases a stated length at once, so that a body that does not fit is not read, and others in
-/// steps. The capacity counts, so the string must not choose it.
-bool CallerConnection::leaseBody(std::size_t arrived)
-{
-    const std::size_t needed
-        = std::max<std::size_t>(parser_.framing().length.value_or(0), body_.size() + arrived);
-    if (needed <= bodyLease_.size()) {
-        return true;
-    }
-    const bool isLengthKnown = parser_.framing().length.has_value();
-    const std::size_t capacity = isLengthKnown ? needed : needed + needed / 2;
-    if (!bodyLease_.resize(capacity)) {
-        return false;
-    }
-    std::string larger;
-    larger.reserve(capacity);
-    larger += body_;
-    body_.swap(larger);
-    return true;
-}
-
-Refusal CallerConnection::bodiesFull() const
-{
-    return {503, "no_memory", "too many bodies of requests are kept", handlers_->retryAfterFull};
-}
-
-void CallerConnection::refuseBody(const Refusal &refusal)
-{
-    handlers_->onRejected(refusal.status, refusal.detail);
-    isHeadRequest_ = parser_.request().method == "HEAD";
-    isHttp11_ = parser_.request().isHttp11;
-    const std::uint64_t length = parser_.framing().length.value_or(maxDrainedBytes + body_.size());
-    drainBytes_ = std::min(maxDrainedBytes, length - body_.size());
-    refuse(ownResponseHead(refusal.status, refusal.retryAfter), refusal.detail + "\n");
-}
-
-void CallerConnection::sendContinueIfExpected()
-{
-    const auto expect = parser_.request().headers.find("Expect");
-    if (expect && equalsIgnoringCase(*expect, "100-continue")) {
-        outgoing_ += "HTTP/1.1 100 Continue\r\n\r\n";
-        flush();
-    }
-}
-
-void CallerConnection::reject()
-{
-    const int status = statusOf(parser_.error());
-    handlers_->onRejected(status, parser_.problem());
-    isHeadRequest_ = false;
-    if (parser_.error() == ParseError::BodyTooLarge) {
-        const std::uint64_t rest = parser_.framing().length.value_or(maxDrainedBytes);
-        drainBytes_
-            = std::min(maxDrainedBytes, rest - std::min<std::uint64_t>(rest, incoming_.size()));
-    }
-    ResponseHead head;
-    head.status = status;
-    head.reason = reasonOf(status);
-    refuse(head, {});
-}
-
-/// Responds to a request that was not read to its end, and closes the connection: where the next
-/// request begins is not known.
-void CallerConnection::refuse(const ResponseHead &head, std::string_view body)
-{
-    incoming_.clear();
-    dropBody();
-    isHandling_ = true;
-    isKeptAlive_ = false;
-    respond(head, body);
-}
-
-void CallerConnection::dropBody()
-{
-    std::string().swap(body_); // an assignment would keep the buffer
-    bodyLease_.release();
-}
-
 void CallerConnection::dispatchRequest()
 {
     CallerRequest request;
