--- a/src/libs/proxy/requestaccount.cpp
+++ b/src/libs/proxy/requestaccount.cpp
@@ -77,7 +77,8 @@
         return;
     }
     dropped_.add(end.unhandledRequests);
-    if (end.unhandledBytes == 0 && end.unsentBytes == 0) {
+    unreadConnections_ += end.unreadBytes > 0 ? 1 : 0;
+    if (end.unhandledBytes == 0 && end.unsentBytes == 0 && end.unreadBytes == 0) {
         return;
     }
     log_.write(
@@ -102,7 +103,8 @@
             {"cut", number(cut_)},
             {"caller_gone", number(callerGone_)},
             {"dropped", number(dropped_)},
-            {"refused_by_shutdown", number(refusedByShutdown_)}};
+            {"refused_by_shutdown", number(refusedByShutdown_)},
+            {"unread_connections", static_cast<std::int64_t>(unreadConnections_)}};
 }
 
 } // namespace Proxy
--- a/src/libs/proxy/requestaccount.h
+++ b/src/libs/proxy/requestaccount.h
@@ -46,6 +46,8 @@
     Telemetry::Counter &callerGone_;
     Telemetry::Counter &dropped_;
     Telemetry::Counter &refusedByShutdown_;
+    /// Connections that the daemon closed while bytes had arrived that it had not read.
+    std::uint64_t unreadConnections_ = 0;
 };
 
 } // namespace Proxy
--- a/tests/libs/proxy/tst_requestaccount.cpp
+++ b/tests/libs/proxy/tst_requestaccount.cpp
@@ -45,3 +45,18 @@
     }
     cr_assert_eq(numberOf(fixture, "dropped"), 0);
 }
+
+/// Guards against requests that cross the end of their connection and show nowhere.
+Test(requestaccount, aRequestThatCrossesTheEndOfItsConnectionIsCounted)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.passThrough().stop();
+    fixture.runUntil([&] { return fixture.passThrough().openConnections() == 1; }, "the caller");
+    fixture.passThrough().closeIdle();
+    fixture.request("/once/", "r1");
+    fixture.awaitClose();
+    fixture.runUntil([&] { return fixture.passThrough().openConnections() == 0; }, "the close");
+    cr_assert_eq(numberOf(fixture, "unread_connections"), 1);
+    cr_assert_eq(numberOf(fixture, "read"), 0);
+}
