--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -191,8 +191,8 @@
         cancelKeeping();
     }
     releaseServer(false);
-    keptBytes_.release();
-    earlierBytes_.clear();
+    responseLease_.release();
+    earlierLeases_.clear();
     settle();
     if (hasPermit_) {
         owner_.controls_.returnPermit(team_->team);
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -175,10 +175,10 @@
     /// What was forwarded of the stream, from all attempts.
     EventSplitter events_;
     /// For the bytes that are kept of the response of the current attempt.
-    Base::MemoryLease keptBytes_;
+    Base::MemoryLease responseLease_;
     /// For those of earlier attempts, whose servers they came from.
-    std::vector<Base::MemoryLease> earlierBytes_;
-    std::size_t earlierSize_ = 0;
+    std::vector<Base::MemoryLease> earlierLeases_;
+    std::size_t earlierBytes_ = 0;
     bool isHeadForwarded_ = false;
     bool isStreamForwarded_ = false;
     Programs::ReservationId reservation_;
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -191,7 +191,7 @@
 {
     forwardHead();
     forwardBody(std::exchange(response_.bufferedBody, {}));
-    keptBytes_.release();
+    responseLease_.release();
 }
 
 /// Events that the caller's limit on the output allows; nothing if it is not known.
@@ -224,11 +224,11 @@
 /// The bytes of earlier attempts stay with the servers that sent them.
 void Exchange::beginLease()
 {
-    if (keptBytes_.size() > 0) {
-        earlierBytes_.push_back(std::move(keptBytes_));
+    if (responseLease_.size() > 0) {
+        earlierLeases_.push_back(std::move(responseLease_));
     }
-    earlierSize_ = keptBytes();
-    keptBytes_ = owner_.leaseForResponse(placement_->instance);
+    earlierBytes_ = keptBytes();
+    responseLease_ = owner_.leaseForResponse(placement_->instance);
 }
 
 /// Returns whether the server of the response may take so much memory. Small responses are always
@@ -236,12 +236,12 @@
 bool Exchange::leaseKeptBytes()
 {
     constexpr std::size_t smallResponseBytes = 16 * 1024;
-    const std::size_t bytes = keptBytes() - std::min(earlierSize_, keptBytes());
+    const std::size_t bytes = keptBytes() - std::min(earlierBytes_, keptBytes());
     if (bytes <= smallResponseBytes) {
-        keptBytes_.forceResize(bytes);
+        responseLease_.forceResize(bytes);
         return true;
     }
-    if (keptBytes_.resize(bytes)) {
+    if (responseLease_.resize(bytes)) {
         return true;
     }
     owner_.metrics_
@@ -374,8 +374,8 @@
     keepingSince_ = now();
     TurnHistory::Turn turn = takeCompletedTurn();
     // The turn and its encoded form. It has run, so it is not given up for want of memory.
-    earlierBytes_.clear();
-    keptBytes_.forceResize(2 * turn.content.size());
+    earlierLeases_.clear();
+    responseLease_.forceResize(2 * turn.content.size());
     auto self = shared_from_this();
     auto cancel = owner_.history_.keep(
         std::move(turn), timeLeft(), [self](bool isKept) { self->onTurnKept(isKept); });
