--- a/src/libs/proxy/documentexchange.cpp
+++ b/src/libs/proxy/documentexchange.cpp
@@ -10,7 +10,7 @@
 constexpr Base::Duration fetchTimeout = std::chrono::milliseconds(300);
 
 /// A configuration is one object of the store, of 1 MB at most unless the platform allows more. The
-/// entries of 600 servers take 0.2 MB, and those of 340 daemons less.
+/// list of 600 servers is smaller.
 constexpr Base::Bytes maxDocumentBytes(4 * 1024 * 1024);
 
 constexpr const char *basePath = "/documents/";
