--- a/tests/libs/proxy/tst_endlessresponses.cpp
+++ b/tests/libs/proxy/tst_endlessresponses.cpp
@@ -1,6 +1,6 @@
 #include "passthroughfixture.h"
 
-#include <malloc.h>
+#include <libs/heapuse.h>
 
 namespace {
 
@@ -41,12 +41,6 @@
              chunk(kilobyte)}};
 }
 
-std::size_t heapBytes()
-{
-    const struct mallinfo2 info = mallinfo2();
-    return info.uordblks + info.hblkhd;
-}
-
 /// A caller on a connection of its own, which discards what it receives.
 class DiscardingCaller
 {
--- a/tests/libs/proxy/tst_requestbodies.cpp
+++ b/tests/libs/proxy/tst_requestbodies.cpp
@@ -4,7 +4,7 @@
 #include <proxy/documentexchange.h>
 
 #include <asio/read.hpp>
-#include <malloc.h>
+#include <libs/heapuse.h>
 
 namespace {
 
@@ -20,12 +20,6 @@
            + "\r\n";
 }
 
-std::size_t heapBytes()
-{
-    const struct mallinfo2 info = mallinfo2();
-    return info.uordblks + info.hblkhd;
-}
-
 /// A caller on a connection of its own that sends without waiting for the response.
 class SendingCaller
 {
