--- a/src/libs/proxy/exchangeadmission.cpp
+++ b/src/libs/proxy/exchangeadmission.cpp
@@ -1,20 +1,9 @@
 #include "exchange.h"
 
-#include <base/random.h>
-
 #include <algorithm>
 
 namespace Proxy {
 
-namespace {
-
-using Contracts::RouteKind;
-
-/// A stream that callers may still resume began within this time.
-constexpr Base::Duration soleVersionPeriod = std::chrono::seconds(60);
-
-} // namespace
-
 /// The ids of requests are kept in tables, here and at other daemons.
 bool Exchange::checkIds()
 {
@@ -112,144 +101,6 @@
     }
 }
 
-/// Finds the software version that a resumed stream has to be continued by. Servers do not check
-/// it, and what two versions write does not fit together.
-void Exchange::findStreamVersion()
-{
-    if (route_->kind != RouteKind::Stream || !route_->isResumable || !traits_.lastEventId) {
-        return;
-    }
-    isStreamVersionKnown_ = false;
-    auto self = shared_from_this();
-    owner_.streams_.find({traits_.resumedAttempt, streamKey()},
-                         [self](const Dispatch::StreamFinding &finding) {
-                             if (!self->isEnded_) {
-                                 self->onStreamFound(finding);
-                             }
-                         });
-}
-
-/// Attempts of a caller at the same request have equal keys.
-Dispatch::StreamKey Exchange::streamKey() const
-{
-    const Dispatch::RequestFingerprint &request = fingerprints_.exact;
-    std::uint64_t key = Base::hash64(request.team.text(), request.hash);
-    key = Base::hash64(traits_.session, key);
-    if (!traits_.prompt.empty()) {
-        key = Base::hash64(std::to_string(traits_.prompt.back().key), key);
-    }
-    return Dispatch::StreamKey(key);
-}
-
-/// A stream that no daemon knows can still be continued if there has been only one version.
-void Exchange::onStreamFound(const Dispatch::StreamFinding &finding)
-{
-    if (std::holds_alternative<Dispatch::AmbiguousStream>(finding)) {
-        refuseStream("stream_uncertain", "equal requests were begun by several software versions");
-        return;
-    }
-    if (const auto *record = std::get_if<Dispatch::StreamRecord>(&finding)) {
-        streamRecord_ = *record;
-        streamRecordedAt_ = now();
-        streamVersion_ = record->version;
-        onStreamVersionKnown();
-        return;
-    }
-    findSoleVersion();
-}
-
-/// Servers of another version may have joined since the list was confirmed, and may have begun the
-/// stream through other daemons. Only a read that begins now names all of them.
-void Exchange::findSoleVersion()
-{
-    if (!soleVersion()) {
-        noteServerList();
-        refuseStream("stream_unknown", "the software version that began the stream is not known");
-        return;
-    }
-    auto self = shared_from_this();
-    owner_.serverReads_.request([self](bool isRead) {
-        if (!self->isEnded_) {
-            self->onServersReadForSoleVersion(isRead);
-        }
-    });
-}
-
-void Exchange::onServersReadForSoleVersion(bool isRead)
-{
-    noteServerList();
-    if (!isRead) {
-        refuseStream("stream_unknown", "the list of servers could not be read to resume a stream");
-        return;
-    }
-    streamVersion_ = soleVersion();
-    if (!streamVersion_) {
-        refuseStream("stream_unknown", "servers of another software version have joined");
-        return;
-    }
-    onStreamVersionKnown();
-}
-
-void Exchange::onStreamVersionKnown()
-{
-    isStreamVersionKnown_ = true;
-    if (isAdmitted_) {
-        onAdmitted();
-    }
-}
-
-std::optional<Base::SoftwareVersion> Exchange::soleVersion() const
-{
-    return owner_.serviceVersions_.soleVersion(
-        service_->id, soleVersionPeriod, owner_.settings_.continuousNow());
-}
-
-void Exchange::noteServerList()
-{
-    listConfirmation_ = owner_.serviceVersions_.confirmation(owner_.settings_.continuousNow());
-}
-
-/// Reads the list of servers before a stream is continued by a daemon that may have missed that
-/// servers were restarted with another version. Returns whether the attempt has to wait. While the
-/// store is unavailable, no daemon can know more.
-bool Exchange::readServersIfOutOfStep()
-{
-    if (!streamVersion_) {
-        return false;
-    }
-    noteServerList();
-    if (isServerReadFailed_ || owner_.serviceVersions_.isInStep(owner_.settings_.continuousNow())) {
-        return false;
-    }
-    auto self = shared_from_this();
-    owner_.serverReads_.request([self](bool isRead) {
-        if (!self->isEnded_) {
-            self->isServerReadFailed_ = !isRead;
-            self->startAttempt();
-        }
-    });
-    return true;
-}
-
-void Exchange::refuseStream(const char *outcome, std::string detail)
-{
-    respondWithError(503, outcome, std::move(detail), owner_.settings_.retryAfterBusy);
-}
-
-/// Whether the server that began the stream may have had another version than the recorded one.
-bool Exchange::isStreamUncertain() const
-{
-    if (!streamRecord_) {
-        return false;
-    }
-    Dispatch::StreamRecord record = *streamRecord_;
-    record.age += now() - streamRecordedAt_;
-    const auto time = std::chrono::system_clock::now().time_since_epoch();
-    const Dispatch::UnixMs unixTime(
-        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-    return owner_.serviceVersions_.isUncertain(record, unixTime);
-}
-
 /// Makes the first attempt once the request is admitted and what it continues is known.
 void Exchange::onAdmitted()
 {
