Log where and why a stream goes on

A front wrote one line at the end of a request, so a resumption that was in progress when its front was killed left none, and no line told which record was found, at which process the stream had begun, or how old the connection and the list were. One line is written before the request is sent on; only requests that continue a stream have it.

--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -1,5 +1,7 @@
 #include "clientconnection.h"
 
+#include "steadyclock.h"
+
 #include <asio/write.hpp>
 
 #include <netinet/in.h>
@@ -77,6 +79,7 @@
             return;
         }
         self->setUpSocket();
+        self->setConnected();
         self->isReusable_ = true;
         report({});
     });
@@ -97,6 +100,11 @@
     socket_.bind({*source_, 0}, ignored);
 }
 
+void ClientConnection::setConnected()
+{
+    connectedAt_ = steadyNow();
+}
+
 void ClientConnection::setUpSocket()
 {
     std::error_code ignored; // a socket without the option still works
--- a/src/libs/proxy/clientconnection.h
+++ b/src/libs/proxy/clientconnection.h
@@ -63,6 +63,11 @@
     /// Calls back when an idle connection is closed by the server or receives unexpected bytes.
     void watchIdle(std::function<void()> onUnusable);
 
+    /// A time at which the connection to the server was open.
+    Base::Instant connectedAt() const { return connectedAt_; }
+    /// A relay has connected to the server now.
+    void setConnected();
+
     /// The daemon through which the server is reached; unset for a direct connection.
     void setRelay(Base::VmId relay) { relay_ = std::move(relay); }
     const std::optional<Base::VmId> &relay() const { return relay_; }
@@ -101,6 +106,7 @@
     asio::ip::tcp::endpoint peer_;
     std::optional<asio::ip::address> source_;
     std::optional<Base::VmId> relay_;
+    Base::Instant connectedAt_;
     asio::steady_timer connectTimer_;
     MessageParser parser_{MessageParser::Kind::Response};
     std::string outgoing_;
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -65,6 +65,8 @@
     void noteServerList();
     bool readServersIfOutOfStep();
     bool isStreamUncertain() const;
+    bool continuesStream() const;
+    void logContinuation() const;
     void onAdmitted();
     void keepTurn();
     void onTurnKept(bool isKept);
--- a/src/libs/proxy/exchangeattempts.cpp
+++ b/src/libs/proxy/exchangeattempts.cpp
@@ -224,6 +224,9 @@
     }
     events_.dropPartialEvent();
     beginLease();
+    if (continuesStream()) {
+        logContinuation();
+    }
     auto self = shared_from_this();
     ClientConnection::Handlers handlers;
     handlers.onHead = [self](const ResponseHead &head, const Framing &framing) {
--- a/src/libs/proxy/exchangestreams.cpp
+++ b/src/libs/proxy/exchangestreams.cpp
@@ -11,6 +11,16 @@
 /// A stream that callers may still resume began within this time.
 constexpr Base::Duration soleVersionPeriod = std::chrono::seconds(60);
 
+std::int64_t milliseconds(Base::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::int64_t startTimeOf(const Dispatch::ServerInstance &process)
+{
+    return static_cast<std::int64_t>(process.startedAt);
+}
+
 } // namespace
 
 /// Finds the software version that a resumed stream has to be continued by. Servers do not check
@@ -151,4 +161,41 @@
     return owner_.serviceVersions_.isUncertain(record, unixTime);
 }
 
+/// Whether the caller has events of the stream already, from this response or an earlier one.
+bool Exchange::continuesStream() const
+{
+    return streamVersion_ && (traits_.lastEventId || events_.eventCount() > 0);
+}
+
+/// Written before the request is sent, as a daemon that is killed meanwhile writes no line at the
+/// end of it.
+void Exchange::logContinuation() const
+{
+    const Dispatch::ServerInstance &process = placement_->instance;
+    Telemetry::LogFields fields;
+    fields.request = traits_.id;
+    fields.program = traits_.program.text();
+    fields.step = "dispatch";
+    fields.peer = process.id.text();
+    fields.details = {{"server_version", placement_->version.text()},
+                      {"server_started", startTimeOf(process)},
+                      {"connection_milliseconds", milliseconds(now() - connection_->connectedAt())},
+                      {"events", static_cast<std::int64_t>(events_.eventCount())}};
+    if (streamRecord_) {
+        const bool isOwn = !traits_.lastEventId;
+        const char *foundBy = traits_.resumedAttempt.empty() ? "key" : "attempt";
+        const Base::Duration age = streamRecord_->age + (now() - streamRecordedAt_);
+        fields.details.push_back({"found_by", isOwn ? "response" : foundBy});
+        fields.details.push_back({"stream_server", streamRecord_->server.id.text()});
+        fields.details.push_back({"stream_server_started", startTimeOf(streamRecord_->server)});
+        fields.details.push_back({"stream_milliseconds", milliseconds(age)});
+    } else {
+        fields.details.push_back({"found_by", "sole_version"});
+    }
+    if (listConfirmation_) {
+        fields.details.push_back({"list_age_milliseconds", milliseconds(listConfirmation_->age)});
+    }
+    owner_.log_.write(Telemetry::LogLevel::Info, "stream goes on", fields);
+}
+
 } // namespace Proxy
--- a/src/libs/proxy/serverconnector.cpp
+++ b/src/libs/proxy/serverconnector.cpp
@@ -132,6 +132,7 @@
             const bool isConnected = end == ResponseEnd::Complete && self->relayStatus_ == 200
                                      && self->relay_->isReusable();
             if (isConnected) {
+                self->relay_->setConnected();
                 self->owner_.recordRelayed(self->target_.instance, self->tried_);
                 self->finish(std::exchange(self->relay_, nullptr), {});
             } else {
