Streams: a version holds for a process that is known to answer

An entry of the list describes one process of a server. A server that starts again under its id serves requests before its entry names the new process, for seconds, or for as long as the store is unavailable; its streams were recorded with the version of the process before, and went on at servers of that version, in good faith, at whichever front the caller resumed them. The opposite too: a stream of the listed version was sent on to the restarted server.

ServerProcesses decides, without input and output, whether a connection leads to the listed process: certain if that process was alive after the connection was open (it answered a later request on a certain connection, said so when it was asked, or has renewed its entry since), doubtful if a connection was refused or broke off before. Records of streams carry this and the age of their connection, in optional fields. A stream goes on only if the process that began it and the one that gets it are certain, or probable while one version only is in service. Otherwise the server is asked which process it is, on the connection that the stream would use. Requests that begin a stream ask nothing.

Ruled out on the way: heartbeat counters as a proof of life.

--- a/schema/proxypeer.thrift
+++ b/schema/proxypeer.thrift
@@ -214,6 +214,14 @@
   5: string lastWrite
 }
 
+/** Whether a connection leads to the listed process of its server. */
+enum ProcessCertainty {
+  Probable = 0
+  Certain = 1
+  Unsure = 2
+  Doubtful = 3
+}
+
 /** The software version of the server that began the stream of an attempt. Has no response. */
 struct StreamNotice {
   1: string attempt
@@ -223,6 +231,10 @@
   /** The server that began the stream, and its start time in milliseconds since the Unix epoch. */
   4: optional string server
   5: optional i64 startedAt
+  /** Time from the opening of the connection to the server until the first event. */
+  6: optional i64 openBeforeMs
+  /** Whether that process began the stream, as known to the sender at the first event. */
+  7: optional ProcessCertainty certainty
 }
 
 /** Requests the software version of the server that began a stream. */
@@ -243,6 +255,9 @@
   5: optional i64 ageMs
   /** The key belongs to streams of several versions. */
   6: optional bool isAmbiguous
+  /** As in the notice. */
+  7: optional i64 openBeforeMs
+  8: optional ProcessCertainty certainty
 }
 
 /** The sender is about to end and connects to no more servers for others. Has no response. */
--- a/src/libs/dispatch/serviceversions.cpp
+++ b/src/libs/dispatch/serviceversions.cpp
@@ -64,6 +64,7 @@
         return;
     }
     isAliveSinceFleetStart_ = false;
+    continuousSince_.reset();
     backlogUntil_ = now + settings_.backlogTime;
     for (auto &[service, entry] : services_) {
         entry.changedAt = std::max(entry.changedAt, now);
@@ -76,6 +77,7 @@
         confirmedAt_ = asOf;
         confirmedBy_ = by;
     }
+    continuousSince_ = continuousSince_.value_or(asOf);
 }
 
 void ServiceVersions::listConfirmed(Base::Instant asOf, Base::Instant now)
@@ -114,6 +116,14 @@
                         : std::nullopt;
 }
 
+std::optional<Base::Duration> ServiceVersions::entryAge(Base::Instant now,
+                                                        Base::Duration lifetime) const
+{
+    const bool isContinuous
+        = continuousSince_ && confirmedAt_ && *confirmedAt_ - *continuousSince_ >= lifetime;
+    return isContinuous ? std::optional(now - *confirmedAt_ + lifetime) : std::nullopt;
+}
+
 bool ServiceVersions::isInStep(Base::Instant now) const
 {
     return confirmedAt_ && now - *confirmedAt_ <= settings_.maxUnconfirmed;
--- a/src/libs/dispatch/serviceversions.h
+++ b/src/libs/dispatch/serviceversions.h
@@ -61,6 +61,10 @@
 
     /// The last confirmation; nothing if there was none.
     std::optional<ListConfirmation> confirmation(Base::Instant now) const;
+    /// Time since the servers of the last list have renewed their entries at least, if the store
+    /// removes entries that were not renewed for \a lifetime; nothing if it may not have been able
+    /// to, as the list was not confirmed without a gap for so long.
+    std::optional<Base::Duration> entryAge(Base::Instant now, Base::Duration lifetime) const;
     /// Whether the list was confirmed recently.
     bool isInStep(Base::Instant now) const;
 
@@ -111,6 +115,8 @@
     std::unordered_map<Base::ServerId, Listed> servers_;
     std::optional<Base::Instant> confirmedAt_;
     ConfirmedBy confirmedBy_ = ConfirmedBy::Report;
+    /// The first confirmation after which there was no gap.
+    std::optional<Base::Instant> continuousSince_;
     /// Time of the last confirmation, even if it may have waited unread.
     std::optional<Base::Instant> reportedAt_;
     /// Reports that arrive before this time may have waited unread.
--- a/src/libs/dispatch/streamversions.h
+++ b/src/libs/dispatch/streamversions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "requestplacer.h"
+#include "serverprocesses.h"
 
 #include <base/instant.h>
 #include <base/types.h>
@@ -35,6 +36,10 @@
     ServerInstance server;
     /// Time since the first event.
     Base::Duration age{};
+    /// Time from the opening of the connection to the server until the first event.
+    Base::Duration openBefore{};
+    /// Whether that connection led to the server instance, as known at the first event.
+    ProcessCertainty certainty = ProcessCertainty::Probable;
 
     bool operator==(const StreamRecord &) const = default;
 };
--- a/src/libs/proxy/connectionpool.cpp
+++ b/src/libs/proxy/connectionpool.cpp
@@ -43,7 +43,10 @@
         return;
     }
     connections.push_back({connection, now + usable});
-    connection->watchIdle([this, instance, raw = connection.get()] { drop(instance, raw); });
+    connection->watchIdle([this, instance, raw = connection.get()] {
+        drop(instance, raw);
+        onIdleEnded_(instance);
+    });
 }
 
 void ConnectionPool::drop(const Dispatch::ServerInstance &instance,
--- a/src/libs/proxy/connectionpool.h
+++ b/src/libs/proxy/connectionpool.h
@@ -25,6 +25,12 @@
 public:
     explicit ConnectionPool(PoolSettings settings);
 
+    /// Calls back when a server ends an idle connection, or sends bytes on it.
+    void onIdleEnded(std::function<void(const Dispatch::ServerInstance &)> callback)
+    {
+        onIdleEnded_ = std::move(callback);
+    }
+
     /// Returns the connection that was used last, so that the others can expire; null if none is
     /// idle.
     std::shared_ptr<ClientConnection> take(const Dispatch::ServerInstance &instance,
@@ -49,6 +55,8 @@
     void drop(const Dispatch::ServerInstance &instance, const ClientConnection *connection);
 
     PoolSettings settings_;
+    std::function<void(const Dispatch::ServerInstance &)> onIdleEnded_
+        = [](const Dispatch::ServerInstance &) {};
     std::map<Dispatch::ServerInstance, std::vector<Idle>> idle_;
 };
 
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -186,6 +186,9 @@
     if (rateTimer_) {
         rateTimer_->cancel();
     }
+    if (const auto checking = std::exchange(checkingStream_, nullptr)) {
+        checking->cancel();
+    }
     if (const auto cancelKeeping = std::exchange(cancelKeeping_, nullptr)) {
         keepingTime_ = now() - keepingSince_;
         cancelKeeping();
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -65,6 +65,11 @@
     void noteServerList();
     bool readServersIfOutOfStep();
     bool isStreamUncertain() const;
+    Dispatch::ProcessCertainty streamCertainty() const;
+    bool isVersionSure(Dispatch::ProcessCertainty certainty,
+                       const Base::SoftwareVersion &version) const;
+    bool checkStreamProcess();
+    void onStreamProcessChecked(ProcessFinding finding);
     bool continuesStream() const;
     void logContinuation() const;
     void onAdmitted();
@@ -96,15 +101,21 @@
     void refuseQuarantined();
     void connect(const Dispatch::Placement &placement);
     void onConnected(std::shared_ptr<ClientConnection> connection, const std::string &problem);
+    bool mustCheckProcess(const ClientConnection &connection) const;
+    void sendOrCheckProcess(std::shared_ptr<ClientConnection> connection, bool isKept);
+    void checkProcess(std::shared_ptr<ClientConnection> connection);
+    void onProcessChecked(ProcessFinding finding, std::shared_ptr<ClientConnection> connection);
     void sendTo(std::shared_ptr<ClientConnection> connection, bool isKept);
     std::string serializeForServer() const;
     HeadVerdict onHead(const ResponseHead &head, const Framing &framing);
     void onStaleResponse();
     void recordStatements(const ResponseTraits &traits);
+    void recordProcess(const ResponseTraits &traits);
     void recordLimit(const ResponseTraits &traits);
     void recordResponse(int status);
     void recordCost();
     void onBody(const std::string &bytes);
+    void recordStream();
     void onEvents(const std::string &bytes);
     std::optional<std::uint64_t> maxEvents() const;
     const char *streamProblem() const;
@@ -206,6 +217,9 @@
     Base::Instant streamRecordedAt_;
     /// What the list of servers rested on when the version was decided on.
     std::optional<Dispatch::ListConfirmation> listConfirmation_;
+    /// What the server that began the stream says of itself, if it had to be asked.
+    std::optional<ProcessFinding> streamProcess_;
+    std::shared_ptr<ConnectAttempt> checkingStream_;
     /// The list of servers could not be read to resume the stream.
     bool isServerReadFailed_ = false;
     /// The request continues no stream, or its version was found.
--- a/src/libs/proxy/exchangeattempts.cpp
+++ b/src/libs/proxy/exchangeattempts.cpp
@@ -30,12 +30,12 @@
         refuseQuarantined();
         return;
     }
-    if (readServersIfOutOfStep()) {
+    if (readServersIfOutOfStep() || checkStreamProcess()) {
         return;
     }
     if (isStreamUncertain()) {
         refuseAttempt("stream_uncertain",
-                      "the server that began the stream was restarted with another version",
+                      "the server that began the stream may have been restarted before",
                       owner_.settings_.retryAfterBusy);
         return;
     }
@@ -178,7 +178,7 @@
 {
     owner_.placer_.requestSent(placement.instance, traits_.prompt);
     if (auto idle = owner_.takeIdle(placement.instance)) {
-        sendTo(std::move(idle), true);
+        sendOrCheckProcess(std::move(idle), true);
         return;
     }
     const auto endpoint = parseEndpoint(placement.address);
@@ -204,14 +204,71 @@
         return;
     }
     if (connection) {
-        sendTo(std::move(connection), false);
+        sendOrCheckProcess(std::move(connection), false);
         return;
     }
+    owner_.mayHaveEnded(placement_->instance, Dispatch::EndSign::Failed);
     owner_.placer_.requestFailed(placement_->instance, now());
     owner_.placer_.requestEnded(placement_->instance);
     onNotRun("connect: " + problem);
 }
 
+/// Whether the connection may lead to a process of another version than the stream's.
+bool Exchange::mustCheckProcess(const ClientConnection &connection) const
+{
+    return continuesStream()
+           && !isVersionSure(
+               owner_.processes_.certainty(placement_->instance, connection.connectedAt()),
+               *streamVersion_);
+}
+
+void Exchange::sendOrCheckProcess(std::shared_ptr<ClientConnection> connection, bool isKept)
+{
+    if (mustCheckProcess(*connection)) {
+        checkProcess(std::move(connection));
+    } else {
+        sendTo(std::move(connection), isKept);
+    }
+}
+
+/// Asks the server which process it is before it gets a stream that another one began.
+void Exchange::checkProcess(std::shared_ptr<ClientConnection> connection)
+{
+    if (!owner_.mayCheckProcesses()) {
+        onProcessChecked(ProcessFinding::Untold, std::move(connection));
+        return;
+    }
+    const auto check = std::make_shared<ProcessCheck>(
+        owner_.context_, owner_.translator_, placement_->instance, std::move(connection));
+    connecting_ = check;
+    auto self = shared_from_this();
+    check->start(std::min(owner_.settings_.connectTimeout, timeLeft()),
+                 [self, askedAt = now()](ProcessFinding finding, auto checked) {
+                     self->connecting_.reset();
+                     self->owner_.onProcessChecked(self->placement_->instance, finding, askedAt);
+                     self->onProcessChecked(finding, std::move(checked));
+                 });
+}
+
+void Exchange::onProcessChecked(ProcessFinding finding,
+                                std::shared_ptr<ClientConnection> connection)
+{
+    const bool isDoubtful
+        = !connection
+          || owner_.processes_.certainty(placement_->instance, connection->connectedAt())
+                 == Dispatch::ProcessCertainty::Doubtful;
+    if (finding == ProcessFinding::Listed || (finding == ProcessFinding::Untold && !isDoubtful)) {
+        sendTo(std::move(connection), true);
+        return;
+    }
+    if (connection) {
+        connection->close();
+    }
+    owner_.placer_.requestEnded(placement_->instance);
+    onNotRun(std::string("process of the server is not known to be the listed one: ")
+             + nameOf(finding));
+}
+
 void Exchange::sendTo(std::shared_ptr<ClientConnection> connection, bool isKept)
 {
     connection_ = std::move(connection);
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -31,6 +31,7 @@
     if (!traits.isWrongServer) {
         recordStatements(traits);
     }
+    recordProcess(traits);
     response_.hasBegun = true;
     if (traits.isNotRun || traits.isWrongServer) {
         releaseServer(false);
@@ -113,6 +114,16 @@
     recordLimit(traits);
 }
 
+/// A process that answers is alive; an address that belongs to another server has lost its process.
+void Exchange::recordProcess(const ResponseTraits &traits)
+{
+    if (traits.isWrongServer) {
+        owner_.mayHaveEnded(placement_->instance, Dispatch::EndSign::Failed);
+    } else if (traits.isAuthentic) {
+        owner_.processes_.responded(placement_->instance, connection_->connectedAt(), sentAt_);
+    }
+}
+
 /// A response without a limit is as old as its request: it may have been on its way when another
 /// one stated a limit.
 void Exchange::recordLimit(const ResponseTraits &traits)
@@ -266,14 +277,24 @@
     abortResponse("broken_answer", "stream has more tokens than the caller allows");
 }
 
+void Exchange::recordStream()
+{
+    const Base::Instant connectedAt = connection_->connectedAt();
+    streamRecordedAt_ = now();
+    streamRecord_ = {placement_->version,
+                     placement_->instance,
+                     {},
+                     streamRecordedAt_ - connectedAt,
+                     owner_.processes_.certainty(placement_->instance, connectedAt)};
+}
+
 /// The first event determines the software version of the stream.
 void Exchange::onEvents(const std::string &bytes)
 {
     if (!streamVersion_ && events_.eventCount() > 0) {
         streamVersion_ = placement_->version;
         if (route_->isResumable) {
-            streamRecord_ = {placement_->version, placement_->instance, {}};
-            streamRecordedAt_ = now();
+            recordStream();
             owner_.streams_.began({traits_.id, streamKey()}, *streamRecord_);
         }
     }
@@ -296,6 +317,7 @@
     }
     if (end != ResponseEnd::Complete) {
         if (end == ResponseEnd::Disconnected) {
+            owner_.mayHaveEnded(placement_->instance, Dispatch::EndSign::Failed);
             owner_.crashes_.disconnected(
                 {fingerprints_, placement_->instance, crashStage(), now() - sentAt_});
         }
--- a/src/libs/proxy/exchangestreams.cpp
+++ b/src/libs/proxy/exchangestreams.cpp
@@ -2,6 +2,8 @@
 
 #include <base/random.h>
 
+#include <algorithm>
+
 namespace Proxy {
 
 namespace {
@@ -78,6 +80,11 @@
         refuseStream("stream_unknown", "the software version that began the stream is not known");
         return;
     }
+    if (owner_.processes_.hasDoubtful(service_->id)) {
+        noteServerList();
+        refuseStream("stream_unknown", "a server may have been restarted with another version");
+        return;
+    }
     auto self = shared_from_this();
     owner_.serverReads_.request([self](bool isRead) {
         if (!self->isEnded_) {
@@ -147,18 +154,112 @@
     respondWithError(503, outcome, std::move(detail), owner_.settings_.retryAfterBusy);
 }
 
+/// Whether the process that began the stream was the one of the record.
+Dispatch::ProcessCertainty Exchange::streamCertainty() const
+{
+    using Dispatch::ProcessCertainty;
+    // Records of previous builds name no server.
+    if (streamRecord_->server.id.isEmpty()) {
+        return ProcessCertainty::Certain;
+    }
+    const Base::Instant connectedAt
+        = streamRecordedAt_ - streamRecord_->age - streamRecord_->openBefore;
+    const ProcessCertainty here = owner_.processes_.certainty(streamRecord_->server, connectedAt);
+    const ProcessCertainty recorded = streamRecord_->certainty;
+    const bool isCertain
+        = here == ProcessCertainty::Certain || recorded == ProcessCertainty::Certain;
+    return isCertain ? ProcessCertainty::Certain : std::max(here, recorded);
+}
+
+/// Without a sign that the process had ended, only the version of a process that took its place
+/// unnoticed is to be feared. Where one version is in service, that is not assumed.
+bool Exchange::isVersionSure(Dispatch::ProcessCertainty certainty,
+                             const Base::SoftwareVersion &version) const
+{
+    switch (certainty) {
+    case Dispatch::ProcessCertainty::Certain:
+        return true;
+    case Dispatch::ProcessCertainty::Probable:
+        return soleVersion() == version;
+    case Dispatch::ProcessCertainty::Unsure:
+    case Dispatch::ProcessCertainty::Doubtful:
+        break;
+    }
+    return false;
+}
+
+/// Asks the server that began the stream which process it is, if this is not known. Returns whether
+/// the attempt has to wait.
+bool Exchange::checkStreamProcess()
+{
+    if (!streamRecord_ || streamProcess_ || !owner_.mayCheckProcesses()
+        || isVersionSure(streamCertainty(), streamRecord_->version)) {
+        return false;
+    }
+    const auto address = owner_.addressOf(streamRecord_->server);
+    if (!address) {
+        streamProcess_ = ProcessFinding::Unanswered;
+        return false;
+    }
+    auto self = shared_from_this();
+    checkingStream_ = owner_.connector_.connect(
+        {streamRecord_->server, *address},
+        std::min(owner_.settings_.connectTimeout, timeLeft()),
+        [self](std::shared_ptr<ClientConnection> connection, const std::string &) {
+            if (!connection) {
+                self->owner_.mayHaveEnded(self->streamRecord_->server, Dispatch::EndSign::Failed);
+                self->onStreamProcessChecked(ProcessFinding::Unanswered);
+                return;
+            }
+            const auto check = std::make_shared<ProcessCheck>(self->owner_.context_,
+                                                              self->owner_.translator_,
+                                                              self->streamRecord_->server,
+                                                              std::move(connection));
+            self->checkingStream_ = check;
+            check->start(std::min(self->owner_.settings_.connectTimeout, self->timeLeft()),
+                         [self, askedAt = self->now()](ProcessFinding finding, auto checked) {
+                             const auto &process = self->streamRecord_->server;
+                             self->owner_.onProcessChecked(process, finding, askedAt);
+                             if (checked) {
+                                 self->owner_.putIdle(process, checked);
+                             }
+                             self->onStreamProcessChecked(finding);
+                         });
+        });
+    return true;
+}
+
+void Exchange::onStreamProcessChecked(ProcessFinding finding)
+{
+    checkingStream_.reset();
+    streamProcess_ = finding;
+    startAttempt();
+}
+
 /// Whether the server that began the stream may have had another version than the recorded one.
 bool Exchange::isStreamUncertain() const
 {
     if (!streamRecord_) {
         return false;
     }
+    const Dispatch::ProcessCertainty certainty = streamCertainty();
+    if (certainty == Dispatch::ProcessCertainty::Certain) {
+        return false;
+    }
     Dispatch::StreamRecord record = *streamRecord_;
     record.age += now() - streamRecordedAt_;
     const auto time = std::chrono::system_clock::now().time_since_epoch();
     const Dispatch::UnixMs unixTime(
         std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-    return owner_.serviceVersions_.isUncertain(record, unixTime);
+    if (owner_.serviceVersions_.isUncertain(record, unixTime)) {
+        return true;
+    }
+    if (isVersionSure(certainty, streamRecord_->version)) {
+        return false;
+    }
+    // A server that does not say which process it is leaves only the signs that it has ended.
+    const bool isUntold = streamProcess_.value_or(ProcessFinding::Untold) == ProcessFinding::Untold;
+    return !isUntold || certainty == Dispatch::ProcessCertainty::Doubtful;
 }
 
 /// Whether the caller has events of the stream already, from this response or an earlier one.
@@ -177,10 +278,15 @@
     fields.program = traits_.program.text();
     fields.step = "dispatch";
     fields.peer = process.id.text();
-    fields.details = {{"server_version", placement_->version.text()},
-                      {"server_started", startTimeOf(process)},
-                      {"connection_milliseconds", milliseconds(now() - connection_->connectedAt())},
-                      {"events", static_cast<std::int64_t>(events_.eventCount())}};
+    fields.details
+        = {{"server_version", placement_->version.text()},
+           {"server_started", startTimeOf(process)},
+           {"connection_milliseconds", milliseconds(now() - connection_->connectedAt())},
+           {"process", nameOf(owner_.processes_.certainty(process, connection_->connectedAt()))},
+           {"events", static_cast<std::int64_t>(events_.eventCount())}};
+    if (streamProcess_) {
+        fields.details.push_back({"stream_check", nameOf(*streamProcess_)});
+    }
     if (streamRecord_) {
         const bool isOwn = !traits_.lastEventId;
         const char *foundBy = traits_.resumedAttempt.empty() ? "key" : "attempt";
@@ -189,6 +295,7 @@
         fields.details.push_back({"stream_server", streamRecord_->server.id.text()});
         fields.details.push_back({"stream_server_started", startTimeOf(streamRecord_->server)});
         fields.details.push_back({"stream_milliseconds", milliseconds(age)});
+        fields.details.push_back({"stream_process", nameOf(streamCertainty())});
     } else {
         fields.details.push_back({"found_by", "sole_version"});
     }
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -34,6 +34,8 @@
            [this](const auto &report) { quarantine_.crashed(report); },
            [this](const auto &instance, const auto &connection) { putIdle(instance, connection); }})
 {
+    pool_.onIdleEnded(
+        [this](const auto &instance) { mayHaveEnded(instance, Dispatch::EndSign::IdleClosed); });
     connector_.onCutOff([this] {
         pool_.closeIf([](const ClientConnection &connection) { return !connection.relay(); });
     });
@@ -97,16 +99,44 @@
 {
     placer_.serversChanged(servers);
     serviceVersions_.serversChanged(servers, settings_.continuousNow());
+    processes_.serversChanged(servers, now());
     const auto isListed
         = [this](const Dispatch::ServerInstance &instance) { return placer_.isListed(instance); };
     pool_.retain(isListed);
     connector_.paths().retain(isListed);
 }
 
-void PassThrough::serversConfirmed(Base::Instant asOf)
+void PassThrough::serversConfirmed(Base::Instant asOf,
+                                   const std::vector<Dispatch::ListedServer> &listed)
 {
     const Base::Instant time = settings_.continuousNow();
     serviceVersions_.listConfirmed(time - (now() - asOf), time);
+    if (const auto age = serviceVersions_.entryAge(time, settings_.entryLifetime)) {
+        for (const Dispatch::ListedServer &server : listed) {
+            processes_.wasAlive(server.instance(), now() - *age);
+        }
+    }
+}
+
+void PassThrough::mayHaveEnded(const Dispatch::ServerInstance &process, Dispatch::EndSign sign)
+{
+    processes_.mayHaveEnded(process, sign, now());
+}
+
+void PassThrough::onProcessChecked(const Dispatch::ServerInstance &process,
+                                   ProcessFinding finding,
+                                   Base::Instant askedAt)
+{
+    metrics_
+        .counter("marjoram_process_checks_total",
+                 "Questions to servers which process they are, by result",
+                 {{"result", nameOf(finding)}})
+        .add();
+    if (finding == ProcessFinding::Listed) {
+        processes_.wasAlive(process, askedAt);
+    } else if (finding != ProcessFinding::Untold) {
+        mayHaveEnded(process, Dispatch::EndSign::Failed);
+    }
 }
 
 /// The responses of one process of a server share what it may take.
@@ -249,6 +279,10 @@
 
 void PassThrough::updateGauges()
 {
+    metrics_
+        .gauge("marjoram_doubtful_servers",
+               "Listed servers that may have been restarted since they were seen alive")
+        .set(static_cast<double>(processes_.doubtfulCount()));
     if (memory_) {
         memory_->updateGauges(metrics_);
     }
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -6,6 +6,7 @@
 #include "crashverifier.h"
 #include "daemonmemory.h"
 #include "loadcontrol.h"
+#include "processcheck.h"
 #include "recentprograms.h"
 #include "requestaccount.h"
 #include "requesttraits.h"
@@ -19,6 +20,7 @@
 #include <dispatch/requestlimits.h>
 #include <dispatch/requestplacer.h>
 #include <dispatch/requestquarantine.h>
+#include <dispatch/serverprocesses.h>
 #include <dispatch/serviceversions.h>
 #include <programs/tokenledger.h>
 #include <telemetry/log.h>
@@ -60,6 +62,8 @@
     PoolSettings pool;
     ServerConnectorSettings connector;
     LoadControlMode loadControl = LoadControlMode::Auto;
+    /// Time after which the store removes the entry of a server that has fallen silent.
+    Base::Duration entryLifetime = std::chrono::milliseconds(4800);
     /// Minimum time between two reads of the list of servers for streams that are resumed.
     Base::Duration serverReadInterval = std::chrono::milliseconds(100);
     /// Clock that goes on while the VM is suspended.
@@ -184,8 +188,10 @@
                                            std::uint64_t revision);
     /// Whether the instance is listed in a closed zone; no request may reach it.
     bool isInClosedZone(const Dispatch::ServerInstance &instance) const;
-    /// The last list of servers was the current one at the given time.
-    void serversConfirmed(Base::Instant asOf);
+    /// The last list of servers was the current one at the given time. \a listed are its entries,
+    /// without those that are kept although they have expired.
+    void serversConfirmed(Base::Instant asOf,
+                          const std::vector<Dispatch::ListedServer> &listed = {});
     /// The whole system starts for the first time. Must be called before the first list.
     void setFleetStart() { serviceVersions_.setFleetStart(); }
 
@@ -232,6 +238,12 @@
                  const std::shared_ptr<ClientConnection> &connection);
     Base::MemoryLease leaseForResponse(const Dispatch::ServerInstance &instance) const;
     void readServers(SharedRead::Done done);
+    void mayHaveEnded(const Dispatch::ServerInstance &process, Dispatch::EndSign sign);
+    /// Whether servers say which process they are.
+    bool mayCheckProcesses() const { return !translator_.identityTarget.empty(); }
+    void onProcessChecked(const Dispatch::ServerInstance &process,
+                          ProcessFinding finding,
+                          Base::Instant askedAt);
     void probePath();
     void countResponse(int status, Base::Duration latency);
 
@@ -246,6 +258,7 @@
     /// Null if memory is unlimited.
     DaemonMemory *memory_ = nullptr;
     Dispatch::ServiceVersions serviceVersions_{{}};
+    Dispatch::ServerProcesses processes_{{}};
     SharedRead serverReads_;
     Telemetry::Log &log_;
     Telemetry::Metrics &metrics_;
--- a/src/libs/proxy/peermessages.cpp
+++ b/src/libs/proxy/peermessages.cpp
@@ -52,13 +52,24 @@
     return Programs::TurnVerdict::Unavailable;
 }
 
+std::int64_t toMilliseconds(Base::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+Base::Duration durationFromWire(std::int64_t milliseconds)
+{
+    constexpr std::int64_t longestMs = 1000LL * 60 * 60 * 24 * 365;
+    return std::chrono::milliseconds(std::clamp<std::int64_t>(milliseconds, 0, longestMs));
+}
+
 Wire::ListStatement toWire(const ListReport &report)
 {
     Wire::ListStatement part;
     part.changedAt = static_cast<std::int64_t>(report.changedAt);
     part.confirmedAt = static_cast<std::int64_t>(report.confirmedAt);
     part.reads = static_cast<std::int64_t>(report.reads);
-    part.ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(report.age).count();
+    part.ageMs = toMilliseconds(report.age);
     return part;
 }
 
@@ -67,7 +78,7 @@
     return {static_cast<std::uint64_t>(report.changedAt),
             static_cast<std::uint64_t>(report.confirmedAt),
             static_cast<std::uint64_t>(report.reads),
-            std::chrono::milliseconds(std::max<std::int64_t>(0, report.ageMs))};
+            durationFromWire(report.ageMs)};
 }
 
 Wire::RequestUrgency::type toWire(Admission::Urgency urgency)
@@ -153,17 +164,6 @@
     return Dispatch::CrashStage::Unknown;
 }
 
-std::int64_t toMilliseconds(Base::Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
-Base::Duration durationFromWire(std::int64_t milliseconds)
-{
-    constexpr std::int64_t longestMs = 1000LL * 60 * 60 * 24 * 365;
-    return std::chrono::milliseconds(std::clamp<std::int64_t>(milliseconds, 0, longestMs));
-}
-
 /// Nothing if the fields are missing or the rate is not one; the sender then uses its even part.
 std::optional<ColdReport> coldFromWire(const Wire::ServerPermitRequest &request)
 {
@@ -268,6 +268,37 @@
     return Programs::AllocationUnanswered{};
 }
 
+Wire::ProcessCertainty::type toWire(Dispatch::ProcessCertainty certainty)
+{
+    switch (certainty) {
+    case Dispatch::ProcessCertainty::Certain:
+        return Wire::ProcessCertainty::Certain;
+    case Dispatch::ProcessCertainty::Unsure:
+        return Wire::ProcessCertainty::Unsure;
+    case Dispatch::ProcessCertainty::Doubtful:
+        return Wire::ProcessCertainty::Doubtful;
+    case Dispatch::ProcessCertainty::Probable:
+        break;
+    }
+    return Wire::ProcessCertainty::Probable;
+}
+
+/// The fields of previous builds have the default value.
+Dispatch::ProcessCertainty certaintyFromWire(Wire::ProcessCertainty::type certainty)
+{
+    switch (certainty) {
+    case Wire::ProcessCertainty::Certain:
+        return Dispatch::ProcessCertainty::Certain;
+    case Wire::ProcessCertainty::Unsure:
+        return Dispatch::ProcessCertainty::Unsure;
+    case Wire::ProcessCertainty::Doubtful:
+        return Dispatch::ProcessCertainty::Doubtful;
+    case Wire::ProcessCertainty::Probable:
+        break;
+    }
+    return Dispatch::ProcessCertainty::Probable;
+}
+
 Wire::StreamNotice toWire(const StreamNotice &notice)
 {
     Wire::StreamNotice part;
@@ -278,6 +309,8 @@
     }
     part.__set_server(notice.record.server.id.text());
     part.__set_startedAt(static_cast<std::int64_t>(notice.record.server.startedAt));
+    part.__set_openBeforeMs(toMilliseconds(notice.record.openBefore));
+    part.__set_certainty(toWire(notice.record.certainty));
     return part;
 }
 
@@ -293,7 +326,9 @@
     return {{notice.attempt, keyFromWire(notice.__isset.requestKey, notice.requestKey)},
             {Base::SoftwareVersion(notice.version),
              {Base::ServerId(notice.server), static_cast<std::uint64_t>(notice.startedAt)},
-             {}}};
+             {},
+             durationFromWire(notice.openBeforeMs),
+             certaintyFromWire(notice.certainty)}};
 }
 
 Wire::StreamVersionAnswer toWire(const StreamVersionResponse &response)
@@ -308,6 +343,8 @@
                           part.__set_server(record.server.id.text());
                           part.__set_startedAt(static_cast<std::int64_t>(record.server.startedAt));
                           part.__set_ageMs(toMilliseconds(record.age));
+                          part.__set_openBeforeMs(toMilliseconds(record.openBefore));
+                          part.__set_certainty(toWire(record.certainty));
                       }},
         response.finding);
     return part;
@@ -324,7 +361,9 @@
     return Dispatch::StreamRecord{
         Base::SoftwareVersion(answer.version),
         {Base::ServerId(answer.server), static_cast<std::uint64_t>(answer.startedAt)},
-        durationFromWire(answer.ageMs)};
+        durationFromWire(answer.ageMs),
+        durationFromWire(answer.openBeforeMs),
+        certaintyFromWire(answer.certainty)};
 }
 
 Wire::PeerBody toWire(const PeerBody &body)
--- a/src/libs/proxy/requesttraits.h
+++ b/src/libs/proxy/requesttraits.h
@@ -93,6 +93,11 @@
     std::function<ResponseTraits(const ResponseHead &)> readResponse;
     /// Removes the key and fields that callers must not set, and adds the given traits.
     std::function<void(HeaderFields &, const ForwardTraits &)> prepareForward;
+    /// Where a server says which process it is; empty if servers do not say it.
+    std::string identityTarget = {};
+    /// Returns the start time of the process that such a response states, in milliseconds since the
+    /// Unix epoch; nothing if it states none.
+    std::function<std::optional<std::uint64_t>(std::string_view body)> readStartTime = {};
 };
 
 } // namespace Proxy
