Streams: mend the checks of processes after their review

One who had not seen the work found faults in the checks, each with a test that failed on: - a stream that began without a sign against its server goes on only after a list that was read for it (aStreamOfAServerThatRestartedWithoutASignIsNotContinued); that list has to name one version, for how long does not matter, so a daemon that has just started loses no streams of crashed servers (aStreamOutlivesItsServerWhereOneVersionIsInService); - an answer that ends its connection counts (aStatementCountsIfItEndsItsConnection); - the zone, the server and the shutdown are looked at again after the question (noRequestIsSentToAZoneThatWasClosedWhileItsServerWasAsked); - signs that are later than a proof of life stay (aProofOfLifeLeavesLaterSigns), and no proof counts after the next process was listed (aProcessIsNotAliveAfterItsSuccessorWasListed); - of equal requests the least certain record is judged (aDoubtfulRecordIsNotHiddenByAnEqualRequest). His test that a stream should outlive its server after an idle connection had ended is kept the other way round (aStreamIsNotContinuedAfterAnIdleConnectionHasEnded): a process that ends shows itself to a daemon without requests in just that way. In tst_outofstep, a daemon in step reads the list for a recorded stream that is not certain, and refuses it if its server was restarted; it went on before.

--- a/src/libs/dispatch/serverprocesses.h
+++ b/src/libs/dispatch/serverprocesses.h
@@ -9,15 +9,16 @@
 
 /// Whether a connection leads to the listed process of its server; the surest first.
 enum class ProcessCertainty {
-    /// The process was alive when the connection was open.
+    /// The process was alive when the connection was open: what the list says holds for it.
     Certain,
-    /// There is no sign that it had ended before.
+    /// There is no sign that it had ended before. What the list says may be used if it would hold
+    /// for any other process of the server as well.
     Probable,
     /// An idle connection to it was closed before, as a server does from time to time, and a
-    /// process when it ends.
+    /// process when it ends. The server has to be asked, if it can be.
     Unsure,
     /// It has probably ended before the connection was opened, and another one may have taken its
-    /// place.
+    /// place. What the list says must not be used unless the server confirms it.
     Doubtful
 };
 
@@ -64,18 +65,32 @@
     std::size_t doubtfulCount() const;
 
 private:
+    /// Signs of one kind since the last proof of life.
+    struct Signs
+    {
+        std::optional<Base::Instant> first;
+        Base::Instant last;
+
+        void add(Base::Instant at);
+        void refute(Base::Instant aliveAt);
+        bool isBefore(Base::Instant time) const { return first && *first <= time; }
+    };
+
     struct Process
     {
         Base::ServiceId service;
         /// The last proof that it was alive.
         std::optional<Base::Instant> aliveAt;
-        /// The first signs after that proof that it has ended.
-        std::optional<Base::Instant> idleClosedAt;
-        std::optional<Base::Instant> failedAt;
+        Signs idleClosed;
+        Signs failed;
+        /// When the next process of the server was first listed.
+        std::optional<Base::Instant> succeededAt;
         /// The time of the first list without it; unset while it is listed.
         std::optional<Base::Instant> leftAt;
     };
 
+    void recordSuccessor(const ServerInstance &instance, Base::Instant now);
+
     Settings settings_;
     std::map<ServerInstance, Process> processes_;
 };
--- a/src/libs/dispatch/serviceversions.cpp
+++ b/src/libs/dispatch/serviceversions.cpp
@@ -37,6 +37,7 @@
 void ServiceVersions::serversChanged(const std::vector<ListedServer> &servers, Base::Instant now)
 {
     VersionsByService listed = versionsByService(servers);
+    lastVersions_ = listed;
     setListed(servers, now);
     std::erase_if(services_, [&](const auto &entry) { return !listed.contains(entry.first); });
     for (auto &[service, versions] : listed) {
@@ -105,6 +106,7 @@
             entry.changedAt = now;
         }
     }
+    lastVersions_ = std::move(listed);
     setListed(servers, now);
     reportedAt_ = std::max(reportedAt_.value_or(begunAt), begunAt);
     confirm(begunAt, ConfirmedBy::Read);
@@ -149,6 +151,13 @@
     return isAliveSinceFleetStart_ && !histories_.at(service).hasOther;
 }
 
+bool ServiceVersions::isOnlyVersion(const Base::ServiceId &service,
+                                    const Base::SoftwareVersion &version) const
+{
+    const auto entry = lastVersions_.find(service);
+    return entry != lastVersions_.end() && entry->second == std::set{version};
+}
+
 /// A list from before the restart of a server names the old version for the new process.
 bool ServiceVersions::isUncertain(const StreamRecord &record, UnixMs now) const
 {
--- a/src/libs/dispatch/serviceversions.h
+++ b/src/libs/dispatch/serviceversions.h
@@ -75,6 +75,9 @@
                                                      Base::Duration period,
                                                      Base::Instant now) const;
 
+    /// Whether all servers of the service in the last list have this version.
+    bool isOnlyVersion(const Base::ServiceId &service, const Base::SoftwareVersion &version) const;
+
     /// Whether the server of the record was last listed with another version, and may have been
     /// restarted with it before the stream began.
     bool isUncertain(const StreamRecord &record, UnixMs now) const;
@@ -110,6 +113,8 @@
 
     Settings settings_;
     std::map<Base::ServiceId, Entry> services_;
+    /// Those of the last list, also if the regular one has not followed it yet.
+    std::map<Base::ServiceId, std::set<Base::SoftwareVersion>> lastVersions_;
     std::map<Base::ServiceId, History> histories_;
     /// The listed servers, and those that left within the retention time.
     std::unordered_map<Base::ServerId, Listed> servers_;
--- a/src/libs/dispatch/streamversions.cpp
+++ b/src/libs/dispatch/streamversions.cpp
@@ -15,6 +15,9 @@
     if (!first || !second || first->version != second->version) {
         return AmbiguousStream{};
     }
+    if (first->certainty != second->certainty) {
+        return first->certainty > second->certainty ? a : b;
+    }
     return first->age <= second->age ? a : b;
 }
 
@@ -28,6 +31,9 @@
         VersionEntries &same = byKey_[*stream.key][record.version];
         ++same.count;
         same.newest = sequence;
+        if (record.certainty != ProcessCertainty::Certain) {
+            same.uncertain = sequence;
+        }
     }
     entries_.push_back({stream, record, now - record.age});
     while (entries_.size() > settings_.maxStreams
@@ -75,6 +81,9 @@
     StreamFinding finding;
     for (const auto &[version, entries] : versions->second) {
         finding = combined(finding, recordAt(entries.newest, now));
+        if (entries.uncertain && *entries.uncertain >= removed_) {
+            finding = combined(finding, recordAt(*entries.uncertain, now));
+        }
     }
     return finding;
 }
--- a/src/libs/dispatch/streamversions.h
+++ b/src/libs/dispatch/streamversions.h
@@ -57,7 +57,8 @@
 
 using StreamFinding = std::variant<UnknownStream, AmbiguousStream, StreamRecord>;
 
-/// Combines what two daemons know about a stream; of two records, the newer one is kept.
+/// Combines what two daemons know about a stream. Of two records, the less certain one is kept, as
+/// they may be of two streams with one key, and else the newer one.
 StreamFinding combined(const StreamFinding &a, const StreamFinding &b);
 
 /// The software version of the server that began each recent stream.
@@ -97,6 +98,8 @@
     {
         std::size_t count = 0;
         Sequence newest = 0;
+        /// The newest one whose process was not certain.
+        std::optional<Sequence> uncertain;
     };
 
     void removeOldest();
--- a/src/libs/proxy/exchange.cpp
+++ b/src/libs/proxy/exchange.cpp
@@ -186,7 +186,7 @@
     if (rateTimer_) {
         rateTimer_->cancel();
     }
-    if (const auto checking = std::exchange(checkingStream_, nullptr)) {
+    if (const auto checking = std::exchange(askingStreamServer_, nullptr)) {
         checking->cancel();
     }
     if (const auto cancelKeeping = std::exchange(cancelKeeping_, nullptr)) {
@@ -298,6 +298,9 @@
         fields.details.push_back({"resumes", traits_.resumedAttempt});
         fields.details.push_back({"last_event", *traits_.lastEventId});
     }
+    if (traits_.lastEventId && streamVersion_) {
+        addStreamDetails(fields);
+    }
     if (listConfirmation_) {
         fields.details.push_back({"version_by", streamRecord_ ? "record" : "sole_version"});
         fields.details.push_back({"list_age_milliseconds", milliseconds(listConfirmation_->age)});
--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -63,14 +63,16 @@
     void refuseStream(const char *outcome, std::string detail);
     std::optional<Base::SoftwareVersion> soleVersion() const;
     void noteServerList();
-    bool readServersIfOutOfStep();
+    bool readServersIfNeeded();
     bool isStreamUncertain() const;
     Dispatch::ProcessCertainty streamCertainty() const;
     bool isVersionSure(Dispatch::ProcessCertainty certainty,
                        const Base::SoftwareVersion &version) const;
-    bool checkStreamProcess();
-    void onStreamProcessChecked(ProcessFinding finding);
+    bool askStreamServer();
+    void askStreamServerOn(std::shared_ptr<ClientConnection> connection);
+    void onStreamServerAsked(ProcessFinding finding);
     bool continuesStream() const;
+    void addStreamDetails(Telemetry::LogFields &fields) const;
     void logContinuation() const;
     void onAdmitted();
     void keepTurn();
@@ -101,10 +103,10 @@
     void refuseQuarantined();
     void connect(const Dispatch::Placement &placement);
     void onConnected(std::shared_ptr<ClientConnection> connection, const std::string &problem);
-    bool mustCheckProcess(const ClientConnection &connection) const;
-    void sendOrCheckProcess(std::shared_ptr<ClientConnection> connection, bool isKept);
-    void checkProcess(std::shared_ptr<ClientConnection> connection);
-    void onProcessChecked(ProcessFinding finding, std::shared_ptr<ClientConnection> connection);
+    bool mustAskServer(const ClientConnection &connection) const;
+    void sendOrAskServer(std::shared_ptr<ClientConnection> connection, bool isKept);
+    void askServer(std::shared_ptr<ClientConnection> connection);
+    void onServerAsked(ProcessFinding finding, std::shared_ptr<ClientConnection> connection);
     void sendTo(std::shared_ptr<ClientConnection> connection, bool isKept);
     std::string serializeForServer() const;
     HeadVerdict onHead(const ResponseHead &head, const Framing &framing);
@@ -218,10 +220,10 @@
     /// What the list of servers rested on when the version was decided on.
     std::optional<Dispatch::ListConfirmation> listConfirmation_;
     /// What the server that began the stream says of itself, if it had to be asked.
-    std::optional<ProcessFinding> streamProcess_;
-    std::shared_ptr<ConnectAttempt> checkingStream_;
-    /// The list of servers could not be read to resume the stream.
-    bool isServerReadFailed_ = false;
+    std::optional<ProcessFinding> streamServerFinding_;
+    std::shared_ptr<ConnectAttempt> askingStreamServer_;
+    /// Whether the list of servers could be read for this request; unset if that was not tried.
+    std::optional<bool> isListRead_;
     /// The request continues no stream, or its version was found.
     bool isStreamVersionKnown_ = true;
     /// The rate and the budget allow the request.
--- a/src/libs/proxy/exchangeattempts.cpp
+++ b/src/libs/proxy/exchangeattempts.cpp
@@ -30,7 +30,7 @@
         refuseQuarantined();
         return;
     }
-    if (readServersIfOutOfStep() || checkStreamProcess()) {
+    if (readServersIfNeeded() || askStreamServer()) {
         return;
     }
     if (isStreamUncertain()) {
@@ -178,7 +178,7 @@
 {
     owner_.placer_.requestSent(placement.instance, traits_.prompt);
     if (auto idle = owner_.takeIdle(placement.instance)) {
-        sendOrCheckProcess(std::move(idle), true);
+        sendOrAskServer(std::move(idle), true);
         return;
     }
     const auto endpoint = parseEndpoint(placement.address);
@@ -204,7 +204,7 @@
         return;
     }
     if (connection) {
-        sendOrCheckProcess(std::move(connection), false);
+        sendOrAskServer(std::move(connection), false);
         return;
     }
     owner_.mayHaveEnded(placement_->instance, Dispatch::EndSign::Failed);
@@ -214,7 +214,7 @@
 }
 
 /// Whether the connection may lead to a process of another version than the stream's.
-bool Exchange::mustCheckProcess(const ClientConnection &connection) const
+bool Exchange::mustAskServer(const ClientConnection &connection) const
 {
     return continuesStream()
            && !isVersionSure(
@@ -222,20 +222,20 @@
                *streamVersion_);
 }
 
-void Exchange::sendOrCheckProcess(std::shared_ptr<ClientConnection> connection, bool isKept)
+void Exchange::sendOrAskServer(std::shared_ptr<ClientConnection> connection, bool isKept)
 {
-    if (mustCheckProcess(*connection)) {
-        checkProcess(std::move(connection));
+    if (mustAskServer(*connection)) {
+        askServer(std::move(connection));
     } else {
         sendTo(std::move(connection), isKept);
     }
 }
 
 /// Asks the server which process it is before it gets a stream that another one began.
-void Exchange::checkProcess(std::shared_ptr<ClientConnection> connection)
+void Exchange::askServer(std::shared_ptr<ClientConnection> connection)
 {
-    if (!owner_.mayCheckProcesses()) {
-        onProcessChecked(ProcessFinding::Untold, std::move(connection));
+    if (!owner_.mayAskServers()) {
+        onServerAsked(ProcessFinding::Untold, std::move(connection));
         return;
     }
     const auto check = std::make_shared<ProcessCheck>(
@@ -245,19 +245,27 @@
     check->start(std::min(owner_.settings_.connectTimeout, timeLeft()),
                  [self, askedAt = now()](ProcessFinding finding, auto checked) {
                      self->connecting_.reset();
-                     self->owner_.onProcessChecked(self->placement_->instance, finding, askedAt);
-                     self->onProcessChecked(finding, std::move(checked));
+                     self->owner_.recordFinding(self->placement_->instance, finding, askedAt);
+                     self->onServerAsked(finding, std::move(checked));
                  });
 }
 
-void Exchange::onProcessChecked(ProcessFinding finding,
-                                std::shared_ptr<ClientConnection> connection)
+void Exchange::onServerAsked(ProcessFinding finding, std::shared_ptr<ClientConnection> connection)
 {
+    if (connection && isZoneClosed()) {
+        connection_ = std::move(connection);
+        onZoneClosed();
+        return;
+    }
     const bool isDoubtful
         = !connection
           || owner_.processes_.certainty(placement_->instance, connection->connectedAt())
                  == Dispatch::ProcessCertainty::Doubtful;
-    if (finding == ProcessFinding::Listed || (finding == ProcessFinding::Untold && !isDoubtful)) {
+    const bool isAccepted
+        = finding == ProcessFinding::Listed || (finding == ProcessFinding::Untold && !isDoubtful);
+    const bool mayGetRequest = owner_.placer_.isAvailable(placement_->instance) && mayBeSent();
+    if (connection && isAccepted && mayGetRequest) {
+        // A late copy of the answer may come before the response.
         sendTo(std::move(connection), true);
         return;
     }
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -317,7 +317,9 @@
     }
     if (end != ResponseEnd::Complete) {
         if (end == ResponseEnd::Disconnected) {
-            owner_.mayHaveEnded(placement_->instance, Dispatch::EndSign::Failed);
+            if (!relay_) {
+                owner_.mayHaveEnded(placement_->instance, Dispatch::EndSign::Failed);
+            }
             owner_.crashes_.disconnected(
                 {fingerprints_, placement_->instance, crashStage(), now() - sentAt_});
         }
--- a/src/libs/proxy/exchangestreams.cpp
+++ b/src/libs/proxy/exchangestreams.cpp
@@ -96,12 +96,13 @@
 void Exchange::onServersReadForSoleVersion(bool isRead)
 {
     noteServerList();
+    isListRead_ = isRead;
     if (!isRead) {
         refuseStream("stream_unknown", "the list of servers could not be read to resume a stream");
         return;
     }
     streamVersion_ = soleVersion();
-    if (!streamVersion_) {
+    if (!streamVersion_ || owner_.processes_.hasDoubtful(service_->id)) {
         refuseStream("stream_unknown", "servers of another software version have joined");
         return;
     }
@@ -127,22 +128,26 @@
     listConfirmation_ = owner_.serviceVersions_.confirmation(owner_.settings_.continuousNow());
 }
 
-/// Reads the list of servers before a stream is continued by a daemon that may have missed that
-/// servers were restarted with another version. Returns whether the attempt has to wait. While the
-/// store is unavailable, no daemon can know more.
-bool Exchange::readServersIfOutOfStep()
+/// Reads the list of servers before a stream goes on, if this daemon may have missed that servers
+/// were restarted with another version, or if the stream may have begun at one that was. Returns
+/// whether the attempt has to wait. While the store is unavailable, no daemon can know more.
+bool Exchange::readServersIfNeeded()
 {
     if (!streamVersion_) {
         return false;
     }
     noteServerList();
-    if (isServerReadFailed_ || owner_.serviceVersions_.isInStep(owner_.settings_.continuousNow())) {
+    const bool isOutOfStep = !owner_.serviceVersions_.isInStep(owner_.settings_.continuousNow());
+    const bool mayBeOutdated = isOutOfStep && isListRead_ != false;
+    const bool isUncertain
+        = !isListRead_ && streamRecord_ && streamCertainty() != Dispatch::ProcessCertainty::Certain;
+    if (!mayBeOutdated && !isUncertain) {
         return false;
     }
     auto self = shared_from_this();
     owner_.serverReads_.request([self](bool isRead) {
         if (!self->isEnded_) {
-            self->isServerReadFailed_ = !isRead;
+            self->isListRead_ = isRead;
             self->startAttempt();
         }
     });
@@ -171,8 +176,9 @@
     return isCertain ? ProcessCertainty::Certain : std::max(here, recorded);
 }
 
-/// Without a sign that the process had ended, only the version of a process that took its place
-/// unnoticed is to be feared. Where one version is in service, that is not assumed.
+/// Without a sign that the process had ended, a list that was just read and names no other version
+/// is enough: another process would have had to take its place unnoticed, and be the first one of
+/// its version.
 bool Exchange::isVersionSure(Dispatch::ProcessCertainty certainty,
                              const Base::SoftwareVersion &version) const
 {
@@ -180,7 +186,7 @@
     case Dispatch::ProcessCertainty::Certain:
         return true;
     case Dispatch::ProcessCertainty::Probable:
-        return soleVersion() == version;
+        return isListRead_ == true && owner_.serviceVersions_.isOnlyVersion(service_->id, version);
     case Dispatch::ProcessCertainty::Unsure:
     case Dispatch::ProcessCertainty::Doubtful:
         break;
@@ -190,49 +196,57 @@
 
 /// Asks the server that began the stream which process it is, if this is not known. Returns whether
 /// the attempt has to wait.
-bool Exchange::checkStreamProcess()
+bool Exchange::askStreamServer()
 {
-    if (!streamRecord_ || streamProcess_ || !owner_.mayCheckProcesses()
+    if (!streamRecord_ || streamServerFinding_ || !owner_.mayAskServers()
         || isVersionSure(streamCertainty(), streamRecord_->version)) {
         return false;
     }
+    if (auto idle = owner_.takeIdle(streamRecord_->server)) {
+        askStreamServerOn(std::move(idle));
+        return true;
+    }
     const auto address = owner_.addressOf(streamRecord_->server);
     if (!address) {
-        streamProcess_ = ProcessFinding::Unanswered;
+        streamServerFinding_ = ProcessFinding::Unanswered;
         return false;
     }
     auto self = shared_from_this();
-    checkingStream_ = owner_.connector_.connect(
+    askingStreamServer_ = owner_.connector_.connect(
         {streamRecord_->server, *address},
         std::min(owner_.settings_.connectTimeout, timeLeft()),
         [self](std::shared_ptr<ClientConnection> connection, const std::string &) {
-            if (!connection) {
-                self->owner_.mayHaveEnded(self->streamRecord_->server, Dispatch::EndSign::Failed);
-                self->onStreamProcessChecked(ProcessFinding::Unanswered);
+            if (connection) {
+                self->askStreamServerOn(std::move(connection));
                 return;
             }
-            const auto check = std::make_shared<ProcessCheck>(self->owner_.context_,
-                                                              self->owner_.translator_,
-                                                              self->streamRecord_->server,
-                                                              std::move(connection));
-            self->checkingStream_ = check;
-            check->start(std::min(self->owner_.settings_.connectTimeout, self->timeLeft()),
-                         [self, askedAt = self->now()](ProcessFinding finding, auto checked) {
-                             const auto &process = self->streamRecord_->server;
-                             self->owner_.onProcessChecked(process, finding, askedAt);
-                             if (checked) {
-                                 self->owner_.putIdle(process, checked);
-                             }
-                             self->onStreamProcessChecked(finding);
-                         });
+            self->owner_.mayHaveEnded(self->streamRecord_->server, Dispatch::EndSign::Failed);
+            self->onStreamServerAsked(ProcessFinding::Unanswered);
         });
     return true;
 }
 
-void Exchange::onStreamProcessChecked(ProcessFinding finding)
+void Exchange::askStreamServerOn(std::shared_ptr<ClientConnection> connection)
 {
-    checkingStream_.reset();
-    streamProcess_ = finding;
+    const auto check = std::make_shared<ProcessCheck>(
+        owner_.context_, owner_.translator_, streamRecord_->server, std::move(connection));
+    askingStreamServer_ = check;
+    auto self = shared_from_this();
+    check->start(std::min(owner_.settings_.connectTimeout, timeLeft()),
+                 [self, askedAt = now()](ProcessFinding finding, const auto &checked) {
+                     const Dispatch::ServerInstance &process = self->streamRecord_->server;
+                     self->owner_.recordFinding(process, finding, askedAt);
+                     if (checked) {
+                         self->owner_.putIdle(process, checked);
+                     }
+                     self->onStreamServerAsked(finding);
+                 });
+}
+
+void Exchange::onStreamServerAsked(ProcessFinding finding)
+{
+    askingStreamServer_.reset();
+    streamServerFinding_ = finding;
     startAttempt();
 }
 
@@ -258,7 +272,8 @@
         return false;
     }
     // A server that does not say which process it is leaves only the signs that it has ended.
-    const bool isUntold = streamProcess_.value_or(ProcessFinding::Untold) == ProcessFinding::Untold;
+    const bool isUntold
+        = streamServerFinding_.value_or(ProcessFinding::Untold) == ProcessFinding::Untold;
     return !isUntold || certainty == Dispatch::ProcessCertainty::Doubtful;
 }
 
@@ -268,6 +283,26 @@
     return streamVersion_ && (traits_.lastEventId || events_.eventCount() > 0);
 }
 
+/// Adds what is known of the stream that the request continues.
+void Exchange::addStreamDetails(Telemetry::LogFields &fields) const
+{
+    if (!streamRecord_) {
+        fields.details.push_back({"found_by", "sole_version"});
+        return;
+    }
+    const bool isOwn = !traits_.lastEventId;
+    const char *foundBy = traits_.resumedAttempt.empty() ? "key" : "attempt";
+    const Base::Duration age = streamRecord_->age + (now() - streamRecordedAt_);
+    fields.details.push_back({"found_by", isOwn ? "response" : foundBy});
+    fields.details.push_back({"stream_server", streamRecord_->server.id.text()});
+    fields.details.push_back({"stream_server_started", startTimeOf(streamRecord_->server)});
+    fields.details.push_back({"stream_milliseconds", milliseconds(age)});
+    fields.details.push_back({"stream_process", nameOf(streamCertainty())});
+    if (streamServerFinding_) {
+        fields.details.push_back({"stream_check", nameOf(*streamServerFinding_)});
+    }
+}
+
 /// Written before the request is sent, as a daemon that is killed meanwhile writes no line at the
 /// end of it.
 void Exchange::logContinuation() const
@@ -284,21 +319,7 @@
            {"connection_milliseconds", milliseconds(now() - connection_->connectedAt())},
            {"process", nameOf(owner_.processes_.certainty(process, connection_->connectedAt()))},
            {"events", static_cast<std::int64_t>(events_.eventCount())}};
-    if (streamProcess_) {
-        fields.details.push_back({"stream_check", nameOf(*streamProcess_)});
-    }
-    if (streamRecord_) {
-        const bool isOwn = !traits_.lastEventId;
-        const char *foundBy = traits_.resumedAttempt.empty() ? "key" : "attempt";
-        const Base::Duration age = streamRecord_->age + (now() - streamRecordedAt_);
-        fields.details.push_back({"found_by", isOwn ? "response" : foundBy});
-        fields.details.push_back({"stream_server", streamRecord_->server.id.text()});
-        fields.details.push_back({"stream_server_started", startTimeOf(streamRecord_->server)});
-        fields.details.push_back({"stream_milliseconds", milliseconds(age)});
-        fields.details.push_back({"stream_process", nameOf(streamCertainty())});
-    } else {
-        fields.details.push_back({"found_by", "sole_version"});
-    }
+    addStreamDetails(fields);
     if (listConfirmation_) {
         fields.details.push_back({"list_age_milliseconds", milliseconds(listConfirmation_->age)});
     }
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -106,11 +106,17 @@
     connector_.paths().retain(isListed);
 }
 
+void PassThrough::serversConfirmed(Base::Instant asOf)
+{
+    const Base::Instant time = settings_.continuousNow();
+    serviceVersions_.listConfirmed(time - (now() - asOf), time);
+}
+
 void PassThrough::serversConfirmed(Base::Instant asOf,
                                    const std::vector<Dispatch::ListedServer> &listed)
 {
+    serversConfirmed(asOf);
     const Base::Instant time = settings_.continuousNow();
-    serviceVersions_.listConfirmed(time - (now() - asOf), time);
     if (const auto age = serviceVersions_.entryAge(time, settings_.entryLifetime)) {
         for (const Dispatch::ListedServer &server : listed) {
             processes_.wasAlive(server.instance(), now() - *age);
@@ -123,9 +129,9 @@
     processes_.mayHaveEnded(process, sign, now());
 }
 
-void PassThrough::onProcessChecked(const Dispatch::ServerInstance &process,
-                                   ProcessFinding finding,
-                                   Base::Instant askedAt)
+void PassThrough::recordFinding(const Dispatch::ServerInstance &process,
+                                ProcessFinding finding,
+                                Base::Instant askedAt)
 {
     metrics_
         .counter("marjoram_process_checks_total",
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -188,10 +188,11 @@
                                            std::uint64_t revision);
     /// Whether the instance is listed in a closed zone; no request may reach it.
     bool isInClosedZone(const Dispatch::ServerInstance &instance) const;
-    /// The last list of servers was the current one at the given time. \a listed are its entries,
-    /// without those that are kept although they have expired.
-    void serversConfirmed(Base::Instant asOf,
-                          const std::vector<Dispatch::ListedServer> &listed = {});
+    /// The last list of servers was the current one at the given time.
+    void serversConfirmed(Base::Instant asOf);
+    /// The same, with the entries of the list; those that are kept although they have expired are
+    /// left out.
+    void serversConfirmed(Base::Instant asOf, const std::vector<Dispatch::ListedServer> &listed);
     /// The whole system starts for the first time. Must be called before the first list.
     void setFleetStart() { serviceVersions_.setFleetStart(); }
 
@@ -240,10 +241,10 @@
     void readServers(SharedRead::Done done);
     void mayHaveEnded(const Dispatch::ServerInstance &process, Dispatch::EndSign sign);
     /// Whether servers say which process they are.
-    bool mayCheckProcesses() const { return !translator_.identityTarget.empty(); }
-    void onProcessChecked(const Dispatch::ServerInstance &process,
-                          ProcessFinding finding,
-                          Base::Instant askedAt);
+    bool mayAskServers() const { return !translator_.identityTarget.empty(); }
+    void recordFinding(const Dispatch::ServerInstance &process,
+                       ProcessFinding finding,
+                       Base::Instant askedAt);
     void probePath();
     void countResponse(int status, Base::Duration latency);
 
--- a/src/libs/proxy/processcheck.cpp
+++ b/src/libs/proxy/processcheck.cpp
@@ -48,7 +48,7 @@
     timer_.expires_after(timeout);
     timer_.async_wait([self](const std::error_code &error) {
         if (!error) {
-            self->finish(ProcessFinding::Unanswered);
+            self->finish(ProcessFinding::Unanswered, false);
         }
     });
     ClientConnection::Handlers handlers;
@@ -62,7 +62,7 @@
 void ProcessCheck::cancel()
 {
     done_ = nullptr;
-    finish(ProcessFinding::Unanswered);
+    finish(ProcessFinding::Unanswered, false);
 }
 
 /// A response that names a request is a late one to that request.
@@ -78,7 +78,7 @@
 void ProcessCheck::onBody(const std::string &bytes)
 {
     if (body_.size() + bytes.size() > maxBodyBytes) {
-        finish(ProcessFinding::Unanswered);
+        finish(ProcessFinding::Unanswered, false);
         return;
     }
     body_ += bytes;
@@ -86,8 +86,9 @@
 
 void ProcessCheck::onEnd(ResponseEnd end)
 {
-    const bool isUsable = end == ResponseEnd::Complete && connection_->isReusable();
-    finish(isUsable ? finding() : ProcessFinding::Unanswered);
+    const bool isAnswered = end == ResponseEnd::Complete;
+    finish(isAnswered ? finding() : ProcessFinding::Unanswered,
+           isAnswered && connection_->isReusable());
 }
 
 ProcessFinding ProcessCheck::finding() const
@@ -100,14 +101,13 @@
     return *startedAt == process_.startedAt ? ProcessFinding::Listed : ProcessFinding::Other;
 }
 
-void ProcessCheck::finish(ProcessFinding finding)
+void ProcessCheck::finish(ProcessFinding finding, bool isUsable)
 {
     timer_.cancel();
     const auto connection = std::exchange(connection_, nullptr);
     if (!connection) {
         return;
     }
-    const bool isUsable = finding != ProcessFinding::Unanswered;
     if (!isUsable) {
         connection->close();
     }
--- a/src/libs/proxy/processcheck.h
+++ b/src/libs/proxy/processcheck.h
@@ -13,7 +13,7 @@
     Other,
     /// The server does not say which process it is.
     Untold,
-    /// No response; the connection cannot be used.
+    /// No response.
     Unanswered
 };
 
@@ -21,7 +21,7 @@
 class ProcessCheck : public ConnectAttempt, public std::enable_shared_from_this<ProcessCheck>
 {
 public:
-    /// Receives the connection, or null if it cannot be used.
+    /// Receives the connection, or null if it cannot be used any more.
     using Done = std::function<void(ProcessFinding, std::shared_ptr<ClientConnection>)>;
 
     ProcessCheck(asio::io_context &context,
@@ -38,7 +38,7 @@
     void onBody(const std::string &bytes);
     void onEnd(ResponseEnd end);
     ProcessFinding finding() const;
-    void finish(ProcessFinding finding);
+    void finish(ProcessFinding finding, bool isUsable);
 
     const HeaderTranslator &translator_;
     Dispatch::ServerInstance process_;
--- a/tests/libs/dispatch/tst_serverprocesses.cpp
+++ b/tests/libs/dispatch/tst_serverprocesses.cpp
@@ -60,6 +60,8 @@
     cr_assert(known.certainty(process, at(9)) == ProcessCertainty::Doubtful, "an old proof");
     known.wasAlive(process, at(8));
     cr_assert(known.certainty(process, at(9)) == ProcessCertainty::Probable);
+    cr_assert_eq(known.doubtfulCount(), 1, "the later sign");
+    known.wasAlive(process, at(10));
     cr_assert_eq(known.doubtfulCount(), 0);
 }
 
@@ -100,3 +102,26 @@
     known.serversChanged({}, at(70));
     cr_assert(known.certainty(process, at(4)) == ProcessCertainty::Probable);
 }
+
+/// Guards against a sign that is forgotten because an earlier one was refuted: the process was
+/// alive between them, not after both.
+Test(serverprocesses, aProofOfLifeLeavesLaterSigns)
+{
+    ServerProcesses known = processes();
+    known.mayHaveEnded(process, EndSign::Failed, at(8));
+    known.mayHaveEnded(process, EndSign::Failed, at(10));
+    known.wasAlive(process, at(9));
+    cr_expect(known.certainty(process, at(11)) == ProcessCertainty::Doubtful);
+    cr_expect(known.hasDoubtful(Base::ServiceId("s")));
+}
+
+/// Guards against an entry that a late heartbeat of the process before brings back: a process whose
+/// successor has been listed has ended.
+Test(serverprocesses, aProcessIsNotAliveAfterItsSuccessorWasListed)
+{
+    ServerProcesses known = processes();
+    known.serversChanged({listed("a", 2)}, at(6));
+    known.serversChanged({listed("a", 1)}, at(11));
+    known.wasAlive(process, at(7));
+    cr_expect(known.certainty(process, at(5)) != ProcessCertainty::Certain);
+}
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -142,10 +142,12 @@
 class Fixture
 {
 public:
-    explicit Fixture(PassThroughSettings settings = {}, const FixtureAddresses &addresses = {})
+    explicit Fixture(PassThroughSettings settings = {},
+                     const FixtureAddresses &addresses = {},
+                     HeaderTranslator translator = {&readRequest, &readResponse, &prepareForward})
         : passThrough_(context_,
                        std::move(settings),
-                       {&readRequest, &readResponse, &prepareForward},
+                       std::move(translator),
                        controls(),
                        silentLog(),
                        metrics_,
--- a/tests/libs/proxy/tst_outofstep.cpp
+++ b/tests/libs/proxy/tst_outofstep.cpp
@@ -164,7 +164,9 @@
         int reads;
     };
     const std::vector<Case> cases{
-        {"normal", Store::FirstRestarted, false, true, 0},
+        {"normal", Store::AsKnown, false, true, 1},
+        {"server restarted", Store::FirstRestarted, false, false, 1},
+        {"store unavailable", Store::Unavailable, false, true, 1},
         {"suspended", Store::AsKnown, true, true, 1},
         {"suspended, server restarted", Store::FirstRestarted, true, false, 1},
         {"suspended, store unavailable", Store::Unavailable, true, true, 1}};
--- a/tests/libs/proxy/tst_restartedservers.cpp
+++ b/tests/libs/proxy/tst_restartedservers.cpp
@@ -1,10 +1,36 @@
 #include "passthroughfixture.h"
 
+#include <algorithm>
+#include <functional>
+
 namespace {
 
 const std::string beginning = streamHead + chunk(event(1));
 const std::string continuation = streamHead + chunk(event(2)) + "0\r\n\r\n";
 
+constexpr const char *identityTarget = "/self";
+
+HeaderTranslator identifyingTranslator()
+{
+    return {&readRequest,
+            &readResponse,
+            &prepareForward,
+            identityTarget,
+            [](std::string_view body) -> std::optional<std::uint64_t> {
+                return std::stoull(std::string(body));
+            }};
+}
+
+bool isQuestion(const std::string &request)
+{
+    return request.starts_with(std::string("GET ") + identityTarget);
+}
+
+std::string statement(int startedAt, const std::string &more = "")
+{
+    return "HTTP/1.1 200 OK\r\n" + more + "Content-Length: 1\r\n\r\n" + std::to_string(startedAt);
+}
+
 /// The list names version v1 for both servers. The first one, which is nearer, is restarted with
 /// another version under its id, which the list does not show.
 class RestartFixture : public Fixture
@@ -99,3 +125,186 @@
     fixture.awaitResponse("HTTP/1.1 503");
     cr_expect_eq(fixture.first.requests().size(), 0);
 }
+
+namespace {
+
+/// Both servers are listed as processes of version v1 that started at 5, and say which process they
+/// are.
+class IdentityFixture : public Fixture
+{
+public:
+    explicit IdentityFixture(bool isFleetStart)
+        : Fixture({}, {}, identifyingTranslator())
+    {
+        StreamControls controls;
+        controls.began = [this](const auto &, const auto &record) { finding = record; };
+        controls.find = [this](const auto &, const auto &callback) { callback(finding); };
+        controls.readServers = [this](const auto &callback) { callback(&inStore); };
+        passThrough().setStreams(std::move(controls));
+        if (isFleetStart) {
+            passThrough().setFleetStart();
+        }
+        configure();
+        for (const std::string id : {"one", "two"}) {
+            inStore.push_back(listed(id, id == "one" ? first : second));
+            inStore.back().version = Base::SoftwareVersion("v1");
+            inStore.back().startedAt = 5;
+            inStore.back().server.zone = Base::ZoneId(id == "one" ? "" : "elsewhere");
+        }
+        passThrough().serversChanged(inStore);
+        passThrough().serversConfirmed(steadyNow());
+        first.setResponder([this](const std::string &request) { return respond(first, request); });
+        second.setResponder(
+            [this](const std::string &request) { return respond(second, request); });
+    }
+
+    std::string respond(const ScriptedServer &server, const std::string &request)
+    {
+        if (isQuestion(request)) {
+            onQuestion();
+            return statement(&server == &first ? startOfFirst : 5,
+                             &server == &second ? moreOfSecond : "");
+        }
+        std::string response = request.find("Last-Event-Id") != std::string::npos ? continuation
+                               : request.find("/resumable/") != std::string::npos ? beginning
+                                                                                  : okResponse;
+        const std::size_t id = request.find("Request-Id: ") + 12;
+        response.replace(response.find("{id}"), 4, request.substr(id, 2));
+        return response;
+    }
+
+    void awaitEnd()
+    {
+        runUntil([&] { return !received.empty() || isClosed; }, "the response begins");
+        runUntil([&] { return passThrough().activeRequests() == 0; }, "the request ends");
+        context().poll();
+    }
+
+    /// Requests other than questions.
+    static std::size_t runs(const ScriptedServer &server)
+    {
+        return static_cast<std::size_t>(std::count_if(
+            server.requests().begin(), server.requests().end(), std::not_fn(&isQuestion)));
+    }
+
+    std::vector<Dispatch::ListedServer> inStore;
+    Dispatch::StreamFinding finding;
+    int startOfFirst = 5;
+    std::string moreOfSecond;
+    std::function<void()> onQuestion = [] {};
+};
+
+Dispatch::StreamRecord recordOf(const char *server, Dispatch::ProcessCertainty certainty)
+{
+    return {Base::SoftwareVersion("v1"), {Base::ServerId(server), 5}, {}, {}, certainty};
+}
+
+} // namespace
+
+/// Guards against streams that are given up although their servers say that they are the listed
+/// processes, and against those that go on although they say that they are not.
+Test(restartedservers, aServerIsAskedWhichProcessItIs)
+{
+    using Dispatch::ProcessCertainty;
+    for (const bool hasBegunStream : {false, true}) {
+        for (const int startOfFirst : {5, 6}) {
+            IdentityFixture fixture(false);
+            fixture.startOfFirst = startOfFirst;
+            fixture.finding = hasBegunStream ? recordOf("one", ProcessCertainty::Doubtful)
+                                             : recordOf("two", ProcessCertainty::Certain);
+            fixture.request("/resumable/", "r2", "Last-Event-Id: 1\r\n");
+            fixture.awaitEnd();
+            const bool isContinued = !hasBegunStream || startOfFirst == 5;
+            cr_expect_eq(fixture.received.find("data: d2") != std::string::npos, isContinued);
+            cr_expect_eq(IdentityFixture::runs(fixture.first), startOfFirst == 5 ? 1 : 0);
+        }
+    }
+}
+
+/// Guards against a question whose answer is dropped because the server ends the connection with
+/// it, as servers that leave always do.
+Test(restartedservers, aStatementCountsIfItEndsItsConnection)
+{
+    IdentityFixture fixture(false);
+    fixture.finding = recordOf("two", Dispatch::ProcessCertainty::Probable);
+    fixture.moreOfSecond = "Connection: close\r\n";
+    fixture.request("/resumable/", "r2", "Last-Event-Id: 1\r\n");
+    fixture.awaitEnd();
+    cr_expect(fixture.received.find("data: d2") != std::string::npos,
+              "received: %s",
+              fixture.received.c_str());
+}
+
+/// Guards against a request that reaches a zone which was closed while the server was asked.
+Test(restartedservers, noRequestIsSentToAZoneThatWasClosedWhileItsServerWasAsked)
+{
+    IdentityFixture fixture(false);
+    fixture.finding = recordOf("two", Dispatch::ProcessCertainty::Certain);
+    fixture.onQuestion = [&] { fixture.passThrough().applyClosures({{Base::ZoneId(), 1}}, 2); };
+    fixture.request("/resumable/", "r2", "Last-Event-Id: 1\r\n");
+    fixture.awaitEnd();
+    cr_expect_eq(IdentityFixture::runs(fixture.first), 0);
+}
+
+/// Guards against events of two versions where a server restarts without a sign as the first one of
+/// its version, which a read of the list would show.
+Test(restartedservers, aStreamOfAServerThatRestartedWithoutASignIsNotContinued)
+{
+    IdentityFixture fixture(true);
+    fixture.startOfFirst = 6;
+    fixture.inStore[0].version = Base::SoftwareVersion("v2");
+    fixture.inStore[0].startedAt = 6;
+    fixture.request("/resumable/", "r1");
+    fixture.awaitResponse("data: d1");
+    fixture.first.closeConnections();
+    fixture.awaitEnd();
+    cr_expect_eq(fixture.received.find("data: d2"), std::string::npos);
+}
+
+/// Guards against streams that are lost with their server although one version is in service, at a
+/// daemon that has just started.
+Test(restartedservers, aStreamOutlivesItsServerWhereOneVersionIsInService)
+{
+    IdentityFixture fixture(false);
+    fixture.request("/resumable/", "r2");
+    fixture.awaitResponse("data: d1");
+    fixture.first.crash();
+    fixture.awaitEnd();
+    cr_expect(fixture.received.find("data: d2") != std::string::npos,
+              "received: %s",
+              fixture.received.c_str());
+}
+
+/// Guards against events of two versions where the end of the process showed only as the end of an
+/// idle connection.
+Test(restartedservers, aStreamIsNotContinuedAfterAnIdleConnectionHasEnded)
+{
+    IdentityFixture fixture(true);
+    fixture.request("/safe/", "r1");
+    fixture.awaitResponse("hello");
+    fixture.first.closeConnections();
+    for (int i = 0; i < 10; ++i) {
+        fixture.context().run_one_for(std::chrono::milliseconds(5));
+    }
+    fixture.received.clear();
+    fixture.startOfFirst = 6;
+    fixture.request("/resumable/", "r2");
+    fixture.awaitResponse("data: d1");
+    fixture.first.crash();
+    fixture.awaitEnd();
+    cr_expect_eq(fixture.received.find("data: d2"), std::string::npos);
+}
+
+/// Guards against the stream of an equal request that hides a doubtful one: both have one key.
+Test(restartedservers, aDoubtfulRecordIsNotHiddenByAnEqualRequest)
+{
+    using Dispatch::ProcessCertainty;
+    Dispatch::StreamVersions streams{{}};
+    const Dispatch::StreamKey key(7);
+    const Base::Instant now = steadyNow();
+    streams.add({"a", key}, recordOf("one", ProcessCertainty::Doubtful), now);
+    streams.add({"b", key}, recordOf("two", ProcessCertainty::Certain), now);
+    const auto found = streams.find({"", key}, now);
+    const auto *record = std::get_if<Dispatch::StreamRecord>(&found);
+    cr_expect(!record || record->certainty == ProcessCertainty::Doubtful);
+}
