Streams: find a stream by the attempt that resumed it

The attempt is recorded now, with the version only, as the process of the first event has been checked. aStreamIsFoundByTheAttemptThatResumedIt failed before.

--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -118,6 +118,7 @@
     void recordCost();
     void onBody(const std::string &bytes);
     void recordStream();
+    void recordContinuation();
     void onEvents(const std::string &bytes);
     std::optional<std::uint64_t> maxEvents() const;
     const char *streamProblem() const;
@@ -219,6 +220,7 @@
     Base::Instant streamRecordedAt_;
     /// What the list of servers rested on when the version was decided on.
     std::optional<Dispatch::ListConfirmation> listConfirmation_;
+    bool isContinuationRecorded_ = false;
     /// What the server that began the stream says of itself, if it had to be asked.
     std::optional<ProcessFinding> streamServerFinding_;
     std::shared_ptr<ConnectAttempt> askingStreamServer_;
--- a/src/libs/proxy/exchangeresponse.cpp
+++ b/src/libs/proxy/exchangeresponse.cpp
@@ -288,6 +288,18 @@
                      owner_.processes_.certainty(placement_->instance, connectedAt)};
 }
 
+/// A caller that breaks off again may name this attempt. The process of the first event is left
+/// out, as it has been checked.
+void Exchange::recordContinuation()
+{
+    isContinuationRecorded_ = true;
+    if (!streamRecord_ || streamCertainty() == Dispatch::ProcessCertainty::Certain) {
+        owner_.streams_.began(
+            {traits_.id, streamKey()},
+            {.version = *streamVersion_, .certainty = Dispatch::ProcessCertainty::Certain});
+    }
+}
+
 /// The first event determines the software version of the stream.
 void Exchange::onEvents(const std::string &bytes)
 {
@@ -297,6 +309,8 @@
             recordStream();
             owner_.streams_.began({traits_.id, streamKey()}, *streamRecord_);
         }
+    } else if (traits_.lastEventId && !isContinuationRecorded_ && events_.eventCount() > 0) {
+        recordContinuation();
     }
     forwardBody(bytes);
     if (events_.hasTooManyEvents()) {
--- a/tests/libs/proxy/tst_restartedservers.cpp
+++ b/tests/libs/proxy/tst_restartedservers.cpp
@@ -308,3 +308,22 @@
     const auto *record = std::get_if<Dispatch::StreamRecord>(&found);
     cr_expect(!record || record->certainty == ProcessCertainty::Doubtful);
 }
+
+/// Guards against a caller that breaks off twice, and names the attempt that resumed the stream.
+Test(restartedservers, aStreamIsFoundByTheAttemptThatResumedIt)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listVersions("v1", "v2");
+    for (ScriptedServer *server : {&fixture.first, &fixture.second}) {
+        server->setDefaultScript({{continuation, continuation, continuation}});
+    }
+    for (const char *id : {"r1", "r2", "r3"}) {
+        const std::string previous = "r" + std::to_string(id[1] - '0' - 1);
+        fixture.received.clear();
+        fixture.request("/resumable/",
+                        id,
+                        id[1] == '1' ? "" : "Last-Event-Id: 1\r\nResumes: " + previous + "\r\n");
+        fixture.awaitResponse("data: d2");
+    }
+}
