Soak: let daemons inherit no sockets of the test

A daemon that was started with copies of the sockets of relays and servers kept connections and listening ports open that the test had closed: resets were not seen, and a server that had stopped was not refused connections.

--- a/tests/soak/daemonprocess.cpp
+++ b/tests/soak/daemonprocess.cpp
@@ -37,6 +37,9 @@
     posix_spawn_file_actions_addopen(
         &actions, STDOUT_FILENO, log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, logMode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A daemon that inherited the sockets of the test would keep them open when the test closes
+    // them.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::string settings = settings_.string();
     std::string option = "--settings";
     std::string role = role_;
