Soak: restart servers under their id with another software version

A server of streams stops, refuses connections for up to 0.6 s and starts again as another process. It answers GET /marjoramfield/report with the start time of its entry.

--- a/tests/soak/backendstub.cpp
+++ b/tests/soak/backendstub.cpp
@@ -18,6 +18,12 @@
     return {asio::ip::address_v4::loopback(), 0};
 }
 
+std::int64_t unixMilliseconds()
+{
+    const auto time = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 } // namespace
 
 std::string eventData(const std::string &session, int number)
@@ -111,6 +117,7 @@
     , id_(std::move(id))
     , service_(std::move(service))
     , version_(std::move(version))
+    , startedAt_(unixMilliseconds())
     , ledger_(ledger)
     , now_(std::move(now))
     , random_(seed)
@@ -173,11 +180,26 @@
 
 void BackendStub::restart()
 {
-    ++startedAt_;
+    startedAt_ = std::max(startedAt_ + 1, unixMilliseconds());
     coldUntil_ = now_() + coldPeriod;
     ledger_.serverRestarted(id_, coldRate, coldUntil_);
 }
 
+void BackendStub::stop()
+{
+    relay_.close();
+}
+
+void BackendStub::start(std::string version)
+{
+    version_ = std::move(version);
+    startedAt_ = std::max(startedAt_ + 1, unixMilliseconds());
+    if (limit_ > 0) {
+        setLimit(limit_); // the daemons learn it anew
+    }
+    relay_.open();
+}
+
 void BackendStub::setLimit(double perSecond)
 {
     limit_ = perSecond;
@@ -186,6 +208,10 @@
 
 void BackendStub::onRequest(const Caller &caller, const Proxy::CallerRequest &request)
 {
+    if (request.head.target == "/marjoramfield/report") {
+        respondWithReport(caller);
+        return;
+    }
     const std::string id = header(request, "X-Attempt-Id");
     if (request.head.headers.contains("Authorization")) {
         ledger_.recordViolation("key", "server " + id_ + " got a caller's key");
@@ -214,6 +240,16 @@
     }
 }
 
+/// Names no version: what a server says of itself only tells one process from another.
+void BackendStub::respondWithReport(const Caller &caller) const
+{
+    Proxy::ResponseHead response;
+    response.status = 200;
+    response.reason = Proxy::reasonOf(response.status);
+    response.headers.add("Content-Type", "application/json");
+    caller->respond(response, nlohmann::json{{"born", startedAt_}, {"busy", false}}.dump());
+}
+
 /// Resets all connections to the server, as if its machine had failed.
 void BackendStub::resetLater(const Caller &caller)
 {
@@ -278,7 +314,9 @@
     stream->events = eventCount(request.body);
     const std::string last = header(request, "Last-Event-Id");
     stream->next = last.empty() ? 1 : eventCount(last) + 1;
-    if (shouldInject(BackendFault::TruncatesResponses)) {
+    if (brokenAfter_ > 0) {
+        stream->truncateAfter = stream->next + brokenAfter_ - 1;
+    } else if (shouldInject(BackendFault::TruncatesResponses)) {
         stream->truncateAfter = stream->next
                                 + static_cast<int>(random_.below(static_cast<std::uint64_t>(
                                     std::max(1, stream->events - stream->next))));
--- a/tests/soak/backendstub.h
+++ b/tests/soak/backendstub.h
@@ -44,8 +44,16 @@
     void breakUnframed(bool isBroken) { areUnframedBroken_ = isBroken; }
     /// States the limit in all responses from now on; no limit if it is 0.
     void setLimit(double perSecond);
+    /// Breaks off each response to a stream after that many events; 0 ends the fault.
+    void breakStreamsAfter(int events) { brokenAfter_ = events; }
     /// From now on the server is another process, which is cold for a while.
     void restart();
+    /// Ends the process: its connections are reset, and new ones are refused.
+    void stop();
+    /// Starts another process of the software version under the same id and address; it is not
+    /// cold.
+    void start(std::string version);
+    const std::string &version() const { return version_; }
     /// Returns the server's entry in the platform's store.
     nlohmann::json entry(bool isLeaving) const;
 
@@ -55,6 +63,7 @@
 
     void accept();
     void onRequest(const Caller &caller, const Proxy::CallerRequest &request);
+    void respondWithReport(const Caller &caller) const;
     void respondPlain(const Caller &caller, const Proxy::CallerRequest &request);
     void respondUnframed(const Caller &caller, const std::string &id, const std::string &body);
     void resetLater(const Caller &caller);
@@ -75,7 +84,8 @@
     std::string service_;
     std::string version_;
     double limit_ = 0;
-    int startedAt_ = 1;
+    /// In milliseconds since the Unix epoch.
+    std::int64_t startedAt_;
     Base::Instant coldUntil_ = Base::Instant::min();
     Ledger &ledger_;
     std::function<Base::Instant()> now_;
@@ -85,6 +95,7 @@
     std::shared_ptr<Proxy::CallerHandlers> handlers_;
     BackendFault fault_ = BackendFault::None;
     bool areUnframedBroken_ = false;
+    int brokenAfter_ = 0;
 };
 
 /// Returns the event with that number of a turn, as a server of the software version sends it.
--- a/tests/soak/faultrelay.cpp
+++ b/tests/soak/faultrelay.cpp
@@ -59,12 +59,29 @@
     }
 }
 
+/// The port stays bound, so that no other socket takes it.
+void FaultRelay::close()
+{
+    const auto address = acceptor_.local_endpoint();
+    resetAll();
+    acceptor_.close();
+    acceptor_.open(address.protocol());
+    acceptor_.set_option(asio::socket_base::reuse_address(true));
+    acceptor_.bind(address);
+}
+
+void FaultRelay::open()
+{
+    acceptor_.listen();
+    accept();
+}
+
 void FaultRelay::accept()
 {
     const auto link = std::make_shared<Link>(context_);
     acceptor_.async_accept(link->client, [this, link](const std::error_code &error) {
         if (error) {
-            return; // the soak test has ended
+            return; // closed
         }
         links_.insert(link);
         link->server.async_connect(target_, [this, link](const std::error_code &problem) {
--- a/tests/soak/faultrelay.h
+++ b/tests/soak/faultrelay.h
@@ -33,6 +33,10 @@
     void setFault(LinkFault fault, std::chrono::milliseconds delay = {});
     /// Resets every connection.
     void resetAll();
+    /// Resets every connection and refuses new ones, as if the target's process had ended.
+    void close();
+    /// Accepts connections again.
+    void open();
 
 private:
     struct Link;
--- a/tests/soak/soakenvironment.cpp
+++ b/tests/soak/soakenvironment.cpp
@@ -43,6 +43,9 @@
 
 constexpr auto pollInterval = Milliseconds(20);
 
+/// The first servers are of the service that streams.
+constexpr std::size_t engineCount = 4;
+
 asio::ip::tcp::endpoint endpoint(const std::string &ip, std::uint16_t port)
 {
     return {asio::ip::make_address(ip), port};
@@ -76,6 +79,7 @@
     : settings_(std::move(settings))
     , random_(settings_.seed)
     , stopRandom_(Base::hash64("stops", settings_.seed))
+    , restartRandom_(Base::hash64("restarts", settings_.seed))
     , store_(context_)
 {
     ledger_.setKeyWithdrawalBound(Milliseconds(configurationBoundMs));
@@ -189,7 +193,7 @@
 void SoakEnvironment::setUpBackends()
 {
     for (int i = 0; i < 7; ++i) {
-        const bool isEngine = i < 4;
+        const bool isEngine = i < int(engineCount);
         backends_.push_back(std::make_unique<BackendStub>(context_,
                                                           "i-" + std::to_string(i),
                                                           isEngine ? "engine" : "app",
@@ -463,6 +467,9 @@
     areFaultsStopped_ = false;
     scheduleFault();
     stopDaemonsInTurn();
+    constexpr auto longestRestart = std::chrono::seconds(3);
+    lastRestart_ = Proxy::steadyNow() + settings_.length - longestRestart;
+    scheduleRestart();
     for (const auto &backend : backends_) {
         backend->breakUnframed(true);
     }
@@ -763,6 +770,53 @@
     schedule(returnsAfter + std::chrono::duration_cast<Milliseconds>(coldPeriod), list);
 }
 
+void SoakEnvironment::scheduleRestart()
+{
+    schedule(randomDuration(restartRandom_, 1500, 4000), [this] {
+        if (Proxy::steadyNow() < lastRestart_) {
+            restartBackend();
+            scheduleRestart();
+        }
+    });
+}
+
+/// A server of streams ends and starts again under its id with another software version. Its entry
+/// may be written later, and the store may be unavailable from before until then. The new process
+/// may break off streams at first, so that they go on elsewhere.
+void SoakEnvironment::restartBackend()
+{
+    constexpr auto brokenTime = Milliseconds(1000);
+    BackendStub &backend = *backends_[restartRandom_.below(engineCount)];
+    const bool isStoreDown = restartRandom_.chance(0.4);
+    const Milliseconds stopsAfter = isStoreDown ? Milliseconds(500) : Milliseconds(0);
+    const Milliseconds startsAfter = stopsAfter + randomDuration(restartRandom_, 10, 600);
+    const Milliseconds listedAfter
+        = startsAfter
+          + (restartRandom_.chance(0.3) ? Milliseconds(0)
+                                        : randomDuration(restartRandom_, 0, 1500));
+    const std::string version = backend.version() == "v1" ? "v2" : "v1";
+    if (isStoreDown) {
+        store_.refuseWith(503);
+        extendFaultPeriod(listedAfter + std::chrono::seconds(4));
+    }
+    schedule(stopsAfter, [this, &backend, length = startsAfter - stopsAfter] {
+        disturbed(backend.id(), length);
+        backend.stop();
+    });
+    const int brokenAfter = restartRandom_.chance(0.5) ? 1 + int(restartRandom_.below(4)) : 0;
+    schedule(startsAfter, [&backend, version, brokenAfter] {
+        backend.start(version);
+        backend.breakStreamsAfter(brokenAfter);
+    });
+    schedule(startsAfter + brokenTime, [&backend] { backend.breakStreamsAfter(0); });
+    schedule(listedAfter, [this, &backend, isStoreDown] {
+        store_.put("servers", backend.id(), backend.entry(false));
+        if (isStoreDown) {
+            store_.refuseWith(0);
+        }
+    });
+}
+
 void SoakEnvironment::injectCallerFault()
 {
     const Daemon &daemon = daemons_[random_.below(daemons_.size())];
--- a/tests/soak/soakenvironment.h
+++ b/tests/soak/soakenvironment.h
@@ -123,6 +123,8 @@
     void pauseDaemon(Daemon &daemon);
     void startDaemon(Daemon &daemon);
     void drain(std::size_t backend);
+    void scheduleRestart();
+    void restartBackend();
     /// Returns the time for which the link is disturbed.
     std::chrono::milliseconds injectLinkFault(FaultRelay &relay);
     void disturbed(const std::string &name, std::chrono::milliseconds length);
@@ -135,6 +137,7 @@
     Base::Random random_;
     /// Draws what was added later, so that the seeds of earlier failures draw the same faults.
     Base::Random stopRandom_;
+    Base::Random restartRandom_;
     PlatformStore store_;
     Ledger ledger_;
     std::array<Daemon, daemonCount> daemons_;
@@ -149,6 +152,8 @@
     int keyNumber_ = 0;
     int faults_ = 0;
     bool areFaultsStopped_ = true;
+    /// Servers that are down at this time would not be in use when the recovery is checked.
+    Base::Instant lastRestart_;
     Base::Instant faultsActiveUntil_;
 };
 
