--- a/tests/soak/floodenvironment.cpp
+++ b/tests/soak/floodenvironment.cpp
@@ -11,10 +11,6 @@
 
 using nlohmann::json;
 
-constexpr int callerPort = 7080;
-constexpr int statusPort = 7081;
-constexpr int peerPort = 7082;
-constexpr int firstFreePort = 7083;
 constexpr std::size_t writeBytes = 65536;
 constexpr std::size_t maxBodyBytes = 4 * 1024 * 1024;
 constexpr int kilobytesPerMegabyte = 1000;
@@ -136,59 +132,23 @@
               {"idle_timeout_ms", 10000}}}};
 }
 
-json FloodEnvironment::daemonSettings(const Daemon &daemon) const
-{
-    const auto store = store_.endpoint();
-    const auto address = [&](int port) { return daemon.ip + ":" + std::to_string(port); };
-    json settings
-        = {{"node_name", daemon.name},
-           {"ip", daemon.ip},
-           {"listen", json::object()},
-           {"port_range", {firstFreePort, firstFreePort + 10}},
-           {"bootstrap", true},
-           {"tolerate", {{"machines", 1}}},
-           {"bounds", {{"config_apply_ms", 2000}, {"grace_s", 8}}},
-           {"limits", {{"memory_mb", settings_.memoryMegabytes}}},
-           {"platform",
-            {{"address", store.address().to_string() + ":" + std::to_string(store.port())}}}};
-    if (daemon.role == "store") {
-        const std::filesystem::path data = settings_.folder / (daemon.name + "-data");
-        std::filesystem::create_directories(data);
-        settings["zone"] = "zone-" + daemon.name;
-        settings["data_dir"] = data.string();
-        settings["limits"]["disk_mb"] = 400;
-        return settings;
-    }
-    settings["zone"] = "zone-a";
-    settings["zones"] = {{"zone-a", "region"}};
-    settings["listen"] = {{"front", address(callerPort)},
-                          {"ready", address(statusPort)},
-                          {"control", address(peerPort)}};
-    settings["seeds"] = json::array();
-    for (const Daemon &other : daemons_) {
-        if (other.role == "front") {
-            settings["seeds"].push_back(other.ip + ":" + std::to_string(peerPort));
-        }
-    }
-    return settings;
-}
-
 void FloodEnvironment::startDaemons(const std::string &role, int count, int firstAddress)
 {
-    // The soak uses third numbers below 250, and runs in parallel have different process ids.
-    const std::string network = "127." + std::to_string(64 + getpid() % 128) + ".251.";
+    constexpr int network = 251;
+    std::vector<std::string> fronts;
     for (int i = 0; i < count; ++i) {
-        daemons_.push_back({role + "-" + std::to_string(i),
-                            role,
-                            network + std::to_string(firstAddress + i),
-                            nullptr});
+        const std::string ip = daemonAddress(network, firstAddress + i);
+        daemons_.push_back({{role + "-" + std::to_string(i), role, ip}, nullptr});
+        fronts.push_back(ip);
     }
     for (Daemon &daemon : daemons_) {
         if (daemon.process) {
             continue;
         }
         const std::filesystem::path file = settings_.folder / (daemon.name + ".json");
-        std::ofstream(file) << daemonSettings(daemon).dump(2);
+        json settings = daemonSettings(daemon, fronts, store_.endpoint(), settings_.folder);
+        settings["limits"]["memory_mb"] = settings_.memoryMegabytes;
+        std::ofstream(file) << settings.dump(2);
         daemon.process = std::make_unique<DaemonProcess>(
             settings_.program, role, file, settings_.folder / (daemon.name + ".log"));
         daemon.process->start();
--- a/tests/soak/floodenvironment.h
+++ b/tests/soak/floodenvironment.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemonprocess.h"
+#include "daemonsettings.h"
 #include "floodpeers.h"
 
 #include <platform/platformstore.h>
@@ -57,17 +58,13 @@
     FloodResult run();
 
 private:
-    struct Daemon
+    struct Daemon : DaemonDescription
     {
-        std::string name;
-        std::string role;
-        std::string ip;
         std::unique_ptr<DaemonProcess> process;
         std::int64_t peakKilobytes = 0;
     };
 
     void startDaemons(const std::string &role, int count, int firstAddress);
-    nlohmann::json daemonSettings(const Daemon &daemon) const;
     nlohmann::json configuration() const;
     void watchDaemons();
     double peak(const std::string &role) const;
