Soak: resumed streams while a server restarts with another software version

--restart runs three fronts, two daemons that keep records of streams, two servers and 24 callers, of which half break off their streams and resume them at another front, without naming the attempt. It counts streams with events of two versions, within a response and over attempts.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,4 +1,5 @@
 #include "floodenvironment.h"
+#include "restartenvironment.h"
 #include "soakenvironment.h"
 
 #include <CLI/CLI.hpp>
@@ -78,6 +79,46 @@
     return isPassed;
 }
 
+bool runRestart(Soak::RestartSettings settings)
+{
+    settings.folder = std::filesystem::temp_directory_path()
+                      / ("marjoram-restart-" + std::to_string(getpid()) + "-" + settings.scenario
+                         + "-" + std::to_string(settings.seed));
+    std::filesystem::create_directories(settings.folder);
+    const Soak::RestartResult result = Soak::RestartEnvironment(settings).run();
+    const bool isPassed = result.isPassed();
+    std::cout << (isPassed ? "passed " : "FAILED ") << settings.scenario << ", seed "
+              << settings.seed << ", " << settings.recordStores
+              << " record stores: " << result.streams << " streams, " << result.complete
+              << " complete, " << result.resumed << " resumptions served, " << result.refusals
+              << " refused, " << result.givenUp << " streams given up; mixed within a response "
+              << result.mixedWithin << ", over attempts " << result.mixedOver << std::endl;
+    for (const std::string &exited : result.exited) {
+        std::cout << "  exited: " << exited << std::endl;
+    }
+    if (isPassed) {
+        std::filesystem::remove_all(settings.folder);
+    } else {
+        std::cout << "  logs are kept in " << settings.folder.string() << std::endl;
+    }
+    return isPassed;
+}
+
+bool runRestarts(Soak::RestartSettings settings,
+                 const std::vector<std::string> &scenarios,
+                 const std::vector<std::uint64_t> &seeds)
+{
+    int failed = 0;
+    for (const std::string &scenario : scenarios) {
+        settings.scenario = scenario;
+        for (const std::uint64_t seed : seeds) {
+            settings.seed = seed;
+            failed += runRestart(settings) ? 0 : 1;
+        }
+    }
+    return failed == 0 && !seeds.empty();
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -101,6 +142,11 @@
         ->check(CLI::IsMember(Soak::floodKinds()));
     app.add_option("--callers", flood.callers, "number of callers of a flood");
     app.add_option("--memory-mb", flood.memoryMegabytes, "memory of a daemon in a flood");
+    Soak::RestartSettings restart;
+    std::vector<std::string> scenarios;
+    app.add_option("--restart", scenarios, "restarts a server with another software version")
+        ->check(CLI::IsMember(Soak::restartScenarios()));
+    app.add_option("--record-stores", restart.recordStores, "daemons that keep stream records");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     if (!kinds.empty()) {
@@ -116,6 +162,10 @@
     for (std::uint64_t i = 0; i < count; ++i) {
         seeds.push_back(first + i);
     }
+    if (!scenarios.empty()) {
+        restart.program = program;
+        return runRestarts(restart, scenarios, seeds) ? 0 : 1;
+    }
     int failed = 0;
     for (const std::uint64_t seed : seeds) {
         failed += runSeed(program, seed, seconds) ? 0 : 1;
