--- a/tests/soak/daemonprocess.h
+++ b/tests/soak/daemonprocess.h
@@ -28,6 +28,8 @@
     /// Reaps the process. Returns its wait status once it has exited.
     std::optional<int> poll();
     bool isRunning() const { return pid_ > 0; }
+    /// Returns 0 if it does not run.
+    pid_t pid() const { return pid_; }
     /// Returns the most memory that the process has had at a time, 0 if it does not run.
     std::int64_t peakKilobytes() const;
 
--- a/tests/soak/floodenvironment.cpp
+++ b/tests/soak/floodenvironment.cpp
@@ -2,19 +2,12 @@
 
 #include <map>
 
-#include <csignal>
-#include <fstream>
-
 namespace Soak {
 
 namespace {
 
 using nlohmann::json;
 
-constexpr int callerPort = 7080;
-constexpr int statusPort = 7081;
-constexpr int peerPort = 7082;
-constexpr int firstFreePort = 7083;
 constexpr std::size_t writeBytes = 65536;
 constexpr std::size_t maxBodyBytes = 4 * 1024 * 1024;
 constexpr int kilobytesPerMegabyte = 1000;
@@ -90,29 +83,14 @@
             {"goal_ms", 250}};
 }
 
-} // namespace
-
-std::vector<std::string> floodKinds()
+std::string address(const asio::ip::tcp::endpoint &endpoint)
 {
-    std::vector<std::string> names;
-    for (const auto &[name, flood] : floods()) {
-        names.push_back(name);
-    }
-    return names;
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
-FloodEnvironment::FloodEnvironment(FloodSettings settings)
-    : settings_(std::move(settings))
-    , store_(context_)
-    , faulty_("i-faulty", "faulty", floods().at(settings_.kind).response)
-    , sound_("i-sound", "sound", soundResponse())
-{
-    store_.put("servers", faulty_.id(), faulty_.entry());
-    store_.put("servers", sound_.id(), sound_.entry());
-    store_.put("config", "main", configuration());
-}
+} // namespace
 
-json FloodEnvironment::configuration() const
+json floodConfiguration(bool keepsTurns)
 {
     json kept = route("kept", "stream", "faulty");
     kept["retained"] = true;
@@ -120,7 +98,7 @@
     json routes = {route("events", "stream", "faulty"),
                    route("plain", "idempotent", "faulty"),
                    route("sound", "idempotent", "sound")};
-    if (keepsTurns()) {
+    if (keepsTurns) {
         routes.push_back(kept);
     }
     return {{"version", 1},
@@ -136,70 +114,38 @@
               {"idle_timeout_ms", 10000}}}};
 }
 
-json FloodEnvironment::daemonSettings(const Daemon &daemon) const
+std::vector<std::string> floodKinds()
 {
-    const auto store = store_.endpoint();
-    const auto address = [&](int port) { return daemon.ip + ":" + std::to_string(port); };
-    json settings
-        = {{"node_name", daemon.name},
-           {"ip", daemon.ip},
-           {"listen", json::object()},
-           {"port_range", {firstFreePort, firstFreePort + 10}},
-           {"bootstrap", true},
-           {"tolerate", {{"machines", 1}}},
-           {"bounds", {{"config_apply_ms", 2000}, {"grace_s", 8}}},
-           {"limits", {{"memory_mb", settings_.memoryMegabytes}}},
-           {"platform",
-            {{"address", store.address().to_string() + ":" + std::to_string(store.port())}}}};
-    if (daemon.role == "store") {
-        const std::filesystem::path data = settings_.folder / (daemon.name + "-data");
-        std::filesystem::create_directories(data);
-        settings["zone"] = "zone-" + daemon.name;
-        settings["data_dir"] = data.string();
-        settings["limits"]["disk_mb"] = 400;
-        return settings;
-    }
-    settings["zone"] = "zone-a";
-    settings["zones"] = {{"zone-a", "region"}};
-    settings["listen"] = {{"front", address(callerPort)},
-                          {"ready", address(statusPort)},
-                          {"control", address(peerPort)}};
-    settings["seeds"] = json::array();
-    for (const Daemon &other : daemons_) {
-        if (other.role == "front") {
-            settings["seeds"].push_back(other.ip + ":" + std::to_string(peerPort));
-        }
+    std::vector<std::string> names;
+    for (const auto &[name, flood] : floods()) {
+        names.push_back(name);
     }
-    return settings;
+    return names;
 }
 
-void FloodEnvironment::startDaemons(const std::string &role, int count, int firstAddress)
-{
+FloodEnvironment::FloodEnvironment(FloodSettings settings)
+    : settings_(std::move(settings))
+    , store_(context_)
+    , faulty_("i-faulty", "faulty", floods().at(settings_.kind).response)
+    , sound_("i-sound", "sound", soundResponse())
     // The soak uses third numbers below 250, and runs in parallel have different process ids.
-    const std::string network = "127." + std::to_string(64 + getpid() % 128) + ".251.";
-    for (int i = 0; i < count; ++i) {
-        daemons_.push_back({role + "-" + std::to_string(i),
-                            role,
-                            network + std::to_string(firstAddress + i),
-                            nullptr});
-    }
-    for (Daemon &daemon : daemons_) {
-        if (daemon.process) {
-            continue;
-        }
-        const std::filesystem::path file = settings_.folder / (daemon.name + ".json");
-        std::ofstream(file) << daemonSettings(daemon).dump(2);
-        daemon.process = std::make_unique<DaemonProcess>(
-            settings_.program, role, file, settings_.folder / (daemon.name + ".log"));
-        daemon.process->start();
-    }
+    , daemons_({settings_.program,
+                settings_.folder,
+                "127." + std::to_string(64 + getpid() % 128) + ".251.",
+                address(store_.endpoint()),
+                {{"memory_mb", settings_.memoryMegabytes}}})
+{
+    store_.put("servers", faulty_.id(), faulty_.entry());
+    store_.put("servers", sound_.id(), sound_.entry());
+    store_.put("config", "main", floodConfiguration(keepsTurns()));
 }
 
 void FloodEnvironment::watchDaemons()
 {
     constexpr auto interval = std::chrono::milliseconds(50);
-    for (Daemon &daemon : daemons_) {
-        daemon.peakKilobytes = std::max(daemon.peakKilobytes, daemon.process->peakKilobytes());
+    for (const FloodDaemons::Daemon &daemon : daemons_.all()) {
+        std::int64_t &peak = peakKilobytes_[daemon.role];
+        peak = std::max(peak, daemon.process->peakKilobytes());
         if (const std::optional<int> status = daemon.process->poll()) {
             exited_.push_back(daemon.name + ", wait status " + std::to_string(*status));
         }
@@ -210,11 +156,9 @@
 
 double FloodEnvironment::peak(const std::string &role) const
 {
-    std::int64_t highest = 0;
-    for (const Daemon &daemon : daemons_) {
-        highest = std::max(highest, daemon.role == role ? daemon.peakKilobytes : 0);
-    }
-    return static_cast<double>(highest) * 1.024 / kilobytesPerMegabyte;
+    const auto highest = peakKilobytes_.find(role);
+    const std::int64_t kilobytes = highest == peakKilobytes_.end() ? 0 : highest->second;
+    return static_cast<double>(kilobytes) * 1.024 / kilobytesPerMegabyte;
 }
 
 FloodResult FloodEnvironment::run()
@@ -223,15 +167,15 @@
     constexpr auto endTime = std::chrono::seconds(5);
     constexpr int soundCallers = 8;
     if (keepsTurns()) {
-        startDaemons("store", 3, 50);
+        daemons_.start("store", 3, 50);
     }
-    startDaemons("front", 2, 10);
+    daemons_.start("front", 2, 10);
     watchDaemons();
     context_.run_for(startTime);
     std::vector<asio::ip::tcp::endpoint> fronts;
-    for (const Daemon &daemon : daemons_) {
+    for (const FloodDaemons::Daemon &daemon : daemons_.all()) {
         if (daemon.role == "front") {
-            fronts.emplace_back(asio::ip::make_address(daemon.ip), callerPort);
+            fronts.emplace_back(asio::ip::make_address(daemon.ip), FloodPorts::callers);
         }
     }
     FloodResult result;
--- a/tests/soak/floodenvironment.h
+++ b/tests/soak/floodenvironment.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "daemonprocess.h"
+#include "flooddaemons.h"
 #include "floodpeers.h"
 
 #include <platform/platformstore.h>
 
-#include <memory>
+#include <map>
 
 namespace Soak {
 
@@ -45,6 +45,9 @@
 
 std::vector<std::string> floodKinds();
 
+/// Routes to the services "sound" and "faulty"; each service has a server of that name.
+nlohmann::json floodConfiguration(bool keepsTurns);
+
 /// Runs two fronts as processes, and three store daemons if turns are kept, with a faulty server
 /// that sends without end or with callers that do not finish their requests, beside callers of a
 /// sound service.
@@ -57,18 +60,6 @@
     FloodResult run();
 
 private:
-    struct Daemon
-    {
-        std::string name;
-        std::string role;
-        std::string ip;
-        std::unique_ptr<DaemonProcess> process;
-        std::int64_t peakKilobytes = 0;
-    };
-
-    void startDaemons(const std::string &role, int count, int firstAddress);
-    nlohmann::json daemonSettings(const Daemon &daemon) const;
-    nlohmann::json configuration() const;
     void watchDaemons();
     double peak(const std::string &role) const;
     bool keepsTurns() const { return settings_.kind == "kept"; }
@@ -78,7 +69,9 @@
     PlatformStore store_;
     FloodServer faulty_;
     FloodServer sound_;
-    std::vector<Daemon> daemons_;
+    FloodDaemons daemons_;
+    /// The most memory that a daemon of a role had at a time.
+    std::map<std::string, std::int64_t> peakKilobytes_;
     std::vector<std::string> exited_;
 };
 
