Count the heads of requests as memory

Callers, also without a key, could end a front or a store daemon: each connection kept a head that did not end, up to 16 KB and what its buffers had doubled to (34 KB), and a parsed head of short fields takes 13 times its bytes. Nothing counted these bytes.

Heads have half a part of the daemon's memory now, beside the other parts. A head that takes more than 4 KB is counted by the buffers that it takes, until the request ends; what does not fit is answered with 503 before it runs. Buffers of heads grow by a quarter instead of doubling, and empty ones are freed. What is read behind a request in progress counts, too.

--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -39,6 +39,10 @@
     if (handlers_->backlogs) {
         backlog_ = Base::MemoryLease(handlers_->backlogs->newHolder());
     }
+    if (handlers_->heads) {
+        headHolder_ = handlers_->heads->newHolder();
+        headLease_ = Base::MemoryLease(headHolder_);
+    }
     if (handlers_->bodies) {
         bodyHolder_ = handlers_->bodies->newHolder();
         bodyLease_ = Base::MemoryLease(bodyHolder_);
@@ -62,12 +66,19 @@
 
 void CallerConnection::read()
 {
-    const bool isFull = isHandling_ && incoming_.size() >= maxPipelinedBytes;
+    const bool isFull = isHandling_ && !mayReadAhead();
     if (!isWaiting_ && !isClosed_ && !isClosing_ && !isFull) {
         waitUntilReadable();
     }
 }
 
+/// Whether bytes behind the request in progress are read.
+bool CallerConnection::mayReadAhead() const
+{
+    return incoming_.size() < maxPipelinedBytes
+           && (incoming_.empty() || headLease_.mayGrow(2 * readBufferBytes));
+}
+
 /// Bytes are taken from the socket only when they are handled: an asynchronous read could complete
 /// behind a response that announces the end of the connection.
 void CallerConnection::waitUntilReadable()
@@ -131,34 +142,49 @@
     }
     isParsing_ = true;
     while (!isHandling_ && !isClosed_ && !isClosing_ && !incoming_.empty()) {
-        if (parser_.state() == ParseState::Empty) {
-            const Contracts::CallerLimits limits = handlers_->limits();
-            parser_.setLimits({limits.headBytes, limits.bodyBytes});
-        }
-        incoming_.erase(0, parser_.feed(incoming_));
-        takeBody();
-        if (parser_.state() != ParseState::Empty && !messageBegun_) {
-            messageBegun_ = lastActivity_;
-            armTimer();
-        }
-        if (parser_.state() == ParseState::Failed) {
-            reject();
-        } else if (parser_.state() == ParseState::Complete) {
-            dispatchRequest();
-        } else if (parser_.state() == ParseState::Body) {
-            continueBody();
-        }
+        parseNext();
+    }
+    if (incoming_.empty()) {
+        std::string().swap(incoming_); // the connection may stay open for long
     }
     isParsing_ = false;
+    if (isHandling_) {
+        headLease_.forceResize(incoming_.capacity()); // the bytes were read already
+    }
+}
+
+void CallerConnection::parseNext()
+{
+    if (parser_.state() == ParseState::Empty) {
+        const Contracts::CallerLimits limits = handlers_->limits();
+        parser_.setLimits({limits.headBytes, limits.bodyBytes});
+    }
+    incoming_.erase(0, parser_.feed(incoming_));
+    takeBody();
+    if (parser_.state() != ParseState::Empty && !messageBegun_) {
+        messageBegun_ = lastActivity_;
+        armTimer();
+    }
+    if (parser_.state() == ParseState::Failed) {
+        reject();
+    } else if (parser_.state() == ParseState::Complete) {
+        dispatchRequest();
+    } else if (parser_.state() == ParseState::Body) {
+        continueBody();
+    } else if (!leaseHead()) {
+        refuseHead();
+    }
 }
 
 void CallerConnection::dispatchRequest()
 {
     CallerRequest request;
+    const bool isHeadLeased = isBodyBegun_ || leaseHead();
     request.head = parser_.takeRequest();
     request.body = std::exchange(body_, {});
-    const bool isLeased
-        = !isBodyDenied_ && (isBodyBegun_ || bodyLease_.resize(request.body.size()));
+    const bool isLeased = isHeadLeased && !isBodyDenied_
+                          && (isBodyBegun_ || bodyLease_.resize(request.body.size()));
+    request.headLease = std::exchange(headLease_, Base::MemoryLease(headHolder_));
     request.bodyLease = std::exchange(bodyLease_, Base::MemoryLease(bodyHolder_));
     request.arrivedAt = handlers_->now();
     parser_.reset();
--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -25,6 +25,8 @@
     std::string body;
     /// For the body; to be released with it.
     Base::MemoryLease bodyLease;
+    /// For the head; to be released with the request.
+    Base::MemoryLease headLease;
     /// Arrival time of the last byte.
     Base::Instant arrivedAt;
 };
@@ -84,7 +86,9 @@
     Base::MemoryBudget *backlogs = nullptr;
     /// Memory for the bodies of requests; null means unlimited.
     Base::MemoryBudget *bodies = nullptr;
-    /// Retry-After of requests whose bodies do not fit.
+    /// Memory for the heads of requests; null means unlimited.
+    Base::MemoryBudget *heads = nullptr;
+    /// Retry-After of requests that do not fit.
     Base::Duration retryAfterFull = std::chrono::milliseconds(100);
 };
 
@@ -137,6 +141,7 @@
     void detectDisconnect();
     void drain();
     void parse();
+    void parseNext();
     void dispatchRequest();
     void setResetOnClose(bool isReset);
     void onBodyBegun();
@@ -144,6 +149,9 @@
     void takeBody();
     void dropBody();
     bool leaseBody(std::size_t arrived);
+    bool leaseHead();
+    bool mayReadAhead() const;
+    void refuseHead();
     void refuseBody(const Refusal &refusal);
     Refusal bodiesFull() const;
     void reject();
@@ -171,6 +179,9 @@
     std::string outgoing_;
     std::string writing_;
     Base::MemoryLease backlog_;
+    std::shared_ptr<Base::MemoryBudget::Holder> headHolder_;
+    /// For the head that arrives, and for what is read behind the request in progress.
+    Base::MemoryLease headLease_;
     std::string body_;
     std::shared_ptr<Base::MemoryBudget::Holder> bodyHolder_;
     /// For the body that arrives.
--- a/src/libs/proxy/callerconnectionbody.cpp
+++ b/src/libs/proxy/callerconnectionbody.cpp
@@ -13,6 +13,10 @@
 /// Bytes of a refused request that are read and dropped: a body of the usual limit.
 constexpr std::uint64_t maxDrainedBytes = 4 * 1024 * 1024;
 
+/// Bytes of a head that are not leased: a connection may always keep them, as most heads are
+/// smaller.
+constexpr std::size_t freeHeadBytes = 4 * 1024;
+
 int statusOf(ParseError error)
 {
     switch (error) {
@@ -59,7 +63,7 @@
         refuseBody(*decision.refusal);
         return;
     }
-    if (!leaseBody(0)) {
+    if (!leaseHead() || !leaseBody(0)) {
         refuseBody(bodiesFull());
         return;
     }
@@ -89,11 +93,31 @@
     return true;
 }
 
+/// The buffers of the head count, as a parsed head may take many times the bytes that arrived.
+bool CallerConnection::leaseHead()
+{
+    const std::size_t bytes = parser_.headBytes();
+    return headLease_.resize(bytes > freeHeadBytes ? bytes : 0);
+}
+
 Refusal CallerConnection::bodiesFull() const
 {
     return {503, "no_memory", "too many bodies of requests are kept", handlers_->retryAfterFull};
 }
 
+/// The rest of the head is dropped, so that it does not reset the connection before the response.
+void CallerConnection::refuseHead()
+{
+    constexpr std::uint64_t restBytes = 64 * 1024;
+    const Refusal refusal{
+        503, "no_memory", "too many heads of requests are kept", handlers_->retryAfterFull};
+    handlers_->onRejected(refusal.status, refusal.detail);
+    isHeadRequest_ = false;
+    drainBytes_ = restBytes;
+    parser_.reset();
+    refuse(ownResponseHead(refusal.status, refusal.retryAfter), refusal.detail + "\n");
+}
+
 void CallerConnection::refuseBody(const Refusal &refusal)
 {
     handlers_->onRejected(refusal.status, refusal.detail);
@@ -133,8 +157,9 @@
 /// request begins is not known.
 void CallerConnection::refuse(const ResponseHead &head, std::string_view body)
 {
-    incoming_.clear();
+    std::string().swap(incoming_); // an assignment would keep the buffer
     dropBody();
+    headLease_.release();
     isHandling_ = true;
     isKeptAlive_ = false;
     respond(head, body);
--- a/src/libs/proxy/daemonmemory.cpp
+++ b/src/libs/proxy/daemonmemory.cpp
@@ -17,24 +17,30 @@
 /// Program, tables, cached turns, and the buffers of connections.
 constexpr std::int64_t ownBytes = 32 * megabyte;
 
-/// One part for each purpose, and one for the buffers of the system and what the allocator cannot
-/// use.
-constexpr std::int64_t partCount = 5;
+/// One part for each purpose, half a part for heads, and one for the buffers of the system and what
+/// the allocator cannot use.
+constexpr std::int64_t halfPartCount = 11;
 
 /// A daemon that is given too little still serves small requests.
 constexpr std::int64_t minPartBytes = megabyte;
 
 Bytes partOf(const std::optional<Bytes> &processMemory)
 {
-    return processMemory
-               ? Bytes(std::max(minPartBytes, (processMemory->value() - ownBytes) / partCount))
-               : Base::MemoryBudget::unlimited;
+    return processMemory ? Bytes(
+               std::max(minPartBytes, 2 * (processMemory->value() - ownBytes) / halfPartCount))
+                         : Base::MemoryBudget::unlimited;
+}
+
+Bytes halfPartOf(const std::optional<Bytes> &processMemory)
+{
+    return processMemory ? Bytes(partOf(processMemory).value() / 2) : Base::MemoryBudget::unlimited;
 }
 
 } // namespace
 
 DaemonMemory::DaemonMemory(std::optional<Bytes> processMemory)
     : requests_(partOf(processMemory))
+    , heads_(halfPartOf(processMemory))
     , responses_(partOf(processMemory))
     , backlogs_(partOf(processMemory))
     , calls_(partOf(processMemory))
@@ -42,8 +48,9 @@
 
 void DaemonMemory::updateGauges(Telemetry::Metrics &metrics) const
 {
-    const std::array<std::pair<const char *, const Base::MemoryBudget &>, 4> parts{
+    const std::array<std::pair<const char *, const Base::MemoryBudget &>, 5> parts{
         {{"requests", requests_},
+         {"heads", heads_},
          {"responses", responses_},
          {"backlogs", backlogs_},
          {"calls", calls_}}};
--- a/src/libs/proxy/daemonmemory.h
+++ b/src/libs/proxy/daemonmemory.h
@@ -17,6 +17,8 @@
 
     /// Bodies of callers' requests, and the turns that they continue.
     Base::MemoryBudget &requests() { return requests_; }
+    /// Heads of requests, and requests that wait behind another on their connection.
+    Base::MemoryBudget &heads() { return heads_; }
     /// Bytes of servers' responses that are kept until they are complete.
     Base::MemoryBudget &responses() { return responses_; }
     /// Bytes of responses that callers have not read.
@@ -28,6 +30,7 @@
 
 private:
     Base::MemoryBudget requests_;
+    Base::MemoryBudget heads_;
     Base::MemoryBudget responses_;
     Base::MemoryBudget backlogs_;
     Base::MemoryBudget calls_;
--- a/src/libs/proxy/headcollector.cpp
+++ b/src/libs/proxy/headcollector.cpp
@@ -1,5 +1,6 @@
 #include "headcollector.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Proxy {
@@ -8,16 +9,33 @@
 
 constexpr std::string_view headEnd = "\r\n\r\n";
 
+/// The buffer grows by this or by a quarter, so that little of it is unused and each byte is copied
+/// a few times at most.
+constexpr std::size_t growthBytes = 1024;
+
 } // namespace
 
 std::size_t HeadCollector::feed(std::string_view bytes, std::size_t maxBytes)
 {
     const std::size_t used = search(bytes, maxBytes);
+    reserve(head_.size() + used);
     head_.append(bytes.substr(0, used));
     processedBytes_ += 2 * used;
     return used;
 }
 
+/// A string that grows by itself would double its buffer.
+void HeadCollector::reserve(std::size_t needed)
+{
+    if (needed <= head_.capacity()) {
+        return;
+    }
+    std::string larger;
+    larger.reserve(std::max(needed, head_.size() + std::max(growthBytes, head_.size() / 4)));
+    larger += head_;
+    head_.swap(larger);
+}
+
 /// Returns the number of bytes up to the one that decides the state, or all.
 std::size_t HeadCollector::search(std::string_view bytes, std::size_t maxBytes)
 {
--- a/src/libs/proxy/headcollector.h
+++ b/src/libs/proxy/headcollector.h
@@ -23,6 +23,8 @@
     /// Returns the number of bytes that belong to the head.
     std::size_t feed(std::string_view bytes, std::size_t maxBytes);
     State state() const { return state_; }
+    /// Size of the buffer of the collected bytes.
+    std::size_t capacity() const { return head_.capacity(); }
     /// Returns the collected bytes and starts the next head.
     std::string take();
 
@@ -32,6 +34,7 @@
 private:
     std::size_t search(std::string_view bytes, std::size_t maxBytes);
     void searchNext(char c);
+    void reserve(std::size_t needed);
 
     State state_ = State::Incomplete;
     std::string head_;
--- a/src/libs/proxy/httphead.cpp
+++ b/src/libs/proxy/httphead.cpp
@@ -27,6 +27,13 @@
     });
 }
 
+/// Short strings are stored within the object.
+std::size_t allocatedBytes(const std::string &text)
+{
+    static const std::size_t ownCapacity = std::string().capacity();
+    return text.capacity() > ownCapacity ? text.capacity() : 0;
+}
+
 void appendFields(std::string &out, const HeaderFields &headers)
 {
     for (const HeaderField &field : headers.all()) {
@@ -106,6 +113,17 @@
     return whole.substr(0, whole.find('?'));
 }
 
+std::size_t allocatedBytes(const RequestHead &head)
+{
+    const std::vector<HeaderField> &fields = head.headers.all();
+    std::size_t bytes = allocatedBytes(head.method) + allocatedBytes(head.target)
+                        + fields.capacity() * sizeof(HeaderField);
+    for (const HeaderField &field : fields) {
+        bytes += allocatedBytes(field.name) + allocatedBytes(field.value);
+    }
+    return bytes;
+}
+
 void removeConnectionFields(HeaderFields &headers)
 {
     std::vector<std::string> named;
--- a/src/libs/proxy/httphead.h
+++ b/src/libs/proxy/httphead.h
@@ -51,6 +51,9 @@
     std::string_view path() const;
 };
 
+/// Returns the bytes that the head takes beside the object itself.
+std::size_t allocatedBytes(const RequestHead &head);
+
 struct ResponseHead
 {
     int status = 0;
--- a/src/libs/proxy/messageparser.cpp
+++ b/src/libs/proxy/messageparser.cpp
@@ -146,8 +146,9 @@
     state_ = ParseState::Empty;
     error_ = ParseError::None;
     problem_.clear();
-    head_ = {};
-    request_ = {};
+    // An assignment alone would keep the buffers.
+    static_cast<void>(std::exchange(head_, {}));
+    static_cast<void>(std::exchange(request_, {}));
     response_ = {};
     framing_ = {};
     body_.clear();
@@ -439,6 +440,11 @@
     return d_->problem_;
 }
 
+std::size_t MessageParser::headBytes() const
+{
+    return d_->head_.capacity() + allocatedBytes(d_->request_);
+}
+
 const RequestHead &MessageParser::request() const
 {
     return d_->request_;
--- a/src/libs/proxy/messageparser.h
+++ b/src/libs/proxy/messageparser.h
@@ -66,6 +66,8 @@
     /// Describes the error, for logs.
     const std::string &problem() const;
 
+    /// Bytes that are kept of the head of a request.
+    std::size_t headBytes() const;
     /// Valid from the state Body on.
     const RequestHead &request() const;
     const ResponseHead &response() const;
--- a/src/libs/proxy/passthrough.cpp
+++ b/src/libs/proxy/passthrough.cpp
@@ -78,6 +78,7 @@
     memory_ = &memory;
     handlers_->backlogs = &memory.backlogs();
     handlers_->bodies = &memory.requests();
+    handlers_->heads = &memory.heads();
     handlers_->retryAfterFull = settings_.retryAfterBusy;
 }
 
--- a/src/libs/turnstore/turnstoreservice.h
+++ b/src/libs/turnstore/turnstoreservice.h
@@ -29,6 +29,8 @@
 
     /// Must be called before the first request; by default, the memory for requests is unlimited.
     void setMemory(Base::MemoryBudget &requests) { handlers_->bodies = &requests; }
+    /// The same for the heads of requests.
+    void setHeadMemory(Base::MemoryBudget &heads) { handlers_->heads = &heads; }
     /// Throws std::exception if the address cannot be bound.
     void start();
     /// Closes the listener and ends the exchange with other holders.
