Serve the largest body without a stated length on small VMs

A body of 4 MB in chunks was answered with 503 by a front of 88 MB in calm, depending on how it arrived: its buffer grew by half, to up to 6 MB, of which half the part for requests was needed, and the old and the new buffer were there at the same time, of which one was counted.

What has arrived is counted now, in steps of 16 KB. The buffer grows by a factor of four, up to the limit of bodies; the system gives it memory only as it is filled. At most a quarter of the longest body is there twice, on one connection at a time.

--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -149,6 +149,7 @@
     void takeBody();
     void dropBody();
     bool leaseBody(std::size_t arrived);
+    void reserveBody(std::size_t needed);
     bool leaseHead();
     bool mayReadAhead() const;
     void refuseHead();
--- a/src/libs/proxy/callerconnectionbody.cpp
+++ b/src/libs/proxy/callerconnectionbody.cpp
@@ -17,6 +17,11 @@
 /// smaller.
 constexpr std::size_t freeHeadBytes = 4 * 1024;
 
+/// Steps in which bodies without a stated length are leased.
+constexpr std::size_t bodyStepBytes = 16 * 1024;
+
+constexpr std::size_t bodyGrowthFactor = 4;
+
 int statusOf(ParseError error)
 {
     switch (error) {
@@ -72,25 +77,41 @@
     sendContinueIfExpected();
 }
 
-/// Leases a stated length at once, so that a body that does not fit is not read, and others in
-/// steps. The capacity counts, so the string must not choose it.
+/// Leases a stated length at once, so that a body that does not fit is not read, and others as they
+/// arrive. The capacity counts, so the string must not choose it.
 bool CallerConnection::leaseBody(std::size_t arrived)
 {
-    const std::size_t needed
-        = std::max<std::size_t>(parser_.framing().length.value_or(0), body_.size() + arrived);
+    const std::optional<std::uint64_t> &length = parser_.framing().length;
+    const std::size_t needed = std::max<std::size_t>(length.value_or(0), body_.size() + arrived);
     if (needed <= bodyLease_.size()) {
         return true;
     }
-    const bool isLengthKnown = parser_.framing().length.has_value();
-    const std::size_t capacity = isLengthKnown ? needed : needed + needed / 2;
-    if (!bodyLease_.resize(capacity)) {
+    const std::size_t steps = (needed + bodyStepBytes - 1) / bodyStepBytes;
+    if (!bodyLease_.resize(length ? needed : steps * bodyStepBytes)) {
         return false;
     }
+    if (needed > body_.capacity()) {
+        reserveBody(needed);
+    }
+    return true;
+}
+
+/// A larger buffer takes memory only as it is filled. Few and large steps leave little to copy: at
+/// most a quarter of the longest body is there twice, on one connection at a time.
+void CallerConnection::reserveBody(std::size_t needed)
+{
+    std::size_t capacity = needed;
+    if (!parser_.framing().length) {
+        capacity = bodyStepBytes;
+        while (capacity < needed) {
+            capacity *= bodyGrowthFactor;
+        }
+        capacity = std::max(needed, std::min(capacity, handlers_->limits().bodyBytes));
+    }
     std::string larger;
     larger.reserve(capacity);
     larger += body_;
     body_.swap(larger);
-    return true;
 }
 
 /// The buffers of the head count, as a parsed head may take many times the bytes that arrived.
