Bound the connections of a daemon, and what waits unread on them

Clients that open connections and fall silent took every descriptor of a front or a store daemon, as nothing read limits.max_fds; then it reached no server, peer or store. What they sent waited in buffers of the system of any size, which count as memory of the process.

Each listener keeps a share of the descriptors and of the memory now (ConnectionShares). At its limit, the connection that has gone longest without progress and has no request in progress is closed for the new one (ConnectionLimit), so ordinary callers get in. The receive buffers of connections are bounded from before they are accepted, and waiting connections are accepted together.

--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -2,6 +2,8 @@
 
 #include <asio/write.hpp>
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -117,6 +119,7 @@
     }
     if (!error) {
         lastActivity_ = handlers_->now();
+        place_.progressed();
         incoming_.append(buffer.data(), size);
         parse();
     }
@@ -190,9 +193,13 @@
     parser_.reset();
     messageBegun_.reset();
     bodyDue_.reset();
+    if (isBodyBegun_ && handlers_->receiveBytes) {
+        setReceiveBytes(*handlers_->receiveBytes);
+    }
     isBodyBegun_ = false;
     isBodyDenied_ = false;
     isHandling_ = true;
+    place_.requestBegun();
     isKeptAlive_ = request.head.isKeepAlive;
     isHeadRequest_ = request.head.method == "HEAD";
     isHttp11_ = request.head.isHttp11;
@@ -309,6 +316,15 @@
     socket_.set_option(asio::socket_base::linger(isReset, 0), ignored);
 }
 
+/// The system does not enlarge the window of a connection by itself once its buffer is set.
+void CallerConnection::setReceiveBytes(int bytes)
+{
+    using Window = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_WINDOW_CLAMP>;
+    std::error_code ignored; // a smaller buffer works, too
+    socket_.set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+    socket_.set_option(Window(bytes), ignored);
+}
+
 /// The bytes were read from the server already, so they cannot be refused.
 void CallerConnection::leaseBacklog()
 {
@@ -325,6 +341,9 @@
         if (auto drained = std::exchange(onDrained_, nullptr)) {
             drained();
         }
+        if (!isHandling_ && outgoing_.empty()) {
+            place_.requestEnded();
+        }
         if (isClosing_ && outgoing_.empty()) {
             closeAfterWrites(CloseReason::AfterResponse);
         }
@@ -359,6 +378,7 @@
     isClosing_ = true;
     closeReason_ = reason;
     isCloseAnnounced_ = true;
+    place_.setEnding();
     std::error_code ignored; // the connection is closed either way
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     lastActivity_ = handlers_->now();
@@ -464,6 +484,15 @@
     }
 }
 
+bool CallerConnection::closeForOthers()
+{
+    if (isIdle() || parser_.state() != ParseState::Empty || isClosing_) {
+        close(isClosing_ ? closeReason_ : CloseReason::ForOthers);
+        return true;
+    }
+    return false;
+}
+
 /// Bytes behind the last handled request begin a new message, as each is parsed from its first
 /// byte.
 ConnectionEnd CallerConnection::describeEnd(CloseReason reason) const
@@ -496,6 +525,8 @@
     isClosed_ = true;
     const ConnectionEnd end = describeEnd(reason);
     dropBody();
+    headLease_.release();
+    place_.release();
     timer_.cancel();
     std::error_code ignored; // nothing can be done if the close fails
     socket_.close(ignored);
--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connectionlimit.h"
 #include "messageparser.h"
 #include "refusal.h"
 
@@ -38,6 +39,8 @@
     IdleTimeout,
     /// Idle during a shutdown.
     Shutdown,
+    /// Idle, or with a request that did not arrive, while others arrived.
+    ForOthers,
     /// The response in progress cannot be completed.
     ResponseAborted,
     /// The caller closed its side, or the connection failed.
@@ -88,6 +91,9 @@
     Base::MemoryBudget *bodies = nullptr;
     /// Memory for the heads of requests; null means unlimited.
     Base::MemoryBudget *heads = nullptr;
+    /// Receive buffer of a connection whose body is not leased; unset means that the system
+    /// chooses.
+    std::optional<int> receiveBytes;
     /// Retry-After of requests that do not fit.
     Base::Duration retryAfterFull = std::chrono::milliseconds(100);
 };
@@ -108,6 +114,8 @@
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
 
+    /// Must be called before start(); by default, no place is taken.
+    void setPlace(ConnectionLimit::Place place) { place_ = std::move(place); }
     void start();
 
     /// Sends a complete response to the current request.
@@ -132,6 +140,9 @@
     bool isClosed() const { return isClosed_; }
     /// Closes the connection unless a request is being received or handled.
     void closeIfIdle();
+    /// Closes the connection, as its place is needed. Returns false if it is idle and the next
+    /// request arrives.
+    bool closeForOthers();
 
 private:
     void read();
@@ -144,6 +155,7 @@
     void parseNext();
     void dispatchRequest();
     void setResetOnClose(bool isReset);
+    void setReceiveBytes(int bytes);
     void onBodyBegun();
     void continueBody();
     void takeBody();
@@ -179,6 +191,7 @@
     std::string incoming_;
     std::string outgoing_;
     std::string writing_;
+    ConnectionLimit::Place place_;
     Base::MemoryLease backlog_;
     std::shared_ptr<Base::MemoryBudget::Holder> headHolder_;
     /// For the head that arrives, and for what is read behind the request in progress.
--- a/src/libs/proxy/callerconnectionbody.cpp
+++ b/src/libs/proxy/callerconnectionbody.cpp
@@ -22,6 +22,9 @@
 
 constexpr std::size_t bodyGrowthFactor = 4;
 
+/// Receive buffer for a body whose memory is leased: unread bytes are bytes of the lease.
+constexpr int leasedReceiveBytes = 64 * 1024;
+
 int statusOf(ParseError error)
 {
     switch (error) {
@@ -74,6 +77,9 @@
     }
     bodyDue_ = lastActivity_ + std::max(decision.bodyTimeout, handlers_->limits().idleTimeout);
     armTimer();
+    if (handlers_->receiveBytes && parser_.framing().length.value_or(0) > body_.size()) {
+        setReceiveBytes(std::max(leasedReceiveBytes, *handlers_->receiveBytes));
+    }
     sendContinueIfExpected();
 }
 
--- a/src/libs/proxy/daemonmemory.cpp
+++ b/src/libs/proxy/daemonmemory.cpp
@@ -46,6 +46,12 @@
     , calls_(partOf(processMemory))
 {}
 
+std::optional<Bytes> DaemonMemory::systemBuffers() const
+{
+    const Bytes part = requests_.capacity();
+    return part == Base::MemoryBudget::unlimited ? std::nullopt : std::optional(part);
+}
+
 void DaemonMemory::updateGauges(Telemetry::Metrics &metrics) const
 {
     const std::array<std::pair<const char *, const Base::MemoryBudget &>, 5> parts{
--- a/src/libs/proxy/daemonmemory.h
+++ b/src/libs/proxy/daemonmemory.h
@@ -26,6 +26,9 @@
     /// Responses to the daemon's own calls.
     Base::MemoryBudget &calls() { return calls_; }
 
+    /// Memory for buffers of the system, which is not counted; unset if memory is unlimited.
+    std::optional<Base::Bytes> systemBuffers() const;
+
     void updateGauges(Telemetry::Metrics &metrics) const;
 
 private:
--- a/src/libs/proxy/documentexchange.cpp
+++ b/src/libs/proxy/documentexchange.cpp
@@ -40,7 +40,7 @@
     : context_(context)
     , address_(address)
     , log_(log)
-    , acceptor_(context)
+    , listener_(context, log, nullptr)
 {
     handlers_ = std::make_shared<CallerHandlers>();
     handlers_->onRequest
@@ -62,22 +62,10 @@
 
 void DocumentExchange::start()
 {
-    acceptor_.open(address_.protocol());
-    acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-    acceptor_.bind(address_);
-    acceptor_.listen();
-    accept();
-}
-
-void DocumentExchange::accept()
-{
-    acceptor_.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
-        if (error) {
-            return; // the acceptor is closed at the end of the process
-        }
-        std::make_shared<CallerConnection>(std::move(socket), handlers_)->start();
-        accept();
-    });
+    listener_.start(
+        {"documents", connections_.documents, connections_.backlog, connections_.receiveBytes},
+        address_,
+        handlers_);
 }
 
 void DocumentExchange::respond(const std::shared_ptr<CallerConnection> &caller,
--- a/src/libs/proxy/documentexchange.h
+++ b/src/libs/proxy/documentexchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "callerconnection.h"
+#include "callerlistener.h"
+#include "connectionshares.h"
 #include "httpcaller.h"
 #include "peerlink.h"
 
@@ -31,6 +32,10 @@
 
     /// Documents of peers are leased from the budget, which must outlive the calls to them.
     void setMemory(Base::MemoryBudget &budget) { memory_ = &budget; }
+    /// Must be called before start(); by default, connections are not limited.
+    void setConnections(const ConnectionShares &connections) { connections_ = connections; }
+    /// Heads of requests are leased from the budget. Must be called before start().
+    void setHeadMemory(Base::MemoryBudget &heads) { handlers_->heads = &heads; }
     /// Throws std::exception if the address cannot be bound.
     void start();
     /// Ignores \a document unless its version is newer.
@@ -41,7 +46,6 @@
                FetchCallback callback);
 
 private:
-    void accept();
     void respond(const std::shared_ptr<CallerConnection> &caller, const CallerRequest &request);
 
     asio::io_context &context_;
@@ -49,7 +53,8 @@
     Telemetry::Log &log_;
     /// Null means unlimited.
     Base::MemoryBudget *memory_ = nullptr;
-    asio::ip::tcp::acceptor acceptor_;
+    ConnectionShares connections_;
+    CallerListener listener_;
     std::shared_ptr<CallerHandlers> handlers_;
     std::map<std::string, VersionedDocument> documents_;
     std::map<asio::ip::tcp::endpoint, std::shared_ptr<HttpCaller>> callers_;
--- a/src/libs/proxy/passthrough.h
+++ b/src/libs/proxy/passthrough.h
@@ -176,6 +176,9 @@
     void setQuarantine(QuarantineControls quarantine) { quarantine_ = std::move(quarantine); }
     /// Must be called before the first request; by default, memory is unlimited.
     void setMemory(DaemonMemory &memory);
+    /// Receive buffer of callers' connections whose bodies are not leased. Must be called before
+    /// the first request.
+    void setReceiveBytes(const std::optional<int> &bytes) { handlers_->receiveBytes = bytes; }
     /// Applies the document if its version is newer. Returns whether it was applied.
     bool configure(Contracts::RoutingDocument document);
     void serversChanged(const std::vector<Dispatch::ListedServer> &servers);
--- a/src/libs/proxy/proxydaemon.cpp
+++ b/src/libs/proxy/proxydaemon.cpp
@@ -14,19 +14,6 @@
 /// Interval at which open requests and connections are checked during the shutdown.
 constexpr Base::Duration shutdownCheckInterval = std::chrono::milliseconds(100);
 
-/// Pause after a failed accept, for example if no file descriptors are left.
-constexpr auto acceptPause = std::chrono::milliseconds(20);
-
-constexpr int listenBacklog = 1024;
-
-void open(asio::ip::tcp::acceptor &acceptor, const asio::ip::tcp::endpoint &endpoint)
-{
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-    acceptor.bind(endpoint);
-    acceptor.listen(listenBacklog);
-}
-
 } // namespace
 
 ProxyDaemon::ProxyDaemon(asio::io_context &context,
@@ -39,8 +26,8 @@
     , passThrough_(passThrough)
     , log_(log)
     , metrics_(metrics)
-    , callers_(context)
-    , status_(context)
+    , callers_(context, log, &metrics)
+    , status_(context, log, &metrics)
     , signals_(context)
     , shutdownTimer_(context)
 {
@@ -61,10 +48,14 @@
 
 void ProxyDaemon::start()
 {
-    open(callers_, settings_.callers);
-    open(status_, settings_.status);
-    accept(callers_, passThrough_.callerHandlers());
-    accept(status_, statusHandlers_);
+    const ConnectionShares &shares = settings_.connections;
+    callers_.start({"callers", shares.callers, shares.backlog, shares.receiveBytes},
+                   settings_.callers,
+                   passThrough_.callerHandlers(),
+                   [this](const auto &connection) { passThrough_.addConnection(connection); });
+    status_.start({"status", shares.status, shares.backlog, shares.receiveBytes},
+                  settings_.status,
+                  statusHandlers_);
     signals_.add(SIGTERM);
     signals_.add(SIGINT);
     signals_.add(SIGHUP);
@@ -97,33 +88,6 @@
                             {"stopping", std::int64_t(shutdownBegan_.has_value())}}});
 }
 
-void ProxyDaemon::accept(asio::ip::tcp::acceptor &acceptor,
-                         const std::shared_ptr<const CallerHandlers> &handlers)
-{
-    acceptor.async_accept(
-        [this, &acceptor, handlers](const std::error_code &error, asio::ip::tcp::socket socket) {
-            if (error == asio::error::operation_aborted) {
-                return;
-            }
-            if (error) {
-                log_.write(LogLevel::Error,
-                           "cannot accept a connection: " + error.message(),
-                           {.step = "accept"});
-                auto pause = std::make_shared<asio::steady_timer>(context_, acceptPause);
-                pause->async_wait([this, &acceptor, handlers, pause](const std::error_code &) {
-                    accept(acceptor, handlers);
-                });
-                return;
-            }
-            const auto connection = std::make_shared<CallerConnection>(std::move(socket), handlers);
-            if (handlers != statusHandlers_) {
-                passThrough_.addConnection(connection);
-            }
-            connection->start();
-            accept(acceptor, handlers);
-        });
-}
-
 void ProxyDaemon::respondToStatusRequest(const std::shared_ptr<CallerConnection> &caller,
                                          const CallerRequest &request)
 {
@@ -192,9 +156,8 @@
 void ProxyDaemon::continueShutdown()
 {
     ShutdownState state = shutdownState();
-    if (!state.isAccepting && callers_.is_open()) {
-        std::error_code ignored; // the process ends anyway
-        callers_.close(ignored);
+    if (!state.isAccepting && callers_.isOpen()) {
+        callers_.close();
     }
     if (state.isEndingRequests) {
         passThrough_.endRequests();
--- a/src/libs/proxy/proxydaemon.h
+++ b/src/libs/proxy/proxydaemon.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "callerlistener.h"
+#include "connectionshares.h"
 #include "passthrough.h"
 #include "shutdownschedule.h"
 
@@ -16,6 +18,7 @@
     std::string readinessPath = "/healthz";
     std::string metricsPath = "/metrics";
     ShutdownSchedule stop;
+    ConnectionShares connections;
 };
 
 /// Process-level part of a proxy daemon: listeners, readiness, signals and graceful shutdown.
@@ -43,8 +46,6 @@
     void setServersKnown();
 
 private:
-    void accept(asio::ip::tcp::acceptor &acceptor,
-                const std::shared_ptr<const CallerHandlers> &handlers);
     void respondToStatusRequest(const std::shared_ptr<CallerConnection> &caller,
                                 const CallerRequest &request);
     void waitForSignal();
@@ -60,8 +61,8 @@
     PassThrough &passThrough_;
     Telemetry::Log &log_;
     Telemetry::Metrics &metrics_;
-    asio::ip::tcp::acceptor callers_;
-    asio::ip::tcp::acceptor status_;
+    CallerListener callers_;
+    CallerListener status_;
     asio::signal_set signals_;
     ShutdownHooks hooks_;
     asio::steady_timer shutdownTimer_;
--- a/src/libs/proxy/requestaccount.cpp
+++ b/src/libs/proxy/requestaccount.cpp
@@ -20,6 +20,8 @@
         return "after_response";
     case CloseReason::IdleTimeout:
         return "idle_timeout";
+    case CloseReason::ForOthers:
+        return "for_others";
     case CloseReason::Shutdown:
         return "shutdown";
     case CloseReason::ResponseAborted:
--- a/src/libs/proxy/requestrelay.cpp
+++ b/src/libs/proxy/requestrelay.cpp
@@ -16,6 +16,12 @@
 constexpr std::size_t bufferBytes = 8 * 1024;
 constexpr int listenBacklog = 256;
 
+/// Pause after a failed accept, for example if no file descriptors are left.
+constexpr auto acceptPause = std::chrono::milliseconds(20);
+
+/// Sessions beyond the limit that are told so.
+constexpr std::size_t maxRefusing = 16;
+
 /// Decodes "/relay/START/ID".
 std::optional<Dispatch::ServerInstance> parsePath(std::string_view path)
 {
@@ -246,6 +252,7 @@
                metrics.counter("marjoram_relay_refused_total",
                                "Connections to the relay from addresses that are not listed"))
     , acceptor_(context)
+    , acceptPause_(context)
     , noticeTimer_(context)
 {}
 
@@ -270,13 +277,24 @@
             log_.write(Telemetry::LogLevel::Error,
                        "cannot accept a connection of a peer: " + error.message(),
                        {.step = "relay"});
-        } else {
-            serve(std::move(socket));
+            acceptLater();
+            return;
         }
+        serve(std::move(socket));
         accept();
     });
 }
 
+void RequestRelay::acceptLater()
+{
+    acceptPause_.expires_after(acceptPause);
+    acceptPause_.async_wait([this](const std::error_code &error) {
+        if (!error) {
+            accept();
+        }
+    });
+}
+
 /// A daemon that this one's list lacks yet is refused too; it asks another one.
 void RequestRelay::serve(asio::ip::tcp::socket socket)
 {
@@ -290,6 +308,9 @@
         refused_.record(source, {}, steadyNow());
         return;
     }
+    if (sessions_.size() >= settings_.maxSessions + maxRefusing) {
+        return;
+    }
     const auto session = std::make_shared<Session>(*this, std::move(socket));
     sessions_.insert(session);
     session->start();
--- a/src/libs/proxy/requestrelay.h
+++ b/src/libs/proxy/requestrelay.h
@@ -81,6 +81,7 @@
     class Session;
 
     void accept();
+    void acceptLater();
     void serve(asio::ip::tcp::socket socket);
     void sendStopNotices();
     bool mayConnect() const;
@@ -96,6 +97,7 @@
     Telemetry::Log &log_;
     RefusedSources refused_;
     asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer acceptPause_;
     std::set<std::shared_ptr<Session>> sessions_;
     bool isStopping_ = false;
     std::function<void()> notifyPeers_;
--- a/src/libs/turnstore/turnstoreservice.cpp
+++ b/src/libs/turnstore/turnstoreservice.cpp
@@ -66,7 +66,7 @@
     , log_(log)
     , metrics_(metrics)
     , plan_(self.holder, disk.id(), disk.isSynchronized(), replication, index_)
-    , acceptor_(context)
+    , listener_(context, log, &metrics)
     , timer_(context)
 {
     handlers_ = std::make_shared<Proxy::CallerHandlers>();
@@ -90,18 +90,19 @@
 {
     disk_.load(index_);
     plan_.setDisk(disk_.id(), disk_.isSynchronized());
-    acceptor_.open(self_.endpoint.protocol());
-    acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-    acceptor_.bind(self_.endpoint);
-    acceptor_.listen();
-    accept();
+    listener_.start({"turns",
+                     connectionShares_.callers,
+                     connectionShares_.backlog,
+                     connectionShares_.receiveBytes},
+                    self_.endpoint,
+                    handlers_,
+                    [this](const CallerPtr &connection) { connections_.insert(connection); });
     scheduleTick();
 }
 
 void TurnStoreService::stop()
 {
-    std::error_code ignored; // the listener is gone either way
-    acceptor_.close(ignored);
+    listener_.close();
     timer_.cancel();
     peers_.clear();
     const std::set<std::shared_ptr<Proxy::CallerConnection>> open = std::exchange(connections_, {});
@@ -110,26 +111,6 @@
     }
 }
 
-void TurnStoreService::accept()
-{
-    acceptor_.async_accept([this](const std::error_code &error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
-            return;
-        }
-        if (error) {
-            log_.write(LogLevel::Error,
-                       "cannot accept a connection: " + error.message(),
-                       {.step = "accept"});
-        } else {
-            const auto connection
-                = std::make_shared<Proxy::CallerConnection>(std::move(socket), handlers_);
-            connections_.insert(connection);
-            connection->start();
-        }
-        accept();
-    });
-}
-
 void TurnStoreService::setHolders(const std::vector<HolderAddress> &holders)
 {
     std::map<Base::VmId, Peer> next;
--- a/src/libs/turnstore/turnstoreservice.h
+++ b/src/libs/turnstore/turnstoreservice.h
@@ -3,7 +3,8 @@
 #include "holderaddress.h"
 #include "turndisk.h"
 
-#include <proxy/callerconnection.h>
+#include <proxy/callerlistener.h>
+#include <proxy/connectionshares.h>
 #include <proxy/httpcaller.h>
 #include <turnhistory/replicationplan.h>
 
@@ -31,6 +32,12 @@
     void setMemory(Base::MemoryBudget &requests) { handlers_->bodies = &requests; }
     /// The same for the heads of requests.
     void setHeadMemory(Base::MemoryBudget &heads) { handlers_->heads = &heads; }
+    /// Must be called before start(); by default, connections are not limited.
+    void setConnections(const Proxy::ConnectionShares &shares)
+    {
+        connectionShares_ = shares;
+        handlers_->receiveBytes = shares.receiveBytes;
+    }
     /// Throws std::exception if the address cannot be bound.
     void start();
     /// Closes the listener and ends the exchange with other holders.
@@ -54,7 +61,6 @@
 
     using CallerPtr = std::shared_ptr<Proxy::CallerConnection>;
 
-    void accept();
     void onRequest(const CallerPtr &caller, Proxy::CallerRequest request);
     void updateGauges();
     void keep(const CallerPtr &caller, Proxy::CallerRequest request);
@@ -84,7 +90,8 @@
     Telemetry::Metrics &metrics_;
     TurnHistory::TurnIndex index_;
     TurnHistory::ReplicationPlan plan_;
-    asio::ip::tcp::acceptor acceptor_;
+    Proxy::CallerListener listener_;
+    Proxy::ConnectionShares connectionShares_;
     std::shared_ptr<Proxy::CallerHandlers> handlers_;
     asio::steady_timer timer_;
     std::set<std::shared_ptr<Proxy::CallerConnection>> connections_;
