Bound what servers' responses leave unread in the system

While callers read late, reading from their servers pauses, and the system kept up to 6 MB unread for each of these connections. These bytes count as memory of the process.

--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -64,6 +64,7 @@
             report("no connection before the timeout");
         }
     });
+    boundReceiveBuffer();
     bindToSource();
     socket_.async_connect(peer_, [self, report](const std::error_code &error) {
         if (self->isClosed_) {
@@ -82,6 +83,16 @@
     });
 }
 
+/// What the peer sends while reading is paused waits in this buffer.
+void ClientConnection::boundReceiveBuffer()
+{
+    if (receiveBytes_) {
+        std::error_code ignored; // a socket without the option still works
+        socket_.open(peer_.protocol(), ignored);
+        socket_.set_option(asio::socket_base::receive_buffer_size(*receiveBytes_), ignored);
+    }
+}
+
 /// A failure is not reported: the peer may accept the address that the system chooses.
 void ClientConnection::bindToSource()
 {
@@ -92,7 +103,9 @@
     using BindAddressOnly
         = asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
     std::error_code ignored;
-    socket_.open(peer_.protocol(), ignored);
+    if (!socket_.is_open()) {
+        socket_.open(peer_.protocol(), ignored);
+    }
     socket_.set_option(BindAddressOnly(true), ignored);
     socket_.bind({*source_, 0}, ignored);
 }
--- a/src/libs/proxy/clientconnection.h
+++ b/src/libs/proxy/clientconnection.h
@@ -49,6 +49,8 @@
 
     /// Connects from this address of the VM; otherwise the system chooses one.
     void setSource(const asio::ip::address &source) { source_ = source; }
+    /// Receive buffer; must be set before connect(). By default, the system chooses.
+    void setReceiveBytes(const std::optional<int> &bytes) { receiveBytes_ = bytes; }
     /// Calls back with an empty string once connected, otherwise with the error.
     void connect(Base::Duration timeout, std::function<void(const std::string &problem)> done);
     /// Must only be called on an idle connection.
@@ -96,10 +98,12 @@
     void updateKeepAliveTimeout();
     void setUpSocket();
     void bindToSource();
+    void boundReceiveBuffer();
 
     asio::ip::tcp::socket socket_;
     asio::ip::tcp::endpoint peer_;
     std::optional<asio::ip::address> source_;
+    std::optional<int> receiveBytes_;
     std::optional<Base::VmId> relay_;
     asio::steady_timer connectTimer_;
     MessageParser parser_{MessageParser::Kind::Response};
--- a/src/libs/proxy/serverconnector.cpp
+++ b/src/libs/proxy/serverconnector.cpp
@@ -55,6 +55,7 @@
     {
         auto self = shared_from_this();
         direct_ = std::make_shared<ClientConnection>(owner_.context_, target_.address);
+        direct_->setReceiveBytes(owner_.settings_.receiveBytes);
         direct_->connect(timeLeft(),
                          [self](const std::string &problem) { self->onDirect(problem); });
         headStart_.expires_after(owner_.settings_.headStart);
@@ -99,6 +100,7 @@
         }
         tried_.push_back(*relay);
         relay_ = std::make_shared<ClientConnection>(owner_.context_, relay->endpoint);
+        relay_->setReceiveBytes(owner_.settings_.receiveBytes);
         relay_->setRelay(relay->vm);
         if (owner_.settings_.relaySource) {
             relay_->setSource(*owner_.settings_.relaySource);
@@ -233,6 +235,7 @@
                             const std::function<void(std::shared_ptr<ClientConnection>)> &done)
 {
     auto connection = std::make_shared<ClientConnection>(context_, target.address);
+    connection->setReceiveBytes(settings_.receiveBytes);
     connection->connect(
         timeout, [this, connection, instance = target.instance, done](const std::string &problem) {
             if (problem.empty()) {
--- a/src/libs/proxy/serverconnector.h
+++ b/src/libs/proxy/serverconnector.h
@@ -32,6 +32,8 @@
     /// Address from which other daemons are asked, as they serve listed addresses only; if unset,
     /// the system chooses one.
     std::optional<asio::ip::address> relaySource;
+    /// Receive buffer of a connection to a server; unset means that the system chooses.
+    std::optional<int> receiveBytes;
     /// Time of a direct attempt after which another daemon is tried beside it. A reachable server
     /// accepts within one round trip.
     Base::Duration headStart = std::chrono::milliseconds(100);
