--- a/tests/crowd/clientcrowd.cpp
+++ b/tests/crowd/clientcrowd.cpp
@@ -121,6 +121,7 @@
 ClientCrowd::ClientCrowd(CrowdRequest request, asio::ip::tcp::endpoint daemon, int count)
     : request_(std::move(request))
     , daemon_(std::move(daemon))
+    , count_(count)
 {
     for (int i = 0; i < count; ++i) {
         std::make_shared<Client>(*this)->connect();
@@ -141,7 +142,7 @@
     std::uint64_t steps = steps_;
     while (std::chrono::steady_clock::now() < std::min(end, quietSince + quietTime)) {
         std::this_thread::sleep_for(interval);
-        if (steps_ != steps) {
+        if (steps_ != steps || opened_ < count_) {
             steps = steps_;
             quietSince = std::chrono::steady_clock::now();
         }
--- a/tests/crowd/clientcrowd.h
+++ b/tests/crowd/clientcrowd.h
@@ -31,7 +31,7 @@
     ClientCrowd(const ClientCrowd &) = delete;
     ClientCrowd &operator=(const ClientCrowd &) = delete;
 
-    /// Returns once no client has made progress for a while.
+    /// Returns once each client has been connected and none has made progress for a while.
     void awaitQuiet() const;
     /// Connections that are open.
     int open() const { return open_; }
@@ -43,6 +43,7 @@
 
     CrowdRequest request_;
     asio::ip::tcp::endpoint daemon_;
+    int count_;
     std::atomic<int> open_ = 0;
     std::atomic<int> opened_ = 0;
     /// Changes with each step of a client.
--- a/tests/libs/proxy/tst_requestbodies.cpp
+++ b/tests/libs/proxy/tst_requestbodies.cpp
@@ -280,6 +280,37 @@
     }
 }
 
+/// Guards against a daemon that runs out of memory as many callers hold back the ends of their
+/// heads.
+Test(requestbodies, headsThatDoNotFitAreRefused)
+{
+    constexpr int count = 60;
+    DaemonMemory memory(Base::Bytes(33 * 1'000'000));
+    Fixture fixture;
+    fixture.passThrough().setMemory(memory);
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{okResponse}});
+    const std::string head = "GET /safe/ HTTP/1.1\r\nX-Fill: " + std::string(15'000, 'x');
+    std::vector<std::unique_ptr<SendingCaller>> callers;
+    for (int i = 0; i < count; ++i) {
+        callers.push_back(std::make_unique<SendingCaller>(fixture, head));
+        fixture.runUntil([&] { return callers.back()->isSent; }, "the head is sent");
+    }
+    fixture.runUntil([&] { return !callers.back()->received.empty(); }, "the last one is refused");
+    cr_assert(callers.back()->received.starts_with(statusLine(503)));
+    cr_assert(callers.back()->received.find("Retry-After: ") != std::string::npos);
+    cr_assert_leq(memory.heads().peak(), memory.heads().capacity());
+    cr_assert_gt(memory.heads().used(), Base::Bytes(100'000));
+    fixture.request("/safe/", "small");
+    fixture.awaitResponse("hello");
+    for (const auto &caller : callers) {
+        caller->leave();
+    }
+    fixture.runUntil([&] { return memory.heads().used() == Base::Bytes(0); },
+                     "the memory is given back");
+}
+
 /// Guards against memory that stays leased after a request ended.
 Test(requestbodies, aCompleteRequestGivesItsMemoryBack)
 {
