--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -2,6 +2,8 @@
 
 #include <asio/write.hpp>
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -39,6 +41,10 @@
     if (handlers_->backlogs) {
         backlog_ = Base::MemoryLease(handlers_->backlogs->newHolder());
     }
+    if (handlers_->heads) {
+        headHolder_ = handlers_->heads->newHolder();
+        headLease_ = Base::MemoryLease(headHolder_);
+    }
     if (handlers_->bodies) {
         bodyHolder_ = handlers_->bodies->newHolder();
         bodyLease_ = Base::MemoryLease(bodyHolder_);
@@ -62,12 +68,19 @@
 
 void CallerConnection::read()
 {
-    const bool isFull = isHandling_ && incoming_.size() >= maxPipelinedBytes;
+    const bool isFull = isHandling_ && !mayReadAhead();
     if (!isWaiting_ && !isClosed_ && !isClosing_ && !isFull) {
         waitUntilReadable();
     }
 }
 
+/// Whether bytes behind the request in progress are read.
+bool CallerConnection::mayReadAhead() const
+{
+    return incoming_.size() < maxPipelinedBytes
+           && (incoming_.empty() || headLease_.mayGrow(2 * readBufferBytes));
+}
+
 /// Bytes are taken from the socket only when they are handled: an asynchronous read could complete
 /// behind a response that announces the end of the connection.
 void CallerConnection::waitUntilReadable()
@@ -106,6 +119,7 @@
     }
     if (!error) {
         lastActivity_ = handlers_->now();
+        place_.progressed();
         incoming_.append(buffer.data(), size);
         parse();
     }
@@ -131,42 +145,61 @@
     }
     isParsing_ = true;
     while (!isHandling_ && !isClosed_ && !isClosing_ && !incoming_.empty()) {
-        if (parser_.state() == ParseState::Empty) {
-            const Contracts::CallerLimits limits = handlers_->limits();
-            parser_.setLimits({limits.headBytes, limits.bodyBytes});
-        }
-        incoming_.erase(0, parser_.feed(incoming_));
-        takeBody();
-        if (parser_.state() != ParseState::Empty && !messageBegun_) {
-            messageBegun_ = lastActivity_;
-            armTimer();
-        }
-        if (parser_.state() == ParseState::Failed) {
-            reject();
-        } else if (parser_.state() == ParseState::Complete) {
-            dispatchRequest();
-        } else if (parser_.state() == ParseState::Body) {
-            continueBody();
-        }
+        parseNext();
+    }
+    if (incoming_.empty()) {
+        std::string().swap(incoming_); // the connection may stay open for long
     }
     isParsing_ = false;
+    if (isHandling_) {
+        headLease_.forceResize(incoming_.capacity()); // the bytes were read already
+    }
+}
+
+void CallerConnection::parseNext()
+{
+    if (parser_.state() == ParseState::Empty) {
+        const Contracts::CallerLimits limits = handlers_->limits();
+        parser_.setLimits({limits.headBytes, limits.bodyBytes});
+    }
+    incoming_.erase(0, parser_.feed(incoming_));
+    takeBody();
+    if (parser_.state() != ParseState::Empty && !messageBegun_) {
+        messageBegun_ = lastActivity_;
+        armTimer();
+    }
+    if (parser_.state() == ParseState::Failed) {
+        reject();
+    } else if (parser_.state() == ParseState::Complete) {
+        dispatchRequest();
+    } else if (parser_.state() == ParseState::Body) {
+        continueBody();
+    } else if (!leaseHead()) {
+        refuseHead();
+    }
 }
 
 void CallerConnection::dispatchRequest()
 {
     CallerRequest request;
+    const bool isHeadLeased = isBodyBegun_ || leaseHead();
     request.head = parser_.takeRequest();
     request.body = std::exchange(body_, {});
-    const bool isLeased
-        = !isBodyDenied_ && (isBodyBegun_ || bodyLease_.resize(request.body.size()));
+    const bool isLeased = isHeadLeased && !isBodyDenied_
+                          && (isBodyBegun_ || bodyLease_.resize(request.body.size()));
+    request.headLease = std::exchange(headLease_, Base::MemoryLease(headHolder_));
     request.bodyLease = std::exchange(bodyLease_, Base::MemoryLease(bodyHolder_));
     request.arrivedAt = handlers_->now();
     parser_.reset();
     messageBegun_.reset();
     bodyDue_.reset();
+    if (isBodyBegun_ && handlers_->receiveBytes) {
+        setReceiveBytes(*handlers_->receiveBytes);
+    }
     isBodyBegun_ = false;
     isBodyDenied_ = false;
     isHandling_ = true;
+    place_.requestBegun();
     isKeptAlive_ = request.head.isKeepAlive;
     isHeadRequest_ = request.head.method == "HEAD";
     isHttp11_ = request.head.isHttp11;
@@ -283,6 +316,15 @@
     socket_.set_option(asio::socket_base::linger(isReset, 0), ignored);
 }
 
+/// The system does not enlarge the window of a connection by itself once its buffer is set.
+void CallerConnection::setReceiveBytes(int bytes)
+{
+    using Window = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_WINDOW_CLAMP>;
+    std::error_code ignored; // a smaller buffer works, too
+    socket_.set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+    socket_.set_option(Window(bytes), ignored);
+}
+
 /// The bytes were read from the server already, so they cannot be refused.
 void CallerConnection::leaseBacklog()
 {
@@ -299,6 +341,9 @@
         if (auto drained = std::exchange(onDrained_, nullptr)) {
             drained();
         }
+        if (!isHandling_ && outgoing_.empty()) {
+            place_.requestEnded();
+        }
         if (isClosing_ && outgoing_.empty()) {
             closeAfterWrites(CloseReason::AfterResponse);
         }
@@ -333,6 +378,7 @@
     isClosing_ = true;
     closeReason_ = reason;
     isCloseAnnounced_ = true;
+    place_.setEnding();
     std::error_code ignored; // the connection is closed either way
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     lastActivity_ = handlers_->now();
@@ -438,6 +484,15 @@
     }
 }
 
+bool CallerConnection::closeForOthers()
+{
+    if (isIdle() || parser_.state() != ParseState::Empty || isClosing_) {
+        close(isClosing_ ? closeReason_ : CloseReason::ForOthers);
+        return true;
+    }
+    return false;
+}
+
 /// Bytes behind the last handled request begin a new message, as each is parsed from its first
 /// byte.
 ConnectionEnd CallerConnection::describeEnd(CloseReason reason) const
@@ -470,6 +525,8 @@
     isClosed_ = true;
     const ConnectionEnd end = describeEnd(reason);
     dropBody();
+    headLease_.release();
+    place_.release();
     timer_.cancel();
     std::error_code ignored; // nothing can be done if the close fails
     socket_.close(ignored);
--- a/src/libs/proxy/callerconnectionbody.cpp
+++ b/src/libs/proxy/callerconnectionbody.cpp
@@ -13,6 +13,18 @@
 /// Bytes of a refused request that are read and dropped: a body of the usual limit.
 constexpr std::uint64_t maxDrainedBytes = 4 * 1024 * 1024;
 
+/// Bytes of a head that are not leased: a connection may always keep them, as most heads are
+/// smaller.
+constexpr std::size_t freeHeadBytes = 4 * 1024;
+
+/// Steps in which bodies without a stated length are leased.
+constexpr std::size_t bodyStepBytes = 16 * 1024;
+
+constexpr std::size_t bodyGrowthFactor = 4;
+
+/// Receive buffer for a body whose memory is leased: unread bytes are bytes of the lease.
+constexpr int leasedReceiveBytes = 64 * 1024;
+
 int statusOf(ParseError error)
 {
     switch (error) {
@@ -59,34 +71,60 @@
         refuseBody(*decision.refusal);
         return;
     }
-    if (!leaseBody(0)) {
+    if (!leaseHead() || !leaseBody(0)) {
         refuseBody(bodiesFull());
         return;
     }
     bodyDue_ = lastActivity_ + std::max(decision.bodyTimeout, handlers_->limits().idleTimeout);
     armTimer();
+    if (handlers_->receiveBytes && parser_.framing().length.value_or(0) > body_.size()) {
+        setReceiveBytes(std::max(leasedReceiveBytes, *handlers_->receiveBytes));
+    }
     sendContinueIfExpected();
 }
 
-/// Leases a stated length at once, so that a body that does not fit is not read, and others in
-/// steps. The capacity counts, so the string must not choose it.
+/// Leases a stated length at once, so that a body that does not fit is not read, and others as they
+/// arrive. The capacity counts, so the string must not choose it.
 bool CallerConnection::leaseBody(std::size_t arrived)
 {
-    const std::size_t needed
-        = std::max<std::size_t>(parser_.framing().length.value_or(0), body_.size() + arrived);
+    const std::optional<std::uint64_t> &length = parser_.framing().length;
+    const std::size_t needed = std::max<std::size_t>(length.value_or(0), body_.size() + arrived);
     if (needed <= bodyLease_.size()) {
         return true;
     }
-    const bool isLengthKnown = parser_.framing().length.has_value();
-    const std::size_t capacity = isLengthKnown ? needed : needed + needed / 2;
-    if (!bodyLease_.resize(capacity)) {
+    const std::size_t steps = (needed + bodyStepBytes - 1) / bodyStepBytes;
+    if (!bodyLease_.resize(length ? needed : steps * bodyStepBytes)) {
         return false;
     }
+    if (needed > body_.capacity()) {
+        reserveBody(needed);
+    }
+    return true;
+}
+
+/// A larger buffer takes memory only as it is filled. Few and large steps leave little to copy: at
+/// most a quarter of the longest body is there twice, on one connection at a time.
+void CallerConnection::reserveBody(std::size_t needed)
+{
+    std::size_t capacity = needed;
+    if (!parser_.framing().length) {
+        capacity = bodyStepBytes;
+        while (capacity < needed) {
+            capacity *= bodyGrowthFactor;
+        }
+        capacity = std::max(needed, std::min(capacity, handlers_->limits().bodyBytes));
+    }
     std::string larger;
     larger.reserve(capacity);
     larger += body_;
     body_.swap(larger);
-    return true;
+}
+
+/// The buffers of the head count, as a parsed head may take many times the bytes that arrived.
+bool CallerConnection::leaseHead()
+{
+    const std::size_t bytes = parser_.headBytes();
+    return headLease_.resize(bytes > freeHeadBytes ? bytes : 0);
 }
 
 Refusal CallerConnection::bodiesFull() const
@@ -94,6 +132,19 @@
     return {503, "no_memory", "too many bodies of requests are kept", handlers_->retryAfterFull};
 }
 
+/// The rest of the head is dropped, so that it does not reset the connection before the response.
+void CallerConnection::refuseHead()
+{
+    constexpr std::uint64_t restBytes = 64 * 1024;
+    const Refusal refusal{
+        503, "no_memory", "too many heads of requests are kept", handlers_->retryAfterFull};
+    handlers_->onRejected(refusal.status, refusal.detail);
+    isHeadRequest_ = false;
+    drainBytes_ = restBytes;
+    parser_.reset();
+    refuse(ownResponseHead(refusal.status, refusal.retryAfter), refusal.detail + "\n");
+}
+
 void CallerConnection::refuseBody(const Refusal &refusal)
 {
     handlers_->onRejected(refusal.status, refusal.detail);
@@ -133,8 +184,9 @@
 /// request begins is not known.
 void CallerConnection::refuse(const ResponseHead &head, std::string_view body)
 {
-    incoming_.clear();
+    std::string().swap(incoming_); // an assignment would keep the buffer
     dropBody();
+    headLease_.release();
     isHandling_ = true;
     isKeptAlive_ = false;
     respond(head, body);
