--- a/cmake/MarjoramTargets.cmake
+++ b/cmake/MarjoramTargets.cmake
@@ -31,9 +31,10 @@
     _marjoram_defaults(${name})
 endfunction()
 
-# marjoram_test(NAME SOURCES ... DEPENDS ...): a Criterion program run by CTest.
+# marjoram_test(NAME [SERIAL] SOURCES ... DEPENDS ...): a Criterion program run by CTest. SERIAL runs
+# one case at a time, beside no other test.
 function(marjoram_test name)
-    cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
+    cmake_parse_arguments(ARG "SERIAL" "TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
     add_executable(${name} ${ARG_SOURCES})
     target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
     target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} criterion)
@@ -41,8 +42,12 @@
     if(NOT ARG_TIMEOUT)
         set(ARG_TIMEOUT 120)
     endif()
-    add_test(NAME ${name} COMMAND ${name} -j2)
-    set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
+    if(ARG_SERIAL)
+        add_test(NAME ${name} COMMAND ${name} -j1)
+    else()
+        add_test(NAME ${name} COMMAND ${name} -j2)
+    endif()
+    set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT} RUN_SERIAL "${ARG_SERIAL}")
 endfunction()
 
 # Adds each named directory that already has a CMakeLists.txt.
