--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -56,6 +56,7 @@
         return;
     }
     lastActivity_ = handlers_->now();
+    waitingSince_ = lastActivity_;
     armTimer();
     read();
 }
@@ -176,7 +177,8 @@
     if (!isLeased) {
         const Refusal refusal = bodiesFull();
         handlers_->onRejected(refusal.status, refusal.detail);
-        respond(ownResponseHead(refusal.status, refusal.retryAfter), refusal.detail + "\n");
+        const OwnResponse response = ownResponse(refusal);
+        respond(response.head, response.body);
         return;
     }
     handlers_->onRequest(shared_from_this(), std::move(request));
@@ -252,6 +254,7 @@
     onDisconnected_ = nullptr;
     onDrained_ = nullptr;
     lastActivity_ = handlers_->now();
+    waitingSince_ = lastActivity_;
     if (isCloseAnnounced_) {
         isClosing_ = true;
         return;
@@ -305,6 +308,7 @@
         return;
     }
     writing_ = std::exchange(outgoing_, {});
+    writeBegun_ = handlers_->now();
     auto self = shared_from_this();
     asio::async_write(
         socket_, asio::buffer(writing_), [self](const std::error_code &error, std::size_t) {
@@ -315,6 +319,7 @@
 void CallerConnection::onWritten(const std::error_code &error)
 {
     std::string().swap(writing_); // an assignment would keep the buffer
+    writeBegun_.reset();
     leaseBacklog();
     if (isClosed_) {
         return;
@@ -398,11 +403,7 @@
     const bool isQuiet = now >= lastActivity_ + limits.idleTimeout;
     const bool isBodyLate = bodyDue_ && now >= *bodyDue_;
     if (isHeadLate || isBodyLate || (isQuiet && messageBegun_)) {
-        handlers_->onRejected(408, "request was not received before the timeout");
-        ResponseHead head;
-        head.status = 408;
-        head.reason = reasonOf(408);
-        refuse(head, {});
+        refuseUnread(408, "request was not received before the timeout");
         return;
     }
     if (isQuiet && unreadBytes() > 0) {
--- a/src/libs/proxy/callerconnection.h
+++ b/src/libs/proxy/callerconnection.h
@@ -63,6 +63,8 @@
     std::optional<Refusal> refusal;
     /// Time for the body, if it is longer than the idle timeout.
     Base::Duration bodyTimeout{};
+    /// Sent for the refusal instead of what CallerHandlers::ownResponse makes of it.
+    std::optional<OwnResponse> response = std::nullopt;
 };
 
 /// Callbacks of the connections of one listener.
@@ -75,6 +77,8 @@
     /// Called for a request that was refused before it was complete, with the response status and
     /// the error.
     std::function<void(int status, const std::string &problem)> onRejected;
+    /// Optional; makes the responses to refused requests, by default plain text or none.
+    std::function<OwnResponse(const Refusal &)> ownResponse;
     std::function<Contracts::CallerLimits()> limits;
     std::function<Base::Instant()> now;
     /// Whether connections close after the response in progress.
@@ -125,6 +129,10 @@
     void onceDisconnected(std::function<void()> callback) { onDisconnected_ = std::move(callback); }
 
     bool isBusy() const { return isHandling_; }
+    /// Since when the connection has waited for a request to be complete.
+    Base::Instant waitingSince() const { return waitingSince_; }
+    /// When the write in progress began.
+    std::optional<Base::Instant> writeBegun() const { return writeBegun_; }
     bool isClosed() const { return isClosed_; }
     /// Closes the connection unless a request is being received or handled.
     void closeIfIdle();
@@ -144,10 +152,12 @@
     void takeBody();
     void dropBody();
     bool leaseBody(std::size_t arrived);
-    void refuseBody(const Refusal &refusal);
+    void refuseBody(const Refusal &refusal, const OwnResponse &response);
     Refusal bodiesFull() const;
     void reject();
-    void refuse(const ResponseHead &head, std::string_view body);
+    void refuse(const OwnResponse &response);
+    OwnResponse ownResponse(const Refusal &refusal) const;
+    void refuseUnread(int status, const std::string &problem);
     void sendContinueIfExpected();
     void finishResponse();
     void flush();
@@ -180,6 +190,8 @@
     std::function<void()> onDrained_;
     std::function<void()> onDisconnected_;
     Base::Instant lastActivity_;
+    Base::Instant waitingSince_;
+    std::optional<Base::Instant> writeBegun_;
     std::optional<Base::Instant> messageBegun_;
     std::optional<Base::Instant> timerDue_;
     /// When the connection is closed although the caller still sends.
--- a/src/libs/proxy/callerconnectionbody.cpp
+++ b/src/libs/proxy/callerconnectionbody.cpp
@@ -34,7 +34,7 @@
     if (!std::exchange(isBodyBegun_, true)) {
         onBodyBegun();
     } else if (isBodyDenied_) {
-        refuseBody(bodiesFull());
+        refuseBody(bodiesFull(), ownResponse(bodiesFull()));
     }
 }
 
@@ -56,11 +56,12 @@
     const HeadDecision decision
         = handlers_->onHead ? handlers_->onHead(parser_.request()) : HeadDecision{};
     if (decision.refusal) {
-        refuseBody(*decision.refusal);
+        refuseBody(*decision.refusal,
+                   decision.response ? *decision.response : ownResponse(*decision.refusal));
         return;
     }
     if (!leaseBody(0)) {
-        refuseBody(bodiesFull());
+        refuseBody(bodiesFull(), ownResponse(bodiesFull()));
         return;
     }
     bodyDue_ = lastActivity_ + std::max(decision.bodyTimeout, handlers_->limits().idleTimeout);
@@ -94,14 +95,14 @@
     return {503, "no_memory", "too many bodies of requests are kept", handlers_->retryAfterFull};
 }
 
-void CallerConnection::refuseBody(const Refusal &refusal)
+void CallerConnection::refuseBody(const Refusal &refusal, const OwnResponse &response)
 {
     handlers_->onRejected(refusal.status, refusal.detail);
     isHeadRequest_ = parser_.request().method == "HEAD";
     isHttp11_ = parser_.request().isHttp11;
     const std::uint64_t length = parser_.framing().length.value_or(maxDrainedBytes + body_.size());
     drainBytes_ = std::min(maxDrainedBytes, length - body_.size());
-    refuse(ownResponseHead(refusal.status, refusal.retryAfter), refusal.detail + "\n");
+    refuse(response);
 }
 
 void CallerConnection::sendContinueIfExpected()
@@ -115,29 +116,46 @@
 
 void CallerConnection::reject()
 {
-    const int status = statusOf(parser_.error());
-    handlers_->onRejected(status, parser_.problem());
     isHeadRequest_ = false;
     if (parser_.error() == ParseError::BodyTooLarge) {
         const std::uint64_t rest = parser_.framing().length.value_or(maxDrainedBytes);
         drainBytes_
             = std::min(maxDrainedBytes, rest - std::min<std::uint64_t>(rest, incoming_.size()));
     }
+    refuseUnread(statusOf(parser_.error()), parser_.problem());
+}
+
+/// For a request of which not even the head may be known.
+void CallerConnection::refuseUnread(int status, const std::string &problem)
+{
+    handlers_->onRejected(status, problem);
+    if (handlers_->ownResponse) {
+        refuse(handlers_->ownResponse({status, "rejected", problem}));
+        return;
+    }
     ResponseHead head;
     head.status = status;
     head.reason = reasonOf(status);
-    refuse(head, {});
+    refuse({head, {}});
+}
+
+OwnResponse CallerConnection::ownResponse(const Refusal &refusal) const
+{
+    if (handlers_->ownResponse) {
+        return handlers_->ownResponse(refusal);
+    }
+    return {ownResponseHead(refusal.status, refusal.retryAfter), refusal.detail + "\n"};
 }
 
 /// Responds to a request that was not read to its end, and closes the connection: where the next
 /// request begins is not known.
-void CallerConnection::refuse(const ResponseHead &head, std::string_view body)
+void CallerConnection::refuse(const OwnResponse &response)
 {
     incoming_.clear();
     dropBody();
     isHandling_ = true;
     isKeptAlive_ = false;
-    respond(head, body);
+    respond(response.head, response.body);
 }
 
 void CallerConnection::dropBody()
--- a/src/libs/proxy/httphead.cpp
+++ b/src/libs/proxy/httphead.cpp
@@ -165,6 +165,8 @@
         return "Continue";
     case 200:
         return "OK";
+    case 201:
+        return "Created";
     case 400:
         return "Bad Request";
     case 401:
@@ -177,6 +179,8 @@
         return "Method Not Allowed";
     case 408:
         return "Request Timeout";
+    case 409:
+        return "Conflict";
     case 413:
         return "Content Too Large";
     case 429:
--- a/src/libs/proxy/refusal.h
+++ b/src/libs/proxy/refusal.h
@@ -19,6 +19,13 @@
     std::optional<Base::Duration> retryAfter = std::nullopt;
 };
 
+/// A response that the daemon makes itself.
+struct OwnResponse
+{
+    ResponseHead head;
+    std::string body;
+};
+
 /// Returns the head of a response that the daemon makes itself; its body is plain text.
 ResponseHead ownResponseHead(int status, std::optional<Base::Duration> retryAfter = std::nullopt);
 
