marjoramd: bound what it keeps for its callers

Callers saw no answers: clients that hold back the ends of bodies of legal size, or send them whole at once, made the daemon take memory without a bound, and silent connections took all descriptors, after which it accepted no connection any more, not even when they had closed.

RESTinio collects each body whole, looks at nothing before its end, keeps it until the response, and ends its accept loop at the first error. Its parser's callbacks know neither connection nor server, so there is no place in it for an account of what is being received. Limits on connections and on each body alone would allow 30 connections at 256 MB.

The gateway now reads with Proxy::CallerConnection, as the fronts do, on one strand for each listener. Bodies count from their stated length on, or as chunks arrive, until the request is answered (48 MB, MemoryBudget); what does not fit is answered 503 with Retry-After, not run. At 512 connections, or half of the descriptors, a new one takes the place of the one that has waited longest for a request. Unread responses count (32 MB): a larger one is replaced by 503 with the truth in ran, a stream is closed. The system buffers 64 KB a connection in each direction. The request's own copy of the body ends when it is parsed. Refusals before the end of a body have the form of errors; bodies above the limit are refused by their stated length.

--- a/src/libs/gateway/httpserver.cpp
+++ b/src/libs/gateway/httpserver.cpp
@@ -1,295 +1,455 @@
 #include "httpserver.h"
 
-#include <restinio/all.hpp>
+#include "connectionchoice.h"
 
+#include <proxy/callerconnection.h>
+#include <proxy/steadyclock.h>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/strand.hpp>
+
+#include <algorithm>
+#include <atomic>
 #include <mutex>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace Gateway {
 
 namespace {
 
 using Base::RequestId;
+using Proxy::CallerConnection;
+using Connection = std::shared_ptr<CallerConnection>;
 
-using RequestHandler
-    = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+/// Pause after a failed accept, for example if no file descriptors are left.
+constexpr auto acceptPause = std::chrono::milliseconds(20);
+constexpr auto sweepInterval = std::chrono::seconds(1);
+constexpr int listenBacklog = 1024;
 
-/// Notifies the server of closed connections.
-class CloseListener
-{
-public:
-    explicit CloseListener(std::function<void(restinio::connection_id_t)> onClosed)
-        : onClosed_(std::move(onClosed))
-    {}
+/// What the system buffers for a connection in each direction (it doubles the figure). Left to
+/// itself it takes up to 6 MB for a caller whose bytes are not read.
+constexpr int socketBufferBytes = 32 * 1024;
 
-    void state_changed(const restinio::connection_state::notice_t &notice) noexcept // NOLINT
-    {
-        if (std::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
-            onClosed_(notice.connection_id());
-        }
-    }
+/// Responses up to this size are sent even if the memory for unread ones is used up.
+constexpr std::size_t alwaysSentBytes = 16 * 1024;
 
-private:
-    std::function<void(restinio::connection_id_t)> onClosed_;
-};
-
-struct Traits
-    : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t, RequestHandler>
+std::string wholeSeconds(Base::Duration duration)
 {
-    using connection_state_listener_t = CloseListener; // NOLINT(readability-identifier-naming)
-};
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(duration);
+    return std::to_string(std::max<std::int64_t>(1, seconds.count()));
+}
 
-using Server = restinio::http_server_t<Traits>;
-using StreamResponse = restinio::response_builder_t<restinio::chunked_output_t>;
-
-restinio::http_status_line_t statusLine(int status)
-{
-    switch (status) {
-    case 200:
-        return restinio::status_ok();
-    case 201:
-        return restinio::status_created();
-    case 400:
-        return restinio::status_bad_request();
-    case 401:
-        return restinio::status_unauthorized();
-    case 402:
-        return restinio::status_payment_required();
-    case 404:
-        return restinio::status_not_found();
-    case 409:
-        return restinio::status_conflict();
-    case 413:
-        return restinio::status_payload_too_large();
-    case 429:
-        return restinio::status_too_many_requests();
-    case 502:
-        return restinio::status_bad_gateway();
-    case 503:
-        return restinio::status_service_unavailable();
-    case 504:
-        return restinio::status_gateway_time_out();
-    default:
-        return restinio::http_status_line_t(
-            restinio::http_status_code_t(static_cast<std::uint16_t>(status)), "Status");
+Proxy::OwnResponse toOwnResponse(HttpResponse response)
+{
+    Proxy::OwnResponse result;
+    result.head.status = response.status;
+    result.head.reason = Proxy::reasonOf(response.status);
+    result.head.headers.add("Content-Type", std::move(response.contentType));
+    if (response.retryAfter) {
+        result.head.headers.add("Retry-After", wholeSeconds(*response.retryAfter));
     }
+    result.body = std::move(response.body);
+    return result;
 }
 
-std::string wholeSeconds(Base::Duration duration)
+std::string_view fieldOf(const Proxy::RequestHead &head, std::string_view name)
 {
-    const auto seconds = std::chrono::ceil<std::chrono::seconds>(duration);
-    return std::to_string(std::max<std::int64_t>(1, seconds.count()));
+    return head.headers.find(name).value_or(std::string_view());
 }
 
 /// A request whose response is not complete.
 struct PendingResponse
 {
-    restinio::request_handle_t request;
-    restinio::connection_id_t connection = 0;
-    std::unique_ptr<StreamResponse> stream;
-    /// Bytes passed to the connection and not written yet.
-    std::int64_t backlog = 0;
+    Connection connection;
+    /// For the body, copies of which exist until the request is answered.
+    Base::MemoryLease body;
+    bool isStreaming = false;
 };
 
-constexpr size_t maxUrlBytes = 16 * 1024;
-constexpr size_t maxFieldNameBytes = 1024;
-constexpr size_t maxFieldValueBytes = 16 * 1024;
-constexpr size_t maxFieldCount = 100;
-
 } // namespace
 
+/// Its members are used on the strand unless they say otherwise.
 class HttpServer::Private : public std::enable_shared_from_this<HttpServer::Private>
 {
 public:
-    Private(HttpServerSettings settings, Handlers handlers)
+    Private(asio::io_context &context, HttpServerSettings settings, Handlers handlers)
         : settings_(std::move(settings))
         , handlers_(std::move(handlers))
+        , strand_(asio::make_strand(context))
+        , acceptor_(strand_)
+        , timer_(strand_)
+        , bodies_(settings_.bodyMemory)
+        , backlogs_(settings_.backlogMemory)
     {}
 
-    void open(asio::io_context &context);
-    restinio::request_handling_status_t accept(const restinio::request_handle_t &request);
-    void connectionClosed(restinio::connection_id_t connection);
+    void open();
+    void stopAccepting();
+    void discardAll();
+    /// From any thread.
+    void post(std::function<void(Private &)> work);
+
+    void answer(RequestId id, HttpResponse answer, std::optional<HttpResponse> replacement);
+    void startStream(RequestId id);
+    void sendChunk(RequestId id, const std::string &chunk);
+    void endStream(RequestId id);
+
+    std::atomic<std::size_t> pendingCount_ = 0;
+    mutable std::mutex useMutex_;
+    /// Guarded by useMutex_.
+    HttpServerUse use_;
+
+private:
+    std::shared_ptr<const Proxy::CallerHandlers> connectionHandlers();
+    void accept(std::shared_ptr<const Proxy::CallerHandlers> handlers);
+    void acceptLater(std::shared_ptr<const Proxy::CallerHandlers> handlers);
+    void add(const Connection &connection);
+    bool makeRoom();
+    void handle(const Connection &connection, Proxy::CallerRequest request);
+    void callerGone(RequestId id);
+    Proxy::HeadDecision decide(const Proxy::RequestHead &head) const;
+    Proxy::OwnResponse rejection(const Proxy::Refusal &refusal) const;
     std::optional<PendingResponse> take(RequestId id);
-    void sendChunk(RequestId id, std::string chunk);
-    void handleWritten(RequestId id, std::int64_t bytes, bool failed);
+    void sweep();
+    void publishUse();
 
     HttpServerSettings settings_;
     Handlers handlers_;
-    std::unique_ptr<Server> server_;
-    mutable std::mutex mutex_;
+    asio::strand<asio::io_context::executor_type> strand_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer timer_;
+    Base::MemoryBudget bodies_;
+    Base::MemoryBudget backlogs_;
+    bool isStopping_ = false;
     std::uint64_t lastId_ = 0;
     std::unordered_map<RequestId, PendingResponse> pending_;
-    std::unordered_multimap<restinio::connection_id_t, RequestId> byConnection_;
+    std::unordered_set<Connection> connections_;
+    std::uint64_t displaced_ = 0;
+    std::uint64_t stalled_ = 0;
+    std::uint64_t refusedResponses_ = 0;
 };
 
-void HttpServer::Private::open(asio::io_context &context)
-{
-    auto self = shared_from_this();
-    auto listener = std::make_shared<CloseListener>(
-        [self](restinio::connection_id_t connection) { self->connectionClosed(connection); });
-    restinio::incoming_http_msg_limits_t limits;
-    limits.max_url_size(maxUrlBytes)
-        .max_field_name_size(maxFieldNameBytes)
-        .max_field_value_size(maxFieldValueBytes)
-        .max_field_count(maxFieldCount)
-        .max_body_size(static_cast<std::uint64_t>(settings_.maxBody.value()));
-    restinio::server_settings_t<Traits> serverSettings;
-    serverSettings.address(settings_.address)
-        .port(settings_.port)
-        .request_handler(
-            [self](const restinio::request_handle_t &request) { return self->accept(request); })
-        .connection_state_listener(listener)
-        .incoming_http_msg_limits(limits)
-        // Reading continues while a response is pending, so that a closed connection is detected.
-        .max_pipelined_requests(4)
-        .read_next_http_message_timelimit(settings_.readTimeout)
-        .write_http_response_timelimit(settings_.readTimeout)
-        .handle_request_timeout(std::chrono::hours(24))
-        .concurrent_accepts_count(2);
-    server_ = std::make_unique<Server>(restinio::external_io_context(context),
-                                       std::move(serverSettings));
-    server_->open_sync();
-}
-
-restinio::request_handling_status_t HttpServer::Private::accept(
-    const restinio::request_handle_t &request)
-{
-    const auto &header = request->header();
-    IncomingRequest incoming;
-    incoming.method = header.method().c_str();
-    incoming.target = header.request_target();
-    incoming.authorization = header.get_field_or(restinio::http_field::authorization, "");
-    incoming.contentType = header.get_field_or(restinio::http_field::content_type, "");
-    incoming.body = request->body();
-    {
-        const std::lock_guard lock(mutex_);
-        incoming.id = RequestId(++lastId_);
-        pending_[incoming.id] = PendingResponse{request, request->connection_id(), nullptr, 0};
-        byConnection_.emplace(request->connection_id(), incoming.id);
-    }
-    handlers_.onRequest(std::move(incoming));
-    return restinio::request_accepted();
+void HttpServer::Private::open()
+{
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(settings_.address),
+                                           settings_.port);
+    acceptor_.open(endpoint.protocol());
+    acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    // Connections inherit the sizes of the buffers.
+    acceptor_.set_option(asio::socket_base::receive_buffer_size(socketBufferBytes));
+    acceptor_.set_option(asio::socket_base::send_buffer_size(socketBufferBytes));
+    acceptor_.bind(endpoint);
+    acceptor_.listen(listenBacklog);
+    post([handlers = connectionHandlers()](Private &self) {
+        self.accept(handlers);
+        self.sweep();
+    });
 }
 
-void HttpServer::Private::connectionClosed(restinio::connection_id_t connection)
+void HttpServer::Private::post(std::function<void(Private &)> work)
 {
-    std::vector<RequestId> disconnected;
-    {
-        const std::lock_guard lock(mutex_);
-        const auto [first, last] = byConnection_.equal_range(connection);
-        for (auto entry = first; entry != last; ++entry) {
-            disconnected.push_back(entry->second);
-            pending_.erase(entry->second);
+    asio::post(strand_, [self = shared_from_this(), work = std::move(work)] { work(*self); });
+}
+
+/// The handlers keep this object for as long as a connection exists; discardAll() ends that.
+std::shared_ptr<const Proxy::CallerHandlers> HttpServer::Private::connectionHandlers()
+{
+    const auto self = shared_from_this();
+    auto handlers = std::make_shared<Proxy::CallerHandlers>();
+    handlers->onRequest = [self](const Connection &connection, Proxy::CallerRequest request) {
+        self->handle(connection, std::move(request));
+    };
+    handlers->onHead = [self](const Proxy::RequestHead &head) { return self->decide(head); };
+    handlers->onRejected = [](int, const std::string &) {}; // rejection() is called as well
+    handlers->ownResponse
+        = [self](const Proxy::Refusal &refusal) { return self->rejection(refusal); };
+    Contracts::CallerLimits limits;
+    limits.headBytes = static_cast<std::size_t>(settings_.maxHead.value());
+    limits.bodyBytes = static_cast<std::size_t>(settings_.maxBody.value());
+    limits.headTimeout = settings_.readTimeout;
+    limits.idleTimeout = settings_.readTimeout;
+    handlers->limits = [limits] { return limits; };
+    handlers->now = [] { return Proxy::steadyNow(); };
+    handlers->isStopping = [self] { return self->isStopping_; };
+    handlers->onClosed = [self](const Connection &connection, const Proxy::ConnectionEnd &) {
+        self->connections_.erase(connection);
+    };
+    handlers->backlogs = &backlogs_;
+    handlers->bodies = &bodies_;
+    handlers->retryAfterFull = std::chrono::seconds(1);
+    return handlers;
+}
+
+void HttpServer::Private::accept(std::shared_ptr<const Proxy::CallerHandlers> handlers)
+{
+    acceptor_.async_accept([self = shared_from_this(), handlers = std::move(handlers)](
+                               const std::error_code &error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted || self->isStopping_) {
+            return;
+        }
+        if (error) {
+            self->acceptLater(handlers);
+            return;
+        }
+        if (self->makeRoom()) {
+            self->add(std::make_shared<CallerConnection>(std::move(socket), handlers));
         }
-        byConnection_.erase(first, last);
+        self->accept(handlers);
+    });
+}
+
+void HttpServer::Private::acceptLater(std::shared_ptr<const Proxy::CallerHandlers> handlers)
+{
+    auto pause = std::make_shared<asio::steady_timer>(strand_, acceptPause);
+    pause->async_wait([self = shared_from_this(), handlers = std::move(handlers), pause](
+                          const std::error_code &) { self->accept(handlers); });
+}
+
+void HttpServer::Private::add(const Connection &connection)
+{
+    connections_.insert(connection);
+    connection->start();
+}
+
+/// Closes a connection at the limit. Returns whether there is room for a new one.
+bool HttpServer::Private::makeRoom()
+{
+    if (connections_.size() < settings_.maxConnections) {
+        return true;
+    }
+    ++displaced_;
+    const std::vector<Connection> connections(connections_.begin(), connections_.end());
+    std::vector<ConnectionState> states;
+    states.reserve(connections.size());
+    for (const Connection &connection : connections) {
+        states.push_back(
+            {connection->isBusy(), connection->pendingBytes() > 0, connection->waitingSince()});
+    }
+    const std::optional<std::size_t> choice = connectionToClose(states);
+    if (choice) {
+        connections[*choice]->abort();
+    }
+    return choice.has_value();
+}
+
+Proxy::HeadDecision HttpServer::Private::decide(const Proxy::RequestHead &head) const
+{
+    Proxy::HeadDecision decision;
+    if (!handlers_.onHead) {
+        return decision;
+    }
+    std::optional<HttpResponse> response
+        = handlers_.onHead({head.method, head.target, fieldOf(head, "Authorization")});
+    if (response) {
+        decision.refusal = Proxy::Refusal{response->status, "refused", {}};
+        decision.response = toOwnResponse(std::move(*response));
     }
-    for (const RequestId id : disconnected) {
+    return decision;
+}
+
+Proxy::OwnResponse HttpServer::Private::rejection(const Proxy::Refusal &refusal) const
+{
+    if (handlers_.onRejected) {
+        return toOwnResponse(
+            handlers_.onRejected({refusal.status, refusal.detail, refusal.retryAfter}));
+    }
+    return {Proxy::ownResponseHead(refusal.status, refusal.retryAfter), refusal.detail + "\n"};
+}
+
+void HttpServer::Private::handle(const Connection &connection, Proxy::CallerRequest request)
+{
+    IncomingRequest incoming;
+    incoming.id = RequestId(++lastId_);
+    incoming.method = request.head.method;
+    incoming.target = request.head.target;
+    incoming.authorization = fieldOf(request.head, "Authorization");
+    incoming.contentType = fieldOf(request.head, "Content-Type");
+    incoming.body = std::move(request.body);
+    const RequestId id = incoming.id;
+    pending_.emplace(id, PendingResponse{connection, std::move(request.bodyLease)});
+    pendingCount_ = pending_.size();
+    connection->onceDisconnected([weak = weak_from_this(), id] {
+        if (const auto self = weak.lock()) {
+            self->callerGone(id);
+        }
+    });
+    handlers_.onRequest(std::move(incoming));
+}
+
+void HttpServer::Private::callerGone(RequestId id)
+{
+    if (take(id)) {
         handlers_.onCallerDisconnected(id);
     }
 }
 
 std::optional<PendingResponse> HttpServer::Private::take(RequestId id)
 {
-    const std::lock_guard lock(mutex_);
-    const auto entry = pending_.find(id);
-    if (entry == pending_.end()) {
+    auto entry = pending_.extract(id);
+    pendingCount_ = pending_.size();
+    if (entry.empty()) {
         return std::nullopt;
     }
-    PendingResponse answer = std::move(entry->second);
-    pending_.erase(entry);
-    const auto [first, last] = byConnection_.equal_range(answer.connection);
-    for (auto link = first; link != last; ++link) {
-        if (link->second == id) {
-            byConnection_.erase(link);
-            break;
-        }
-    }
-    return answer;
+    return std::move(entry.mapped());
 }
 
-void HttpServer::Private::sendChunk(RequestId id, std::string chunk)
+void HttpServer::Private::answer(RequestId id,
+                                 HttpResponse answer,
+                                 std::optional<HttpResponse> replacement)
 {
-    const auto bytes = static_cast<std::int64_t>(chunk.size());
-    bool isBacklogExceeded = false;
-    {
-        const std::lock_guard lock(mutex_);
-        const auto entry = pending_.find(id);
-        if (entry == pending_.end() || !entry->second.stream) {
+    const std::optional<PendingResponse> pending = take(id);
+    if (!pending) {
+        return;
+    }
+    // A response that is alone is sent whatever its size.
+    const bool isSent = answer.body.size() <= alwaysSentBytes || backlogs_.used().value() == 0
+                        || pending->connection->mayBuffer(answer.body.size());
+    if (!isSent) {
+        ++refusedResponses_;
+        if (!replacement) {
+            pending->connection->abort();
             return;
         }
-        entry->second.backlog += bytes;
-        isBacklogExceeded = entry->second.backlog > settings_.maxStreamBacklog.value();
-        if (!isBacklogExceeded) {
-            auto self = shared_from_this();
-            entry->second.stream->append_chunk(std::move(chunk));
-            entry->second.stream->flush([self, id, bytes](const auto &status) {
-                self->handleWritten(id, bytes, static_cast<bool>(status));
-            });
-        }
-    }
-    if (isBacklogExceeded) {
-        handleWritten(id, bytes, true);
     }
+    const Proxy::OwnResponse response
+        = toOwnResponse(isSent ? std::move(answer) : std::move(*replacement));
+    pending->connection->respond(response.head, response.body);
 }
 
-void HttpServer::Private::handleWritten(RequestId id, std::int64_t bytes, bool failed)
+void HttpServer::Private::startStream(RequestId id)
 {
-    if (failed) {
-        if (take(id)) {
-            handlers_.onCallerDisconnected(id);
-        }
+    const auto entry = pending_.find(id);
+    if (entry == pending_.end() || entry->second.isStreaming) {
         return;
     }
-    const std::lock_guard lock(mutex_);
+    entry->second.isStreaming = true;
+    Proxy::ResponseHead head;
+    head.status = 200;
+    head.reason = Proxy::reasonOf(head.status);
+    head.headers.add("Content-Type", "text/event-stream");
+    head.headers.add("Cache-Control", "no-store");
+    Proxy::Framing framing;
+    framing.kind = Proxy::BodyFraming::Chunked;
+    entry->second.connection->beginResponse(head, framing);
+}
+
+void HttpServer::Private::sendChunk(RequestId id, const std::string &chunk)
+{
     const auto entry = pending_.find(id);
-    if (entry != pending_.end()) {
-        entry->second.backlog -= bytes;
+    if (entry == pending_.end() || !entry->second.isStreaming) {
+        return;
+    }
+    const Connection connection = entry->second.connection;
+    const std::size_t backlog = connection->pendingBytes() + chunk.size();
+    const bool isKept = backlog <= alwaysSentBytes || connection->mayBuffer(chunk.size());
+    if (isKept && backlog <= static_cast<std::size_t>(settings_.maxStreamBacklog.value())) {
+        connection->write(chunk);
+        return;
+    }
+    ++refusedResponses_;
+    take(id);
+    connection->abort();
+    handlers_.onCallerDisconnected(id);
+}
+
+void HttpServer::Private::endStream(RequestId id)
+{
+    const std::optional<PendingResponse> pending = take(id);
+    if (pending && pending->isStreaming) {
+        pending->connection->endResponse();
     }
 }
 
+/// Closes connections whose callers have not read what was written for too long.
+void HttpServer::Private::sweep()
+{
+    const Base::Instant now = Proxy::steadyNow();
+    const std::vector<Connection> connections(connections_.begin(), connections_.end());
+    for (const Connection &connection : connections) {
+        const std::optional<Base::Instant> begun = connection->writeBegun();
+        if (begun && now - *begun > settings_.readTimeout) {
+            ++stalled_;
+            // Unlike abort(), the request that is answered is told.
+            const auto entry = std::find_if(pending_.begin(), pending_.end(), [&](const auto &p) {
+                return p.second.connection == connection;
+            });
+            const std::optional<RequestId> id
+                = entry == pending_.end() ? std::nullopt : std::optional(entry->first);
+            connection->abort();
+            if (id) {
+                callerGone(*id);
+            }
+        }
+    }
+    publishUse();
+    timer_.expires_after(sweepInterval);
+    timer_.async_wait([self = shared_from_this()](const std::error_code &error) {
+        if (!error) {
+            self->sweep();
+        }
+    });
+}
+
+void HttpServer::Private::publishUse()
+{
+    const std::lock_guard lock(useMutex_);
+    use_.connections = connections_.size();
+    use_.displacedConnections = displaced_;
+    use_.stalledConnections = stalled_;
+    use_.bodyBytes = bodies_.used();
+    use_.peakBodyBytes = bodies_.peak();
+    use_.backlogBytes = backlogs_.used();
+    use_.peakBacklogBytes = backlogs_.peak();
+    use_.refusedResponses = refusedResponses_;
+}
+
+void HttpServer::Private::stopAccepting()
+{
+    isStopping_ = true;
+    std::error_code ignored; // nothing can be done if the close fails
+    acceptor_.close(ignored);
+    const std::vector<Connection> connections(connections_.begin(), connections_.end());
+    for (const Connection &connection : connections) {
+        connection->closeIfIdle();
+    }
+}
+
+void HttpServer::Private::discardAll()
+{
+    pending_.clear();
+    connections_.clear();
+}
+
 HttpServer::HttpServer(asio::io_context &context, HttpServerSettings settings, Handlers handlers)
-    : context_(&context)
-    , d_(std::make_shared<Private>(std::move(settings), std::move(handlers)))
+    : d_(std::make_shared<Private>(context, std::move(settings), std::move(handlers)))
 {}
 
-HttpServer::~HttpServer() = default;
+/// No thread runs the event loop any more.
+HttpServer::~HttpServer()
+{
+    d_->discardAll();
+}
 
 void HttpServer::start()
 {
-    d_->open(*context_);
+    d_->open();
 }
 
 void HttpServer::stopAccepting()
 {
-    d_->server_->close_sync();
+    d_->post([](Private &d) { d.stopAccepting(); });
 }
 
-void HttpServer::answer(RequestId id, HttpResponse answer)
+void HttpServer::answer(RequestId id, HttpResponse answer, std::optional<HttpResponse> replacement)
 {
-    std::optional<PendingResponse> pending = d_->take(id);
-    if (!pending) {
-        return;
-    }
-    auto response = pending->request->create_response(statusLine(answer.status));
-    response.append_header(restinio::http_field::content_type, answer.contentType);
-    if (answer.retryAfter) {
-        response.append_header(restinio::http_field::retry_after, wholeSeconds(*answer.retryAfter));
-    }
-    response.set_body(std::move(answer.body));
-    response.done();
+    d_->post([id, answer = std::move(answer), replacement = std::move(replacement)](
+                 Private &d) mutable { d.answer(id, std::move(answer), std::move(replacement)); });
 }
 
 void HttpServer::startStream(RequestId id)
 {
-    const std::lock_guard lock(d_->mutex_);
-    const auto entry = d_->pending_.find(id);
-    if (entry == d_->pending_.end() || entry->second.stream) {
-        return;
-    }
-    auto response = entry->second.request->create_response<restinio::chunked_output_t>();
-    response.append_header(restinio::http_field::content_type, "text/event-stream");
-    response.append_header(restinio::http_field::cache_control, "no-store");
-    entry->second.stream = std::make_unique<StreamResponse>(std::move(response));
+    d_->post([id](Private &d) { d.startStream(id); });
 }
 
 void HttpServer::sendEvent(RequestId id, const std::string &name, const std::string &data)
@@ -299,21 +459,23 @@
         chunk = "event: " + name + "\n";
     }
     chunk += "data: " + data + "\n\n";
-    d_->sendChunk(id, std::move(chunk));
+    d_->post([id, chunk = std::move(chunk)](Private &d) { d.sendChunk(id, chunk); });
 }
 
 void HttpServer::endStream(RequestId id)
 {
-    std::optional<PendingResponse> pending = d_->take(id);
-    if (pending && pending->stream) {
-        pending->stream->done();
-    }
+    d_->post([id](Private &d) { d.endStream(id); });
 }
 
 size_t HttpServer::pendingRequests() const
 {
-    const std::lock_guard lock(d_->mutex_);
-    return d_->pending_.size();
+    return d_->pendingCount_;
+}
+
+HttpServerUse HttpServer::use() const
+{
+    const std::lock_guard lock(d_->useMutex_);
+    return d_->use_;
 }
 
 } // namespace Gateway
--- a/src/libs/runtime/callerserver.cpp
+++ b/src/libs/runtime/callerserver.cpp
@@ -1,7 +1,13 @@
 #include "callerserver.h"
 
+#include <base/visitor.h>
 #include <callerapi/responseformat.h>
 
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <limits>
+
 namespace Runtime {
 
 namespace {
@@ -9,17 +15,76 @@
 using Base::RequestId;
 using CallerApi::AnswerStyle;
 
+/// Answers up to this size never lack memory.
+constexpr std::size_t smallAnswerBytes = 16 * 1024;
+
+/// The other half of the process's descriptors is for backend servers, peers and files.
+std::size_t maxCallerDescriptors()
+{
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        return std::numeric_limits<std::size_t>::max();
+    }
+    return std::max<std::size_t>(1, limit.rlim_cur / 2);
+}
+
 Gateway::HttpServerSettings serverSettings(const DaemonSettings &settings)
 {
     Gateway::HttpServerSettings result;
     result.address = settings.callers.address;
     result.port = settings.callers.port;
-    // Bodies up to twice the limit are read, so that parseCallerRequest() can refuse them with a
-    // specific error.
-    result.maxBody = Base::Bytes(settings.maxBody.value() * 2);
+    result.maxBody = settings.maxBody;
+    result.maxConnections = std::min(settings.maxConnections, maxCallerDescriptors());
+    result.bodyMemory = settings.bodyMemory;
+    result.backlogMemory = settings.backlogMemory;
     return result;
 }
 
+Gateway::HttpResponse toHttpResponse(CallerApi::FormattedResponse response)
+{
+    return {response.status,
+            std::move(response.contentType),
+            std::move(response.body),
+            response.retryAfter};
+}
+
+Base::ErrorCode codeOf(int status)
+{
+    constexpr int timeoutStatus = 408;
+    constexpr int tooLargeStatus = 413;
+    constexpr int unavailableStatus = 503;
+    switch (status) {
+    case timeoutStatus:
+        return Base::ErrorCode::Timeout;
+    case tooLargeStatus:
+        return Base::ErrorCode::TooLarge;
+    case unavailableStatus:
+        return Base::ErrorCode::Unavailable;
+    default:
+        return Base::ErrorCode::Malformed;
+    }
+}
+
+/// What a caller is told about its work if the reply is not sent.
+Base::Ran ranOf(const CallerApi::CallerReply &reply)
+{
+    return std::visit(
+        Base::Visitor{[](const CallerApi::DescriptionReply &) { return Base::Ran::NotRun; },
+                      [](const Base::Error &error) { return error.ran; },
+                      [](const auto &) { return Base::Ran::Ran; }},
+        reply);
+}
+
+Gateway::HttpResponse backlogFull(const CallerApi::CallerReply &reply)
+{
+    const Base::Error error{.code = Base::ErrorCode::Unavailable,
+                            .step = Base::Step::Reply,
+                            .ran = ranOf(reply),
+                            .message = "too many responses have not been read by their callers",
+                            .retryAfter = std::chrono::seconds(1)};
+    return toHttpResponse(CallerApi::formatResponse(error, AnswerStyle::Json, {}));
+}
+
 bool isStreamStyle(AnswerStyle style)
 {
     return style == AnswerStyle::Events || style == AnswerStyle::ChatEvents;
@@ -42,13 +107,61 @@
     , metrics_(metrics)
     , server_(context,
               serverSettings(settings),
-              {[this](const Gateway::IncomingRequest &incoming) { request(incoming); },
+              {[this](Gateway::IncomingRequest incoming) { request(std::move(incoming)); },
+               {},
+               [this](const Gateway::Rejection &rejection) { return reject(rejection); },
                [this](RequestId id) { callerGone(id); }})
 {}
 
-void CallerServer::request(const Gateway::IncomingRequest &request)
+Gateway::HttpResponse CallerServer::reject(const Gateway::Rejection &rejection)
+{
+    const Base::Error error{.code = codeOf(rejection.status),
+                            .step = Base::Step::Parse,
+                            .ran = Base::Ran::NotRun,
+                            .message = rejection.problem,
+                            .retryAfter = rejection.retryAfter};
+    Gateway::HttpResponse response
+        = earlyResponse(error, rejection.retryAfter ? "memory" : "malformed");
+    response.status = rejection.status;
+    return response;
+}
+
+Gateway::HttpResponse CallerServer::earlyResponse(const Base::Error &error,
+                                                  const std::string &reason)
+{
+    metrics_
+        .counter("marjoram_early_refusals_total",
+                 "Requests that were refused before their bodies were kept",
+                 {{"reason", reason}})
+        .add();
+    return toHttpResponse(CallerApi::formatResponse(error, AnswerStyle::Json, {}));
+}
+
+void CallerServer::updateMetrics()
+{
+    const Gateway::HttpServerUse use = server_.use();
+    const auto set = [this](const char *name, const char *help, auto value) {
+        metrics_.gauge(name, help).set(static_cast<double>(value));
+    };
+    set("marjoram_caller_connections", "Open connections of callers", use.connections);
+    set("marjoram_caller_connections_displaced",
+        "Connections closed or not served at the limit since the start",
+        use.displacedConnections);
+    set("marjoram_caller_connections_stalled",
+        "Connections closed since the start as their callers did not read",
+        use.stalledConnections);
+    set("marjoram_body_bytes", "Bodies of requests in progress", use.bodyBytes.value());
+    set("marjoram_body_peak_bytes", "The most at a time", use.peakBodyBytes.value());
+    set("marjoram_backlog_bytes", "Responses that callers have not read", use.backlogBytes.value());
+    set("marjoram_backlog_peak_bytes", "The most at a time", use.peakBacklogBytes.value());
+    set("marjoram_responses_refused",
+        "Responses replaced or cut off since the start for want of memory",
+        use.refusedResponses);
+}
+
+void CallerServer::request(Gateway::IncomingRequest request)
 {
-    const Base::Result<CallerApi::CallerRequest> parsed = CallerApi::parseCallerRequest(
+    Base::Result<CallerApi::CallerRequest> parsed = CallerApi::parseCallerRequest(
         {request.method, request.target, request.contentType, request.body}, maxBody_);
     if (!parsed) {
         send(request.id, {}, parsed.error());
@@ -59,8 +172,9 @@
         open_[request.id]
             = OpenRequest{modelOf(parsed.value()), AnswerStyle::Json, false, core_.now()};
     }
+    std::string().swap(request.body); // the parsed request has its own copy
     Scheduler::IncomingCall call{
-        request.id, CallerApi::bearerKey(request.authorization), parsed.value()};
+        request.id, CallerApi::bearerKey(request.authorization), std::move(parsed.value())};
     core_.with(
         [&](Scheduler::DaemonCore &core, Base::Instant now) { core.call(std::move(call), now); });
 }
@@ -119,11 +233,10 @@
                      "Answered requests",
                      {{"status", std::to_string(answer.status)}})
             .add();
+        const bool isSmall = answer.body.size() <= smallAnswerBytes;
         server_.answer(id,
-                       {answer.status,
-                        std::move(answer.contentType),
-                        std::move(answer.body),
-                        answer.retryAfter});
+                       toHttpResponse(std::move(answer)),
+                       isSmall ? std::nullopt : std::optional(backlogFull(reply)));
         return;
     }
     for (const CallerApi::FormattedEvent &event :
--- a/src/libs/runtime/callerserver.h
+++ b/src/libs/runtime/callerserver.h
@@ -22,6 +22,7 @@
     void start() { server_.start(); }
     void stopAccepting() { server_.stopAccepting(); }
     size_t pendingRequests() const { return server_.pendingRequests(); }
+    void updateMetrics();
 
     /// Sends an answer of the core, or a part of a stream.
     void answer(const Scheduler::AnswerCaller &answer);
@@ -37,7 +38,9 @@
         Base::Instant receivedAt;
     };
 
-    void request(const Gateway::IncomingRequest &request);
+    void request(Gateway::IncomingRequest request);
+    Gateway::HttpResponse reject(const Gateway::Rejection &rejection);
+    Gateway::HttpResponse earlyResponse(const Base::Error &error, const std::string &reason);
     void callerGone(Base::RequestId id);
     void send(Base::RequestId id, const OpenRequest &open, const CallerApi::CallerReply &reply);
 
--- a/src/libs/runtime/daemonruntime.cpp
+++ b/src/libs/runtime/daemonruntime.cpp
@@ -128,11 +128,13 @@
             [this](Scheduler::CoreAction &action) { execute(action); })
     , runs_(http_, core_)
     , callers_(context_, settings, core_, metrics_)
-    , status_(context_,
-              Gateway::HttpServerSettings{.address = settings.status.address,
-                                          .port = settings.status.port},
-              {[this](const Gateway::IncomingRequest &request) { statusRequest(request); },
-               [](Base::RequestId) {}})
+    , status_(
+          context_,
+          Gateway::HttpServerSettings{.address = settings.status.address,
+                                      .port = settings.status.port,
+                                      .maxBody = Base::Bytes(0)},
+          {.onRequest = [this](const Gateway::IncomingRequest &request) { statusRequest(request); },
+           .onCallerDisconnected = [](Base::RequestId) {}})
     , peers_(transportSettings(settings, incarnation_),
              {[this](const Base::IncarnationId &sender,
                      const std::vector<PeerProtocol::PeerMessage> &messages) {
@@ -287,6 +289,7 @@
         .set(static_cast<double>(runs));
     metrics_.gauge("marjoram_open_http_requests", "HTTP requests without a complete answer")
         .set(static_cast<double>(callers_.pendingRequests()));
+    callers_.updateMetrics();
     metrics_.gauge("marjoram_peer_messages", "Messages acknowledged by peers")
         .set(static_cast<double>(peers_.messagesSent()));
     return metrics_.prometheusText();
--- a/src/libs/runtime/daemonsettings.cpp
+++ b/src/libs/runtime/daemonsettings.cpp
@@ -2,6 +2,8 @@
 
 #include <asio/ip/address.hpp>
 
+#include <algorithm>
+
 namespace Runtime {
 
 namespace {
@@ -12,10 +14,17 @@
 constexpr std::int64_t maxPartitions = 4096;
 constexpr std::int64_t maxWorkers = 64;
 constexpr std::int64_t maxBodyBytes = 64'000'000;
+constexpr std::int64_t maxCallerConnections = 100'000;
+constexpr std::int64_t maxMemoryBytes = 64'000'000'000;
+constexpr std::int64_t minBacklogBytes = 1'000'000;
 constexpr std::int64_t maxWitnessBytes = 1'000'000'000;
 constexpr const char *defaultPeerName = "marjoramfield-peer";
 constexpr const char *defaultOperatorName = "marjoramfield-operator";
 
+/// Requests of the largest size that fit into the memory for bodies at least: as one gets half of
+/// it, fewer would refuse them even in calm.
+constexpr std::int64_t minLargestBodies = 2;
+
 ListenAddress readAddress(SettingsReader &reader)
 {
     ListenAddress address;
@@ -39,6 +48,23 @@
     return tls;
 }
 
+void readCallerLimits(SettingsReader &callers, DaemonSettings &settings)
+{
+    const std::int64_t minBodyMemory = minLargestBodies * settings.maxBody.value();
+    settings.maxConnections = static_cast<std::size_t>(
+        callers.integer("max_connections",
+                        1,
+                        maxCallerConnections,
+                        static_cast<std::int64_t>(settings.maxConnections)));
+    settings.bodyMemory
+        = Base::Bytes(callers.integer("body_memory_bytes",
+                                      minBodyMemory,
+                                      maxMemoryBytes,
+                                      std::max(minBodyMemory, settings.bodyMemory.value())));
+    settings.backlogMemory = Base::Bytes(callers.integer(
+        "backlog_memory_bytes", minBacklogBytes, maxMemoryBytes, settings.backlogMemory.value()));
+}
+
 void readOperators(SettingsReader reader, DaemonSettings &settings)
 {
     constexpr size_t hashCharacters = 64;
@@ -118,6 +144,7 @@
     settings.callers = readAddress(callers);
     settings.maxBody
         = Base::Bytes(callers.integer("max_body_bytes", 1, maxBodyBytes, settings.maxBody.value()));
+    readCallerLimits(callers, settings);
     callers.rejectUnknown();
     SettingsReader status = reader.object("status");
     settings.status = readAddress(status);
--- a/src/libs/runtime/daemonsettings.h
+++ b/src/libs/runtime/daemonsettings.h
@@ -23,6 +23,12 @@
     Base::ZoneId zone;
     ListenAddress callers;
     Base::Bytes maxBody{4'000'000};
+    /// The most connections of callers at a time.
+    std::size_t maxConnections = 512;
+    /// For the bodies of all requests that are not answered yet; one request gets at most half.
+    Base::Bytes bodyMemory{48'000'000};
+    /// For all responses that callers have not read yet.
+    Base::Bytes backlogMemory{32'000'000};
     /// Serves /healthz and /metrics.
     ListenAddress status;
     /// Serves the operators' Thrift interface.
--- a/tests/crowd/crowdclient.cpp
+++ b/tests/crowd/crowdclient.cpp
@@ -50,7 +50,9 @@
     if (!received.starts_with(version) || end == std::string::npos) {
         return {};
     }
-    return {std::atoi(received.c_str() + version.size()), received.substr(end + 4)};
+    return {std::atoi(received.c_str() + version.size()),
+            received.substr(0, end),
+            received.substr(end + 4)};
 }
 
 } // namespace
--- a/tests/crowd/crowdclient.h
+++ b/tests/crowd/crowdclient.h
@@ -47,11 +47,12 @@
     std::vector<Client> clients_;
 };
 
-/// The status and the body of a response.
+/// The status, the head and the body of a response.
 struct Response
 {
     /// 0 if no complete response came.
     int status = 0;
+    std::string head;
     std::string body;
 };
 
--- a/tests/crowd/tst_gatewaycrowd.cpp
+++ b/tests/crowd/tst_gatewaycrowd.cpp
@@ -104,6 +104,15 @@
     cr_expect_lt(sockets, socketBound);
 }
 
+void checkRefusal(const Response &response, int status, const std::string &code)
+{
+    cr_assert_eq(response.status, status, "%s %s", response.head.c_str(), response.body.c_str());
+    const nlohmann::json error = nlohmann::json::parse(response.body).at("error");
+    cr_expect(error.at("code") == code, "%s", response.body.c_str());
+    cr_expect(error.at("ran") == "not_run", "%s", response.body.c_str());
+    cr_expect(error.contains("message") && error.contains("step") && error.contains("peer"));
+}
+
 } // namespace
 
 TestSuite(gatewaycrowd, .timeout = 300);
@@ -225,3 +234,32 @@
               shared({}));
     checkAgainst(daemon, crowd, descriptorBound);
 }
+
+// Guards against refusals of unfinished requests that lack the form of errors, or the time after
+// which a caller may repeat them.
+Test(gatewaycrowd, refusalsHaveTheFormOfErrors)
+{
+    GatewayDaemon daemon(
+        {.descriptors = descriptorBound,
+         .callerSettings = R"("max_body_bytes": 1000000, "body_memory_bytes": 2000000)"});
+    const std::string large(600'000, 'x');
+    const std::string path = "/v1/services/stock/orders";
+    checkRefusal(
+        requestOnce(daemon.callers(), "POST", path, unknownKey, large), 401, "unauthorized");
+    checkRefusal(
+        requestOnce(daemon.callers(), "POST", path, daemon.key(), std::string(1'000'001, 'x')),
+        413,
+        "too_large");
+    ClientCrowd crowd(daemon.callers());
+    crowd.add(1,
+              withLength(requestHead("POST", path, daemon.key()), bodyLimit / 4),
+              shared(std::string(1'000, 'x')));
+    crowd.settle([] {});
+    const Response full = requestOnce(daemon.callers(), "POST", path, daemon.key(), large);
+    checkRefusal(full, 503, "unavailable");
+    cr_expect(full.head.find("Retry-After: 1") != std::string::npos, "%s", full.head.c_str());
+    crowd.closeAll();
+    crowd.settle([] {});
+    const Response alone = requestOnce(daemon.callers(), "POST", path, daemon.key(), large);
+    cr_expect_eq(alone.status, 200, "%s", alone.body.c_str());
+}
--- a/tests/libs/runtime/tst_daemonsettings.cpp
+++ b/tests/libs/runtime/tst_daemonsettings.cpp
@@ -75,3 +75,35 @@
     cr_assert_eq(Runtime::parseSettings("{").problems.size(), 1U);
     cr_assert_eq(Runtime::parseSettings("{").problems.front().path, "/");
 }
+
+// Guards against a memory for bodies into which not even one of the largest fits, as one request
+// gets half of it.
+Test(daemonsettings, limitsOfCallersAreChecked)
+{
+    nlohmann::json settings = validSettings();
+    settings["callers"]["max_body_bytes"] = 1'000'000;
+    settings["callers"]["body_memory_bytes"] = 1'999'999;
+    cr_assert(problemPath(settings) == "/callers/body_memory_bytes");
+    settings["callers"]["body_memory_bytes"] = 2'000'000;
+    settings["callers"]["max_connections"] = 0;
+    cr_assert(problemPath(settings) == "/callers/max_connections");
+    settings["callers"]["max_connections"] = 10;
+    settings["callers"]["backlog_memory_bytes"] = 10;
+    cr_assert(problemPath(settings) == "/callers/backlog_memory_bytes");
+    settings["callers"]["backlog_memory_bytes"] = 5'000'000;
+    const Runtime::ParsedSettings parsed = Runtime::parseSettings(settings.dump());
+    cr_assert(parsed.problems.empty());
+    cr_assert_eq(parsed.settings.maxConnections, 10);
+    cr_assert_eq(parsed.settings.bodyMemory.value(), 2'000'000);
+    cr_assert_eq(parsed.settings.backlogMemory.value(), 5'000'000);
+}
+
+// Guards against larger bodies by settings, without larger memory for them, that are never served.
+Test(daemonsettings, theMemoryForBodiesGrowsWithTheLargestBody)
+{
+    nlohmann::json settings = validSettings();
+    settings["callers"]["max_body_bytes"] = 60'000'000;
+    const Runtime::ParsedSettings parsed = Runtime::parseSettings(settings.dump());
+    cr_assert(parsed.problems.empty());
+    cr_assert_eq(parsed.settings.bodyMemory.value(), 120'000'000);
+}
