marjoramd: refuse requests without a valid key before their bodies

Clients with a key that nobody has took as much memory as those with one: the key was looked at when the body was complete. DaemonCore::earlyRefusal answers what call() would for the key, or while no request is accepted, from the head alone; services that are open to all need none. What still arrives of such a body is dropped, and the connection closes.

--- a/src/libs/callerapi/callerrequest.cpp
+++ b/src/libs/callerapi/callerrequest.cpp
@@ -206,6 +206,15 @@
     return unknownPath(path);
 }
 
+std::optional<Base::ServiceId> plainServiceOf(std::string_view target)
+{
+    if (!target.starts_with(servicesPath)) {
+        return std::nullopt;
+    }
+    const std::string_view rest = target.substr(servicesPath.size());
+    return Base::ServiceId(std::string(rest.substr(0, rest.find_first_of("/?"))));
+}
+
 std::string bearerKey(std::string_view authorization)
 {
     constexpr std::string_view scheme = "Bearer ";
--- a/src/libs/callerapi/callerrequest.h
+++ b/src/libs/callerapi/callerrequest.h
@@ -81,6 +81,9 @@
 Base::Result<CallerRequest> parseCallerRequest(const HttpRequestView &request,
                                                Base::Bytes bodyLimit);
 
+/// The plain service that a request's target names; nothing if it names none.
+std::optional<Base::ServiceId> plainServiceOf(std::string_view target);
+
 /// The key of an "Authorization: Bearer KEY" header; empty if there is none.
 std::string bearerKey(std::string_view authorization);
 
--- a/src/libs/runtime/callerserver.cpp
+++ b/src/libs/runtime/callerserver.cpp
@@ -108,11 +108,21 @@
     , server_(context,
               serverSettings(settings),
               {[this](Gateway::IncomingRequest incoming) { request(std::move(incoming)); },
-               {},
+               [this](const Gateway::RequestHeadView &head) { return refuseHead(head); },
                [this](const Gateway::Rejection &rejection) { return reject(rejection); },
                [this](RequestId id) { callerGone(id); }})
 {}
 
+std::optional<Gateway::HttpResponse> CallerServer::refuseHead(const Gateway::RequestHeadView &head)
+{
+    const std::optional<Base::Error> error = core_.query([&](const Scheduler::DaemonCore &core) {
+        return core.earlyRefusal(CallerApi::bearerKey(head.authorization),
+                                 CallerApi::plainServiceOf(head.target),
+                                 core_.now());
+    });
+    return error ? std::optional(earlyResponse(*error, "head")) : std::nullopt;
+}
+
 Gateway::HttpResponse CallerServer::reject(const Gateway::Rejection &rejection)
 {
     const Base::Error error{.code = codeOf(rejection.status),
--- a/src/libs/runtime/callerserver.h
+++ b/src/libs/runtime/callerserver.h
@@ -39,6 +39,8 @@
     };
 
     void request(Gateway::IncomingRequest request);
+    /// The response to a request that is refused whatever its body is.
+    std::optional<Gateway::HttpResponse> refuseHead(const Gateway::RequestHeadView &head);
     Gateway::HttpResponse reject(const Gateway::Rejection &rejection);
     Gateway::HttpResponse earlyResponse(const Base::Error &error, const std::string &reason);
     void callerGone(Base::RequestId id);
--- a/src/libs/scheduler/daemoncore.cpp
+++ b/src/libs/scheduler/daemoncore.cpp
@@ -299,6 +299,14 @@
     d_->processActions(now);
 }
 
+std::optional<Base::Error> DaemonCore::earlyRefusal(
+    const std::string &key,
+    const std::optional<Base::ServiceId> &plainService,
+    Base::Instant now) const
+{
+    return d_->earlyRefusal(key, plainService, now);
+}
+
 void DaemonCore::callerGone(Base::RequestId request, Instant now)
 {
     d_->callerGone(request, now);
--- a/src/libs/scheduler/daemoncore.h
+++ b/src/libs/scheduler/daemoncore.h
@@ -80,6 +80,11 @@
     /// Exactly one final AnswerCaller follows, unless callerGone() comes first.
     void call(IncomingCall call, Base::Instant now);
     void callerGone(Base::RequestId request, Base::Instant now);
+    /// Returns the error with which call() would refuse a request for its key, or because no
+    /// request is accepted, whatever its body is.
+    std::optional<Base::Error> earlyRefusal(const std::string &key,
+                                            const std::optional<Base::ServiceId> &plainService,
+                                            Base::Instant now) const;
 
     void peerMessage(const Base::IncarnationId &from, PeerMessage message, Base::Instant now);
     /// The messages were not acknowledged by the peer.
--- a/src/libs/scheduler/daemoncore_calls.cpp
+++ b/src/libs/scheduler/daemoncore_calls.cpp
@@ -79,17 +79,38 @@
     actions_.emplace_back(AnswerCaller{request, std::move(reply), style});
 }
 
-void DaemonCore::Private::call(IncomingCall call, Instant now)
+/// The error for every request, if none is accepted.
+std::optional<Error> DaemonCore::Private::unavailability(Instant now) const
 {
-    const AnswerStyle style = styleOf(call.body);
     if (isShuttingDown_ || isFenced_) {
-        answer(call.request, notReady("this daemon is shutting down"), style);
-        return;
+        return notReady("this daemon is shutting down");
     }
     if (!config_.isReady() || !config_.isFresh(now)) {
-        answer(call.request,
-               notReady("this daemon has no configuration or could not confirm it recently"),
-               style);
+        return notReady("this daemon has no configuration or could not confirm it recently");
+    }
+    return std::nullopt;
+}
+
+std::optional<Error> DaemonCore::Private::earlyRefusal(
+    const std::string &key, const std::optional<Base::ServiceId> &plainService, Instant now) const
+{
+    if (std::optional<Error> unavailable = unavailability(now)) {
+        return unavailable;
+    }
+    const Contracts::Service *service
+        = plainService ? config_.document()->findService(*plainService) : nullptr;
+    if (service && service->isOpenToAll) {
+        return std::nullopt;
+    }
+    const Base::Result<Contracts::KeyHolder> holder = keys_.authenticate(key, now);
+    return holder ? std::nullopt : std::optional(holder.error());
+}
+
+void DaemonCore::Private::call(IncomingCall call, Instant now)
+{
+    const AnswerStyle style = styleOf(call.body);
+    if (const std::optional<Error> unavailable = unavailability(now)) {
+        answer(call.request, *unavailable, style);
         return;
     }
     if (const auto *plain = std::get_if<CallerApi::PlainServiceRequest>(&call.body)) {
--- a/src/libs/scheduler/daemoncore_p.h
+++ b/src/libs/scheduler/daemoncore_p.h
@@ -32,6 +32,10 @@
     void processActions(Base::Instant now);
 
     // Requests of callers that arrived here (daemoncore_calls.cpp).
+    std::optional<Base::Error> unavailability(Base::Instant now) const;
+    std::optional<Base::Error> earlyRefusal(const std::string &key,
+                                            const std::optional<Base::ServiceId> &plainService,
+                                            Base::Instant now) const;
     void call(IncomingCall call, Base::Instant now);
     void callerGone(Base::RequestId request, Base::Instant now);
     void admitted(Base::RequestId request, Base::Instant now);
