marjoramd: make four descriptions of programs at a time

Small requests for descriptions of a program, whose answers were not read, took 345 MB (40 of 4 MB): each copies the history for the queue of actions and formats it there, and all other work of the daemon waits behind them.

--- a/src/libs/runtime/callerserver.cpp
+++ b/src/libs/runtime/callerserver.cpp
@@ -15,6 +15,9 @@
 using Base::RequestId;
 using CallerApi::AnswerStyle;
 
+/// Descriptions of programs that are made at a time.
+constexpr std::size_t maxDescriptions = 4;
+
 /// Answers up to this size never lack memory.
 constexpr std::size_t smallAnswerBytes = 16 * 1024;
 
@@ -111,6 +114,7 @@
                [this](const Gateway::RequestHeadView &head) { return refuseHead(head); },
                [this](const Gateway::Rejection &rejection) { return reject(rejection); },
                [this](RequestId id) { callerGone(id); }})
+    , descriptions_(maxDescriptions)
 {}
 
 std::optional<Gateway::HttpResponse> CallerServer::refuseHead(const Gateway::RequestHeadView &head)
@@ -185,19 +189,39 @@
     std::string().swap(request.body); // the parsed request has its own copy
     Scheduler::IncomingCall call{
         request.id, CallerApi::bearerKey(request.authorization), std::move(parsed.value())};
-    core_.with(
-        [&](Scheduler::DaemonCore &core, Base::Instant now) { core.call(std::move(call), now); });
+    if (!std::holds_alternative<CallerApi::DescribeProgramRequest>(call.body)) {
+        pass(std::move(call));
+        return;
+    }
+    std::optional<Scheduler::IncomingCall> next;
+    {
+        const std::lock_guard lock(mutex_);
+        next = descriptions_.add(std::move(call));
+    }
+    pass(std::move(next));
+}
+
+void CallerServer::pass(std::optional<Scheduler::IncomingCall> call)
+{
+    if (call) {
+        core_.with([&](Scheduler::DaemonCore &core, Base::Instant now) {
+            core.call(std::move(*call), now);
+        });
+    }
 }
 
 void CallerServer::callerGone(RequestId id)
 {
+    std::optional<Scheduler::IncomingCall> next;
     {
         const std::lock_guard lock(mutex_);
         if (open_.erase(id) == 0) {
             return;
         }
+        next = descriptions_.remove(id);
     }
     core_.with([&](Scheduler::DaemonCore &core, Base::Instant now) { core.callerGone(id, now); });
+    pass(std::move(next));
 }
 
 void CallerServer::answer(const Scheduler::AnswerCaller &answer)
@@ -205,6 +229,7 @@
     const bool isOutput = std::holds_alternative<CallerApi::OutputReply>(answer.reply);
     OpenRequest open;
     bool startsStream = false;
+    std::optional<Scheduler::IncomingCall> next;
     {
         const std::lock_guard lock(mutex_);
         const auto entry = open_.find(answer.request);
@@ -219,6 +244,7 @@
         open = entry->second;
         if (!isOutput) {
             open_.erase(entry);
+            next = descriptions_.remove(answer.request);
         }
     }
     if (startsStream) {
@@ -231,6 +257,7 @@
         metrics_.distribution("marjoram_request_seconds", "Time to the whole answer")
             .add(Base::toSeconds(core_.now() - open.receivedAt));
     }
+    pass(std::move(next));
 }
 
 void CallerServer::send(RequestId id, const OpenRequest &open, const CallerApi::CallerReply &reply)
--- a/src/libs/runtime/callerserver.h
+++ b/src/libs/runtime/callerserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemonsettings.h"
+#include "descriptionqueue.h"
 #include "synchronizedcore.h"
 
 #include <gateway/httpserver.h>
@@ -44,6 +45,7 @@
     Gateway::HttpResponse reject(const Gateway::Rejection &rejection);
     Gateway::HttpResponse earlyResponse(const Base::Error &error, const std::string &reason);
     void callerGone(Base::RequestId id);
+    void pass(std::optional<Scheduler::IncomingCall> call);
     void send(Base::RequestId id, const OpenRequest &open, const CallerApi::CallerReply &reply);
 
     Base::Bytes maxBody_;
@@ -53,6 +55,7 @@
     /// Not held while the core or the server is called.
     std::mutex mutex_;
     std::unordered_map<Base::RequestId, OpenRequest> open_;
+    DescriptionQueue descriptions_;
 };
 
 } // namespace Runtime
