--- a/tests/crowd/crowdclient.cpp
+++ b/tests/crowd/crowdclient.cpp
@@ -66,7 +66,7 @@
     closeAll();
 }
 
-void ClientCrowd::add(int clients, const std::string &head, Bytes body)
+void ClientCrowd::add(int clients, const std::string &head, const Bytes &body)
 {
     const Bytes sharedHead = std::make_shared<const std::string>(head);
     for (int i = 0; i < clients; ++i) {
--- a/tests/crowd/crowdclient.h
+++ b/tests/crowd/crowdclient.h
@@ -26,7 +26,7 @@
     ClientCrowd &operator=(const ClientCrowd &) = delete;
 
     /// Connects the clients; each sends a head and the body.
-    void add(int clients, const std::string &head, Bytes body);
+    void add(int clients, const std::string &head, const Bytes &body);
     /// Sends until no client makes progress any more; the observer is called after each round.
     void settle(const std::function<void()> &observer);
     void closeAll();
