marjoramd: format descriptions apart from the core's other actions

With four descriptions at a time an ordinary request was still refused in one of three runs of answersThatAreNotRead on a machine with a load of 18 (no permit within 500 ms): the core's actions, grants of permits among them, waited while descriptions of 4 MB were formatted in their queue. They are formatted on the gateway's strand now.

--- a/src/libs/gateway/httpserver.cpp
+++ b/src/libs/gateway/httpserver.cpp
@@ -467,6 +467,11 @@
     d_->post([id](Private &d) { d.endStream(id); });
 }
 
+void HttpServer::post(std::function<void()> work)
+{
+    d_->post([work = std::move(work)](Private &) { work(); });
+}
+
 size_t HttpServer::pendingRequests() const
 {
     return d_->pendingCount_;
--- a/src/libs/gateway/httpserver.h
+++ b/src/libs/gateway/httpserver.h
@@ -127,6 +127,9 @@
     void sendEvent(Base::RequestId id, const std::string &name, const std::string &data);
     void endStream(Base::RequestId id);
 
+    /// Runs the work where the handlers are called, not before this returns.
+    void post(std::function<void()> work);
+
     /// Requests without a complete response.
     size_t pendingRequests() const;
     HttpServerUse use() const;
--- a/src/libs/runtime/callerserver.cpp
+++ b/src/libs/runtime/callerserver.cpp
@@ -225,6 +225,17 @@
 }
 
 void CallerServer::answer(const Scheduler::AnswerCaller &answer)
+{
+    if (!std::holds_alternative<CallerApi::DescriptionReply>(answer.reply)) {
+        sendAnswer(answer);
+        return;
+    }
+    // Formatting one takes as long as the program's history is, and the core's other actions would
+    // wait for it here.
+    server_.post([this, answer] { sendAnswer(answer); });
+}
+
+void CallerServer::sendAnswer(const Scheduler::AnswerCaller &answer)
 {
     const bool isOutput = std::holds_alternative<CallerApi::OutputReply>(answer.reply);
     OpenRequest open;
--- a/src/libs/runtime/callerserver.h
+++ b/src/libs/runtime/callerserver.h
@@ -45,6 +45,7 @@
     Gateway::HttpResponse reject(const Gateway::Rejection &rejection);
     Gateway::HttpResponse earlyResponse(const Base::Error &error, const std::string &reason);
     void callerGone(Base::RequestId id);
+    void sendAnswer(const Scheduler::AnswerCaller &answer);
     void pass(std::optional<Scheduler::IncomingCall> call);
     void send(Base::RequestId id, const OpenRequest &open, const CallerApi::CallerReply &reply);
 
