--- a/src/libs/runtime/callerserver.h
+++ b/src/libs/runtime/callerserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemonsettings.h"
+#include "descriptionqueue.h"
 #include "synchronizedcore.h"
 
 #include <gateway/httpserver.h>
@@ -22,6 +23,7 @@
     void start() { server_.start(); }
     void stopAccepting() { server_.stopAccepting(); }
     size_t pendingRequests() const { return server_.pendingRequests(); }
+    void updateMetrics();
 
     /// Sends an answer of the core, or a part of a stream.
     void answer(const Scheduler::AnswerCaller &answer);
@@ -37,8 +39,14 @@
         Base::Instant receivedAt;
     };
 
-    void request(const Gateway::IncomingRequest &request);
+    void request(Gateway::IncomingRequest request);
+    /// The response to a request that is refused whatever its body is.
+    std::optional<Gateway::HttpResponse> refuseHead(const Gateway::RequestHeadView &head);
+    Gateway::HttpResponse reject(const Gateway::Rejection &rejection);
+    Gateway::HttpResponse earlyResponse(const Base::Error &error, const std::string &reason);
     void callerGone(Base::RequestId id);
+    void sendAnswer(const Scheduler::AnswerCaller &answer);
+    void pass(std::optional<Scheduler::IncomingCall> call);
     void send(Base::RequestId id, const OpenRequest &open, const CallerApi::CallerReply &reply);
 
     Base::Bytes maxBody_;
@@ -48,6 +56,7 @@
     /// Not held while the core or the server is called.
     std::mutex mutex_;
     std::unordered_map<Base::RequestId, OpenRequest> open_;
+    DescriptionQueue descriptions_;
 };
 
 } // namespace Runtime
