--- a/src/libs/proxy/callerconnection.cpp
+++ b/src/libs/proxy/callerconnection.cpp
@@ -152,7 +152,8 @@
     }
     isParsing_ = false;
     if (isHandling_) {
-        headLease_.forceResize(incoming_.capacity()); // the bytes were read already
+        // The bytes were read already.
+        headLease_.forceResize(incoming_.empty() ? 0 : incoming_.capacity());
     }
 }
 
