Streams: a record that is older than the caller's request is of an earlier one

Callers got events of two versions (ORDER): a turn that is sent again from its start has a new stream with the same key.

A caller states what is left of its time, so the stream that it resumes cannot have begun before its request did. An older record that was found by the key is not used.

--- a/src/libs/proxy/exchange.h
+++ b/src/libs/proxy/exchange.h
@@ -57,6 +57,7 @@
     void findStreamVersion();
     Dispatch::StreamKey streamKey() const;
     void onStreamFound(const Dispatch::StreamFinding &finding);
+    bool isOfEarlierRequest(const Dispatch::StreamRecord &record) const;
     void findSoleVersion();
     void onServersReadForSoleVersion(bool isRead);
     void onStreamVersionKnown();
--- a/src/libs/proxy/exchangestreams.cpp
+++ b/src/libs/proxy/exchangestreams.cpp
@@ -61,7 +61,8 @@
         refuseStream("stream_uncertain", "equal requests were begun by several software versions");
         return;
     }
-    if (const auto *record = std::get_if<Dispatch::StreamRecord>(&finding)) {
+    const auto *record = std::get_if<Dispatch::StreamRecord>(&finding);
+    if (record && !isOfEarlierRequest(*record)) {
         streamRecord_ = *record;
         streamRecordedAt_ = now();
         streamVersion_ = record->version;
@@ -71,6 +72,19 @@
     findSoleVersion();
 }
 
+/// A caller that sends a request again from its start has a new stream with the same key, whose
+/// record may be lost. It resumes a stream within the time of its request, so that an older one is
+/// not meant.
+bool Exchange::isOfEarlierRequest(const Dispatch::StreamRecord &record) const
+{
+    constexpr Base::Duration transitTime = std::chrono::milliseconds(250);
+    const bool isTimeKnown = traits_.callerTimeout && *traits_.callerTimeout <= route_->timeout;
+    if (!traits_.resumedAttempt.empty() || !isTimeKnown) {
+        return false;
+    }
+    return record.age > route_->timeout - *traits_.callerTimeout + transitTime;
+}
+
 /// Servers of another version may have joined since the list was confirmed, and may have begun the
 /// stream through other daemons. Only a read that begins now names all of them.
 void Exchange::findSoleVersion()
@@ -320,6 +334,9 @@
            {"process", nameOf(owner_.processes_.certainty(process, connection_->connectedAt()))},
            {"events", static_cast<std::int64_t>(events_.eventCount())}};
     addStreamDetails(fields);
+    if (traits_.callerTimeout) {
+        fields.details.push_back({"caller_milliseconds", milliseconds(*traits_.callerTimeout)});
+    }
     if (listConfirmation_) {
         fields.details.push_back({"list_age_milliseconds", milliseconds(listConfirmation_->age)});
     }
--- a/tests/libs/proxy/tst_restartedservers.cpp
+++ b/tests/libs/proxy/tst_restartedservers.cpp
@@ -295,6 +295,37 @@
     cr_expect_eq(fixture.received.find("data: d2"), std::string::npos);
 }
 
+/// Guards against a turn that was sent again from its start, and whose second stream is not on
+/// record: that of the first one is older than the caller's request (ORDER).
+Test(restartedservers, aStreamOfAnEarlierRequestIsNotTheOneToResume)
+{
+    struct Case
+    {
+        const char *timeLeft;
+        const char *attempt;
+        bool isContinued;
+    };
+    const std::vector<Case> cases{
+        {"9500", "", false}, {"7000", "", true}, {"9500", "Resumes: r1\r\n", true}};
+    for (const Case &each : cases) {
+        IdentityFixture fixture(false);
+        Contracts::RoutingDocument document = routing();
+        document.version = Base::ConfigVersion(2);
+        for (Contracts::Route &route : document.routes) {
+            route.timeout = std::chrono::seconds(10);
+        }
+        fixture.passThrough().configure(document);
+        Dispatch::StreamRecord record = recordOf("two", Dispatch::ProcessCertainty::Certain);
+        record.age = std::chrono::seconds(2);
+        fixture.finding = record;
+        fixture.request("/resumable/",
+                        "r3",
+                        std::string("Last-Event-Id: 1\r\nTimeout-Ms: ") + each.timeLeft + "\r\n"
+                            + each.attempt);
+        fixture.awaitResponse(each.isContinued ? "data: d2" : "HTTP/1.1 503");
+    }
+}
+
 /// Guards against the stream of an equal request that hides a doubtful one: both have one key.
 Test(restartedservers, aDoubtfulRecordIsNotHiddenByAnEqualRequest)
 {
--- a/tests/soak/streamcaller.cpp
+++ b/tests/soak/streamcaller.cpp
@@ -1,7 +1,9 @@
 #include "streamcaller.h"
 
 #include <proxy/httphead.h>
+#include <proxy/steadyclock.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Soak {
@@ -11,6 +13,8 @@
 constexpr auto connectTimeout = std::chrono::seconds(1);
 /// Longer than a daemon stands still in these tests.
 constexpr auto responseTimeout = std::chrono::milliseconds(4500);
+/// Time for a turn with all its resumptions, as the route has it.
+constexpr auto requestTime = std::chrono::milliseconds(5000);
 const std::string body = "12 events";
 const std::string eventEnd = "\n\n";
 
@@ -39,6 +43,7 @@
     session_ = session;
     earlierId_.clear();
     version_.clear();
+    begunAt_ = Proxy::steadyNow();
     events_ = 0;
     isMixedWithin_ = false;
     isMixedOver_ = false;
@@ -101,7 +106,10 @@
     head.headers.add("Host", "soak.example");
     head.headers.add("X-Attempt-Id", id_);
     head.headers.add("X-Session-Id", session_);
-    head.headers.add("X-Deadline-Ms", std::to_string(responseTimeout.count()));
+    const auto elapsed
+        = std::chrono::duration_cast<std::chrono::milliseconds>(Proxy::steadyNow() - begunAt_);
+    const auto left = std::max(std::chrono::milliseconds(1), requestTime - elapsed);
+    head.headers.add("X-Deadline-Ms", std::to_string(left.count()));
     head.headers.add("Authorization", "Bearer key");
     if (events_ > 0) {
         head.headers.add("Last-Event-Id", std::to_string(events_));
--- a/tests/soak/streamcaller.h
+++ b/tests/soak/streamcaller.h
@@ -69,6 +69,7 @@
     EndCallback onEnd_;
     StreamAttempt attempt_;
     int lastRequest_ = 0;
+    Base::Instant begunAt_;
     std::string session_;
     /// The attempt before, if it brought events.
     std::string earlierId_;
