--- a/tests/crowd/tst_gatewaycrowd.cpp
+++ b/tests/crowd/tst_gatewaycrowd.cpp
@@ -3,6 +3,8 @@
 
 #include <criterion/criterion.h>
 
+#include <iostream>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -99,7 +101,9 @@
     checkOrdinaryRequest(daemon);
     cr_assert(daemon.isRunning(), "the process has ended");
     const std::int64_t peak = daemon.peakBytes();
-    cr_log_warn("peak %ld kB, unread %ld kB, sockets %ld", peak / 1000, unread / 1000, sockets);
+    // Criterion counts a warning of its own as a failure of the program.
+    std::cout << "peak " << peak / 1000 << " kB, unread " << unread / 1000 << " kB, sockets "
+              << sockets << std::endl;
     cr_expect_lt(peak + unread, memoryBound);
     cr_expect_lt(sockets, socketBound);
 }
