--- a/tests/crowd/crowdenvironment.cpp
+++ b/tests/crowd/crowdenvironment.cpp
@@ -25,11 +25,6 @@
     return name;
 }
 
-std::string text(const asio::ip::tcp::endpoint &endpoint)
-{
-    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 /// An endless stream of events, as fast as it is read.
 Soak::FloodResponse endlessEvents()
 {
@@ -78,7 +73,7 @@
     , daemons_({MARJORAM_NODE,
                 folder_,
                 "127." + std::to_string(64 + getpid() % 128) + ".252.",
-                text(store_.endpoint()),
+                store_.endpoint(),
                 {{"memory_mb", limits.memoryMegabytes}, {"max_fds", limits.maxDescriptors}}})
 {
     store_.put("servers", faulty_.id(), faulty_.entry());
--- a/tests/soak/daemonsettings.cpp
+++ b/tests/soak/daemonsettings.cpp
@@ -4,13 +4,6 @@
 
 namespace Soak {
 
-namespace {
-
-constexpr int statusPort = 7081;
-constexpr int peerPort = 7082;
-
-} // namespace
-
 nlohmann::json daemonSettings(const DaemonDescription &daemon,
                               const std::vector<std::string> &fronts,
                               const asio::ip::tcp::endpoint &store,
--- a/tests/soak/daemonsettings.h
+++ b/tests/soak/daemonsettings.h
@@ -11,6 +11,8 @@
 namespace Soak {
 
 constexpr std::uint16_t callerPort = 7080;
+constexpr std::uint16_t statusPort = 7081;
+constexpr std::uint16_t peerPort = 7082;
 constexpr std::uint16_t firstFreePort = 7083;
 
 /// One daemon of a small fleet that is started anew for each run.
--- a/tests/soak/flooddaemons.h
+++ b/tests/soak/flooddaemons.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemonprocess.h"
+#include "daemonsettings.h"
 
 #include <nlohmann/json.hpp>
 
@@ -11,12 +12,12 @@
 
 /// Ports of every daemon on its own address.
 namespace FloodPorts {
-inline constexpr int callers = 7080;
-inline constexpr int status = 7081;
-inline constexpr int peers = 7082;
+inline constexpr int callers = callerPort;
+inline constexpr int status = statusPort;
+inline constexpr int peers = peerPort;
 /// The first of the ports for communication between daemons: turns at store daemons.
-inline constexpr int turns = 7083;
-inline constexpr int relay = 7084;
+inline constexpr int turns = firstFreePort;
+inline constexpr int relay = firstFreePort + 1;
 } // namespace FloodPorts
 
 struct FloodDaemonSettings
@@ -27,8 +28,7 @@
     std::filesystem::path folder;
     /// The first three numbers of the daemons' addresses, with a dot at the end.
     std::string network;
-    /// Address and port of the store.
-    std::string store;
+    asio::ip::tcp::endpoint store;
     /// The limits of each process.
     nlohmann::json limits;
 };
@@ -37,11 +37,8 @@
 class FloodDaemons
 {
 public:
-    struct Daemon
+    struct Daemon : DaemonDescription
     {
-        std::string name;
-        std::string role;
-        std::string ip;
         std::unique_ptr<DaemonProcess> process;
     };
 
--- a/tests/soak/floodenvironment.cpp
+++ b/tests/soak/floodenvironment.cpp
@@ -83,11 +83,6 @@
             {"goal_ms", 250}};
 }
 
-std::string address(const asio::ip::tcp::endpoint &endpoint)
-{
-    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 } // namespace
 
 json floodConfiguration(bool keepsTurns)
@@ -132,7 +127,7 @@
     , daemons_({settings_.program,
                 settings_.folder,
                 "127." + std::to_string(64 + getpid() % 128) + ".251.",
-                address(store_.endpoint()),
+                store_.endpoint(),
                 {{"memory_mb", settings_.memoryMegabytes}}})
 {
     store_.put("servers", faulty_.id(), faulty_.entry());
