--- a/tests/crowd/tst_gatewaycrowd.cpp
+++ b/tests/crowd/tst_gatewaycrowd.cpp
@@ -3,13 +3,12 @@
 
 #include <criterion/criterion.h>
 
-#include <iostream>
-
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <iostream>
 
 using namespace Crowd;
 
