--- a/src/libs/proxy/exchangeattempts.cpp
+++ b/src/libs/proxy/exchangeattempts.cpp
@@ -273,8 +273,9 @@
         connection->close();
     }
     owner_.placer_.requestEnded(placement_->instance);
-    onNotRun(std::string("process of the server is not known to be the listed one: ")
-             + nameOf(finding));
+    onNotRun(isAccepted ? "server may not get the request after it was asked for its process"
+                        : std::string("process of the server is not known to be the listed one: ")
+                              + nameOf(finding));
 }
 
 void Exchange::sendTo(std::shared_ptr<ClientConnection> connection, bool isKept)
