--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -87,6 +87,12 @@
     std::filesystem::create_directories(settings.folder);
     const Soak::RestartResult result = Soak::RestartEnvironment(settings).run();
     const bool isPassed = result.isPassed();
+    if (!isPassed) {
+        // The form of a failed case of the other tests, which KNOWN-RED.txt can name.
+        std::string name = settings.scenario;
+        std::replace(name.begin(), name.end(), '-', '_');
+        std::cout << "[FAIL] restart::" << name << '\n';
+    }
     std::cout << (isPassed ? "passed " : "FAILED ") << settings.scenario << ", seed "
               << settings.seed << ", " << settings.recordStores
               << " record stores: " << result.streams << " streams, " << result.complete
