--- a/review/rig/programs.h
+++ b/review/rig/programs.h
@@ -50,6 +50,11 @@
 
     /// One client attempt at a turn.
     Answer turn(const Deployment &deployment, const Node &front)
+    {
+        return turn(deployment, front, maxTokens_);
+    }
+
+    Answer turn(const Deployment &deployment, const Node &front, int maxTokens)
     {
         const std::string attempt = newAttempt();
         const std::string body = "what is said in turn " + attempt;
@@ -57,7 +62,7 @@
             = "POST /lohu930/4b HTTP/1.1\r\nHost: " + std::string(host) + "\r\nX-Attempt-Id: " + attempt
               + "\r\nX-Program-Id: " + id_ + "\r\nX-Session-Id: " + id_ + "s\r\nX-Finish-Ms: 30000"
               + "\r\nX-Token-Budget: " + std::to_string(budget_) + "\r\nX-Model: m\r\nX-Token-Count: 40,"
-              + std::to_string(maxTokens_) + "\r\nX-Prompt-Prefix: 5c1e07a2:40\r\nX-Deadline-Ms: 3000"
+              + std::to_string(maxTokens) + "\r\nX-Prompt-Prefix: 5c1e07a2:40\r\nX-Deadline-Ms: 3000"
               + "\r\nAuthorization: Bearer " + key_ + "\r\nContent-Length: " + std::to_string(body.size())
               + "\r\n\r\n" + body;
         const Answer answer = ask(front.ip, deployment.ports.front, request, 3000);
