--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# Builds the stand-ins of the cases from 10 on into build-probe/, which git ignores.
+# Builds the stand-ins of the cases from 10 on, or those named, into build-probe/, which git ignores.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p build-probe
-for name in oldprogram quota awake outage silent; do
-    g++ -std=c++20 -O1 -pthread -o "build-probe/$name.new" "review/probe/$name.cpp"
-    mv "build-probe/$name.new" "build-probe/$name"
+for name in ${*:-oldprogram quota awake outage silent}; do
+    g++ -std=c++20 -O1 -pthread -o "build-probe/$name.$$" "review/probe/$name.cpp"
+    mv "build-probe/$name.$$" "build-probe/$name"
 done
