--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# Builds the stand-ins of the cases from 10 on, or those named, into build-probe/, which git ignores.
+# Builds the stand-ins of the cases of the third review, or those named, into build-probe/, which git ignores.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p build-probe
-for name in ${*:-chains oldprogram quota awake outage}; do
+for name in ${*:-chains silent}; do
     g++ -std=c++20 -O1 -pthread -o "build-probe/$name.$$" "review/probe/$name.cpp"
     mv "build-probe/$name.$$" "build-probe/$name"
 done
--- a/review/probe/chains.cpp
+++ b/review/probe/chains.cpp
@@ -99,6 +99,7 @@
     }
     std::mutex mutex;
     std::atomic<bool> isOver = false;
+    std::atomic<bool> isPaused = false;
     std::vector<std::thread> workers;
     for (int i = 0; i < 48; ++i) {
         workers.emplace_back([&] {
@@ -111,6 +112,9 @@
                         due.pop();
                     }
                 }
+                if (next.first > 0 && isPaused && next.second % 3 == 0) {
+                    continue;
+                }
                 if (next.first == 0) {
                     sleepFor(0.005);
                     continue;
@@ -125,10 +129,10 @@
         });
     }
     const auto loseDisk = [&](std::size_t number) {
-        say(deployment.stores[number]->name + " loses its disk and starts again after 1 s");
+        say(deployment.stores[number]->name + " loses its disk and starts again after 0.4 s");
         deployment.stores[number]->kill();
         deployment.removeData(number);
-        sleepFor(1);
+        sleepFor(0.4);
         deployment.stores[number]->start();
     };
     say(std::to_string(chains.size()) + " conversations, a turn every " + std::to_string(pace)
@@ -138,19 +142,19 @@
         loseDisk(0);
     }
     sleepFor(begun + before + 13 - now());
-    isOver = true;
-    for (std::thread &worker : workers) {
-        worker.join();
-    }
-    const double stoppedAt = now();
+    say("the callers of every third conversation pause; the others go on");
+    isPaused = true;
+    sleepFor(0.5);
+    const double lostAt = now();
     if (isTroubled()) {
         loseDisk(1);
     }
-    sleepFor(stoppedAt + 1 + 3.5 - now());
-    say("conversations whose last turn ended less than 4 s before go on");
+    sleepFor(lostAt + 1 + 18 - now());
+    say("the callers that paused go on");
     std::vector<std::size_t> recent;
-    for (std::size_t i = 0; i < chains.size(); ++i) {
-        if (chains[i].turns > 0 && chains[i].answeredAt > stoppedAt - 4) {
+    for (std::size_t i = 0; i < chains.size(); i += 3) {
+        const std::lock_guard lock(mutex);
+        if (chains[i].turns > 0 && chains[i].answeredAt > lostAt - 5) {
             recent.push_back(i);
         }
     }
@@ -163,15 +167,17 @@
     std::vector<std::thread> triers;
     for (int worker = 0; worker < 48; ++worker) {
         triers.emplace_back([&, worker] {
+            std::mt19937_64 fate(static_cast<unsigned>(worker) + 77);
             for (std::size_t at = next++; at < recent.size(); at = next++) {
                 Chain &chain = chains[recent[at]];
+                std::vector<std::size_t> order{0, 1, 2, 3, 4, 5, 6};
+                std::shuffle(order.begin(), order.end(), fate);
                 const double endsAt = chain.answeredAt + retain - 0.5;
                 int tries = 0;
                 int status = 0;
                 for (; tries < 6 && status != 200 && now() < endsAt; ++tries) {
-                    status = sendNext(fronts[(recent[at] + static_cast<std::size_t>(tries)) % 7],
-                                      chain,
-                                      input);
+                    status = sendNext(
+                        fronts[order[static_cast<std::size_t>(tries)]], chain, input);
                     if (status != 200) {
                         const std::lock_guard lock(mutex);
                         ++answers[status];
@@ -194,6 +200,10 @@
     for (std::thread &trier : triers) {
         trier.join();
     }
+    isOver = true;
+    for (std::thread &worker : workers) {
+        worker.join();
+    }
     for (const auto &[status, count] : answers) {
         say("answers " + std::to_string(status) + ": " + std::to_string(count));
     }
--- a/review/probe/probe.h
+++ b/review/probe/probe.h
@@ -28,6 +28,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -301,6 +302,9 @@
 
     bool readMessage(Message &message) { return readHead(message) && readBody(message); }
 
+    /// Silences before the first call on the connection.
+    std::optional<std::uint64_t> generation;
+
     void close()
     {
         if (file_ >= 0) {
@@ -407,13 +411,11 @@
         const std::lock_guard lock(mutex_);
         return objects_[kind].size();
     }
-    /// While it is down, calls get no answer and nothing is done.
-    void setDown(bool isDown)
+    /// Connections that are open now return nothing any more; new ones work.
+    void silenceOpenConnections()
     {
-        {
-            const std::lock_guard lock(mutex_);
-            isDown_ = isDown;
-        }
+        const std::lock_guard lock(mutex_);
+        ++generation_;
         changed_.notify_all();
     }
 
@@ -481,8 +483,18 @@
     bool onRequest(Connection &connection, Message &request)
     {
         std::unique_lock lock(mutex_);
-        if (isDown_) {
-            changed_.wait(lock, [this] { return !isDown_; });
+        if (!connection.generation) {
+            connection.generation = generation_;
+        }
+        const std::uint64_t generation = *connection.generation;
+        const auto waitUntilGone = [&] {
+            lock.unlock();
+            while (!connection.isGone()) {
+                sleepFor(0.05);
+            }
+        };
+        if (generation != generation_) {
+            waitUntilGone();
             return false;
         }
         const std::string base = "/marjoramfield/objects/";
@@ -520,9 +532,9 @@
                         events.push_back({{"object", event.object}, {"deleted", event.isDeleted}});
                     }
                 }
-                if (isDown_) {
-                    changed_.wait(lock, [this] { return !isDown_; });
-                            return false;
+                if (generation != generation_) {
+                    waitUntilGone();
+                    return false;
                 }
                 if (!events.empty()
                     || changed_.wait_until(lock, until) == std::cv_status::timeout) {
@@ -610,7 +622,8 @@
     std::map<std::string, std::map<std::string, json>> objects_;
     std::deque<Event> events_;
     std::uint64_t revision_ = 100;
-    bool isDown_ = false;
+    /// Counts the silences.
+    std::uint64_t generation_ = 0;
     Server server_;
 };
 
