review: leave out what the dropped cases needed

Cause: stand-ins kept code of cases that were dropped (programs with budgets, signals, reads of the store), the plain answer was written twice, and the case's figures stood in run.sh beside other defaults. Change: that code is gone, Backend::answer() is the one plain answer, the figures are constants of chains.cpp; the requests stay as they were.

--- a/review/probe/chains.cpp
+++ b/review/probe/chains.cpp
@@ -1,5 +1,4 @@
-// Conversations that last longer than retain_s + 10 s, and two stores that lose their disks, one
-// long after the other.
+// Conversations whose turns are kept, and two stores that lose their disks, one long after the other.
 
 #include "turns.h"
 
@@ -11,6 +10,12 @@
 namespace {
 
 constexpr std::size_t inputBytes = 17'000;
+constexpr double retain = 60;
+constexpr double perSecond = 81;
+/// Time between two turns of a conversation.
+constexpr double pace = 4;
+/// Time until the first disk is lost.
+constexpr double before = 30;
 
 struct Chain
 {
@@ -18,7 +23,6 @@
     std::string previous;
     double answeredAt = 0;
     int turns = 0;
-    int failures = 0;
 };
 
 /// Sends the next turn of the chain; returns the status, or 0 without a whole answer.
@@ -56,19 +60,14 @@
         ++chain.turns;
         return 200;
     }
-    ++chain.failures;
     return isWhole ? status : 0;
 }
 
 } // namespace
 
-int main(int argc, char **argv)
+int main(int, char **argv)
 {
     Record::get().open(argv[1]);
-    const double retain = argc > 2 ? std::atof(argv[2]) : 16;
-    const double perSecond = argc > 3 ? std::atof(argv[3]) : 90;
-    const double pace = argc > 4 ? std::atof(argv[4]) : 8;
-    const double before = argc > 5 ? std::atof(argv[5]) : 62;
     const json tenants
         = {{{"name", "hule930"}, {"api_keys", {"3fexd9dnn2ctnfzs989a"}}, {"priority", 1}}};
     Deployment deployment(7, 3);
@@ -112,13 +111,13 @@
                         due.pop();
                     }
                 }
-                if (next.first > 0 && isPaused && next.second % 3 == 0) {
-                    continue;
-                }
                 if (next.first == 0) {
                     sleepFor(0.005);
                     continue;
                 }
+                if (isPaused && next.second % 3 == 0) {
+                    continue;
+                }
                 const int status
                     = sendNext(fronts[(next.second + static_cast<std::size_t>(now())) % fronts.size()],
                                chains[next.second],
@@ -192,7 +191,7 @@
                 }
             }
             for (int i = worker; i < firstTurns; i += 48) {
-                Chain chain{"f" + std::to_string(i) + "00aa", "", 0, 0, 0};
+                Chain chain{"f" + std::to_string(i) + "00aa", "", 0, 0};
                 firstServed += sendNext(fronts[static_cast<std::size_t>(i) % 7], chain, input) == 200;
             }
         });
--- a/review/probe/probe.h
+++ b/review/probe/probe.h
@@ -11,7 +11,6 @@
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
-#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -20,7 +19,6 @@
 #include <condition_variable>
 #include <cstdio>
 #include <cstdlib>
-#include <cstring>
 #include <deque>
 #include <filesystem>
 #include <fstream>
@@ -30,7 +28,6 @@
 #include <mutex>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -165,13 +162,9 @@
     ~Connection() { close(); }
     Connection(const Connection &) = delete;
 
-    static std::unique_ptr<Connection> open(const Address &to, const std::string &from = {})
+    static std::unique_ptr<Connection> open(const Address &to)
     {
         const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        if (!from.empty()) {
-            const sockaddr_in source = Address{from, 0}.raw();
-            ::bind(file, reinterpret_cast<const sockaddr *>(&source), sizeof source);
-        }
         const sockaddr_in address = to.raw();
         if (::connect(file, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
             ::close(file);
@@ -395,22 +388,6 @@
         const std::lock_guard lock(mutex_);
         change(kind, name, spec);
     }
-    void remove(const std::string &kind, const std::string &name)
-    {
-        const std::lock_guard lock(mutex_);
-        erase(kind, name);
-    }
-    json spec(const std::string &kind, const std::string &name)
-    {
-        const std::lock_guard lock(mutex_);
-        const auto found = objects_[kind].find(name);
-        return found == objects_[kind].end() ? json() : found->second["spec"];
-    }
-    std::size_t count(const std::string &kind)
-    {
-        const std::lock_guard lock(mutex_);
-        return objects_[kind].size();
-    }
     /// Connections that are open now return nothing any more; new ones work.
     void silenceOpenConnections()
     {
@@ -627,14 +604,6 @@
     Server server_;
 };
 
-/// A request as a server saw it.
-struct Run
-{
-    std::string id;
-    std::string server;
-    double at = 0;
-};
-
 /// A server of the platform: a model server if it has a stride, else a plain one.
 class Backend
 {
@@ -655,8 +624,16 @@
         }).detach();
     }
 
-    /// Handles a request that ran; nothing stands for the plain answer.
+    /// Handles a request that ran; nothing stands for answer().
     std::function<bool(Connection &, Message &, Backend &)> onRun;
+    bool answer(Connection &connection, const std::string &attempt) const
+    {
+        return connection.write(response(200,
+                                         "done " + attempt + "\n",
+                                         {{"X-Attempt-Id", attempt},
+                                          {"X-Server-Stamp", stamp()},
+                                          {"X-Server-Load", load()}}));
+    }
     const std::string &id() const { return id_; }
     static std::string stamp() { return "3e1b.07.5a2.600.0.c9f2a4d1"; }
     std::string load() const { return std::to_string(active_.load()) + ",0,16"; }
@@ -707,16 +684,8 @@
                 response(421, "", {{"X-Attempt-Id", attempt}, {"X-Not-Executed", "1"}}));
         }
         ++active_;
-        bool isOpen = false;
-        if (onRun) {
-            isOpen = onRun(connection, request, *this);
-        } else {
-            isOpen = connection.write(response(200,
-                                               "done " + attempt + "\n",
-                                               {{"X-Attempt-Id", attempt},
-                                                {"X-Server-Stamp", stamp()},
-                                                {"X-Server-Load", load()}}));
-        }
+        const bool isOpen
+            = onRun ? onRun(connection, request, *this) : answer(connection, attempt);
         --active_;
         return isOpen;
     }
@@ -759,12 +728,6 @@
             _exit(127);
         }
     }
-    void signal(int number) const
-    {
-        if (pid_ > 0) {
-            ::kill(pid_, number);
-        }
-    }
     void kill()
     {
         if (pid_ > 0) {
@@ -773,16 +736,6 @@
             pid_ = 0;
         }
     }
-    /// Whether the process has ended by itself.
-    bool hasEnded()
-    {
-        if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) {
-            pid_ = 0;
-            return true;
-        }
-        return pid_ == 0;
-    }
-
     std::string name;
 
 private:
@@ -797,7 +750,6 @@
     std::unique_ptr<Process> process;
     Address callers;
     Address ready;
-    std::string zone;
 };
 
 inline const std::vector<std::string> zones{"tas-a", "tas-b", "tas-c"};
@@ -822,7 +774,6 @@
             Front front;
             front.callers = {ip, port_ + 1};
             front.ready = {ip, port_ + 2};
-            front.zone = zone;
             front.process = std::make_unique<Process>(
                 name, "front", write(settings(name, zone, ip, fronts, true), name), log(name));
             this->fronts.push_back(std::move(front));
--- a/review/probe/silent.cpp
+++ b/review/probe/silent.cpp
@@ -41,11 +41,7 @@
                 runs[id] = now();
             }
             record("run " + id + " at " + self.id());
-            return connection.write(response(200,
-                                             "done " + id + "\n",
-                                             {{"X-Attempt-Id", id},
-                                              {"X-Server-Stamp", Backend::stamp()},
-                                              {"X-Server-Load", self.load()}}));
+            return self.answer(connection, id);
         };
     }
     std::atomic<bool> isOver = false;
--- a/review/probe/turns.h
+++ b/review/probe/turns.h
@@ -1,5 +1,5 @@
 #pragma once
-// Agent programs: turns with a token budget, through any front daemon.
+// The deployment of the cases: model servers that stream turns, plain servers, and the configuration.
 
 #include "probe.h"
 
@@ -28,63 +28,6 @@
     return isOpen && connection.write("0\r\n\r\n");
 }
 
-struct Program
-{
-    std::string id;
-    std::string session;
-    int budget = 0;
-    int maxTurn = 0;
-    /// Tokens of all events that the client got, of attempts that broke off as well.
-    int tokens = 0;
-    int lastStatus = 0;
-    int tokensBefore = 0;
-    bool isEnded = false;
-};
-
-inline int countEvents(const std::string &bytes)
-{
-    int count = 0;
-    for (std::size_t at = 0; (at = bytes.find("\n\n", at)) != std::string::npos; at += 2) {
-        ++count;
-    }
-    return count;
-}
-
-/// Sends one turn of the program and counts the tokens that arrive; returns the status, or 0.
-inline int sendTurn(const Front &front, Program &program, int events, int maxTokens, const json &tenant)
-{
-    thread_local std::mt19937_64 random(std::random_device{}());
-    const std::string attempt = hexId(random);
-    const auto connection = Connection::open(front.callers);
-    Message answer;
-    int status = 0;
-    int got = 0;
-    if (connection) {
-        connection->setTimeout(4);
-        const std::string body = std::to_string(events) + "\n";
-        connection->write(
-            "POST /turns/4b HTTP/1.1\r\nHost: agents.example\r\nX-Attempt-Id: " + attempt
-            + "\r\nX-Program-Id: " + program.id + "\r\nX-Session-Id: " + program.session
-            + "\r\nX-Finish-Ms: 100000\r\nX-Model: m\r\nX-Token-Budget: "
-            + std::to_string(program.budget) + "\r\nX-Token-Count: 100," + std::to_string(maxTokens)
-            + "\r\nX-Prompt-Prefix: 5c1e07a2:60," + program.id
-            + ":40\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer "
-            + tenant["api_keys"][0].get<std::string>()
-            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-        if (connection->readHead(answer)) {
-            status = answer.status();
-            connection->readBody(answer);
-            got = status == 200 ? countEvents(answer.body) * stride : 0;
-        }
-    }
-    program.tokens += got;
-    program.lastStatus = status;
-    record("turn " + attempt + " of " + program.id + " through " + front.process->name + ": "
-           + std::to_string(status) + ", " + std::to_string(got) + " tokens, "
-           + std::to_string(program.tokens) + " of " + std::to_string(program.budget));
-    return status;
-}
-
 inline json agentConfiguration(const json &tenants, double retainSeconds)
 {
     return {{"version", 7},
@@ -152,21 +95,18 @@
                                                       const json &configuration)
 {
     std::vector<std::unique_ptr<Backend>> servers;
-    for (int i = 0; i < 3; ++i) {
-        const std::string zone = zones[static_cast<std::size_t>(i)];
-        servers.push_back(std::make_unique<Backend>(deployment.store,
-                                                    "i-model" + std::to_string(i),
-                                                    "planner",
-                                                    Address{deployment.address(200 + i),
-                                                            deployment.serverPort()},
-                                                    zone));
+    const auto add = [&](const std::string &id, const std::string &service, int number, int zone) {
+        servers.push_back(std::make_unique<Backend>(
+            deployment.store,
+            id + std::to_string(zone),
+            service,
+            Address{deployment.address(number + zone), deployment.serverPort()},
+            zones[static_cast<std::size_t>(zone)]));
+    };
+    for (int zone = 0; zone < 3; ++zone) {
+        add("i-model", "planner", 200, zone);
         servers.back()->onRun = streamEvents;
-        servers.push_back(std::make_unique<Backend>(deployment.store,
-                                                    "i-club" + std::to_string(i),
-                                                    "club",
-                                                    Address{deployment.address(210 + i),
-                                                            deployment.serverPort()},
-                                                    zone));
+        add("i-club", "club", 210, zone);
     }
     deployment.start();
     sleepFor(3);
