A reset that the write of a request gets is no end of its response

What callers saw: a server answered a long upload at once without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: the system reports an error of a connection once. The write got the reset, so that the next read showed an ordinary end, which completes a response without length. ClientConnection dropped the error of the write while a read was pending. The calls to the store and to the daemons that keep turns (HttpCaller) use the same class.

Change: ClientConnection keeps the error of the write. An end of the connection after it is a disconnection, as if the read had got the error. A reset that follows an ordinary end is reported as a broken pipe (the connection is in CLOSE_WAIT), and the end counts: servers may answer whole before they have read a request. If the write is still pending at the end, the handlers of writes that are done run first.

Handled before: a regular end, a whole response with a length or chunks however the connection ends, a part with a length or chunks, a response without length through a relay, and a connection whose upload is unfinished (it is not used again).

--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "steadyclock.h"
 
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 
 #include <netinet/in.h>
@@ -137,23 +138,36 @@
     skippedMessages_ = 0;
     isReusable_ = false;
     isWriting_ = true;
+    writeError_ = {};
+    isEndRead_ = false;
     hasSent_ = true;
     auto self = shared_from_this();
     asio::async_write(
         socket_, asio::buffer(outgoing_), [self](const std::error_code &error, std::size_t) {
-            self->isWriting_ = false;
-            std::string().swap(self->outgoing_); // the connection may stay open for long
-            if (self->isClosed_ || !error) {
-                return;
-            }
-            // The server may have responded before it closed the connection; reading shows that.
-            if (!self->isReading_) {
-                self->fail(ResponseEnd::Disconnected, "write: " + error.message());
-            }
+            self->onWritten(error);
         });
     read();
 }
 
+/// The system reports an error of the connection once. If the write gets it, reading shows an
+/// ordinary end.
+void ClientConnection::onWritten(const std::error_code &error)
+{
+    isWriting_ = false;
+    std::string().swap(outgoing_); // the connection may stay open for long
+    if (isClosed_ || !error) {
+        return;
+    }
+    // A reset that follows an ordinary end is reported as a broken pipe.
+    if (error != asio::error::broken_pipe) {
+        writeError_ = error;
+    }
+    // The server may have responded before it closed the connection; reading shows that.
+    if (!isReading_ && !isEndRead_) {
+        fail(ResponseEnd::Disconnected, "write: " + error.message());
+    }
+}
+
 void ClientConnection::watchIdle(std::function<void()> onUnusable)
 {
     onUnusable_ = std::move(onUnusable);
@@ -228,6 +242,20 @@
 
 void ClientConnection::onEndOfStream()
 {
+    if (isWriting_ && !isEndRead_) {
+        // A write that got an error before has its handler run first.
+        isEndRead_ = true;
+        asio::post(socket_.get_executor(), [self = shared_from_this()] {
+            if (self->isAwaitingResponse_ && !self->isClosed_) {
+                self->onEndOfStream();
+            }
+        });
+        return;
+    }
+    if (writeError_) {
+        fail(ResponseEnd::Disconnected, "write: " + writeError_.message());
+        return;
+    }
     parser_.finish();
     if (message_ == Message::Response && parser_.state() == ParseState::Complete) {
         onResponseComplete(true);
--- a/src/libs/proxy/clientconnection.h
+++ b/src/libs/proxy/clientconnection.h
@@ -91,6 +91,7 @@
         Response
     };
 
+    void onWritten(const std::error_code &error);
     void read();
     void onRead(const std::error_code &error, std::size_t size);
     void onEndOfStream();
@@ -122,7 +123,10 @@
     bool isConnecting_ = false;
     bool isAwaitingResponse_ = false;
     bool isWriting_ = false;
+    /// Unset if the server had ended its bytes in the ordinary way before the error.
+    std::error_code writeError_;
     bool isReading_ = false;
+    bool isEndRead_ = false;
     bool isPaused_ = false;
     Message message_ = Message::Unknown;
     std::size_t skippedBytes_ = 0;
--- a/tests/libs/proxy/passthroughfixture.h
+++ b/tests/libs/proxy/passthroughfixture.h
@@ -226,6 +226,18 @@
 
     void send(const std::string &bytes) { asio::write(caller_, asio::buffer(bytes)); }
 
+    /// Sends a request with a body of so many bytes while the loop runs.
+    void upload(const std::string &path, const std::string &id, std::size_t bodySize)
+    {
+        const auto bytes = std::make_shared<std::string>(
+            "POST " + path + " HTTP/1.1\r\nHost: x.example\r\nAuthorization: Bearer secret\r\n"
+            + "Request-Id: " + id + "\r\nContent-Length: " + std::to_string(bodySize) + "\r\n\r\n"
+            + std::string(bodySize, 'u'));
+        // A failure shows where the response is read.
+        asio::async_write(
+            caller_, asio::buffer(*bytes), [bytes](const std::error_code &, std::size_t) {});
+    }
+
     void request(const std::string &path, const std::string &id, const std::string &more = "")
     {
         send("POST " + path
--- a/tests/libs/proxy/scriptedserver.cpp
+++ b/tests/libs/proxy/scriptedserver.cpp
@@ -61,6 +61,10 @@
             std::error_code ignored;
             asio::write(socket_, asio::buffer(text), ignored);
         }
+        if (next_ == script_.responses.size() && script_.shutsDownAfterwards) {
+            std::error_code ignored;
+            socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        }
         if (next_ == script_.responses.size() && script_.crashesAfterwards) {
             server_.crash();
         } else if (next_ == script_.responses.size() && script_.closesAfterwards) {
@@ -113,6 +117,13 @@
             return;
         }
         incoming_.append(buffer_.data(), size);
+        const bool isLast = next_ + 1 == script_.responses.size();
+        const bool hasHead = incoming_.find("\r\n\r\n") != std::string::npos;
+        if (script_.leavesLastBodyUnread && isLast && hasHead) {
+            server_.requests_.push_back(incoming_);
+            respond(idOf(incoming_));
+            return;
+        }
         while (const std::size_t length = requestLength(incoming_)) {
             const std::string request = incoming_.substr(0, length);
             incoming_.erase(0, length);
@@ -182,6 +193,11 @@
     connections_.back()->respond(id);
 }
 
+void ScriptedServer::setReceiveBytes(int bytes)
+{
+    acceptor_.set_option(asio::socket_base::receive_buffer_size(bytes));
+}
+
 std::string ScriptedServer::address() const
 {
     return endpoint_.address().to_string() + ":" + std::to_string(endpoint_.port());
--- a/tests/libs/proxy/scriptedserver.h
+++ b/tests/libs/proxy/scriptedserver.h
@@ -26,6 +26,10 @@
         bool resetsAfterwards = false;
         /// Is written again and again after the last response, until the connection ends.
         std::string endlessTail = {};
+        /// Writes the last response once the head of a request has arrived, and reads no further.
+        bool leavesLastBodyUnread = false;
+        /// Sends no more after the last response, before the connection is closed or reset.
+        bool shutsDownAfterwards = false;
     };
 
     explicit ScriptedServer(asio::io_context &context,
@@ -41,6 +45,8 @@
     {
         responder_ = std::move(responder);
     }
+    /// Receive buffer of the connections that are accepted from now on.
+    void setReceiveBytes(int bytes);
     std::string address() const;
     const asio::ip::tcp::endpoint &endpoint() const { return endpoint_; }
     void closeConnections();
@@ -53,7 +59,8 @@
     /// Writes the next response of the newest connection without a request.
     void sendNext(const std::string &id);
 
-    /// Complete requests in the order of their arrival.
+    /// Complete requests in the order of their arrival, and the start of each whose body is left
+    /// unread.
     const std::vector<std::string> &requests() const { return requests_; }
     int connectionCount() const { return connectionCount_; }
     int closedByPeer() const { return closedByPeer_; }
