A whole response survives a failed write while its reader pauses

What callers saw: a server answers an upload whole, with a length, and closes the connection without having read it. A caller that took the response slowly got 502, or a response that was cut off.

Cause: ClientConnection gave the response up if the write failed while no read was pending, as during a pause for backpressure, although the rest of the response was in the receive buffer.

Change: a failed write alone ends nothing. Reading goes on after the pause, and shows what the server sent before its end.

--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -158,14 +158,11 @@
     if (isClosed_ || !error) {
         return;
     }
-    // A reset that follows an ordinary end is reported as a broken pipe.
+    // The server may have responded before it closed the connection; reading shows that. A reset
+    // that follows an ordinary end is reported as a broken pipe.
     if (error != asio::error::broken_pipe) {
         writeError_ = error;
     }
-    // The server may have responded before it closed the connection; reading shows that.
-    if (!isReading_ && !isEndRead_) {
-        fail(ResponseEnd::Disconnected, "write: " + error.message());
-    }
 }
 
 void ClientConnection::watchIdle(std::function<void()> onUnusable)
--- a/tests/libs/proxy/tst_earlyresponses.cpp
+++ b/tests/libs/proxy/tst_earlyresponses.cpp
@@ -221,6 +221,43 @@
     }
 }
 
+/// Guards against the same if the reset comes while the caller is too slow to take the response.
+Test(earlyresponses, aFramedResponseIsWholeIfItsReaderPausesAtTheReset)
+{
+    const std::string body(20'000, 'x');
+    asio::io_context context;
+    ScriptedServer server(context);
+    server.setReceiveBytes(smallReceiveBuffer);
+    server.add(
+        earlyResponse("HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n" + body, Ending::Reset));
+    const auto connection = std::make_shared<ClientConnection>(context, server.endpoint());
+    std::string received;
+    std::optional<ResponseEnd> ended;
+    ClientConnection::Handlers handlers;
+    handlers.onHead = [](const auto &, const auto &) { return HeadVerdict::Accept; };
+    handlers.onBody = [&](const std::string &bytes) {
+        if (received.empty()) {
+            connection->pause();
+        }
+        received += bytes;
+    };
+    handlers.onEnd = [&](ResponseEnd end, const std::string &) { ended = end; };
+    connection->connect(guardTime, [&](const std::string &) {
+        connection->send(
+            "POST / HTTP/1.1\r\n\r\n" + std::string(uploadBytes, 'u'), false, handlers);
+    });
+    while (received.empty()) {
+        context.run_one();
+    }
+    context.poll(); // the write fails
+    connection->resume();
+    while (!ended) {
+        context.run_one();
+    }
+    cr_assert(*ended == ResponseEnd::Complete);
+    cr_assert_eq(received, body);
+}
+
 /// Guards against a part that looks whole, whatever it ends with.
 Test(earlyresponses, aPartOfAResponseDuringTheUploadIsNotWhole)
 {
