A relay passes on what a server sent before it closed the connection

What callers saw: 502 for an upload through another daemon, although the server had answered whole (with a length or in chunks) before it had read the upload.

Cause: RequestRelay ended both connections as soon as a write to the server failed. What the server had sent before was not read any more.

Change: a failed write to the server ends that direction only. The other one goes on to the end of what the server sent; the connection to the daemon is then reset if the write got the reset of the server, and closed otherwise.

A response without length through a relay is not taken as whole in any case, as before (aResponseThatIsResetDuringTheUploadThroughARelayIsNotWhole).

--- a/src/libs/proxy/requestrelay.cpp
+++ b/src/libs/proxy/requestrelay.cpp
@@ -203,7 +203,7 @@
         from.socket.async_read_some(
             asio::buffer(from.buffer),
             [self, &from, &to](const std::error_code &error, std::size_t size) {
-                if (error == asio::error::eof) {
+                if (error == asio::error::eof && !self->isServerReset_) {
                     self->close(); // all bytes before it are written
                     return;
                 }
@@ -215,7 +215,7 @@
                                   asio::buffer(from.buffer.data(), size),
                                   [self, &from, &to](const std::error_code &failure, std::size_t) {
                                       if (failure) {
-                                          self->abort();
+                                          self->onWriteFailed(to, failure);
                                       } else {
                                           self->forward(from, to);
                                       }
@@ -223,6 +223,17 @@
             });
     }
 
+    /// The server may have responded before it closed the connection. Reading shows that, but not
+    /// an error that the write got.
+    void onWriteFailed(const Side &to, const std::error_code &error)
+    {
+        if (&to == &daemon_) {
+            abort();
+            return;
+        }
+        isServerReset_ = error != asio::error::broken_pipe;
+    }
+
     RequestRelay &owner_;
     Side daemon_;
     Side server_;
@@ -231,6 +242,7 @@
     std::string response_;
     Dispatch::ServerInstance instance_;
     bool hasResponded_ = false;
+    bool isServerReset_ = false;
     /// The last bytes came from the daemon: its request is being sent or has no response yet.
     bool isRequestOpen_ = false;
 };
--- a/tests/libs/proxy/scriptedserver.cpp
+++ b/tests/libs/proxy/scriptedserver.cpp
@@ -121,7 +121,9 @@
         const bool hasHead = incoming_.find("\r\n\r\n") != std::string::npos;
         if (script_.leavesLastBodyUnread && isLast && hasHead) {
             server_.requests_.push_back(incoming_);
-            respond(idOf(incoming_));
+            if (!script_.waitsForSendNext) {
+                respond(idOf(incoming_));
+            }
             return;
         }
         while (const std::size_t length = requestLength(incoming_)) {
--- a/tests/libs/proxy/scriptedserver.h
+++ b/tests/libs/proxy/scriptedserver.h
@@ -28,6 +28,8 @@
         std::string endlessTail = {};
         /// Writes the last response once the head of a request has arrived, and reads no further.
         bool leavesLastBodyUnread = false;
+        /// The last response is written by sendNext().
+        bool waitsForSendNext = false;
         /// Sends no more after the last response, before the connection is closed or reset.
         bool shutsDownAfterwards = false;
     };
--- a/tests/libs/proxy/tst_earlyresponses.cpp
+++ b/tests/libs/proxy/tst_earlyresponses.cpp
@@ -68,6 +68,13 @@
     fixture.context().poll();
 }
 
+/// Runs until no more of the upload can be written.
+void runUntilStalled(Fixture &fixture)
+{
+    while (fixture.context().poll() > 0) {
+    }
+}
+
 /// What a caller gets for an upload to a server that follows the script.
 std::string responseTo(const ScriptedServer::Script &script, const std::string &path)
 {
@@ -319,3 +326,23 @@
         cr_expect(fixture.received.starts_with("HTTP/1.1 502"), "%s", fixture.received.c_str());
     }
 }
+
+/// Guards against a relay that drops a whole response, as the server takes no more of the request.
+Test(earlyresponses, aFramedResponseDuringTheUploadThroughARelayIsWhole)
+{
+    for (const Ending ending : endings) {
+        for (const std::string &response : {okResponse, chunked}) {
+            RelayFixture fixture(refusingAddress());
+            prepare(fixture);
+            auto script = earlyResponse(response, ending);
+            script.waitsForSendNext = true;
+            fixture.first.add(script);
+            fixture.upload("/once/", "r1", uploadBytes);
+            fixture.runUntil([&] { return requestCount(fixture) == 1; }, "the request arrives");
+            runUntilStalled(fixture);
+            fixture.first.sendNext("r1");
+            awaitEnd(fixture);
+            cr_expect(fixture.received.starts_with("HTTP/1.1 200"), "%s", fixture.received.c_str());
+        }
+    }
+}
