A response without a valid status is broken

What callers saw: a server sent a response with the status 000. If its body was a response itself, the caller got that one; else 502. The same with 001, 099, 0, 2 and 20; 0200 counted as 200; 600 to 999 were passed on; "HTTQ/1.1 200" was a status line.

Cause: http_parser, as packaged, takes one to any number of digits up to 999 and does not check the letters of the version. A status below 200 counts as an interim response: ClientConnection skips its head, and its body is then the start of the next response.

Change: MessageParser reads status lines with Base::parseStatusLine(), which wants three digits from 100 to 599 (RFC 9110, section 15: others are not valid). Other responses are broken: 502, or another attempt for idempotent requests. What such a response says about the request (not run) is not believed. The reason may be missing, empty or hold other than ASCII characters, as before.

Ruled out: to pass 600 to 999 on as they are. A client may treat them as 5xx, which 502 says as well, and an idempotent request is served by another server instead.

--- a/src/libs/proxy/messageparser.cpp
+++ b/src/libs/proxy/messageparser.cpp
@@ -2,6 +2,8 @@
 
 #include "headcollector.h"
 
+#include <base/httpsyntax.h>
+
 #include <http_parser.h>
 
 #include <algorithm>
@@ -12,6 +14,8 @@
 
 namespace {
 
+constexpr std::string_view lineEnd = "\r\n";
+
 /// Empty lines before a message; senders that use them write one or two.
 constexpr std::size_t maxEmptyLineBytes = 64;
 
@@ -208,6 +212,11 @@
         fail(ParseError::Malformed, std::string(problem));
         return;
     }
+    const std::string_view startLine = std::string_view(head).substr(0, head.find(lineEnd));
+    if (kind_ == Kind::Response && !Base::parseStatusLine(startLine)) {
+        fail(ParseError::Malformed, "invalid status line");
+        return;
+    }
     execute(head);
 }
 
--- /dev/null
+++ b/tests/libs/proxy/tst_malformedresponses.cpp
@@ -0,0 +1,158 @@
+#include "passthroughfixture.h"
+
+#include <proxy/httpcaller.h>
+
+namespace {
+
+const std::string named = "Request-Id: {id}\r\nProof: p\r\n";
+const std::string inner = "HTTP/1.1 200 OK\r\n" + named + "Content-Length: 5\r\n\r\ninner";
+const std::string plainEnd = "Content-Length: 5\r\n\r\nhello";
+
+std::string statusResponse(const std::string &status, const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\n" + named + "Content-Length: " + std::to_string(body.size())
+           + "\r\n\r\n" + body;
+}
+
+/// What the caller of a server gets that sends the response.
+std::string received(const std::string &response, const std::string &path)
+{
+    Fixture fixture;
+    fixture.configure();
+    fixture.listServers(false);
+    fixture.first.add({{response}, true});
+    fixture.request(path, "r1");
+    fixture.awaitResponse("\r\n\r\n");
+    fixture.runUntil([&] { return fixture.passThrough().activeRequests() == 0; },
+                     "the request ends");
+    fixture.context().poll();
+    return fixture.received;
+}
+
+void expectBroken(const std::string &response)
+{
+    const std::string text = received(response, "/once/");
+    cr_expect(text.starts_with("HTTP/1.1 502"), "%s\nto:\n%s", text.c_str(), response.c_str());
+}
+
+void expectPassedOn(const std::string &response, const std::string &statusLine)
+{
+    const std::string text = received(response, "/once/");
+    cr_expect(text.starts_with(statusLine), "%s\nto:\n%s", text.c_str(), response.c_str());
+}
+
+/// What a call to the store or to another daemon returns.
+CallResult call(const std::string &response)
+{
+    asio::io_context context;
+    ScriptedServer server(context);
+    server.add({{response}, true});
+    HttpCaller caller(context, server.endpoint(), "x.example");
+    std::optional<CallResult> result;
+    caller.call("GET",
+                "/",
+                {},
+                {.timeout = guardTime, .responseBytes = Base::Bytes(1000)},
+                [&](CallResult each) { result = std::move(each); });
+    while (!result) {
+        context.run_one();
+    }
+    return *result;
+}
+
+} // namespace
+
+/// Guards against a response whose status is no number of three digits from 100 to 599, and against
+/// the body of one that its caller gets as the response (MIXED).
+Test(malformedresponses, aResponseWithoutAStatusIsBroken)
+{
+    for (const char *status :
+         {"000",     "000 ",    "000 OK",  "001 OK", "009 OK", "099 OK", "0 OK",    "2 OK",
+          "20 OK",   "0200 OK", "2000 OK", "600 OK", "777 OK", "999 OK", "1000 OK", "-20 OK",
+          "+200 OK", "2e2 OK",  "20x OK",  "OK",     "",       "200OK",  "20 0 OK", "200\tOK"}) {
+        expectBroken(statusResponse(status, "hello"));
+        expectBroken(statusResponse(status, inner));
+    }
+    for (const char *line : {"HTTQ/1.1 200 OK", "HTTP 200 OK", "HTTP/11 200 OK", "200 OK"}) {
+        expectBroken(std::string(line) + "\r\n" + named + plainEnd);
+    }
+}
+
+/// Guards against a check that breaks the responses of sound servers.
+Test(malformedresponses, aResponseWithAnyValidStatusIsPassedOn)
+{
+    for (const char *status : {"200 OK",
+                               "200 ",
+                               "200",
+                               "200 \xe9t\xe9",
+                               "201 Created",
+                               "299 Odd",
+                               "302 Found",
+                               "400 Bad Request",
+                               "418 Teapot",
+                               "451 Law",
+                               "499 Odd",
+                               "500 No",
+                               "599 Odd"}) {
+        const std::string line = std::string("HTTP/1.1 ").append(status).substr(0, 12);
+        expectPassedOn(statusResponse(status, "hello"), line);
+    }
+    expectPassedOn("HTTP/1.0 200 OK\r\n" + named + "\r\nhello", "HTTP/1.1 200 OK");
+}
+
+/// Guards against the same on a connection that had a request before.
+Test(malformedresponses, aMalformedResponseOnAKeptConnectionIsBroken)
+{
+    for (const std::string &response : {statusResponse("000", inner)}) {
+        Fixture fixture;
+        fixture.configure();
+        fixture.listServers(false);
+        fixture.first.add({{okResponse, response}});
+        fixture.request("/once/", "r1");
+        fixture.awaitResponse("hello");
+        fixture.received.clear();
+        fixture.request("/once/", "r2");
+        fixture.awaitResponse("\r\n\r\n");
+        cr_expect(fixture.received.starts_with("HTTP/1.1 502"), "%s", fixture.received.c_str());
+        cr_expect_eq(fixture.first.connectionCount(), 1);
+    }
+}
+
+/// Guards against a malformed response after which a request that may be repeated is not.
+Test(malformedresponses, anIdempotentRequestIsRepeatedAfterAMalformedResponse)
+{
+    for (const std::string &response :
+         {statusResponse("000", inner), statusResponse("600 Odd", "hello")}) {
+        Fixture fixture;
+        fixture.configure();
+        fixture.listSecondElsewhere();
+        fixture.first.add({{response}});
+        fixture.second.add({{statusResponse("200 OK", "second")}});
+        fixture.request("/safe/", "r1");
+        fixture.awaitResponse("second");
+        cr_expect_eq(requestCount(fixture), 2U);
+    }
+}
+
+/// Guards against a refusal that says that a request was not run, on the word of a response that
+/// cannot be read.
+Test(malformedresponses, aMalformedRefusalIsNoPromise)
+{
+    for (const std::string &response :
+         {"HTTP/1.1 000 Busy\r\n" + named + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 603 Busy\r\n" + named + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"}) {
+        expectBroken(response);
+    }
+}
+
+/// Guards against a malformed answer of the store, or of another daemon, that counts as one.
+Test(malformedresponses, aCallWithAMalformedResponseHasNone)
+{
+    for (const std::string &response :
+         {statusResponse("000", inner), statusResponse("600 Odd", "hello")}) {
+        const CallResult result = call(response);
+        cr_expect_eq(result.status, 0, "%s", response.c_str());
+        cr_expect(result.body.empty() && !result.problem.empty() && !result.isNotSent);
+    }
+    cr_expect_eq(call(statusResponse("599 Odd", "hello")).body, "hello");
+}
