An interim response with a body is broken

What callers saw: a server sent an interim response (100, 102, 103, 199) with a length or chunks, and its body was a response itself. The caller got that one as the response to its request.

Cause: interim responses have no body (RFC 9110, section 8.6, and RFC 9112, section 6.1, forbid both fields in them), so the parser ended them with their head, whatever the head said. What followed was the start of the next response.

Change: MessageParser rejects interim responses that announce a body. A length of 0, which some servers write, is accepted.

--- a/src/libs/proxy/messageparser.cpp
+++ b/src/libs/proxy/messageparser.cpp
@@ -350,6 +350,11 @@
     if (d.state_ == ParseState::Failed) {
         return -1;
     }
+    const bool isInterim = d.kind_ == Kind::Response && d.response_.status < 200;
+    if (isInterim && (isChunked || (hasLength && parser->content_length > 0))) {
+        d.fail(ParseError::Malformed, "interim response with a body");
+        return -1;
+    }
     const bool hasConnectMethod = d.kind_ == Kind::Request && parser->method == HTTP_CONNECT;
     if (hasConnectMethod) {
         d.fail(ParseError::Malformed, "method CONNECT is not supported");
--- a/tests/libs/proxy/tst_malformedresponses.cpp
+++ b/tests/libs/proxy/tst_malformedresponses.cpp
@@ -78,6 +78,21 @@
     }
 }
 
+/// Guards against the body of an interim response, which has none, that its caller gets as the
+/// response.
+Test(malformedresponses, anInterimResponseWithABodyIsBroken)
+{
+    for (const char *status : {"100 Continue", "102 Processing", "103 Early Hints", "199 Odd"}) {
+        const std::string head = std::string("HTTP/1.1 ") + status + "\r\n";
+        const std::string size = std::to_string(inner.size());
+        expectBroken(head + "Content-Length: " + size + "\r\n\r\n" + inner);
+        expectBroken(head + "Transfer-Encoding: chunked\r\n\r\n" + inner);
+        expectPassedOn(head + "\r\n" + inner, "HTTP/1.1 200 OK\r\n");
+        expectPassedOn(head + "Content-Length: 0\r\n\r\n" + inner, "HTTP/1.1 200 OK\r\n");
+    }
+    expectBroken("HTTP/1.1 101 Switching Protocols\r\n\r\n" + inner);
+}
+
 /// Guards against a check that breaks the responses of sound servers.
 Test(malformedresponses, aResponseWithAnyValidStatusIsPassedOn)
 {
