A trailer with a malformed field breaks its response

What callers saw: a server sent a chunked response with a blank in the name of a trailer field (also before the colon, a folded line, or a line that ends with a line feed only). The caller got the response as whole. In heads, all of these were broken already; so were control and other characters that no name may hold, and control characters in values, in heads and in trailers.

Cause: http_parser, as packaged, is built without its strict checks and takes blanks in names. MessageParser checked the lines of heads itself, but not those of trailers, which the library read alone.

Change: the lines of trailers are collected (within the limit on chunk framing) and checked like those of heads, with Base::fieldLineProblem(). It knows the characters of names by itself, so that it does not depend on how the library was built.

--- a/src/libs/base/httpsyntax.cpp
+++ b/src/libs/base/httpsyntax.cpp
@@ -11,6 +11,20 @@
     return c >= '0' && c <= '9';
 }
 
+/// A character of a token (RFC 9110, section 5.6.2).
+bool isTokenCharacter(char c)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    const bool isLetter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    return isLetter || isDigit(c) || marks.find(c) != std::string_view::npos;
+}
+
+bool isControlCharacter(char c)
+{
+    const auto byte = static_cast<unsigned char>(c);
+    return (byte < 0x20 && c != '\t') || byte == 0x7f;
+}
+
 /// "HTTP/" and two digits with a dot between them.
 bool isVersion(std::string_view text)
 {
@@ -32,4 +46,22 @@
     return (code[0] - '0') * 100 + (code[1] - '0') * 10 + (code[2] - '0');
 }
 
+std::string_view fieldLineProblem(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return "header line without a colon";
+    }
+    const std::string_view name = line.substr(0, colon);
+    if (name.empty() || !std::all_of(name.begin(), name.end(), isTokenCharacter)) {
+        return "invalid header name";
+    }
+    return hasControlCharacters(line.substr(colon)) ? "control character in a header value" : "";
+}
+
+bool hasControlCharacters(std::string_view line)
+{
+    return std::any_of(line.begin(), line.end(), isControlCharacter);
+}
+
 } // namespace Base
--- a/src/libs/base/httpsyntax.h
+++ b/src/libs/base/httpsyntax.h
@@ -12,4 +12,10 @@
 /// codes are from 100 to 599 (RFC 9110, section 15).
 std::optional<int> parseStatusLine(std::string_view line);
 
+/// Describes the first error in a header field or trailer; empty if it is valid.
+std::string_view fieldLineProblem(std::string_view line);
+
+/// Whether the line has control characters other than tabs.
+bool hasControlCharacters(std::string_view line);
+
 } // namespace Base
--- a/src/libs/proxy/messageparser.cpp
+++ b/src/libs/proxy/messageparser.cpp
@@ -29,44 +29,23 @@
 constexpr std::size_t framingBytesPerChunk = 16;
 constexpr std::uint64_t framingBytesPerDataByte = 2;
 
-/// Describes the first error in a head; empty if the head is valid.
-std::string_view headProblem(std::string_view head)
-{
-    bool isLineStart = true;
-    bool isFirstLine = true;
-    bool isInName = false;
-    for (std::size_t i = 0; i < head.size(); ++i) {
-        const char c = head[i];
-        if (c == '\r') {
-            if (i + 1 >= head.size() || head[i + 1] != '\n') {
-                return "carriage return without line feed in the head";
+/// Describes the first error in the lines of a head or of trailers; empty if they are valid.
+std::string_view linesProblem(std::string_view lines, bool hasStartLine)
+{
+    bool isStartLine = hasStartLine;
+    while (!lines.empty()) {
+        const std::size_t end = std::min(lines.find(lineEnd), lines.size());
+        const std::string_view line = lines.substr(0, end);
+        lines.remove_prefix(std::min(end + lineEnd.size(), lines.size()));
+        if (std::exchange(isStartLine, false)) {
+            if (Base::hasControlCharacters(line)) {
+                return "control character in the start line";
             }
-            ++i;
-            isLineStart = true;
-            isFirstLine = false;
-            continue;
-        }
-        if (c == '\n') {
-            return "line feed without carriage return in the head";
-        }
-        const auto byte = static_cast<unsigned char>(c);
-        if ((byte < 0x20 && c != '\t') || byte == 0x7f) {
-            return "control character in the head";
-        }
-        const bool isBlank = c == ' ' || c == '\t';
-        if (isLineStart && !isFirstLine) {
-            if (isBlank) {
-                return "folded header line";
+        } else if (!line.empty()) {
+            if (const auto problem = Base::fieldLineProblem(line); !problem.empty()) {
+                return problem;
             }
-            isInName = true;
         }
-        if (isInName && isBlank) {
-            return "blank in a header name";
-        }
-        if (isInName && c == ':') {
-            isInName = false;
-        }
-        isLineStart = false;
     }
     return {};
 }
@@ -134,6 +113,8 @@
     std::size_t emptyLineBytes_ = 0;
     /// Bytes of a chunked body that are no data, beyond those that its chunks allow.
     std::size_t framingBytes_ = 0;
+    /// What was read between the data of two chunks, or behind that of the last one.
+    std::string framingText_;
     bool hasNoBody_ = false;
     bool isValueOpen_ = false;
 
@@ -153,6 +134,7 @@
     // An assignment alone would keep the buffers.
     static_cast<void>(std::exchange(head_, {}));
     static_cast<void>(std::exchange(request_, {}));
+    static_cast<void>(std::exchange(framingText_, {}));
     response_ = {};
     framing_ = {};
     body_.clear();
@@ -208,7 +190,7 @@
 
 void MessageParser::Private::parseHead(const std::string &head)
 {
-    if (const std::string_view problem = headProblem(head); !problem.empty()) {
+    if (const std::string_view problem = linesProblem(head, true); !problem.empty()) {
         fail(ParseError::Malformed, std::string(problem));
         return;
     }
@@ -243,10 +225,18 @@
     if (framing_.kind != BodyFraming::Chunked || state_ == ParseState::Failed) {
         return used;
     }
-    framingBytes_ += used - (bodySize_ - sizeBefore);
+    // Data comes first, as the library stopped after the head of its chunk.
+    const std::string_view framing = bytes.substr(0, used).substr(bodySize_ - sizeBefore);
+    framingText_ += framing;
+    framingBytes_ += framing.size();
     if (framingBytes_ > maxFramingBytes) {
         fail(ParseError::Malformed, "chunk extensions or trailers exceed the limit");
-    } else if (state_ == ParseState::Body && parser_.http_errno == HPE_PAUSED) {
+    } else if (state_ == ParseState::Complete) {
+        if (const auto problem = linesProblem(framingText_, false); !problem.empty()) {
+            fail(ParseError::Malformed, std::string(problem));
+        }
+    } else if (parser_.http_errno == HPE_PAUSED) {
+        framingText_.clear();
         allowFraming(parser_.content_length);
     }
     return used;
--- a/tests/libs/proxy/tst_malformedresponses.cpp
+++ b/tests/libs/proxy/tst_malformedresponses.cpp
@@ -7,6 +7,39 @@
 const std::string named = "Request-Id: {id}\r\nProof: p\r\n";
 const std::string inner = "HTTP/1.1 200 OK\r\n" + named + "Content-Length: 5\r\n\r\ninner";
 const std::string plainEnd = "Content-Length: 5\r\n\r\nhello";
+const std::string chunkedHead
+    = "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n";
+
+/// A head or trailer in which a field line is wrong.
+const std::vector<std::string> malformedLines{"X Y: v",
+                                              "X\tY: v",
+                                              "X\x01Y: v",
+                                              std::string("X\0Y: v", 6),
+                                              "X\x0bY: v",
+                                              "X\x7fY: v",
+                                              "X\x80Y: v",
+                                              "X\"Y: v",
+                                              "X(Y): v",
+                                              "X/Y: v",
+                                              "X : v",
+                                              " X: v",
+                                              "X: v\r\n folded",
+                                              "no colon",
+                                              ": v",
+                                              "X: v\x01",
+                                              std::string("X: \0v", 5),
+                                              "X: v\x7f",
+                                              "X: v\nY: w",
+                                              "X: v\rY: w"};
+
+const std::vector<std::string> soundLines{"X-Y: v",
+                                          "!#$%&'*+-.^_`|~09azAZ: v",
+                                          "X:",
+                                          "X:v",
+                                          "X: \t v \t",
+                                          "X: a\tb",
+                                          "X: \xe9\xff",
+                                          "X: \"(a)\", b:c"};
 
 std::string statusResponse(const std::string &status, const std::string &body)
 {
@@ -14,6 +47,21 @@
            + "\r\n\r\n" + body;
 }
 
+std::string headWith(const std::string &line)
+{
+    return "HTTP/1.1 200 OK\r\n" + named + line + "\r\n" + plainEnd;
+}
+
+std::string trailersWith(const std::string &line)
+{
+    return chunkedHead + line + "\r\n\r\n";
+}
+
+std::string streamWithTrailer(const std::string &line)
+{
+    return streamHead + chunk(event(1)) + "0\r\n" + line + "\r\n\r\n";
+}
+
 /// What the caller of a server gets that sends the response.
 std::string received(const std::string &response, const std::string &path)
 {
@@ -115,10 +163,39 @@
     expectPassedOn("HTTP/1.0 200 OK\r\n" + named + "\r\nhello", "HTTP/1.1 200 OK");
 }
 
+/// Guards against a head with a field that is none and that its caller gets, or whose body is read
+/// in another way than the server sent it.
+Test(malformedresponses, aHeadWithAMalformedFieldIsBroken)
+{
+    for (const std::string &line : malformedLines) {
+        expectBroken(headWith(line));
+    }
+    expectBroken("HTTP/1.1 200 OK\r\n" + named + "Content-Length : 5\r\n\r\nhello");
+    for (const std::string &line : soundLines) {
+        expectPassedOn(headWith(line), "HTTP/1.1 200 OK");
+    }
+}
+
+/// Guards against the same behind a chunked body.
+Test(malformedresponses, aTrailerWithAMalformedFieldIsBroken)
+{
+    for (const std::string &line : malformedLines) {
+        expectBroken(trailersWith(line));
+        const std::string stream = received(streamWithTrailer(line), "/stream/");
+        cr_expect(!stream.ends_with("0\r\n\r\n"), "%s\nafter:\n%s", stream.c_str(), line.c_str());
+    }
+    for (const std::string &line : soundLines) {
+        expectPassedOn(trailersWith(line), "HTTP/1.1 200 OK");
+        const std::string stream = received(streamWithTrailer(line), "/stream/");
+        cr_expect(stream.ends_with(chunk(event(1)) + "0\r\n\r\n"), "%s", stream.c_str());
+    }
+}
+
 /// Guards against the same on a connection that had a request before.
 Test(malformedresponses, aMalformedResponseOnAKeptConnectionIsBroken)
 {
-    for (const std::string &response : {statusResponse("000", inner)}) {
+    for (const std::string &response :
+         {statusResponse("000", inner), headWith("X Y: v"), trailersWith("X Y: v")}) {
         Fixture fixture;
         fixture.configure();
         fixture.listServers(false);
@@ -136,8 +213,10 @@
 /// Guards against a malformed response after which a request that may be repeated is not.
 Test(malformedresponses, anIdempotentRequestIsRepeatedAfterAMalformedResponse)
 {
-    for (const std::string &response :
-         {statusResponse("000", inner), statusResponse("600 Odd", "hello")}) {
+    for (const std::string &response : {statusResponse("000", inner),
+                                        statusResponse("600 Odd", "hello"),
+                                        headWith("X Y: v"),
+                                        trailersWith("X Y: v")}) {
         Fixture fixture;
         fixture.configure();
         fixture.listSecondElsewhere();
@@ -155,7 +234,8 @@
 {
     for (const std::string &response :
          {"HTTP/1.1 000 Busy\r\n" + named + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
-          "HTTP/1.1 603 Busy\r\n" + named + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"}) {
+          "HTTP/1.1 603 Busy\r\n" + named + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 503 Busy\r\n" + named + "Not-Run: 1\r\nX Y: v\r\nContent-Length: 0\r\n\r\n"}) {
         expectBroken(response);
     }
 }
@@ -163,11 +243,14 @@
 /// Guards against a malformed answer of the store, or of another daemon, that counts as one.
 Test(malformedresponses, aCallWithAMalformedResponseHasNone)
 {
-    for (const std::string &response :
-         {statusResponse("000", inner), statusResponse("600 Odd", "hello")}) {
+    for (const std::string &response : {statusResponse("000", inner),
+                                        statusResponse("600 Odd", "hello"),
+                                        headWith("X Y: v"),
+                                        trailersWith("X Y: v")}) {
         const CallResult result = call(response);
         cr_expect_eq(result.status, 0, "%s", response.c_str());
         cr_expect(result.body.empty() && !result.problem.empty() && !result.isNotSent);
     }
-    cr_expect_eq(call(statusResponse("599 Odd", "hello")).body, "hello");
+    cr_expect_eq(call(headWith("X-Y: v")).body, "hello");
+    cr_expect_eq(call(trailersWith("X-Y: v")).body, "hello");
 }
--- a/tests/libs/proxy/tst_messageparser.cpp
+++ b/tests/libs/proxy/tst_messageparser.cpp
@@ -188,6 +188,35 @@
                  ParseState::Complete);
 }
 
+/// Guards against bytes in fields that no field may hold, or that two hops read differently.
+Test(messageparser, rejectsEachByteThatNoFieldMayHold)
+{
+    const std::string tokenMarks = "!#$%&'*+-.^_`|~";
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+    const std::string body = "\r\n1\r\nx\r\n0\r\n";
+    for (int byte = 0; byte < 256; ++byte) {
+        const auto c = static_cast<char>(byte);
+        const bool isToken
+            = byte < 128 && (std::isalnum(byte) || tokenMarks.find(c) != tokenMarks.npos);
+        const bool isControl = (byte < 0x20 && c != '\t') || byte == 0x7f;
+        const std::string name = std::string("A") + c + "B: v\r\n";
+        const std::string value = std::string("A: v") + c + "w\r\n";
+        for (const std::size_t piece : {std::size_t(1), std::size_t(1000)}) {
+            for (const bool isTrailer : {false, true}) {
+                const auto stateWith = [&](const std::string &line) {
+                    const std::string text
+                        = isTrailer ? head + body + line + "\r\n" : head + line + body + "\r\n";
+                    return parse(response, text, piece).state;
+                };
+                const bool isNameAccepted = stateWith(name) == ParseState::Complete;
+                cr_expect_eq(isNameAccepted, isToken || c == ':', "byte %d in a name", byte);
+                const bool isValueAccepted = stateWith(value) == ParseState::Complete;
+                cr_expect_eq(isValueAccepted, !isControl, "byte %d in a value", byte);
+            }
+        }
+    }
+}
+
 Test(messageparser, detectsTruncatedResponses)
 {
     MessageParser whole(response);
