Chunks must end with their line ends

What callers saw: a server sent a chunked body whose chunks did not fit their sizes, such as five bytes of data and two other bytes where the line end belongs. The caller got the body as whole. The same in requests of callers.

Cause: as for trailers, http_parser is built without its strict checks, and then takes any two bytes for the line end behind the data of a chunk, any byte for the second one behind its size, and control characters in extensions.

Change: MessageParser checks what it reads between the data of two chunks: the line end of the chunk before, and a line without control characters.

--- a/src/libs/proxy/messageparser.cpp
+++ b/src/libs/proxy/messageparser.cpp
@@ -50,6 +50,23 @@
     return {};
 }
 
+/// Describes the first error in what comes before the data of a chunk; empty if it is valid. The
+/// library accepts any bytes in the place of line ends.
+std::string_view chunkFramingProblem(std::string_view framing, bool isAfterData)
+{
+    if (isAfterData) {
+        if (!framing.starts_with(lineEnd)) {
+            return "chunk without a line end";
+        }
+        framing.remove_prefix(lineEnd.size());
+    }
+    if (!framing.ends_with(lineEnd)) {
+        return "chunk size without a line end";
+    }
+    framing.remove_suffix(lineEnd.size());
+    return Base::hasControlCharacters(framing) ? "control character in a chunk extension" : "";
+}
+
 /// Responses of the other statuses end with their head, whatever it says about a body (RFC 9112,
 /// section 6.3).
 bool hasBodyByStatus(int status)
@@ -83,6 +100,7 @@
     void parseHead(const std::string &head);
     std::size_t execute(std::string_view bytes);
     std::size_t executeBody(std::string_view bytes);
+    void endFraming(std::string_view problem);
     void allowFraming(std::uint64_t dataBytes);
     void fail(ParseError error, std::string problem);
     void checkFraming();
@@ -115,6 +133,8 @@
     std::size_t framingBytes_ = 0;
     /// What was read between the data of two chunks, or behind that of the last one.
     std::string framingText_;
+    /// framingText_ begins with the end of a chunk.
+    bool isAfterData_ = false;
     bool hasNoBody_ = false;
     bool isValueOpen_ = false;
 
@@ -141,6 +161,7 @@
     bodySize_ = 0;
     emptyLineBytes_ = 0;
     framingBytes_ = 0;
+    isAfterData_ = false;
     hasNoBody_ = false;
     isValueOpen_ = false;
 }
@@ -232,16 +253,24 @@
     if (framingBytes_ > maxFramingBytes) {
         fail(ParseError::Malformed, "chunk extensions or trailers exceed the limit");
     } else if (state_ == ParseState::Complete) {
-        if (const auto problem = linesProblem(framingText_, false); !problem.empty()) {
-            fail(ParseError::Malformed, std::string(problem));
-        }
+        endFraming(linesProblem(framingText_, false));
     } else if (parser_.http_errno == HPE_PAUSED) {
-        framingText_.clear();
+        endFraming(chunkFramingProblem(framingText_, isAfterData_));
+        isAfterData_ = parser_.content_length > 0;
         allowFraming(parser_.content_length);
     }
     return used;
 }
 
+/// Ends what framingText_ has collected.
+void MessageParser::Private::endFraming(std::string_view problem)
+{
+    if (!problem.empty()) {
+        fail(ParseError::Malformed, std::string(problem));
+    }
+    framingText_.clear();
+}
+
 void MessageParser::Private::allowFraming(std::uint64_t dataBytes)
 {
     const std::uint64_t data = std::min<std::uint64_t>(dataBytes, maxFramingBytes);
--- a/tests/libs/proxy/tst_messageparser.cpp
+++ b/tests/libs/proxy/tst_messageparser.cpp
@@ -217,6 +217,40 @@
     }
 }
 
+/// Guards against a chunked body whose parts do not fit together and that is read as a whole one.
+Test(messageparser, rejectsChunksThatDoNotEndWhereTheyShould)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string chunks : {"5\r\nhelloXX0\r\n\r\n",
+                                     "5\r\nhello\rX0\r\n\r\n",
+                                     "5\r\nhelloX\n0\r\n\r\n",
+                                     "5\r\nhello\n0\r\n\r\n",
+                                     "5\rXhello\r\n0\r\n\r\n",
+                                     "5\nhello\r\n0\r\n\r\n",
+                                     "5;a\nb\r\nhello\r\n0\r\n\r\n",
+                                     "5;a\x01\r\nhello\r\n0\r\n\r\n",
+                                     "5\r\nhello\r\n0\rX\r\n",
+                                     "5\r\nhello\r\n0\r\n\rX",
+                                     "5\r\nhello\r\n0\r\n\n"}) {
+        for (const std::size_t piece : {std::size_t(1), std::size_t(1000)}) {
+            cr_expect_neq(parse(response, head + chunks, piece).state,
+                          ParseState::Complete,
+                          "accepted: %s",
+                          chunks.c_str());
+        }
+    }
+    for (const std::string chunks : {"5\r\nhello\r\n0\r\n\r\n",
+                                     "5 \r\nhello\r\n0\r\n\r\n",
+                                     "005;a=\"b c\";d\r\nhello\r\n000\r\n\r\n",
+                                     "2\r\nhe\r\n3\r\nllo\r\n0;x\r\nA: b\r\n\r\n"}) {
+        for (const std::size_t piece : {std::size_t(1), std::size_t(1000)}) {
+            const Parsed parsed = parse(response, head + chunks, piece);
+            cr_expect_eq(parsed.state, ParseState::Complete, "rejected: %s", chunks.c_str());
+            cr_expect_eq(parsed.body, "hello");
+        }
+    }
+}
+
 Test(messageparser, detectsTruncatedResponses)
 {
     MessageParser whole(response);
