marjoramd: a response without a valid status is broken

What callers saw: a server's response with the status 600 to 999, "200OK" or "200<tab>OK" was passed on as a response of a service. A probe with such a status counted as healthy ("200OK" had the status 0). A response 101 was a final one.

Cause: libcurl takes these status lines, and HttpTransfer read the number from the line as far as it had digits. Status 000 and others with no three digits were refused by libcurl already.

Change: HttpTransfer reads status lines with Base::parseStatusLine(), like the proxy, expects one only where a head begins, and rejects 101, as no request asks for it. The exchange is broken, and the request may have run.

--- a/src/libs/backends/httptransfer.cpp
+++ b/src/libs/backends/httptransfer.cpp
@@ -1,6 +1,6 @@
 #include "httptransfer.h"
 
-#include <charconv>
+#include <base/httpsyntax.h>
 
 namespace Backends {
 
@@ -26,17 +26,6 @@
     return text.substr(first, text.find_last_not_of(blanks) - first + 1);
 }
 
-int statusOf(std::string_view statusLine)
-{
-    const std::size_t blank = statusLine.find(' ');
-    int status = 0;
-    if (blank != std::string_view::npos) {
-        const char *first = statusLine.data() + blank + 1;
-        std::from_chars(first, statusLine.data() + statusLine.size(), status);
-    }
-    return status;
-}
-
 /// Rejects line breaks, with which a caller could inject headers.
 bool isSafe(const HttpHeader &header)
 {
@@ -50,6 +39,13 @@
     return status >= 200;
 }
 
+std::string_view withoutLineEnd(std::string_view line)
+{
+    line.remove_suffix(line.ends_with('\n') ? 1 : 0);
+    line.remove_suffix(line.ends_with('\r') ? 1 : 0);
+    return line;
+}
+
 } // namespace
 
 HttpTransfer::HttpTransfer(HttpRequestId id, HttpRequest request, HttpHandlers handlers)
@@ -172,9 +168,9 @@
     }
     outcome.message = errorText_[0] != 0 ? errorText_ : curl_easy_strerror(code);
     outcome.end = brokenAs;
-    if (!excess_.empty()) {
+    if (!problem_.empty()) {
         outcome.end = HttpEnd::Broken;
-        outcome.message = excess_;
+        outcome.message = problem_;
     } else if (brokenAs == HttpEnd::Cancelled || isStopped_) {
         outcome.end = HttpEnd::Cancelled;
         outcome.message = "cancelled";
@@ -200,7 +196,7 @@
     if (limit == 0 || received <= limit) {
         return false;
     }
-    excess_ = std::string(part) + " of the response exceeds " + std::to_string(limit) + " bytes";
+    problem_ = std::string(part) + " of the response exceeds " + std::to_string(limit) + " bytes";
     return true;
 }
 
@@ -210,27 +206,46 @@
     if (exceeds(headBytes_, line.size(), maxHeadBytes, "head")) {
         return 0;
     }
-    if (line.starts_with("HTTP/")) {
-        head_ = {statusOf(line), {}};
-        return line.size();
+    problem_ = handleLine(withoutLineEnd(line));
+    return problem_.empty() ? line.size() : 0;
+}
+
+/// Returns the problem, or an empty text.
+std::string_view HttpTransfer::handleLine(std::string_view line)
+{
+    if (isHeadDelivered_) {
+        return {}; // trailers are dropped
+    }
+    if (!isInHead_) {
+        const auto status = Base::parseStatusLine(line);
+        isInHead_ = true;
+        head_ = {status.value_or(0), {}};
+        return !status || Base::hasControlCharacters(line) ? "invalid status line" : "";
     }
-    const std::string_view text = trimmed(line);
-    if (text.empty()) {
-        // End of the headers. Those of interim responses (1xx) are ignored.
-        if (isFinalStatus(head_.status) && !isHeadDelivered_) {
-            isHeadDelivered_ = true;
-            if (handlers_.onHeaders) {
-                handlers_.onHeaders(head_);
-            }
-        }
-        return line.size();
+    if (line.empty()) {
+        return handleHeadEnd();
     }
-    const std::size_t colon = text.find(':');
+    const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
-        head_.headers.push_back({std::string(trimmed(text.substr(0, colon))),
-                                 std::string(trimmed(text.substr(colon + 1)))});
+        head_.headers.push_back({std::string(trimmed(line.substr(0, colon))),
+                                 std::string(trimmed(line.substr(colon + 1)))});
+    }
+    return {};
+}
+
+/// Interim responses (1xx) are ignored. Returns the problem, or an empty text.
+std::string_view HttpTransfer::handleHeadEnd()
+{
+    constexpr int switchingProtocols = 101;
+    isInHead_ = false;
+    if (isFinalStatus(head_.status)) {
+        isHeadDelivered_ = true;
+        if (handlers_.onHeaders) {
+            handlers_.onHeaders(head_);
+        }
+        return {};
     }
-    return line.size();
+    return head_.status == switchingProtocols ? "unexpected switch of protocols (status 101)" : "";
 }
 
 std::size_t HttpTransfer::handleData(std::string_view data)
--- a/src/libs/backends/httptransfer.h
+++ b/src/libs/backends/httptransfer.h
@@ -38,6 +38,8 @@
 
     bool exceeds(std::size_t &received, std::size_t more, std::size_t limit, const char *part);
     std::size_t handleHeaderLine(std::string_view line);
+    std::string_view handleLine(std::string_view line);
+    std::string_view handleHeadEnd();
     std::size_t handleData(std::string_view data);
     int beforeSending();
 
@@ -51,6 +53,7 @@
     CURL *easy_;
     curl_slist *headerList_ = nullptr;
     HttpReplyHead head_;
+    bool isInHead_ = false;
     bool isHeadDelivered_ = false;
     bool isPaused_ = false;
     bool isStopped_ = false;
@@ -59,8 +62,8 @@
     /// Bytes of all heads, also of interim responses and trailers.
     std::size_t headBytes_ = 0;
     std::size_t bodyBytes_ = 0;
-    /// Set if the response exceeds a limit.
-    std::string excess_;
+    /// Why the response is rejected.
+    std::string problem_;
     Clock::time_point lastActivity_ = Clock::now();
     char errorText_[CURL_ERROR_SIZE] = {};
 };
