marjoramd: an interim response with a body is broken

What callers saw: as in the proxy, the body of a response 100 or 103 that was a response itself was taken as the response.

Cause: libcurl reads no body of interim responses, whatever they announce, and goes on with the next head.

Change: HttpTransfer rejects interim responses with a length other than 0 or with a transfer coding.

--- a/src/libs/backends/httptransfer.cpp
+++ b/src/libs/backends/httptransfer.cpp
@@ -2,6 +2,9 @@
 
 #include <base/httpsyntax.h>
 
+#include <algorithm>
+#include <cctype>
+
 namespace Backends {
 
 namespace {
@@ -46,6 +49,23 @@
     return line;
 }
 
+bool isNamed(const HttpHeader &header, std::string_view lowerCaseName)
+{
+    const auto isSame
+        = [](char a, char b) { return std::tolower(static_cast<unsigned char>(a)) == b; };
+    return std::equal(
+        header.name.begin(), header.name.end(), lowerCaseName.begin(), lowerCaseName.end(), isSame);
+}
+
+/// Whether the fields announce a body.
+bool hasBody(const std::vector<HttpHeader> &headers)
+{
+    return std::any_of(headers.begin(), headers.end(), [](const HttpHeader &header) {
+        return isNamed(header, "transfer-encoding")
+               || (isNamed(header, "content-length") && header.value != "0");
+    });
+}
+
 } // namespace
 
 HttpTransfer::HttpTransfer(HttpRequestId id, HttpRequest request, HttpHandlers handlers)
@@ -245,7 +265,10 @@
         }
         return {};
     }
-    return head_.status == switchingProtocols ? "unexpected switch of protocols (status 101)" : "";
+    if (head_.status == switchingProtocols) {
+        return "unexpected switch of protocols (status 101)";
+    }
+    return hasBody(head_.headers) ? "interim response with a body" : "";
 }
 
 std::size_t HttpTransfer::handleData(std::string_view data)
--- a/tests/libs/backends/tst_brokenresponses.cpp
+++ b/tests/libs/backends/tst_brokenresponses.cpp
@@ -189,12 +189,25 @@
     for (const char *line : {"HTTQ/1.1 200 OK", "HTTP 200 OK", "HTTP/11 200 OK", "200 OK"}) {
         expectBroken(std::string(line) + "\r\nContent-Length: 5\r\n\r\nhello");
     }
-    expectBroken("HTTP/1.1 101 Switching Protocols\r\n\r\n" + framed);
     for (const char *status : {"200 OK", "200 ", "200", "299 Odd", "418 Teapot", "599 Odd"}) {
         expectComplete(statusResponse(status, "hello"), std::atoi(status));
     }
 }
 
+/// Guards against the body of an interim response, which has none, that counts as the response.
+Test(brokenresponses, anInterimResponseWithABodyIsBroken)
+{
+    for (const char *status : {"100 Continue", "103 Early Hints"}) {
+        const std::string head = std::string("HTTP/1.1 ") + status + "\r\n";
+        const std::string size = std::to_string(framed.size());
+        expectBroken(head + "Content-Length: " + size + "\r\n\r\n" + framed);
+        expectBroken(head + "Transfer-Encoding: chunked\r\n\r\n" + framed);
+        expectComplete(head + "\r\n" + framed, 200);
+        expectComplete(head + "Content-Length: 0\r\n\r\n" + framed, 200);
+    }
+    expectBroken("HTTP/1.1 101 Switching Protocols\r\n\r\n" + framed);
+}
+
 /// Guards against a malformed response that a caller of a service gets.
 Test(brokenresponses, aMalformedResponseOfAServiceIsAnError)
 {
