marjoramd: a head or trailer with a malformed field breaks its response

What callers saw: a response in whose head or trailers the name of a field held a blank, a control or another character that no name may hold, was passed on, with a name from which blanks were trimmed ("Content-Length : 5" was a length); so were control characters in values.

Cause: libcurl checks little of the lines that it does not interpret, and HttpTransfer took what stood before the first colon. It dropped trailers unchecked; one that began with "HTTP/" replaced the status of the response.

Change: HttpTransfer checks each line with Base::fieldLineProblem(), like the proxy.

--- a/src/libs/backends/httptransfer.cpp
+++ b/src/libs/backends/httptransfer.cpp
@@ -234,7 +234,7 @@
 std::string_view HttpTransfer::handleLine(std::string_view line)
 {
     if (isHeadDelivered_) {
-        return {}; // trailers are dropped
+        return line.empty() ? "" : Base::fieldLineProblem(line); // of a trailer, which is dropped
     }
     if (!isInHead_) {
         const auto status = Base::parseStatusLine(line);
@@ -245,11 +245,12 @@
     if (line.empty()) {
         return handleHeadEnd();
     }
-    const std::size_t colon = line.find(':');
-    if (colon != std::string_view::npos) {
-        head_.headers.push_back({std::string(trimmed(line.substr(0, colon))),
-                                 std::string(trimmed(line.substr(colon + 1)))});
+    if (const auto problem = Base::fieldLineProblem(line); !problem.empty()) {
+        return problem;
     }
+    const std::size_t colon = line.find(':');
+    head_.headers.push_back(
+        {std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1)))});
     return {};
 }
 
--- a/tests/libs/backends/tst_brokenresponses.cpp
+++ b/tests/libs/backends/tst_brokenresponses.cpp
@@ -148,6 +148,27 @@
            + body;
 }
 
+const std::vector<std::string> malformedLines{"X Y: v",
+                                              "X\tY: v",
+                                              "X\x01Y: v",
+                                              std::string("X\0Y: v", 6),
+                                              "X\x0bY: v",
+                                              "X\x7fY: v",
+                                              "X\x80Y: v",
+                                              "X\"Y: v",
+                                              "X(Y): v",
+                                              "X : v",
+                                              "X: v\r\n folded",
+                                              "no colon",
+                                              ": v",
+                                              "X: v\x01",
+                                              "X: v\x7f",
+                                              "HTTP/1.1 500 No",
+                                              "HTTP/1.1 500 No: v"};
+
+const std::vector<std::string> soundLines{
+    "X-Y: v", "!#$%&'*+-.^_`|~09azAZ: v", "X:", "X: \t v \t", "X: a\tb", "X: \xe9\xff"};
+
 } // namespace
 
 /// Guards against a part of a response that its caller gets as the whole one, as the server reset
@@ -208,11 +229,25 @@
     expectBroken("HTTP/1.1 101 Switching Protocols\r\n\r\n" + framed);
 }
 
+/// Guards against a head, or trailers, with a field that is none.
+Test(brokenresponses, aMalformedFieldBreaksTheResponse)
+{
+    for (const std::string &line : malformedLines) {
+        expectBroken(framedHead + line + "\r\n\r\nhello");
+        expectBroken("HTTP/1.1 200 OK\r\n" + chunkedBody + line + "\r\n\r\n");
+    }
+    expectBroken("HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nhello");
+    for (const std::string &line : soundLines) {
+        expectComplete(framedHead + line + "\r\n\r\nhello", 200);
+        expectComplete("HTTP/1.1 200 OK\r\n" + chunkedBody + line + "\r\n\r\n", 200);
+    }
+}
+
 /// Guards against a malformed response that a caller of a service gets.
 Test(brokenresponses, aMalformedResponseOfAServiceIsAnError)
 {
     for (const std::string &response :
-         {statusResponse("600", framed), statusResponse("200OK", framed)}) {
+         {statusResponse("000", framed), framedHead + "X Y: v\r\n\r\nhello"}) {
         HastyServer server(response, Ending::ShutDown);
         Arrivals<Base::Ran> errors;
         HttpClient http;
