marjoramd: a head that is cut off is no response

What callers saw: a server that ended the connection within the head of its response, after the status line, had its status taken as a whole response without a body.

Cause: libcurl reports success for a head that is cut off, and HttpTransfer delivered what it had of it.

Change: an exchange whose head did not end is broken; the request may have run.

--- a/src/libs/backends/httptransfer.cpp
+++ b/src/libs/backends/httptransfer.cpp
@@ -168,9 +168,6 @@
 
 void HttpTransfer::finish(CURLcode code, HttpEnd brokenAs)
 {
-    if (code == CURLE_OK && !isHeadDelivered_ && handlers_.onHeaders) {
-        handlers_.onHeaders(head_);
-    }
     if (handlers_.onDone) {
         handlers_.onDone(outcome(code, brokenAs));
     }
@@ -181,14 +178,16 @@
     HttpOutcome outcome;
     outcome.status = head_.status;
     outcome.ran = sendCount_ == 0 ? Base::Ran::NotRun : Base::Ran::MayHaveRun;
-    if (code == CURLE_OK) {
+    if (code == CURLE_OK && isHeadDelivered_) {
         outcome.end = HttpEnd::Complete;
         outcome.ran = Base::Ran::Ran;
         return outcome;
     }
     outcome.message = errorText_[0] != 0 ? errorText_ : curl_easy_strerror(code);
     outcome.end = brokenAs;
-    if (!problem_.empty()) {
+    if (code == CURLE_OK) {
+        outcome.message = "connection closed within the head of the response";
+    } else if (!problem_.empty()) {
         outcome.end = HttpEnd::Broken;
         outcome.message = problem_;
     } else if (brokenAs == HttpEnd::Cancelled || isStopped_) {
--- a/tests/libs/backends/tst_brokenresponses.cpp
+++ b/tests/libs/backends/tst_brokenresponses.cpp
@@ -229,6 +229,18 @@
     expectBroken("HTTP/1.1 101 Switching Protocols\r\n\r\n" + framed);
 }
 
+/// Guards against a part of a response that counts as the whole one: a head that is cut off, as a
+/// response without a body.
+Test(brokenresponses, aResponseThatIsCutOffIsBroken)
+{
+    // libcurl does without the last line feed of a chunked body, whose last chunk has arrived then.
+    for (const std::string &response : {framed, chunked.substr(0, chunked.size() - 1)}) {
+        for (std::size_t cut = 0; cut < response.size(); ++cut) {
+            expectBroken(response.substr(0, cut));
+        }
+    }
+}
+
 /// Guards against a head, or trailers, with a field that is none.
 Test(brokenresponses, aMalformedFieldBreaksTheResponse)
 {
