marjoramd: a whole response survives the failed write of its request

What callers saw: a server answered an upload whole before it had read it, and closed the connection; the caller of marjoramd got "may have run" ("Send failure: Connection reset by peer").

Cause: libcurl goes on with the upload after the end of the response, and fails the transfer with the error of that.

Change: a transfer that failed in sending is complete if its body is as long as the Content-Length of its head.

--- a/src/libs/backends/httptransfer.cpp
+++ b/src/libs/backends/httptransfer.cpp
@@ -178,7 +178,9 @@
     HttpOutcome outcome;
     outcome.status = head_.status;
     outcome.ran = sendCount_ == 0 ? Base::Ran::NotRun : Base::Ran::MayHaveRun;
-    if (code == CURLE_OK && isHeadDelivered_) {
+    // A server may respond before it has read the request, and close the connection.
+    const bool isWhole = code == CURLE_OK || (code == CURLE_SEND_ERROR && isBodyWhole());
+    if (isWhole && isHeadDelivered_) {
         outcome.end = HttpEnd::Complete;
         outcome.ran = Base::Ran::Ran;
         return outcome;
@@ -205,6 +207,16 @@
     return outcome;
 }
 
+/// Whether the body is as long as the head states; false if that states no length.
+bool HttpTransfer::isBodyWhole() const
+{
+    const auto length
+        = std::find_if(head_.headers.begin(), head_.headers.end(), [](const auto &header) {
+              return isNamed(header, "content-length");
+          });
+    return length != head_.headers.end() && length->value == std::to_string(bodyBytes_);
+}
+
 /// Adds to what was received, and tells whether that is too much. A limit of 0 means none.
 bool HttpTransfer::exceeds(std::size_t &received,
                            std::size_t more,
--- a/src/libs/backends/httptransfer.h
+++ b/src/libs/backends/httptransfer.h
@@ -36,6 +36,7 @@
     void setUpHeaders();
     HttpOutcome outcome(CURLcode code, HttpEnd brokenAs) const;
 
+    bool isBodyWhole() const;
     bool exceeds(std::size_t &received, std::size_t more, std::size_t limit, const char *part);
     std::size_t handleHeaderLine(std::string_view line);
     std::string_view handleLine(std::string_view line);
--- a/tests/libs/backends/tst_brokenresponses.cpp
+++ b/tests/libs/backends/tst_brokenresponses.cpp
@@ -182,6 +182,37 @@
     }
 }
 
+/// Guards against a whole response that is dropped because the server did not read the request.
+Test(brokenresponses, aWholeResponseDuringTheUploadIsComplete)
+{
+    for (const Ending ending : {Ending::Reset, Ending::Closed, Ending::ShutDown}) {
+        const Answer answer = answerTo(uploadBytes, framed, ending);
+        cr_expect(answer.outcome.end == HttpEnd::Complete,
+                  "ending %d: %s",
+                  static_cast<int>(ending),
+                  answer.outcome.message.c_str());
+        cr_expect_eq(answer.body, "hello");
+    }
+    for (const std::string &response : {chunked, unframed}) {
+        const Answer answer = answerTo(uploadBytes, response, Ending::ShutDown);
+        cr_expect(answer.outcome.end == HttpEnd::Complete, "%s", answer.outcome.message.c_str());
+        cr_expect_eq(answer.body, "hello");
+    }
+}
+
+/// Guards against the same for a response whose length is not known before.
+Test(brokenresponses, aWholeChunkedResponseDuringTheUploadIsComplete)
+{
+    for (const Ending ending : {Ending::Reset, Ending::Closed}) {
+        const Answer answer = answerTo(uploadBytes, chunked, ending);
+        cr_expect(answer.outcome.end == HttpEnd::Complete,
+                  "ending %d: %s",
+                  static_cast<int>(ending),
+                  answer.outcome.message.c_str());
+        cr_expect_eq(answer.body, "hello");
+    }
+}
+
 /// Guards against a response whose status is no number of three digits from 100 to 599.
 Test(brokenresponses, aResponseWithoutAStatusIsBroken)
 {
