--- a/src/libs/base/httpsyntax.h
+++ b/src/libs/base/httpsyntax.h
@@ -3,10 +3,10 @@
 #include <optional>
 #include <string_view>
 
-namespace Base {
+// Checks of the lines of HTTP/1.1 messages (RFC 9112), without their line ends. HTTP libraries
+// accept more, which two hops may interpret differently.
 
-/// The lines of HTTP/1.1 messages (RFC 9112), without their line ends. HTTP libraries accept more,
-/// which two hops may interpret differently.
+namespace Base {
 
 /// Returns the status code; nothing if the line is no status line or the code is not valid. Valid
 /// codes are from 100 to 599 (RFC 9110, section 15).
--- a/src/libs/proxy/messageparser.h
+++ b/src/libs/proxy/messageparser.h
@@ -32,9 +32,9 @@
 };
 
 /// Incremental parser of HTTP/1.1 messages, based on http_parser. Stricter than that library: it
-/// rejects bare line feeds, folded lines, blanks before a colon, and control characters in the
-/// head, as two hops may interpret them differently. Bounds what it drops: empty lines before a
-/// message, chunk extensions and trailers.
+/// rejects invalid status lines, malformed fields in heads and trailers, bare line feeds, and
+/// chunks without a line end, as two hops may interpret them differently. Bounds what it drops:
+/// empty lines before a message, chunk extensions and trailers.
 class MessageParser
 {
 public:
