Tests of broken answers: no concatenation in loops

Change: functions make these texts; what is checked stays the same. One comment of tst_earlyresponses.cpp is plainer.

--- a/tests/libs/backends/tst_brokenresponses.cpp
+++ b/tests/libs/backends/tst_brokenresponses.cpp
@@ -148,6 +148,22 @@
            + body;
 }
 
+/// An interim response with these field lines, and behind it one that is complete.
+std::string interimAndFramed(const std::string &status, const std::string &fields)
+{
+    return "HTTP/1.1 " + status + "\r\n" + fields + "\r\n" + framed;
+}
+
+std::string headWith(const std::string &line)
+{
+    return framedHead + line + "\r\n\r\nhello";
+}
+
+std::string trailersWith(const std::string &line)
+{
+    return "HTTP/1.1 200 OK\r\n" + chunkedBody + line + "\r\n\r\n";
+}
+
 const std::vector<std::string> malformedLines{"X Y: v",
                                               "X\tY: v",
                                               "X\x01Y: v",
@@ -250,14 +266,13 @@
 Test(brokenresponses, anInterimResponseWithABodyIsBroken)
 {
     for (const char *status : {"100 Continue", "103 Early Hints"}) {
-        const std::string head = std::string("HTTP/1.1 ") + status + "\r\n";
-        const std::string size = std::to_string(framed.size());
-        expectBroken(head + "Content-Length: " + size + "\r\n\r\n" + framed);
-        expectBroken(head + "Transfer-Encoding: chunked\r\n\r\n" + framed);
-        expectComplete(head + "\r\n" + framed, 200);
-        expectComplete(head + "Content-Length: 0\r\n\r\n" + framed, 200);
+        const std::string length = "Content-Length: " + std::to_string(framed.size()) + "\r\n";
+        expectBroken(interimAndFramed(status, length));
+        expectBroken(interimAndFramed(status, "Transfer-Encoding: chunked\r\n"));
+        expectComplete(interimAndFramed(status, ""), 200);
+        expectComplete(interimAndFramed(status, "Content-Length: 0\r\n"), 200);
     }
-    expectBroken("HTTP/1.1 101 Switching Protocols\r\n\r\n" + framed);
+    expectBroken(interimAndFramed("101 Switching Protocols", ""));
 }
 
 /// Guards against a part of a response that counts as the whole one: a head that is cut off, as a
@@ -276,21 +291,20 @@
 Test(brokenresponses, aMalformedFieldBreaksTheResponse)
 {
     for (const std::string &line : malformedLines) {
-        expectBroken(framedHead + line + "\r\n\r\nhello");
-        expectBroken("HTTP/1.1 200 OK\r\n" + chunkedBody + line + "\r\n\r\n");
+        expectBroken(headWith(line));
+        expectBroken(trailersWith(line));
     }
     expectBroken("HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nhello");
     for (const std::string &line : soundLines) {
-        expectComplete(framedHead + line + "\r\n\r\nhello", 200);
-        expectComplete("HTTP/1.1 200 OK\r\n" + chunkedBody + line + "\r\n\r\n", 200);
+        expectComplete(headWith(line), 200);
+        expectComplete(trailersWith(line), 200);
     }
 }
 
 /// Guards against a malformed response that a caller of a service gets.
 Test(brokenresponses, aMalformedResponseOfAServiceIsAnError)
 {
-    for (const std::string &response :
-         {statusResponse("000", framed), framedHead + "X Y: v\r\n\r\nhello"}) {
+    for (const std::string &response : {statusResponse("000", framed), headWith("X Y: v")}) {
         HastyServer server(response, Ending::ShutDown);
         Arrivals<Base::Ran> errors;
         HttpClient http;
--- a/tests/libs/proxy/tst_earlyresponses.cpp
+++ b/tests/libs/proxy/tst_earlyresponses.cpp
@@ -52,7 +52,7 @@
     return document;
 }
 
-/// A proxy before servers of which the first one takes little of a request before it reads it.
+/// Allows large bodies; the first server buffers little of them.
 void prepare(Fixture &fixture)
 {
     fixture.passThrough().configure(largeBodies());
--- a/tests/libs/proxy/tst_malformedresponses.cpp
+++ b/tests/libs/proxy/tst_malformedresponses.cpp
@@ -47,6 +47,17 @@
            + "\r\n\r\n" + body;
 }
 
+std::string responseWithStartLine(const std::string &line)
+{
+    return line + "\r\n" + named + plainEnd;
+}
+
+/// An interim response with these field lines, and behind it one that is complete.
+std::string interimAndInner(const std::string &status, const std::string &fields)
+{
+    return "HTTP/1.1 " + status + "\r\n" + fields + "\r\n" + inner;
+}
+
 std::string headWith(const std::string &line)
 {
     return "HTTP/1.1 200 OK\r\n" + named + line + "\r\n" + plainEnd;
@@ -122,7 +133,7 @@
         expectBroken(statusResponse(status, inner));
     }
     for (const char *line : {"HTTQ/1.1 200 OK", "HTTP 200 OK", "HTTP/11 200 OK", "200 OK"}) {
-        expectBroken(std::string(line) + "\r\n" + named + plainEnd);
+        expectBroken(responseWithStartLine(line));
     }
 }
 
@@ -131,14 +142,13 @@
 Test(malformedresponses, anInterimResponseWithABodyIsBroken)
 {
     for (const char *status : {"100 Continue", "102 Processing", "103 Early Hints", "199 Odd"}) {
-        const std::string head = std::string("HTTP/1.1 ") + status + "\r\n";
-        const std::string size = std::to_string(inner.size());
-        expectBroken(head + "Content-Length: " + size + "\r\n\r\n" + inner);
-        expectBroken(head + "Transfer-Encoding: chunked\r\n\r\n" + inner);
-        expectPassedOn(head + "\r\n" + inner, "HTTP/1.1 200 OK\r\n");
-        expectPassedOn(head + "Content-Length: 0\r\n\r\n" + inner, "HTTP/1.1 200 OK\r\n");
+        const std::string length = "Content-Length: " + std::to_string(inner.size()) + "\r\n";
+        expectBroken(interimAndInner(status, length));
+        expectBroken(interimAndInner(status, "Transfer-Encoding: chunked\r\n"));
+        expectPassedOn(interimAndInner(status, ""), "HTTP/1.1 200 OK\r\n");
+        expectPassedOn(interimAndInner(status, "Content-Length: 0\r\n"), "HTTP/1.1 200 OK\r\n");
     }
-    expectBroken("HTTP/1.1 101 Switching Protocols\r\n\r\n" + inner);
+    expectBroken(interimAndInner("101 Switching Protocols", ""));
 }
 
 /// Guards against a check that breaks the responses of sound servers.
--- a/tests/libs/proxy/tst_messageparser.cpp
+++ b/tests/libs/proxy/tst_messageparser.cpp
@@ -54,6 +54,12 @@
     return whole.state;
 }
 
+std::string chunkedResponse(const std::string &field, const std::string &trailer)
+{
+    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + field + "\r\n1\r\nx\r\n0\r\n"
+           + trailer + "\r\n";
+}
+
 const std::string start = "POST /a/b?c=1 HTTP/1.1\r\nHost: x.example\r\n";
 
 } // namespace
@@ -192,8 +198,6 @@
 Test(messageparser, rejectsEachByteThatNoFieldMayHold)
 {
     const std::string tokenMarks = "!#$%&'*+-.^_`|~";
-    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
-    const std::string body = "\r\n1\r\nx\r\n0\r\n";
     for (int byte = 0; byte < 256; ++byte) {
         const auto c = static_cast<char>(byte);
         const bool isToken
@@ -205,7 +209,7 @@
             for (const bool isTrailer : {false, true}) {
                 const auto stateWith = [&](const std::string &line) {
                     const std::string text
-                        = isTrailer ? head + body + line + "\r\n" : head + line + body + "\r\n";
+                        = isTrailer ? chunkedResponse({}, line) : chunkedResponse(line, {});
                     return parse(response, text, piece).state;
                 };
                 const bool isNameAccepted = stateWith(name) == ParseState::Complete;
