MessageParser: check the start line apart from the fields

Cause: linesProblem() took a flag for heads and trailers and kept a state for the first line, and parseHead() cut the start line out once more. isAfterData_ told what bodySize_ tells: the data of all earlier chunks has been read where a chunk's head ends. Change: takeLine() and fieldsProblem() serve heads and trailers; the start line is checked in parseHead(); isAfterData_ is gone. What is accepted stays the same; a head with several errors may log another one of them.

--- a/src/libs/proxy/messageparser.cpp
+++ b/src/libs/proxy/messageparser.cpp
@@ -29,22 +29,23 @@
 constexpr std::size_t framingBytesPerChunk = 16;
 constexpr std::uint64_t framingBytesPerDataByte = 2;
 
-/// Describes the first error in the lines of a head or of trailers; empty if they are valid.
-std::string_view linesProblem(std::string_view lines, bool hasStartLine)
+/// Removes the first line and its end from the text, and returns the line.
+std::string_view takeLine(std::string_view &text)
+{
+    const std::size_t end = std::min(text.find(lineEnd), text.size());
+    const std::string_view line = text.substr(0, end);
+    text.remove_prefix(std::min(end + lineEnd.size(), text.size()));
+    return line;
+}
+
+/// Describes the first error in the fields of a head or in trailers; empty if they are valid.
+std::string_view fieldsProblem(std::string_view lines)
 {
-    bool isStartLine = hasStartLine;
     while (!lines.empty()) {
-        const std::size_t end = std::min(lines.find(lineEnd), lines.size());
-        const std::string_view line = lines.substr(0, end);
-        lines.remove_prefix(std::min(end + lineEnd.size(), lines.size()));
-        if (std::exchange(isStartLine, false)) {
-            if (Base::hasControlCharacters(line)) {
-                return "control character in the start line";
-            }
-        } else if (!line.empty()) {
-            if (const auto problem = Base::fieldLineProblem(line); !problem.empty()) {
-                return problem;
-            }
+        const std::string_view line = takeLine(lines);
+        const std::string_view problem = line.empty() ? "" : Base::fieldLineProblem(line);
+        if (!problem.empty()) {
+            return problem;
         }
     }
     return {};
@@ -133,8 +134,6 @@
     std::size_t framingBytes_ = 0;
     /// What was read between the data of two chunks, or behind that of the last one.
     std::string framingText_;
-    /// framingText_ begins with the end of a chunk.
-    bool isAfterData_ = false;
     bool hasNoBody_ = false;
     bool isValueOpen_ = false;
 
@@ -161,7 +160,6 @@
     bodySize_ = 0;
     emptyLineBytes_ = 0;
     framingBytes_ = 0;
-    isAfterData_ = false;
     hasNoBody_ = false;
     isValueOpen_ = false;
 }
@@ -211,16 +209,18 @@
 
 void MessageParser::Private::parseHead(const std::string &head)
 {
-    if (const std::string_view problem = linesProblem(head, true); !problem.empty()) {
-        fail(ParseError::Malformed, std::string(problem));
-        return;
-    }
-    const std::string_view startLine = std::string_view(head).substr(0, head.find(lineEnd));
-    if (kind_ == Kind::Response && !Base::parseStatusLine(startLine)) {
+    std::string_view lines = head;
+    const std::string_view startLine = takeLine(lines);
+    const std::string_view problem = fieldsProblem(lines);
+    if (Base::hasControlCharacters(startLine)) {
+        fail(ParseError::Malformed, "control character in the start line");
+    } else if (kind_ == Kind::Response && !Base::parseStatusLine(startLine)) {
         fail(ParseError::Malformed, "invalid status line");
-        return;
+    } else if (!problem.empty()) {
+        fail(ParseError::Malformed, std::string(problem));
+    } else {
+        execute(head);
     }
-    execute(head);
 }
 
 std::size_t MessageParser::Private::execute(std::string_view bytes)
@@ -253,10 +253,9 @@
     if (framingBytes_ > maxFramingBytes) {
         fail(ParseError::Malformed, "chunk extensions or trailers exceed the limit");
     } else if (state_ == ParseState::Complete) {
-        endFraming(linesProblem(framingText_, false));
+        endFraming(fieldsProblem(framingText_));
     } else if (parser_.http_errno == HPE_PAUSED) {
-        endFraming(chunkFramingProblem(framingText_, isAfterData_));
-        isAfterData_ = parser_.content_length > 0;
+        endFraming(chunkFramingProblem(framingText_, bodySize_ > 0));
         allowFraming(parser_.content_length);
     }
     return used;
