ClientConnection: two functions in place of a flag for the end

Cause: onEndOfStream() called itself through a posted handler, and isEndRead_ only told the first call from the second. Change: onEndOfStream() decides whether to wait for the write's handler, endResponse() ends the response.

--- a/src/libs/proxy/clientconnection.cpp
+++ b/src/libs/proxy/clientconnection.cpp
@@ -139,7 +139,6 @@
     isReusable_ = false;
     isWriting_ = true;
     writeError_ = {};
-    isEndRead_ = false;
     hasSent_ = true;
     auto self = shared_from_this();
     asio::async_write(
@@ -239,16 +238,20 @@
 
 void ClientConnection::onEndOfStream()
 {
-    if (isWriting_ && !isEndRead_) {
-        // A write that got an error before has its handler run first.
-        isEndRead_ = true;
-        asio::post(socket_.get_executor(), [self = shared_from_this()] {
-            if (self->isAwaitingResponse_ && !self->isClosed_) {
-                self->onEndOfStream();
-            }
-        });
+    if (!isWriting_) {
+        endResponse();
         return;
     }
+    // A write that got an error before has its handler run first.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        if (self->isAwaitingResponse_ && !self->isClosed_) {
+            self->endResponse();
+        }
+    });
+}
+
+void ClientConnection::endResponse()
+{
     if (writeError_) {
         fail(ResponseEnd::Disconnected, "write: " + writeError_.message());
         return;
--- a/src/libs/proxy/clientconnection.h
+++ b/src/libs/proxy/clientconnection.h
@@ -95,6 +95,7 @@
     void read();
     void onRead(const std::error_code &error, std::size_t size);
     void onEndOfStream();
+    void endResponse();
     bool consume(std::string_view bytes);
     bool onHeadParsed();
     bool countSkippedMessage();
@@ -126,7 +127,6 @@
     /// Unset if the server had ended its bytes in the ordinary way before the error.
     std::error_code writeError_;
     bool isReading_ = false;
-    bool isEndRead_ = false;
     bool isPaused_ = false;
     Message message_ = Message::Unknown;
     std::size_t skippedBytes_ = 0;
