One comparison and one trim for header names and values

Cause: HttpTransfer compared names without case and trimmed values with functions of its own, beside equalsIgnoringCase() and trimmed() of the proxy, which backends does not depend on. Change: both are in base/httpsyntax; the proxy uses them under its own names as before. HttpTransfer trimmed line ends as well, which its lines do not have any more.

--- a/src/libs/backends/httptransfer.cpp
+++ b/src/libs/backends/httptransfer.cpp
@@ -3,7 +3,6 @@
 #include <base/httpsyntax.h>
 
 #include <algorithm>
-#include <cctype>
 
 namespace Backends {
 
@@ -19,16 +18,6 @@
 /// connections that were idle for a shorter time.
 constexpr long maxIdleSecondsIfNotRepeatable = 1;
 
-std::string_view trimmed(std::string_view text)
-{
-    const char *blanks = " \t\r\n";
-    const std::size_t first = text.find_first_not_of(blanks);
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
-}
-
 /// Rejects line breaks, with which a caller could inject headers.
 bool isSafe(const HttpHeader &header)
 {
@@ -49,20 +38,12 @@
     return line;
 }
 
-bool isNamed(const HttpHeader &header, std::string_view lowerCaseName)
-{
-    const auto isSame
-        = [](char a, char b) { return std::tolower(static_cast<unsigned char>(a)) == b; };
-    return std::equal(
-        header.name.begin(), header.name.end(), lowerCaseName.begin(), lowerCaseName.end(), isSame);
-}
-
 /// Whether the fields announce a body.
 bool hasBody(const std::vector<HttpHeader> &headers)
 {
     return std::any_of(headers.begin(), headers.end(), [](const HttpHeader &header) {
-        return isNamed(header, "transfer-encoding")
-               || (isNamed(header, "content-length") && header.value != "0");
+        return Base::equalsIgnoringCase(header.name, "transfer-encoding")
+               || (Base::equalsIgnoringCase(header.name, "content-length") && header.value != "0");
     });
 }
 
@@ -212,7 +193,7 @@
 {
     const auto length
         = std::find_if(head_.headers.begin(), head_.headers.end(), [](const auto &header) {
-              return isNamed(header, "content-length");
+              return Base::equalsIgnoringCase(header.name, "content-length");
           });
     return length != head_.headers.end() && length->value == std::to_string(bodyBytes_);
 }
@@ -261,7 +242,7 @@
     }
     const std::size_t colon = line.find(':');
     head_.headers.push_back(
-        {std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1)))});
+        {std::string(line.substr(0, colon)), std::string(Base::trimmed(line.substr(colon + 1)))});
     return {};
 }
 
--- a/src/libs/base/httpsyntax.cpp
+++ b/src/libs/base/httpsyntax.cpp
@@ -1,6 +1,7 @@
 #include "httpsyntax.h"
 
 #include <algorithm>
+#include <cctype>
 
 namespace Base {
 
@@ -59,6 +60,24 @@
     return hasControlCharacters(line.substr(colon)) ? "control character in a header value" : "";
 }
 
+bool equalsIgnoringCase(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+               return std::tolower(static_cast<unsigned char>(x))
+                      == std::tolower(static_cast<unsigned char>(y));
+           });
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const char *blanks = " \t";
+    const std::size_t first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
 bool hasControlCharacters(std::string_view line)
 {
     return std::any_of(line.begin(), line.end(), isControlCharacter);
--- a/src/libs/base/httpsyntax.h
+++ b/src/libs/base/httpsyntax.h
@@ -15,6 +15,11 @@
 /// Describes the first error in a header field or trailer; empty if it is valid.
 std::string_view fieldLineProblem(std::string_view line);
 
+bool equalsIgnoringCase(std::string_view a, std::string_view b);
+
+/// Returns the text without the blanks around it.
+std::string_view trimmed(std::string_view text);
+
 /// Whether the line has control characters other than tabs.
 bool hasControlCharacters(std::string_view line);
 
--- a/src/libs/proxy/httphead.cpp
+++ b/src/libs/proxy/httphead.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 
 namespace Proxy {
 
@@ -43,24 +42,6 @@
 
 } // namespace
 
-bool equalsIgnoringCase(std::string_view a, std::string_view b)
-{
-    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
-               return std::tolower(static_cast<unsigned char>(x))
-                      == std::tolower(static_cast<unsigned char>(y));
-           });
-}
-
-std::string_view trimmed(std::string_view text)
-{
-    const char *blanks = " \t";
-    const std::size_t first = text.find_first_not_of(blanks);
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
-}
-
 std::vector<std::string_view> listElements(std::string_view value)
 {
     std::vector<std::string_view> result;
--- a/src/libs/proxy/httphead.h
+++ b/src/libs/proxy/httphead.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <base/httpsyntax.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -62,8 +64,8 @@
     bool isKeepAlive = true;
 };
 
-bool equalsIgnoringCase(std::string_view a, std::string_view b);
-std::string_view trimmed(std::string_view text);
+using Base::equalsIgnoringCase;
+using Base::trimmed;
 /// Returns the trimmed elements of a comma-separated field value, empty ones included.
 std::vector<std::string_view> listElements(std::string_view value);
 
