--- a/review/stand4/case12.cpp
+++ b/review/stand4/case12.cpp
@@ -1,5 +1,4 @@
-// Case 12: programs whose turns come through another zone get their budgets once more. Nothing
-// fails.
+// Case 12: a turn on a route that was added while its front stood still is answered 404.
 
 #include "deployment.h"
 
@@ -7,35 +6,16 @@
 
 namespace {
 
-constexpr int budgetTurns = 100;
-constexpr int largeBudget = budgetTurns * turnTokens;
-
-struct Program
-{
-    std::string id = "a" + newId();
-    int tokens = 0, turns = 0, refused = 0;
-    bool isSpent = false;
-    double lastAt = -1, longestPause = 0;
-};
-
-void runTurn(Deployment &deployment, Program &program, int front)
+std::string keptTurn(const std::string &id, const std::string &program, const std::string &previous)
 {
-    for (int attempt = 0; attempt < 3; ++attempt) {
-        const Answer answer = deployment.runTurn(program.id, front, largeBudget);
-        program.tokens += answer.events * stride;
-        const double now = deployment.record.seconds();
-        if (program.lastAt >= 0) {
-            program.longestPause = std::max(program.longestPause, now - program.lastAt);
-        }
-        program.lastAt = now;
-        program.isSpent = answer.status == 402;
-        if (answer.status == 200 || program.isSpent) {
-            program.turns += program.isSpent ? 0 : 1;
-            return;
-        }
-        ++program.refused;
-        std::this_thread::sleep_for(Ms(200));
+    std::string request = turn(id, program);
+    const std::string route = "/lohu930/";
+    request.replace(request.find(route), route.size(), "/vemi415/");
+    if (!previous.empty()) {
+        const std::string field = "X-Model: m\r\n";
+        request.insert(request.find(field), "X-Previous-Turn: " + previous + "\r\n");
     }
+    return request;
 }
 
 } // namespace
@@ -45,60 +25,99 @@
     if (count != 3) {
         return 2;
     }
-    const char *text = std::getenv("RETAIN_S"); // for a run by hand with the time of the site
-    const int retainSeconds = text ? std::stoi(text) : 20;
-    Deployment deployment(arguments[1], arguments[2], retainSeconds);
+    const std::filesystem::path folder = arguments[1];
+    Deployment deployment(folder, arguments[2], 60);
     Record &record = deployment.record;
+    std::vector<std::unique_ptr<Node>> stores;
+    for (int i = 0; i < 3; ++i) {
+        const std::string name = "store-" + std::string(deployment.zones[i]) + "-1";
+        stores.push_back(std::make_unique<Node>(
+            name,
+            "store",
+            nodeSettings(name,
+                         "store",
+                         address(21 + i),
+                         deployment.zones[i],
+                         deployment.ips,
+                         address(2) + ":" + std::to_string(deployment.platform.port()),
+                         folder),
+            folder));
+        stores.back()->start(true);
+    }
     if (!deployment.start()) {
         deployment.stop();
         return 2;
     }
-    OtherPrograms others(deployment, 6);
-    std::vector<Program> programs(6);
-
-    // Twelve turns of the hundred, in more than twice retain_s, all through the first zone.
-    std::vector<std::thread> threads;
-    for (Program &program : programs) {
-        threads.emplace_back([&] {
-            for (int i = 0; i < 12; ++i) {
-                runTurn(deployment, program, 0);
-                std::this_thread::sleep_for(Ms(retainSeconds * 220));
-            }
-        });
-        std::this_thread::sleep_for(Ms(300));
+    OtherPrograms others(deployment, 4);
+    Node &front = *deployment.fronts[2];
+    // Clients whose connections are kept.
+    std::vector<std::unique_ptr<Connection>> kept;
+    for (int i = 0; i < 4; ++i) {
+        kept.push_back(std::make_unique<Connection>(connectTo(front.ip(), frontPort, Ms(1000))));
+    }
+    std::this_thread::sleep_for(Ms(500));
+    if (isTroubled()) {
+        record.write("SIGSTOP to " + front.name());
+        deployment.takesClients[2] = false;
+        front.signal(SIGSTOP);
+    }
+    std::this_thread::sleep_for(Ms(300));
+    json spec = configuration(60);
+    spec["version"] = 9;
+    json route = spec["routes"][0];
+    route["name"] = "r-4e9bsvy";
+    route["path_prefix"] = "/vemi415/";
+    route["retained"] = true;
+    route["resumable"] = false;
+    spec["routes"].push_back(route);
+    deployment.platform.put("config", "main", spec);
+    record.write("version 9 adds a route that keeps turns");
+    std::this_thread::sleep_for(Ms(2050)); // longer than config_apply_ms
+    std::vector<std::string> previous, programs;
+    int served = 0, lost = 0;
+    for (std::size_t i = 0; i < kept.size(); ++i) {
+        previous.push_back(newId());
+        programs.push_back("a" + newId());
+        const Answer answer
+            = sendRequest(deployment.ips[0], keptTurn(previous[i], programs[i], {}), Ms(3000));
+        record.write("answer  " + previous[i] + " " + std::to_string(answer.status)
+                     + (answer.isComplete ? " whole" : " cut"));
+        served += answer.status == 200 && answer.isComplete ? 1 : 0;
+    }
+    for (std::size_t i = 0; i < kept.size(); ++i) {
+        kept[i]->write(keptTurn(newId(), programs[i], previous[i]));
     }
-    for (std::thread &thread : threads) {
-        thread.join();
+    std::this_thread::sleep_for(Ms(100));
+    if (isTroubled()) {
+        record.write("SIGCONT to " + front.name());
+        front.signal(SIGCONT);
     }
-    const int next = isTroubled() ? 1 : 0;
-    record.write("from now on the turns come through " + deployment.fronts[next]->name());
-    threads.clear();
-    for (Program &program : programs) {
-        threads.emplace_back([&] {
-            for (int i = 0; i < budgetTurns + 30 && !program.isSpent; ++i) {
-                runTurn(deployment, program, next);
-                std::this_thread::sleep_for(Ms(20));
-            }
-        });
+    std::string figures;
+    for (std::size_t i = 0; i < kept.size(); ++i) {
+        const auto head = kept[i]->readHead(Clock::now() + Ms(3000));
+        const std::string status = head ? head->word(1) : "none";
+        record.write("answer to the turn after " + previous[i] + ": " + status);
+        lost += status == "404" || status == "410" ? 1 : 0;
+        figures += " " + status;
     }
-    for (std::thread &thread : threads) {
-        thread.join();
+    // What the fronts that were not stopped say of the same turns.
+    int continued = 0;
+    for (std::size_t i = 0; i < kept.size(); ++i) {
+        const Answer answer = sendRequest(
+            deployment.ips[1], keptTurn(newId(), programs[i], previous[i]), Ms(3000));
+        record.write("answer to the turn after " + previous[i] + " by another front: "
+                     + std::to_string(answer.status));
+        continued += answer.status == 200 && answer.isComplete ? 1 : 0;
     }
     others.end();
     deployment.stop();
-    const int most = largeBudget + turnTokens;
-    int broken = 0, usable = 0;
-    std::string figures = "tokens of the programs:";
-    for (const Program &program : programs) {
-        broken += program.tokens > most ? 1 : 0;
-        usable += program.turns >= 15 && program.longestPause < retainSeconds ? 1 : 0;
-        figures += " " + std::to_string(program.tokens) + " (" + std::to_string(program.turns)
-                   + " turns, longest pause " + std::to_string(program.longestPause) + " s)";
+    for (const auto &store : stores) {
+        store->kill();
     }
+    const bool isUsable = served == 4 && continued == 4;
     end(record,
-        "BUDGET",
-        broken > 0 ? 1 : usable > 3 ? 0 : 2,
-        figures + "; budget " + std::to_string(largeBudget) + ", with the most of one turn "
-            + std::to_string(most) + "; " + std::to_string(broken) + " programs beyond; others served "
-            + std::to_string(others.served) + " of " + std::to_string(others.sent));
+        "LOST",
+        lost > 0 && isUsable ? 1 : isUsable ? 0 : 2,
+        "four turns were answered whole (" + std::to_string(served) + "); turns that go on from them got"
+            + figures + "; other fronts went on from " + std::to_string(continued));
 }
--- a/review/stand4/fleet.h
+++ b/review/stand4/fleet.h
@@ -225,6 +225,7 @@
 
     const std::string &name() const { return name_; }
     std::string ip() const { return settings_["ip"].get<std::string>(); }
+    void setLimit(const char *name, int value) { settings_["limits"][name] = value; }
     std::string logFile() const { return (folder_ / (name_ + ".log")).string(); }
 
     void start(bool isBootstrap)
