--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,3 +7,4 @@
     g++ -std=c++20 -O1 -pthread -o "build-probe/$name.$$" "review/probe/$name.cpp"
     mv "build-probe/$name.$$" "build-probe/$name"
 done
+[ $# -gt 0 ] || review/build-4.sh
